--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target does its own set-up: missing packages, configuration, build.
+
+BUILD ?= build
+
+.PHONY: setup build demo test format lint clean
+
+setup:
+	scripts/install-packages
+
+build: setup
+	cmake --preset default > /dev/null
+	cmake --build $(BUILD)
+
+demo: build
+	scripts/demo
+
+test: build
+	scripts/run-tests
+
+format: setup
+	scripts/check-format
+
+lint: build
+	scripts/check-lint
+
+clean:
+	rm -rf build run
--- /dev/null
+++ b/src/cluster/member.cc
@@ -0,0 +1,23 @@
+#include "cluster/member.h"
+
+namespace valvekeel::cluster {
+
+replicated::Entry ToEntry(const Member& member) {
+  replicated::Entry entry;
+  entry.id = {replicated::EntryKind::kMember, member.id};
+  entry.version = {member.incarnation, static_cast<std::uint64_t>(member.state)};
+  entry.value = {{"zone", member.zone}, {"peer", member.peer}};
+  return entry;
+}
+
+Member FromEntry(const replicated::Entry& entry) {
+  Member member;
+  member.id = entry.id.name;
+  member.zone = entry.value.value("zone", "");
+  member.peer = entry.value.value("peer", Endpoint{});
+  member.incarnation = entry.version.major;
+  member.state = static_cast<MemberState>(entry.version.minor);
+  return member;
+}
+
+}  // namespace valvekeel::cluster
--- /dev/null
+++ b/src/cluster/node.cc
@@ -0,0 +1,423 @@
+#include "cluster/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace valvekeel::cluster {
+namespace {
+
+using common::Instant;
+using replicated::Entry;
+using replicated::EntryKind;
+
+// Seeds of the hash orders; each use has its own so that no member carries every duty.
+constexpr std::string_view kRingOrder = "ring";
+constexpr std::string_view kBridgeOrder = "bridge/";
+constexpr std::string_view kRelayOrder = "relay/";
+constexpr std::size_t kLargestReply = 500;  // entries in one message
+
+struct HashedMember {
+  std::uint64_t hash = 0;
+  MemberId id;
+
+  auto operator<=>(const HashedMember&) const = default;
+};
+
+std::vector<HashedMember> HashOrder(std::string_view seed, const std::vector<Member>& members) {
+  std::vector<HashedMember> ordered;
+  ordered.reserve(members.size());
+  for (const Member& member : members) {
+    ordered.push_back({replicated::StableHash(seed, member.id), member.id});
+  }
+  std::sort(ordered.begin(), ordered.end());
+  return ordered;
+}
+
+}  // namespace
+
+Node::Node(Member self, std::vector<Endpoint> seeds, NodeSettings settings)
+    : self_(std::move(self)), seeds_(std::move(seeds)), settings_(settings) {}
+
+Actions Node::TakeActions() { return std::exchange(actions_, {}); }
+
+Actions Node::Start(Instant now) {
+  joined_ = seeds_.empty();
+  next_heartbeat_ = now;
+  next_join_ = now;
+  ApplyEntry(ToEntry(self_), now);
+  TryJoin(now);
+  return TakeActions();
+}
+
+void Node::TryJoin(Instant now) {
+  if (joined_ || now < next_join_) {
+    return;
+  }
+  next_join_ = now + settings_.join_retry;
+  const Endpoint& seed = seeds_[next_seed_++ % seeds_.size()];
+  actions_.push_back(SendAction{"", seed, Join{ToEntry(self_)}});
+}
+
+Actions Node::Tick(Instant now) {
+  TryJoin(now);
+  RebuildView();
+  if (now >= next_heartbeat_) {
+    next_heartbeat_ = now + settings_.heartbeat_interval;
+    SendHeartbeats();
+    ForgetGone(now);
+  }
+  WatchPredecessors(now);
+  return TakeActions();
+}
+
+Actions Node::Receive(const MemberId& from, const Message& message, Instant now) {
+  const auto watched = watched_.find(from);
+  if (watched != watched_.end()) {
+    watched->second.last_heard = now;
+  }
+  std::visit([&](const auto& typed) { Handle(from, typed, now); }, message);
+  RefuteIfNeeded(now);
+  return TakeActions();
+}
+
+Actions Node::Publish(const Entry& entry, Instant now) {
+  if (ApplyEntry(entry, now)) {
+    Broadcast({entry});
+  }
+  return TakeActions();
+}
+
+Actions Node::Leave(Instant now) {
+  self_.state = MemberState::kLeaving;
+  return Publish(ToEntry(self_), now);
+}
+
+Actions Node::Finish(Instant now) {
+  self_.state = MemberState::kLeft;
+  return Publish(ToEntry(self_), now);
+}
+
+// --- Messages ---------------------------------------------------------------------------------
+
+void Node::Handle(const MemberId& from, const Heartbeat& message, Instant now) {
+  const Entry* known = table_.Find({EntryKind::kMember, from});
+  if (known == nullptr || message.table_hash == table_.RootHash()) {
+    if (known == nullptr) {
+      SendTo(from, Digest{table_.Hashes()});
+    }
+    return;
+  }
+  // A difference is normal while an update is on its way, so repairs are paced.
+  Instant& repaired_at = repaired_at_[from];
+  if (repaired_at != Instant{0} && now - repaired_at < settings_.repair_interval) {
+    return;
+  }
+  repaired_at = now;
+  SendTo(from, Digest{table_.Hashes()});
+}
+
+void Node::Handle(const MemberId& /*from*/, const Update& message, Instant now) {
+  std::vector<Entry> fresh;
+  for (const Entry& entry : message.entries) {
+    if (ApplyEntry(entry, now)) {
+      fresh.push_back(entry);
+    }
+  }
+  joined_ = true;
+  if (fresh.empty()) {
+    return;
+  }
+  if (message.forward) {
+    Forward(fresh, message.span);
+  } else if (IsBridge()) {
+    // Repaired by comparison: after a cut between zones the rest of this zone lacks it too.
+    Forward(fresh, Span{});
+  }
+}
+
+void Node::Handle(const MemberId& from, const Digest& message, Instant /*now*/) {
+  BucketSummaries reply;
+  for (std::size_t bucket = 0; bucket < replicated::kBuckets; ++bucket) {
+    if (message.hashes[bucket] == table_.Hashes()[bucket]) {
+      continue;
+    }
+    reply.buckets.push_back(static_cast<std::uint32_t>(bucket));
+    for (const auto& summary : table_.Bucket(bucket)) {
+      reply.summaries.push_back(summary);
+    }
+  }
+  if (!reply.buckets.empty()) {
+    SendTo(from, std::move(reply));
+  }
+}
+
+void Node::Handle(const MemberId& from, const BucketSummaries& message, Instant /*now*/) {
+  EntriesRequest wanted;
+  Update newer;
+  std::set<replicated::EntryId> theirs;
+  for (const auto& summary : message.summaries) {
+    theirs.insert(summary.id);
+    const Entry* mine = table_.Find(summary.id);
+    if (mine == nullptr || mine->version < summary.version) {
+      wanted.ids.push_back(summary.id);
+    } else if (mine->version > summary.version) {
+      newer.entries.push_back(*mine);
+    }
+  }
+  for (const std::uint32_t bucket : message.buckets) {
+    for (const auto& summary : table_.Bucket(bucket)) {
+      if (!theirs.contains(summary.id)) {
+        newer.entries.push_back(*table_.Find(summary.id));
+      }
+    }
+  }
+  if (!wanted.ids.empty()) {
+    SendTo(from, std::move(wanted));
+  }
+  if (!newer.entries.empty()) {
+    SendTo(from, std::move(newer));
+  }
+}
+
+void Node::Handle(const MemberId& from, const EntriesRequest& message, Instant /*now*/) {
+  Update reply;
+  for (const auto& id : message.ids) {
+    if (const Entry* entry = table_.Find(id)) {
+      reply.entries.push_back(*entry);
+    }
+  }
+  SendTo(from, std::move(reply));
+}
+
+void Node::Handle(const MemberId& /*from*/, const Join& message, Instant now) {
+  const MemberId joining = message.member.id.name;
+  const bool fresh = ApplyEntry(message.member, now);
+  if (fresh) {
+    Broadcast({message.member});
+  }
+  Update part;
+  for (const auto& [id, entry] : table_.All()) {
+    part.entries.push_back(entry);
+    if (part.entries.size() == kLargestReply) {
+      SendTo(joining, std::exchange(part, {}));
+    }
+  }
+  SendTo(joining, std::move(part));
+}
+
+// --- Table ------------------------------------------------------------------------------------
+
+bool Node::ApplyEntry(const Entry& entry, Instant now) {
+  if (!table_.Apply(entry)) {
+    return false;
+  }
+  if (entry.id.kind == EntryKind::kMember) {
+    view_changed_ = true;
+    const bool gone = entry.version.minor >= static_cast<std::uint64_t>(MemberState::kLeaving);
+    if (gone) {
+      gone_at_[entry.id.name] = now;
+    } else {
+      gone_at_.erase(entry.id.name);
+    }
+  }
+  actions_.push_back(ChangedAction{entry});
+  return true;
+}
+
+void Node::RefuteIfNeeded(Instant now) {
+  const Entry* mine = table_.Find({EntryKind::kMember, self_.id});
+  const Entry stated = ToEntry(self_);
+  if (mine == nullptr || mine->version <= stated.version) {
+    return;
+  }
+  self_.incarnation = mine->version.major + 1;
+  const Entry refutation = ToEntry(self_);
+  if (ApplyEntry(refutation, now)) {
+    Broadcast({refutation});
+  }
+}
+
+void Node::ForgetGone(Instant now) {
+  for (auto it = gone_at_.begin(); it != gone_at_.end();) {
+    if (now - it->second < settings_.forget_after) {
+      ++it;
+      continue;
+    }
+    table_.Forget({EntryKind::kMember, it->first});
+    view_changed_ = true;
+    it = gone_at_.erase(it);
+  }
+}
+
+// --- Dissemination ----------------------------------------------------------------------------
+
+void Node::Broadcast(const std::vector<Entry>& entries) {
+  RebuildView();
+  for (const auto& [zone, members] : serving_by_zone_) {
+    if (zone == self_.zone) {
+      continue;
+    }
+    for (const MemberId& bridge : BridgesOf(zone)) {
+      SendTo(bridge, Update{entries, true, Span{}});
+    }
+  }
+  Forward(entries, Span{});
+}
+
+void Node::Forward(const std::vector<Entry>& entries, Span span) {
+  RebuildView();
+  const auto zone = serving_by_zone_.find(self_.zone);
+  if (zone == serving_by_zone_.end()) {
+    return;
+  }
+  // The order depends on the entry, so that inner places of the tree move between members.
+  std::vector<HashedMember> targets = HashOrder(entries.front().id.name, zone->second);
+  std::erase_if(targets, [&](const HashedMember& member) {
+    return member.hash < span.first || member.hash > span.last || member.id == self_.id;
+  });
+  const std::size_t branches = std::min(settings_.tree_fanout, targets.size());
+  for (std::size_t branch = 0; branch < branches; ++branch) {
+    const std::size_t begin = targets.size() * branch / branches;
+    const std::size_t end = targets.size() * (branch + 1) / branches;
+    // The child forwards to the rest of its part; an empty part has first above last.
+    Span rest{targets[begin].hash + 1, targets[end - 1].hash};
+    SendTo(targets[begin].id, Update{entries, true, rest});
+  }
+}
+
+void Node::SendTo(const MemberId& to, Message message) {
+  if (to == self_.id) {
+    return;
+  }
+  const Entry* entry = table_.Find({EntryKind::kMember, to});
+  if (entry != nullptr) {
+    actions_.push_back(SendAction{to, FromEntry(*entry).peer, std::move(message)});
+  } else {
+    actions_.push_back(SendAction{to, {}, std::move(message)});
+  }
+}
+
+// --- View -------------------------------------------------------------------------------------
+
+void Node::RebuildView() {
+  if (!view_changed_) {
+    return;
+  }
+  view_changed_ = false;
+  serving_by_zone_.clear();
+  for (const Entry* entry : table_.OfKind(EntryKind::kMember)) {
+    Member member = FromEntry(*entry);
+    if (IsServing(member) || member.id == self_.id) {
+      serving_by_zone_[member.zone].push_back(std::move(member));
+    }
+  }
+  successors_ = Neighbors(true);
+  predecessors_ = Neighbors(false);
+  bridge_peers_.clear();
+  if (IsBridge()) {
+    for (const auto& [zone, members] : serving_by_zone_) {
+      if (zone != self_.zone) {
+        const std::vector<MemberId> bridges = BridgesOf(zone);
+        bridge_peers_.insert(bridge_peers_.end(), bridges.begin(), bridges.end());
+      }
+    }
+  }
+  const std::vector<MemberId> relays = RankOwners(std::string(kRelayOrder) + self_.zone,
+                                                  ServingIn(self_.zone), settings_.relays_per_zone);
+  relay_ = std::find(relays.begin(), relays.end(), self_.id) != relays.end();
+}
+
+std::vector<MemberId> Node::Neighbors(bool successors) const {
+  const std::vector<HashedMember> ring = HashOrder(kRingOrder, ServingIn(self_.zone));
+  std::vector<MemberId> neighbors;
+  const auto self = std::find_if(ring.begin(), ring.end(),
+                                 [&](const HashedMember& member) { return member.id == self_.id; });
+  if (self == ring.end()) {
+    return neighbors;
+  }
+  const std::size_t size = ring.size();
+  const auto place = static_cast<std::size_t>(self - ring.begin());
+  const std::size_t count = std::min(settings_.ring_successors, size - 1);
+  for (std::size_t step = 1; step <= count; ++step) {
+    const std::size_t offset = successors ? step : size - step;
+    neighbors.push_back(ring[(place + offset) % size].id);
+  }
+  return neighbors;
+}
+
+std::vector<Member> Node::ServingIn(const std::string& zone) const {
+  const auto found = serving_by_zone_.find(zone);
+  return found == serving_by_zone_.end() ? std::vector<Member>{} : found->second;
+}
+
+std::vector<Member> Node::AllMembers() const {
+  std::vector<Member> members;
+  for (const Entry* entry : table_.OfKind(EntryKind::kMember)) {
+    members.push_back(FromEntry(*entry));
+  }
+  return members;
+}
+
+std::vector<MemberId> Node::BridgesOf(const std::string& zone) const {
+  return RankOwners(std::string(kBridgeOrder) + zone, ServingIn(zone), settings_.bridges_per_zone);
+}
+
+bool Node::IsBridge() const {
+  const std::vector<MemberId> bridges = BridgesOf(self_.zone);
+  return std::find(bridges.begin(), bridges.end(), self_.id) != bridges.end();
+}
+
+bool Node::IsRelay() const { return relay_; }
+
+// --- Failure detection ------------------------------------------------------------------------
+
+void Node::SendHeartbeats() {
+  const Heartbeat heartbeat{self_.incarnation, table_.RootHash()};
+  for (const MemberId& successor : successors_) {
+    SendTo(successor, heartbeat);
+  }
+  for (const MemberId& bridge : bridge_peers_) {
+    SendTo(bridge, heartbeat);
+  }
+}
+
+void Node::WatchPredecessors(Instant now) {
+  std::erase_if(watched_, [&](const auto& entry) {
+    return std::find(predecessors_.begin(), predecessors_.end(), entry.first) ==
+           predecessors_.end();
+  });
+  const std::vector<MemberId> predecessors = predecessors_;
+  for (const MemberId& id : predecessors) {
+    watched_.try_emplace(id, Watched{now, now, false});
+    CheckWatched(id, now);
+  }
+}
+
+void Node::CheckWatched(const MemberId& id, Instant now) {
+  Watched& watched = watched_[id];
+  if (now - watched.last_heard < settings_.suspect_after) {
+    watched.suspected = false;
+    return;
+  }
+  const Entry* entry = table_.Find({EntryKind::kMember, id});
+  if (entry == nullptr) {
+    return;
+  }
+  Member member = FromEntry(*entry);
+  if (!watched.suspected) {
+    watched.suspected = true;
+    watched.suspected_at = now;
+  }
+  const bool overdue = now - watched.suspected_at >= settings_.fail_after;
+  const MemberState next = overdue ? MemberState::kFailed : MemberState::kSuspect;
+  if (member.state >= next) {
+    return;
+  }
+  member.state = next;
+  const Entry changed = ToEntry(member);
+  if (ApplyEntry(changed, now)) {
+    Broadcast({changed});
+  }
+}
+
+}  // namespace valvekeel::cluster
--- /dev/null
+++ b/src/gateway/backends.h
@@ -0,0 +1,49 @@
+// What a gateway needs from the rest of the daemon.
+//
+// Owns: nothing (interface). Invariant: Execute answers every request exactly once. Thread: the
+// event loop's.
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <optional>
+#include <string>
+
+#include "common/time.h"
+#include "configuration/specs.h"
+#include "pool/protocol.h"
+#include "routing/read_write_split.h"
+
+namespace valvekeel::gateway {
+
+class Backends {
+ public:
+  Backends() = default;
+  Backends(const Backends&) = delete;
+  Backends& operator=(const Backends&) = delete;
+  virtual ~Backends() = default;
+
+  /// @return the database group as known now, or nothing if it is not declared.
+  virtual std::optional<routing::DatabaseView> View(const std::string& database) const = 0;
+
+  /// @return the group of callers with this name, or nothing if it is not declared.
+  virtual std::optional<configuration::ShareGroupSpec> ShareGroup(const std::string& name) const = 0;
+
+  /// Runs a batch at the owner of the instance named in it.
+  virtual asio::awaitable<pool::BatchReply> Execute(pool::BatchRequest request) = 0;
+
+  /// Asks the owner of the instance named in it for a position barrier.
+  virtual asio::awaitable<pool::BarrierReply> Barrier(pool::BarrierRequest request) = 0;
+
+  virtual void Release(const pool::ReleaseRequest& request) = 0;
+  virtual void Cancel(const pool::CancelStatementRequest& request) = 0;
+
+  /// Waits until the database group's topology or configuration changes, or the limit passes.
+  virtual asio::awaitable<void> WaitForChange(std::string database, common::Duration limit) = 0;
+
+  /// Notes for routing what an instance has replayed, or that it should be avoided for a while.
+  virtual void NoteReplayed(const std::string& database, const std::string& instance,
+                            common::Position replayed) = 0;
+  virtual void NoteUnreachable(const std::string& database, const std::string& instance) = 0;
+};
+
+}  // namespace valvekeel::gateway
--- /dev/null
+++ b/src/gateway/session.cc
@@ -0,0 +1,836 @@
+#include "gateway/session.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "common/position.h"
+#include "common/sqlstate.h"
+#include "common/text.h"
+
+namespace valvekeel::gateway {
+namespace {
+
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using common::IsOk;
+using common::ValueOf;
+using sql::Classification;
+using sql::StatementKind;
+using wire::ErrorFields;
+using wire::TransactionStatus;
+
+constexpr absl::string_view kOwnPrefix = "valvekeel.";
+constexpr std::string_view kTokenSetting = "valvekeel.session_token";
+constexpr std::string_view kRequestIdSetting = "valvekeel.request_id";
+constexpr std::string_view kRepeatableSetting = "valvekeel.repeatable";
+constexpr std::string_view kDeadlineSetting = "valvekeel.deadline_ms";
+constexpr std::string_view kStalenessSetting = "valvekeel.max_staleness_ms";
+constexpr std::string_view kOutcomeSetting = "valvekeel.request_outcome";
+constexpr std::string_view kServerVersion = "15.0";
+constexpr std::size_t kReadBytes = 65536;
+constexpr std::int64_t kLongestMilliseconds = 24LL * 3600 * 1000;
+constexpr std::size_t kLongestRequestId = 200;
+constexpr wire::TypeId kTextType = 25;
+
+ErrorFields MakeError(std::string_view sqlstate, std::string message, std::string detail = "") {
+  return {std::string(sqlstate), std::move(message), std::move(detail), "ERROR"};
+}
+
+ErrorFields InvalidValue(std::string_view name, std::string_view value, std::string_view reason) {
+  return MakeError(common::kInvalidParameter, absl::StrCat("invalid value for parameter \"", common::ToAbsl(name),
+                                                           "\": \"", common::ToAbsl(value), "\""),
+                   std::string(reason));
+}
+
+bool ParseSwitch(const std::string& text, bool* value) {
+  const bool on = text == "on" || text == "true" || text == "1" || text == "yes";
+  const bool off = text == "off" || text == "false" || text == "0" || text == "no";
+  *value = on;
+  return on || off;
+}
+
+bool ParseMilliseconds(const std::string& text, common::Duration* duration) {
+  std::int64_t milliseconds = 0;
+  if (!absl::SimpleAtoi(text, &milliseconds) || milliseconds < 0 ||
+      milliseconds > kLongestMilliseconds) {
+    return false;
+  }
+  *duration = std::chrono::milliseconds(milliseconds);
+  return true;
+}
+
+std::string TextRow(const std::string& column, const std::string& value, bool describe) {
+  wire::Encoder encoder;
+  if (describe) {
+    wire::ColumnDescription description;
+    description.name = column;
+    description.type = kTextType;
+    encoder.RowDescription({description});
+  }
+  encoder.DataRow({value});
+  encoder.CommandComplete("SHOW");
+  return encoder.Take();
+}
+
+std::string Completed(std::string_view tag) {
+  wire::Encoder encoder;
+  encoder.CommandComplete(tag);
+  return encoder.Take();
+}
+
+/// Startup parameters that say who connects, or that a shared connection does not take over.
+bool IsConnectionParameter(const std::string& name) {
+  return name == "user" || name == "database" || name == "options" || name == "replication" ||
+         name == "application_name" || absl::StartsWith(name, "_pq_.");
+}
+
+/// @return true if running the statements may commit something.
+bool MayCommit(const std::vector<Classification>& statements, bool in_block) {
+  for (const Classification& statement : statements) {
+    const bool ends = statement.kind == StatementKind::kCommit ||
+                      statement.kind == StatementKind::kRollback;
+    if (statement.kind == StatementKind::kCommit) {
+      return true;
+    }
+    if (statement.kind == StatementKind::kBegin || ends) {
+      in_block = statement.kind == StatementKind::kBegin;
+    } else if (!in_block) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Buffer that all sessions read through, so that an idle session holds none.
+std::array<char, kReadBytes>& SharedReadBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+Session::Session(SessionServices services, tcp::socket socket, pool::SessionNumber number,
+                 CancelKey key, CancelHandler on_cancel)
+    : services_(services),
+      socket_(std::move(socket)),
+      key_(key),
+      on_cancel_(std::move(on_cancel)),
+      decoder_(services.settings.largest_message_bytes) {
+  route_.number = number;
+  route_.budget = services.settings.default_deadline;
+  asio::error_code ignored;
+  socket_.non_blocking(true, ignored);
+}
+
+Session::~Session() = default;
+
+// --- Socket -----------------------------------------------------------------------------------
+
+awaitable<bool> Session::ReadMore() {
+  asio::error_code error;
+  co_await socket_.async_wait(tcp::socket::wait_read, redirect_error(use_awaitable, error));
+  if (error) {
+    co_return false;
+  }
+  auto& buffer = SharedReadBuffer();
+  const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) {
+    co_return true;
+  }
+  if (error) {
+    co_return false;
+  }
+  decoder_.Feed({buffer.data(), count});
+  co_return true;
+}
+
+awaitable<bool> Session::Flush() {
+  if (encoder_.Size() == 0) {
+    co_return true;
+  }
+  const std::string bytes = encoder_.Take();
+  asio::error_code error;
+  co_await asio::async_write(socket_, asio::buffer(bytes), redirect_error(use_awaitable, error));
+  co_return !error;
+}
+
+awaitable<bool> Session::SendFatal(ErrorFields error) {
+  error.severity = "FATAL";
+  encoder_.ErrorResponse(error);
+  co_await Flush();
+  co_return false;
+}
+
+void Session::Close() {
+  asio::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  socket_.cancel(ignored);
+}
+
+void Session::Cancel() {
+  if (busy_) {
+    // Where the statement runs is known only inside a transaction; owners ignore what they do not
+    // run, so every instance of the group is told.
+    const auto view = services_.backends.View(route_.database);
+    if (!view) {
+      return;
+    }
+    for (const auto& instance : view->instances) {
+      services_.backends.Cancel({route_.database, instance.id, route_.number});
+    }
+  }
+}
+
+void Session::Stop() {
+  stopping_ = true;
+  if (!Busy()) {
+    wire::Encoder farewell;
+    farewell.ErrorResponse({std::string(common::kAdminShutdown),
+                            "this proxy is stopping; connect to another", "", "FATAL"});
+    const std::string bytes = farewell.Take();
+    asio::error_code ignored;
+    socket_.write_some(asio::buffer(bytes), ignored);
+    Close();
+  }
+}
+
+awaitable<void> Session::Run() {
+  const auto self = shared_from_this();
+  bool open = co_await Startup();
+  while (open) {
+    open = co_await Serve();
+    const bool idle = !Busy() && decoder_.BufferedBytes() == 0;
+    if (open && stopping_ && idle) {
+      open = co_await SendFatal(MakeError(common::kAdminShutdown,
+                                          "this proxy is stopping; connect to another"));
+    }
+  }
+  if (!route_.transaction_instance.empty()) {
+    services_.backends.Release({route_.database, route_.transaction_instance, route_.number});
+  }
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+// --- Startup ----------------------------------------------------------------------------------
+
+awaitable<bool> Session::Startup() {
+  while (true) {
+    auto next = decoder_.NextInitial();
+    if (!IsOk(next)) {
+      co_return co_await SendFatal(
+          MakeError(common::kProtocolViolation, common::ErrorOf(next).reason));
+    }
+    if (!ValueOf(next)) {
+      const bool received = co_await ReadMore();
+      if (!received) {
+        co_return false;
+      }
+      continue;
+    }
+    wire::InitialMessage& message = *ValueOf(next);
+    if (std::holds_alternative<wire::EncryptionRequest>(message)) {
+      encoder_.Raw("N");
+      const bool flushed = co_await Flush();
+      if (!flushed) {
+        co_return false;
+      }
+      continue;
+    }
+    if (const auto* cancel = std::get_if<wire::CancelRequest>(&message)) {
+      on_cancel_({cancel->process_id, cancel->secret_key});
+      co_return false;
+    }
+    co_return co_await Open(std::move(std::get<wire::StartupMessage>(message)));
+  }
+}
+
+awaitable<bool> Session::Open(wire::StartupMessage message) {
+  route_.share_group = message.parameters["user"];
+  route_.database = message.parameters["database"];
+  if (route_.database.empty()) {
+    route_.database = route_.share_group;
+  }
+  if (services_.stopping) {
+    co_return co_await SendFatal(
+        MakeError(common::kAdminShutdown, "this proxy is stopping; connect to another"));
+  }
+  if (!services_.backends.View(route_.database)) {
+    co_return co_await SendFatal(
+        MakeError(common::kInvalidCatalogName,
+                  absl::StrCat("database \"", route_.database, "\" is not declared")));
+  }
+  const auto group = services_.backends.ShareGroup(route_.share_group);
+  const bool allowed = group && std::find(group->databases.begin(), group->databases.end(),
+                                          route_.database) != group->databases.end();
+  if (!allowed) {
+    co_return co_await SendFatal(
+        MakeError(common::kInsufficientPrivilege,
+                  absl::StrCat("group \"", route_.share_group, "\" may not reach database \"",
+                               route_.database, "\"")));
+  }
+  for (const auto& [name, value] : message.parameters) {
+    const bool utf8 = name == "client_encoding" && absl::EqualsIgnoreCase(value, "UTF8");
+    if (absl::StartsWith(name, kOwnPrefix)) {
+      if (auto error = SetOwnSetting(name, value)) {
+        co_return co_await SendFatal(std::move(*error));
+      }
+    } else if (!IsConnectionParameter(name) && !utf8) {
+      settings_[name] = value;
+    }
+  }
+  if (auto error = ApplyStartupOptions(message.parameters["options"])) {
+    co_return co_await SendFatal(std::move(*error));
+  }
+  encoder_.AuthenticationOk();
+  encoder_.ParameterStatus("server_version", kServerVersion);
+  encoder_.ParameterStatus("server_encoding", "UTF8");
+  encoder_.ParameterStatus("client_encoding", "UTF8");
+  encoder_.ParameterStatus("DateStyle", "ISO, MDY");
+  encoder_.ParameterStatus("TimeZone", "UTC");
+  encoder_.ParameterStatus("integer_datetimes", "on");
+  encoder_.ParameterStatus("standard_conforming_strings", "on");
+  encoder_.BackendKeyData(key_.process_id, key_.secret_key);
+  encoder_.ReadyForQuery(Status());
+  co_return co_await Flush();
+}
+
+std::optional<ErrorFields> Session::ApplyStartupOptions(const std::string& options) {
+  const std::vector<std::string> words = absl::StrSplit(options, ' ', absl::SkipEmpty());
+  for (std::size_t i = 0; i < words.size(); ++i) {
+    std::string assignment = words[i];
+    if (assignment == "-c" && i + 1 < words.size()) {
+      assignment = words[++i];
+    } else if (absl::StartsWith(assignment, "-c") || absl::StartsWith(assignment, "--")) {
+      assignment = assignment.substr(2);
+    } else {
+      return MakeError(common::kInvalidParameter,
+                       absl::StrCat("startup option \"", assignment, "\" is not -c name=value"));
+    }
+    const std::vector<std::string> parts = absl::StrSplit(assignment, absl::MaxSplits('=', 1));
+    if (parts.size() != 2) {
+      return MakeError(common::kInvalidParameter,
+                       absl::StrCat("startup option \"", assignment, "\" is not name=value"));
+    }
+    if (absl::StartsWith(parts[0], kOwnPrefix)) {
+      if (auto error = SetOwnSetting(parts[0], parts[1])) {
+        return error;
+      }
+    } else {
+      settings_[parts[0]] = parts[1];
+    }
+  }
+  return std::nullopt;
+}
+
+// --- Own settings -----------------------------------------------------------------------------
+
+std::optional<ErrorFields> Session::SetOwnSetting(const std::string& name,
+                                                  const std::string& value) {
+  if (name == kTokenSetting) {
+    if (value.empty()) {
+      return std::nullopt;
+    }
+    const auto token = common::ParseToken(value);
+    if (!IsOk(token)) {
+      return InvalidValue(name, value, common::ErrorOf(token).reason);
+    }
+    if (ValueOf(token).database != route_.database) {
+      return InvalidValue(name, value, "the token is of another database");
+    }
+    route_.required = std::max(route_.required, ValueOf(token).position);
+    route_.barrier_needed = false;
+    return std::nullopt;
+  }
+  if (name == kRequestIdSetting) {
+    if (value.size() > kLongestRequestId) {
+      return InvalidValue(name, value, "longer than 200 bytes");
+    }
+    route_.request_id = value;
+    return std::nullopt;
+  }
+  if (name == kRepeatableSetting) {
+    if (!ParseSwitch(value, &route_.repeatable)) {
+      return InvalidValue(name, value, "neither on nor off");
+    }
+    return std::nullopt;
+  }
+  if (name == kDeadlineSetting) {
+    if (!ParseMilliseconds(value, &route_.budget) || route_.budget.count() == 0) {
+      return InvalidValue(name, value, "not a number of milliseconds from 1 to one day");
+    }
+    return std::nullopt;
+  }
+  if (name == kStalenessSetting) {
+    if (!ParseMilliseconds(value, &route_.max_staleness)) {
+      return InvalidValue(name, value, "not a number of milliseconds from 0 to one day");
+    }
+    return std::nullopt;
+  }
+  return MakeError(common::kUndefinedObject,
+                   absl::StrCat("unrecognized configuration parameter \"", name, "\""));
+}
+
+std::string Session::ShowOwnSetting(const std::string& name) const {
+  if (name == kTokenSetting) {
+    return common::FormatToken({route_.database, route_.required});
+  }
+  if (name == kRequestIdSetting) {
+    return route_.request_id;
+  }
+  if (name == kRepeatableSetting) {
+    return route_.repeatable ? "on" : "off";
+  }
+  const common::Duration duration =
+      name == kDeadlineSetting ? route_.budget : route_.max_staleness;
+  return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+/// Answers statements about valvekeel's own settings; other statements get nothing.
+std::optional<std::string> Session::AnswerLocally(const Classification& statement, bool describe,
+                                                  std::optional<ErrorFields>* error) {
+  if (statement.kind == StatementKind::kUnsupported) {
+    *error = MakeError(common::kFeatureNotSupported,
+                       absl::StrCat(statement.name, " is not supported through valvekeel"));
+    return std::nullopt;
+  }
+  const bool own = absl::StartsWith(statement.name, kOwnPrefix);
+  if (!own || statement.name == kOutcomeSetting) {
+    return std::nullopt;
+  }
+  if (statement.kind == StatementKind::kSet) {
+    *error = SetOwnSetting(statement.name, statement.value);
+    return *error ? std::nullopt : std::optional<std::string>(Completed("SET"));
+  }
+  if (statement.kind == StatementKind::kShow) {
+    const bool known = statement.name == kTokenSetting || statement.name == kRequestIdSetting ||
+                       statement.name == kRepeatableSetting || statement.name == kDeadlineSetting ||
+                       statement.name == kStalenessSetting;
+    if (!known) {
+      *error = SetOwnSetting(statement.name, "");
+      return std::nullopt;
+    }
+    return TextRow(statement.name, ShowOwnSetting(statement.name), describe);
+  }
+  if (statement.kind == StatementKind::kReset) {
+    route_.request_id = statement.name == kRequestIdSetting ? "" : route_.request_id;
+    route_.repeatable = statement.name == kRepeatableSetting ? false : route_.repeatable;
+    route_.budget =
+        statement.name == kDeadlineSetting ? services_.settings.default_deadline : route_.budget;
+    route_.max_staleness =
+        statement.name == kStalenessSetting ? common::Duration{0} : route_.max_staleness;
+    return Completed("RESET");
+  }
+  return std::nullopt;
+}
+
+void Session::AnnounceToken() {
+  std::string token = common::FormatToken({route_.database, route_.required});
+  if (token != announced_token_) {
+    encoder_.ParameterStatus(kTokenSetting, token);
+    announced_token_ = std::move(token);
+  }
+}
+
+// --- Messages ---------------------------------------------------------------------------------
+
+awaitable<bool> Session::Serve() {
+  auto next = decoder_.Next();
+  if (!IsOk(next)) {
+    co_return co_await SendFatal(
+        MakeError(common::kProtocolViolation, common::ErrorOf(next).reason));
+  }
+  if (!ValueOf(next)) {
+    co_return co_await ReadMore();
+  }
+  wire::FrontendMessage message = std::move(*ValueOf(next));
+  if (std::holds_alternative<wire::TerminateMessage>(message)) {
+    co_return false;
+  }
+  if (auto* query = std::get_if<wire::QueryMessage>(&message)) {
+    busy_ = true;
+    const bool open = co_await HandleSimple(std::move(*query));
+    busy_ = false;
+    co_return open;
+  }
+  if (std::holds_alternative<wire::SyncMessage>(message)) {
+    busy_ = true;
+    co_await HandleSync();
+    encoder_.ReadyForQuery(Status());
+    const bool open = co_await Flush();
+    busy_ = false;
+    co_return open;
+  }
+  if (std::holds_alternative<wire::FlushMessage>(message)) {
+    if (!skip_until_sync_ && !pipeline_error_) {
+      busy_ = true;
+      co_await RunPending(false);
+      busy_ = false;
+    }
+    co_return co_await Flush();
+  }
+  if (skip_until_sync_ || pipeline_error_) {
+    co_return true;
+  }
+  if (pending_.output.size() >= services_.settings.largest_pipeline) {
+    FailPipeline(MakeError(common::kProgramLimitExceeded, "too many messages before a Sync"));
+    co_return true;
+  }
+  HandleExtended(std::move(message));
+  co_return true;
+}
+
+void Session::FailPipeline(ErrorFields error) { pipeline_error_ = std::move(error); }
+
+void Session::HandleExtended(wire::FrontendMessage message) {
+  if (auto* parse = std::get_if<wire::ParseMessage>(&message)) {
+    HandleParse(std::move(*parse));
+  } else if (auto* bind = std::get_if<wire::BindMessage>(&message)) {
+    HandleBind(std::move(*bind));
+  } else if (const auto* describe = std::get_if<wire::DescribeMessage>(&message)) {
+    HandleDescribe(*describe);
+  } else if (const auto* execute = std::get_if<wire::ExecuteMessage>(&message)) {
+    HandleExecute(*execute);
+  } else if (const auto* close = std::get_if<wire::CloseMessage>(&message)) {
+    HandleClose(*close);
+  } else {
+    FailPipeline(MakeError(common::kFeatureNotSupported,
+                           "COPY, function calls and passwords are not supported"));
+  }
+}
+
+void Session::HandleParse(wire::ParseMessage message) {
+  const sql::ParseResult parsed = services_.cache.Parse(message.text);
+  if (!IsOk(parsed)) {
+    FailPipeline(MakeError(common::kSyntaxError, common::ErrorOf(parsed).message));
+    return;
+  }
+  if (ValueOf(parsed)->size() > 1) {
+    FailPipeline(MakeError(common::kSyntaxError,
+                           "cannot insert multiple commands into a prepared statement"));
+    return;
+  }
+  const bool replaces = message.statement.empty() || statements_.contains(message.statement);
+  if (!message.statement.empty() && statements_.contains(message.statement)) {
+    FailPipeline(MakeError("42P05", absl::StrCat("prepared statement \"", message.statement,
+                                                 "\" already exists")));
+    return;
+  }
+  if (!replaces && statements_.size() >= services_.settings.prepared_statements) {
+    FailPipeline(MakeError(common::kProgramLimitExceeded,
+                           "the session has too many prepared statements"));
+    return;
+  }
+  statements_[message.statement] = {std::move(message.text), std::move(message.parameter_types),
+                                    ValueOf(parsed)};
+  wire::Encoder encoder;
+  encoder.ParseComplete();
+  pending_.output.emplace_back(encoder.Take());
+}
+
+void Session::HandleBind(wire::BindMessage message) {
+  const auto found = statements_.find(message.statement);
+  if (found == statements_.end()) {
+    FailPipeline(MakeError(
+        common::kInvalidStatementName,
+        absl::StrCat("prepared statement \"", message.statement, "\" does not exist")));
+    return;
+  }
+  const auto& formats = message.result_formats;
+  const bool mixed = std::any_of(formats.begin(), formats.end(),
+                                 [&](wire::FormatCode code) { return code != formats.front(); });
+  if (mixed) {
+    FailPipeline(MakeError(common::kFeatureNotSupported,
+                           "result columns in both text and binary form are not supported"));
+    return;
+  }
+  Portal portal;
+  portal.prepared = found->second;
+  portal.parameters = std::move(message.parameters);
+  portal.parameter_formats = std::move(message.parameter_formats);
+  portal.result_format = formats.empty() ? wire::kTextFormat : formats.front();
+  portals_[message.portal] = std::move(portal);
+  wire::Encoder encoder;
+  encoder.BindComplete();
+  pending_.output.emplace_back(encoder.Take());
+}
+
+void Session::HandleDescribe(const wire::DescribeMessage& message) {
+  if (message.kind == wire::ObjectKind::kPortal) {
+    const auto portal = portals_.find(message.name);
+    if (portal == portals_.end()) {
+      FailPipeline(MakeError(common::kInvalidCursorName,
+                             absl::StrCat("portal \"", message.name, "\" does not exist")));
+      return;
+    }
+    // The columns come with the rows, so the answer waits for Execute.
+    portal->second.describe = true;
+    return;
+  }
+  const auto found = statements_.find(message.name);
+  if (found == statements_.end()) {
+    FailPipeline(
+        MakeError(common::kInvalidStatementName,
+                  absl::StrCat("prepared statement \"", message.name, "\" does not exist")));
+    return;
+  }
+  wire::Encoder encoder;
+  const auto& tree = *found->second.tree;
+  const Classification statement = tree.empty() ? Classification{} : sql::Classify(tree.front());
+  const bool local = tree.empty() || absl::StartsWith(statement.name, kOwnPrefix);
+  if (local) {
+    encoder.ParameterDescription({});
+    if (statement.kind == StatementKind::kShow) {
+      wire::ColumnDescription column;
+      column.name = statement.name;
+      column.type = kTextType;
+      encoder.RowDescription({column});
+    } else {
+      encoder.NoData();
+    }
+    pending_.output.emplace_back(encoder.Take());
+    return;
+  }
+  pool::Statement describe;
+  describe.text = found->second.text;
+  describe.parameter_types = found->second.types;
+  describe.describe_only = true;
+  pending_.output.emplace_back(AnswerOf{pending_.statements.size(), true, true});
+  pending_.statements.push_back(std::move(describe));
+  Classification read;
+  read.kind = statement.kind == StatementKind::kRead ? StatementKind::kRead : StatementKind::kShow;
+  pending_.classes.push_back(std::move(read));
+}
+
+void Session::HandleExecute(const wire::ExecuteMessage& message) {
+  const auto found = portals_.find(message.portal);
+  if (found == portals_.end()) {
+    FailPipeline(MakeError(common::kInvalidCursorName,
+                           absl::StrCat("portal \"", message.portal, "\" does not exist")));
+    return;
+  }
+  Portal& portal = found->second;
+  if (portal.prepared.tree->empty()) {
+    wire::Encoder encoder;
+    if (portal.describe) {
+      encoder.NoData();
+    }
+    encoder.EmptyQueryResponse();
+    pending_.output.emplace_back(encoder.Take());
+    return;
+  }
+  pool::Statement statement;
+  statement.text = portal.prepared.text;
+  statement.parameter_types = portal.prepared.types;
+  statement.parameters = portal.parameters;
+  statement.parameter_formats = portal.parameter_formats;
+  statement.result_format = portal.result_format;
+  AddStatement(std::move(statement), portal.prepared.tree->front(), portal.describe);
+  portal.describe = false;
+}
+
+void Session::HandleClose(const wire::CloseMessage& message) {
+  if (message.kind == wire::ObjectKind::kStatement) {
+    statements_.erase(message.name);
+  } else {
+    portals_.erase(message.name);
+  }
+  wire::Encoder encoder;
+  encoder.CloseComplete();
+  pending_.output.emplace_back(encoder.Take());
+}
+
+void Session::AddStatement(pool::Statement statement, const sql::ParsedStatement& parsed,
+                           bool describe) {
+  Classification classification = sql::Classify(parsed);
+  std::optional<ErrorFields> error;
+  const auto local = AnswerLocally(classification, describe, &error);
+  if (error) {
+    FailPipeline(std::move(*error));
+    return;
+  }
+  if (local) {
+    pending_.output.emplace_back(*local);
+    return;
+  }
+  if (classification.kind == StatementKind::kShow && classification.name == kOutcomeSetting) {
+    statement = {};
+    statement.text =
+        "SELECT CASE WHEN count(*) = 1 THEN 'recorded' ELSE 'not recorded' END AS "
+        "request_outcome FROM valvekeel_requests WHERE id = $1";
+    statement.parameters.emplace_back(route_.request_id);
+    classification.kind = StatementKind::kWrite;  // only a confirmed primary can tell
+  }
+  pending_.output.emplace_back(AnswerOf{pending_.statements.size(), describe, false});
+  pending_.statements.push_back(std::move(statement));
+  pending_.classes.push_back(std::move(classification));
+}
+
+awaitable<bool> Session::HandleSimple(wire::QueryMessage message) {
+  pending_ = {};
+  pipeline_error_.reset();
+  const sql::ParseResult parsed = services_.cache.Parse(message.text);
+  if (!IsOk(parsed)) {
+    FailPipeline(MakeError(common::kSyntaxError, common::ErrorOf(parsed).message));
+  } else if (ValueOf(parsed)->empty()) {
+    encoder_.EmptyQueryResponse();
+  } else {
+    for (const sql::ParsedStatement& statement : *ValueOf(parsed)) {
+      pool::Statement text;
+      text.text = statement.text;
+      AddStatement(std::move(text), statement, true);
+      if (pipeline_error_) {
+        break;
+      }
+    }
+  }
+  co_await RunPending(true);
+  skip_until_sync_ = false;
+  encoder_.ReadyForQuery(Status());
+  co_return co_await Flush();
+}
+
+awaitable<void> Session::HandleSync() {
+  if (!skip_until_sync_) {
+    co_await RunPending(false);
+  }
+  pending_ = {};
+  pipeline_error_.reset();
+  skip_until_sync_ = false;
+}
+
+// --- Running ----------------------------------------------------------------------------------
+
+awaitable<void> Session::RunPending(bool simple) {
+  PendingBatch pending = std::exchange(pending_, {});
+  if (pipeline_error_) {
+    // Nothing of a pipeline with a fault runs: it would be rolled back as a whole anyway.
+    encoder_.ErrorResponse(*pipeline_error_);
+    pipeline_error_.reset();
+    skip_until_sync_ = !simple;
+    if (status_ == TransactionStatus::kInTransaction && !route_.transaction_instance.empty()) {
+      // The database has not seen the error, so the transaction is ended here.
+      services_.backends.Release({route_.database, route_.transaction_instance, route_.number});
+      route_.transaction_instance.clear();
+      route_.transaction_wrote = false;
+      status_ = TransactionStatus::kFailed;
+    }
+    co_return;
+  }
+  if (status_ == TransactionStatus::kFailed && route_.transaction_instance.empty() &&
+      !pending.statements.empty()) {
+    const StatementKind kind = pending.classes.front().kind;
+    if (kind != StatementKind::kRollback && kind != StatementKind::kCommit) {
+      encoder_.ErrorResponse(MakeError(common::kInFailedTransaction,
+                                       "current transaction is aborted, commands ignored until "
+                                       "end of transaction block"));
+      skip_until_sync_ = !simple;
+      co_return;
+    }
+    // The transaction was rolled back when it was lost; its end is answered here.
+    status_ = TransactionStatus::kIdle;
+    encoder_.Raw(Completed("ROLLBACK"));
+    co_return;
+  }
+  if (pending.statements.empty()) {
+    Emit(pending, {}, simple);
+    co_return;
+  }
+  SessionBatch batch;
+  batch.statements = pending.statements;
+  for (const auto& [name, value] : settings_) {
+    batch.settings.push_back({name, value});
+  }
+  batch.reads_only = true;
+  batch.may_commit = MayCommit(pending.classes, !route_.transaction_instance.empty());
+  const Classification& first = pending.classes.front();
+  batch.opens_transaction = first.kind == StatementKind::kBegin;
+  batch.opens_read_only = first.kind == StatementKind::kBegin && first.read_only;
+  for (const Classification& statement : pending.classes) {
+    const bool reads = statement.kind == StatementKind::kRead ||
+                       statement.kind == StatementKind::kShow ||
+                       statement.kind == StatementKind::kSet ||
+                       statement.kind == StatementKind::kReset;
+    const bool ends = statement.kind == StatementKind::kCommit ||
+                      statement.kind == StatementKind::kRollback;
+    batch.reads_only = batch.reads_only && (reads || ends);
+    batch.opens_read_only = batch.opens_read_only &&
+                            (reads || ends || statement.kind == StatementKind::kBegin);
+    batch.changes_settings = batch.changes_settings || statement.kind == StatementKind::kSet ||
+                             statement.kind == StatementKind::kReset;
+  }
+  const bool in_block = !route_.transaction_instance.empty() && !batch.may_commit;
+  const RoutedReply routed = co_await services_.router.Run(route_, std::move(batch));
+  if (routed.error) {
+    encoder_.ErrorResponse(*routed.error);
+    skip_until_sync_ = !simple;
+    status_ = in_block ? TransactionStatus::kFailed : TransactionStatus::kIdle;
+    co_return;
+  }
+  const bool clean = Emit(pending, routed.reply, simple);
+  KeepSettings(pending, routed.reply);
+  status_ = routed.reply.status;
+  if (routed.committed) {
+    if (clean) {
+      route_.request_id.clear();
+    }
+    AnnounceToken();
+  }
+}
+
+bool Session::Emit(const PendingBatch& pending, const pool::BatchReply& reply, bool simple) {
+  for (const OutputItem& item : pending.output) {
+    if (const auto* bytes = std::get_if<std::string>(&item)) {
+      encoder_.Raw(*bytes);
+      continue;
+    }
+    const AnswerOf& place = std::get<AnswerOf>(item);
+    const pool::StatementAnswer& answer = reply.answers[place.statement];
+    if (answer.error) {
+      encoder_.ErrorResponse(*answer.error);
+      skip_until_sync_ = !simple;
+      return false;
+    }
+    if (place.describe) {
+      encoder_.Raw(answer.description);
+      if (answer.description.empty() && !simple) {
+        encoder_.NoData();
+      }
+    }
+    if (!place.only_describe) {
+      encoder_.Raw(answer.rows);
+    }
+  }
+  return true;
+}
+
+void Session::KeepSettings(const PendingBatch& pending, const pool::BatchReply& reply) {
+  for (std::size_t i = 0; i < pending.classes.size(); ++i) {
+    const Classification& statement = pending.classes[i];
+    if (reply.answers[i].error || pending.statements[i].describe_only || statement.local) {
+      continue;
+    }
+    if (statement.kind == StatementKind::kSet) {
+      settings_[statement.name] = statement.value;
+    } else if (statement.kind == StatementKind::kReset) {
+      if (statement.name.empty()) {
+        settings_.clear();
+      } else {
+        settings_.erase(statement.name);
+      }
+    }
+  }
+}
+
+}  // namespace valvekeel::gateway
--- /dev/null
+++ b/src/gateway/session.h
@@ -0,0 +1,156 @@
+// One caller's session: the server side of the PostgreSQL protocol.
+//
+// Owns: the caller's socket, prepared statements, portals and settings. Invariant: answers go out in
+// the order of the requests; a protocol error closes this session only. Thread: the event loop's.
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "gateway/backends.h"
+#include "gateway/batch_router.h"
+#include "sql/classifier.h"
+#include "sql/parse_tree.h"
+#include "wire/decoder.h"
+#include "wire/encoder.h"
+
+namespace valvekeel::gateway {
+
+/// Limits of sessions; see docs/operators/gateway.md.
+struct SessionSettings {
+  std::size_t largest_message_bytes = std::size_t{16} << 20U;
+  std::size_t largest_pipeline = 10'000;      // statements before a Sync
+  std::size_t prepared_statements = 1000;     // of one session
+  common::Duration default_deadline{10'000'000};
+};
+
+/// What sessions of one gateway share.
+struct SessionServices {
+  asio::io_context& loop;
+  Backends& backends;
+  BatchRouter& router;
+  sql::ParseCache& cache;
+  const SessionSettings& settings;
+  const bool& stopping;  // true: refuse new sessions and end idle ones
+};
+
+/// Key of a session for cancel requests.
+struct CancelKey {
+  std::uint32_t process_id = 0;
+  std::uint32_t secret_key = 0;
+
+  auto operator<=>(const CancelKey&) const = default;
+};
+
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  using CancelHandler = std::function<void(const CancelKey&)>;
+
+  Session(SessionServices services, asio::ip::tcp::socket socket, pool::SessionNumber number,
+          CancelKey key, CancelHandler on_cancel);
+  ~Session();
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  /// Serves the caller until it leaves.
+  asio::awaitable<void> Run();
+
+  /// Cancels the statement in progress.
+  void Cancel();
+
+  /// Ends the session if it is idle, else once its transaction has ended.
+  void Stop();
+
+  /// Closes the socket at once.
+  void Close();
+
+  /// @return true while a request or a transaction is in progress.
+  bool Busy() const { return busy_ || !route_.transaction_instance.empty(); }
+
+  const CancelKey& Key() const { return key_; }
+
+ private:
+  struct PreparedStatement {
+    std::string text;
+    std::vector<wire::TypeId> types;
+    std::shared_ptr<const sql::ParseTree> tree;
+  };
+  struct Portal {
+    PreparedStatement prepared;
+    std::vector<wire::WireValue> parameters;
+    std::vector<wire::FormatCode> parameter_formats;
+    wire::FormatCode result_format = wire::kTextFormat;
+    bool describe = false;  // the caller asked for the columns before the rows
+  };
+  /// Bytes to send as they are, or the answer of a statement of the pending batch.
+  struct AnswerOf {
+    std::size_t statement = 0;
+    bool describe = false;    // send the columns too
+    bool only_describe = false;
+  };
+  using OutputItem = std::variant<std::string, AnswerOf>;
+
+  /// Work collected until Sync.
+  struct PendingBatch {
+    std::vector<pool::Statement> statements;
+    std::vector<sql::Classification> classes;
+    std::vector<OutputItem> output;
+  };
+
+  asio::awaitable<bool> ReadMore();
+  asio::awaitable<bool> Flush();
+  asio::awaitable<bool> Startup();
+  asio::awaitable<bool> Open(wire::StartupMessage message);
+  asio::awaitable<bool> Serve();
+  asio::awaitable<bool> HandleSimple(wire::QueryMessage message);
+  asio::awaitable<void> HandleSync();
+  asio::awaitable<void> RunPending(bool simple);
+  void HandleExtended(wire::FrontendMessage message);
+  void HandleParse(wire::ParseMessage message);
+  void HandleBind(wire::BindMessage message);
+  void HandleDescribe(const wire::DescribeMessage& message);
+  void HandleExecute(const wire::ExecuteMessage& message);
+  void HandleClose(const wire::CloseMessage& message);
+
+  void AddStatement(pool::Statement statement, const sql::ParsedStatement& parsed, bool describe);
+  std::optional<std::string> AnswerLocally(const sql::Classification& statement, bool describe,
+                                           std::optional<wire::ErrorFields>* error);
+  std::optional<wire::ErrorFields> SetOwnSetting(const std::string& name, const std::string& value);
+  std::string ShowOwnSetting(const std::string& name) const;
+  std::optional<wire::ErrorFields> ApplyStartupOptions(const std::string& options);
+  void FailPipeline(wire::ErrorFields error);
+  bool Emit(const PendingBatch& pending, const pool::BatchReply& reply, bool simple);
+  void KeepSettings(const PendingBatch& pending, const pool::BatchReply& reply);
+  void AnnounceToken();
+  wire::TransactionStatus Status() const { return status_; }
+  asio::awaitable<bool> SendFatal(wire::ErrorFields error);
+
+  SessionServices services_;
+  asio::ip::tcp::socket socket_;
+  CancelKey key_;
+  CancelHandler on_cancel_;
+  wire::Decoder decoder_;
+  wire::Encoder encoder_;
+  SessionRoute route_;
+  wire::TransactionStatus status_ = wire::TransactionStatus::kIdle;
+  std::map<std::string, PreparedStatement> statements_;
+  std::map<std::string, Portal> portals_;
+  std::map<std::string, std::string> settings_;  // of the database, kept across connections
+  PendingBatch pending_;
+  std::optional<wire::ErrorFields> pipeline_error_;
+  std::string announced_token_;
+  bool skip_until_sync_ = false;
+  bool busy_ = false;
+  bool stopping_ = false;
+};
+
+}  // namespace valvekeel::gateway
--- /dev/null
+++ b/src/http/loop_server.h
@@ -0,0 +1,69 @@
+// HTTP server whose handlers run on the event loop.
+//
+// Owns: the listening socket and its threads. Invariant: a handler runs on the loop's thread, so it
+// may read the loop's state without locks; the HTTP thread waits for it a bounded time. Thread:
+// constructed and destroyed on the loop's thread.
+#pragma once
+
+#include <httplib.h>
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "common/result.h"
+
+namespace valvekeel::http {
+
+/// A request as a handler sees it.
+struct Request {
+  std::string path;
+  std::map<std::string, std::string> query;
+  std::vector<std::string> captures;  // groups of the route's regular expression
+  std::string body;
+};
+
+struct Reply {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+};
+
+/// Why the server cannot listen.
+struct ListenError {
+  std::string reason;
+};
+
+using Handler = std::function<Reply(const Request&)>;
+
+/// Serves HTTP on one address.
+class LoopServer {
+ public:
+  explicit LoopServer(asio::io_context& loop);
+  ~LoopServer();
+  LoopServer(const LoopServer&) = delete;
+  LoopServer& operator=(const LoopServer&) = delete;
+
+  /// Adds a route. @param method GET or POST. @param pattern regular expression of the path.
+  void Route(const std::string& method, const std::string& pattern, Handler handler);
+
+  /// Starts to listen. @param port 0 lets the system choose. @return the bound port or the error.
+  common::Result<std::uint16_t, ListenError> Start(const std::string& host, std::uint16_t port);
+
+  /// Stops and waits for the threads.
+  void Stop();
+
+ private:
+  void RunOnLoop(const Handler& handler, const httplib::Request& request,
+                 httplib::Response& response);
+
+  asio::io_context& loop_;
+  httplib::Server server_;
+  std::thread thread_;
+};
+
+}  // namespace valvekeel::http
--- /dev/null
+++ b/src/pool/admission.h
@@ -0,0 +1,121 @@
+// Admission to one instance: which group's request takes the next free slot.
+//
+// Owns: the queues, the slots in use and each group's decayed usage. Invariant: at most the
+// configured number of slots are in use; a free slot never stays idle while an admissible request
+// waits; a request is answered once: started, refused on arrival, or expired. Pure. Thread: its
+// host's.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+
+namespace valvekeel::pool {
+
+/// Number of a request within one admission queue.
+using Ticket = std::uint64_t;
+
+/// Weight and limits of a group; see docs/operators/sharing.md.
+struct GroupShare {
+  double share = 1.0;
+  std::uint32_t minimum = 0;  // slots it gets first while it has work
+  std::uint32_t maximum = 0;  // slots it may hold, 0 for no limit
+};
+
+struct AdmissionSettings {
+  std::uint32_t slots = 5;
+  std::size_t queue_limit = 1000;                  // requests of one group
+  common::Duration usage_half_life{10'000'000};    // after which past usage counts half
+  common::Duration burst_credit{500'000};          // slot time a quiet group may be ahead
+  common::Duration initial_service_time{1'000};    // until one was measured
+};
+
+enum class Verdict : std::uint8_t { kStarted, kQueued, kRefused };
+
+struct ArrivalDecision {
+  Verdict verdict = Verdict::kRefused;
+  common::Duration retry_after{0};  // of a refusal
+};
+
+struct Arrival {
+  Ticket ticket = 0;
+  std::string group;
+  common::Instant deadline{0};
+  bool in_transaction = false;  // holds a connection already, so it goes first
+};
+
+/// Usage of one group, for reports.
+struct GroupUsage {
+  std::string group;
+  std::size_t queued = 0;
+  std::uint32_t running = 0;
+  common::Duration total_slot_time{0};
+  std::uint64_t started = 0;
+  std::uint64_t refused = 0;
+};
+
+/// Weighted fair queueing by slot time, with decayed history.
+class Admission {
+ public:
+  explicit Admission(AdmissionSettings settings) : settings_(settings) {}
+
+  /// Sets a group's share; unknown groups have the default.
+  void SetShare(const std::string& group, GroupShare share);
+  void SetSlots(std::uint32_t slots) { settings_.slots = slots; }
+
+  /// Takes a request. A refused one is forgotten.
+  ArrivalDecision Arrive(const Arrival& arrival, common::Instant now);
+
+  /// Frees the slot of a started request. @return the requests that start now.
+  std::vector<Ticket> Finish(Ticket ticket, common::Instant now);
+
+  /// Removes queued requests whose deadline has passed. @return their tickets.
+  std::vector<Ticket> Expire(common::Instant now);
+
+  /// Removes a queued request whose caller is gone.
+  void Withdraw(Ticket ticket);
+
+  /// @return how long a request of the group arriving now would wait for a slot.
+  common::Duration PredictWait(const std::string& group) const;
+
+  std::uint32_t Running() const { return static_cast<std::uint32_t>(running_.size()); }
+  std::size_t Queued() const;
+  std::vector<GroupUsage> Usage() const;
+
+ private:
+  struct Group {
+    GroupShare share;
+    std::deque<Arrival> queue;
+    std::uint32_t running = 0;
+    double usage = 0;  // decayed slot time in microseconds
+    common::Duration total{0};
+    std::uint64_t started = 0;
+    std::uint64_t refused = 0;
+  };
+  struct RunningRequest {
+    std::string group;
+    common::Instant started{0};
+    double charged = 0;  // microseconds charged in advance
+  };
+
+  void Decay(common::Instant now);
+  void LiftQuietGroup(Group& group);
+  void Begin(const Arrival& arrival, common::Instant now);
+  std::vector<Ticket> StartWaiting(common::Instant now);
+  Group* NextGroup();
+  static bool AtMaximum(const Group& group);
+
+  AdmissionSettings settings_;
+  std::map<std::string, Group> groups_;
+  std::deque<Arrival> transactions_;  // queued statements of open transactions
+  std::map<Ticket, RunningRequest> running_;
+  common::Instant decayed_at_{0};
+  double service_time_us_ = 0;  // smoothed, 0 until measured
+};
+
+}  // namespace valvekeel::pool
--- /dev/null
+++ b/src/pool/instance_pool.cc
@@ -0,0 +1,870 @@
+#include "pool/instance_pool.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <thread>
+#include <utility>
+
+#include "common/sqlstate.h"
+#include "common/time.h"
+#include "runtime/logging.h"
+#include "common/text.h"
+
+namespace valvekeel::pool {
+namespace {
+
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+using backend::Command;
+using backend::CommandResult;
+using backend::ConnectionFault;
+using common::Duration;
+using common::ErrorOf;
+using common::Instant;
+using common::IsOk;
+using common::SteadyNow;
+using common::ValueOf;
+using configuration::InstanceIntent;
+using runtime::Log;
+using runtime::LogLevel;
+
+constexpr Duration kReconnectPause{50'000};
+constexpr Duration kDefaultRetryAfter{100'000};
+constexpr Duration kPositionPollInterval{5'000};
+constexpr Duration kLongestWait{3'600'000'000};
+
+BatchReply Refuse(const BatchRequest& request, Refusal refusal, std::string reason,
+                  Duration retry_after = kDefaultRetryAfter) {
+  BatchReply reply;
+  reply.number = request.number;
+  reply.outcome = Outcome::kRefused;
+  reply.refusal = refusal;
+  reply.reason = std::move(reason);
+  reply.retry_after_us = retry_after.count();
+  return reply;
+}
+
+BatchReply Unknown(const BatchRequest& request, std::string reason) {
+  BatchReply reply;
+  reply.number = request.number;
+  reply.outcome = Outcome::kUnknown;
+  reply.reason = std::move(reason);
+  return reply;
+}
+
+Statement TextStatement(std::string text) {
+  Statement statement;
+  statement.text = std::move(text);
+  return statement;
+}
+
+Statement RecordRequestStatement(const std::string& request_id) {
+  Statement statement =
+      TextStatement(absl::StrCat("INSERT INTO ", common::ToAbsl(kRequestTable), " (id) VALUES ($1)"));
+  statement.parameters.emplace_back(request_id);
+  return statement;
+}
+
+Statement SetConfigStatement(const SessionSetting& setting) {
+  Statement statement = TextStatement("SELECT set_config($1, $2, false)");
+  statement.parameters.emplace_back(setting.name);
+  statement.parameters.emplace_back(setting.value);
+  return statement;
+}
+
+/// The commands of one run: internal ones around those of the caller.
+struct RunPlan {
+  std::vector<Statement> internal;  // reserved before use, so that pointers stay valid
+  std::vector<Command> commands;
+  std::optional<std::size_t> check;   // position check before the batch
+  std::optional<std::size_t> record;  // recording of the request id
+  std::vector<std::size_t> caller;    // places of the caller's statements
+  std::optional<std::size_t> commit;  // commit added around the caller's statements
+  std::size_t after = 0;              // observation after the batch
+};
+
+void AddSettings(const std::vector<SessionSetting>& settings, RunPlan& plan) {
+  plan.internal.push_back(TextStatement("RESET ALL"));
+  plan.commands.push_back({&plan.internal.back(), settings.empty()});
+  for (std::size_t i = 0; i < settings.size(); ++i) {
+    plan.internal.push_back(SetConfigStatement(settings[i]));
+    plan.commands.push_back({&plan.internal.back(), i + 1 == settings.size()});
+  }
+}
+
+RunPlan BuildPlan(const BatchRequest& request, bool in_transaction, bool apply_settings,
+                  bool check_position, bool record) {
+  constexpr std::size_t kMostOtherCommands = 4;
+  RunPlan plan;
+  plan.internal.reserve(request.settings.size() + kMostOtherCommands);
+  if (apply_settings) {
+    AddSettings(request.settings, plan);
+  }
+  if (check_position) {
+    plan.check = plan.commands.size();
+    plan.commands.push_back({&backend::ProbeStatement(), true});
+  }
+  const bool wrap = record && !in_transaction && !request.opens_transaction;
+  if (wrap) {
+    plan.internal.push_back(TextStatement("BEGIN"));
+    plan.commands.push_back({&plan.internal.back(), false});
+  }
+  const std::size_t record_before = request.opens_transaction ? 1 : 0;
+  for (std::size_t i = 0; i <= request.statements.size(); ++i) {
+    if (record && i == record_before) {
+      plan.internal.push_back(RecordRequestStatement(request.request_id));
+      plan.record = plan.commands.size();
+      plan.commands.push_back({&plan.internal.back(), false});
+    }
+    if (i < request.statements.size()) {
+      plan.caller.push_back(plan.commands.size());
+      plan.commands.push_back({&request.statements[i], false});
+    }
+  }
+  if (wrap) {
+    plan.internal.push_back(TextStatement("COMMIT"));
+    plan.commit = plan.commands.size();
+    plan.commands.push_back({&plan.internal.back(), false});
+  }
+  plan.commands.back().sync_after = true;
+  plan.after = plan.commands.size();
+  plan.commands.push_back({&backend::ProbeStatement(), true});
+  return plan;
+}
+
+bool AnyError(const std::vector<StatementAnswer>& answers) {
+  return std::any_of(answers.begin(), answers.end(),
+                     [](const StatementAnswer& answer) { return answer.error.has_value(); });
+}
+
+std::size_t AnswerBytes(const BatchReply& reply) {
+  std::size_t bytes = 0;
+  for (const StatementAnswer& answer : reply.answers) {
+    bytes += answer.rows.size();
+  }
+  return bytes;
+}
+
+StatementAnswer AlreadyRecorded(const std::string& request_id) {
+  StatementAnswer answer;
+  answer.error = wire::ErrorFields{
+      std::string(common::kUniqueViolation),
+      absl::StrCat("the request \"", request_id, "\" is recorded already and was not run again"),
+      "SHOW valvekeel.request_outcome tells the outcome of a request."};
+  return answer;
+}
+
+}  // namespace
+
+InstancePool::InstancePool(asio::io_context& loop, PoolSettings settings,
+                           TopologyHandler on_topology)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      on_topology_(std::move(on_topology)),
+      admission_(AdmissionSettings{}),
+      monitor_pause_(std::make_shared<Waiter>(loop)) {}
+
+InstancePool::~InstancePool() = default;
+
+void InstancePool::Start(const configuration::DatabaseSpec& database, const std::string& instance) {
+  database_ = database.name;
+  spec_.id = instance;
+  Configure(database);
+  const auto self = shared_from_this();
+  asio::co_spawn(
+      loop_, [self]() -> awaitable<void> { co_await self->Monitor(); }, asio::detached);
+}
+
+void InstancePool::Configure(const configuration::DatabaseSpec& database) {
+  database_spec_ = database;
+  for (const configuration::InstanceSpec& spec : database.instances) {
+    if (spec.id == spec_.id) {
+      spec_ = spec;
+    }
+  }
+  admission_.SetSlots(spec_.slots);
+  confirmation_.SetInstances(database.instances.size());
+  StartConfirmers();
+}
+
+void InstancePool::SetShare(const configuration::ShareGroupSpec& group) {
+  admission_.SetShare(group.name, {group.share, group.minimum, group.maximum});
+}
+
+void InstancePool::Stop() {
+  stopped_ = true;
+  for (const ConnectionPointer& connection : connections_) {
+    connection->Abort();
+  }
+  connections_.clear();
+  idle_.clear();
+  pinned_.clear();
+  Wake(monitor_pause_, true);
+  for (const auto& [peer, waiter] : confirmers_) {
+    Wake(waiter, true);
+  }
+  for (const WaiterPointer& waiter : waiting_connections_) {
+    Wake(waiter, true);
+  }
+  for (const WaiterPointer& waiter : waiting_positions_) {
+    Wake(waiter, true);
+  }
+}
+
+// --- Waiting ----------------------------------------------------------------------------------
+
+awaitable<void> InstancePool::WaitOn(WaiterPointer waiter, Duration limit) {
+  if (waiter->done) {
+    co_return;
+  }
+  waiter->timer.expires_after(std::max(Duration{0}, limit));
+  asio::error_code error;
+  co_await waiter->timer.async_wait(redirect_error(use_awaitable, error));
+}
+
+void InstancePool::Wake(const WaiterPointer& waiter, bool failed) {
+  waiter->done = true;
+  waiter->failed = failed;
+  waiter->timer.cancel();
+}
+
+// --- Monitoring -------------------------------------------------------------------------------
+
+InstancePool::ConnectionPointer InstancePool::NewConnection(
+    const configuration::InstanceSpec& spec) const {
+  return std::make_shared<backend::Connection>(loop_, spec.address, database_, settings_.user);
+}
+
+InstancePool::ConnectionPointer InstancePool::NewConnection() const { return NewConnection(spec_); }
+
+awaitable<void> InstancePool::Monitor() {
+  while (!stopped_) {
+    const ConnectionPointer connection = NewConnection();
+    const auto failure = co_await connection->Open(settings_.connect_timeout);
+    if (failure) {
+      Lost();
+      co_await WaitOn(std::make_shared<Waiter>(loop_), kReconnectPause);
+      continue;
+    }
+    while (!stopped_) {
+      const auto probed = co_await ProbeInTime(connection);
+      if (!IsOk(probed)) {
+        Lost();
+        break;
+      }
+      Observe(ValueOf(probed));
+      ExpireIdleTransactions(SteadyNow());
+      monitor_pause_ = std::make_shared<Waiter>(loop_);
+      const Duration pause =
+          waiting_positions_.empty() ? settings_.probe_interval : kPositionPollInterval;
+      co_await WaitOn(monitor_pause_, pause);
+    }
+  }
+}
+
+awaitable<common::Result<monitor::Observation, backend::ConnectionError>> InstancePool::ProbeInTime(
+    ConnectionPointer connection) {
+  const auto waiting = std::make_shared<bool>(true);
+  asio::steady_timer limit(loop_, settings_.probe_timeout);
+  limit.async_wait([waiting, connection](const asio::error_code& error) {
+    if (!error && *waiting) {
+      connection->Abort();
+    }
+  });
+  auto probed = co_await connection->Probe();
+  *waiting = false;
+  co_return probed;
+}
+
+void InstancePool::Observe(const monitor::Observation& observation) {
+  const auto& latest = replay_.Latest();
+  const bool changed = !reachable_ || !latest || latest->term != observation.term ||
+                       latest->in_recovery != observation.in_recovery;
+  reachable_ = true;
+  probed_ = true;
+  replay_.Observe(observation, SteadyNow());
+  for (const WaiterPointer& waiter : waiting_positions_) {
+    Wake(waiter, false);
+  }
+  if (changed && on_topology_) {
+    on_topology_(database_, spec_.id, observation);
+  }
+}
+
+void InstancePool::ObserveInBand(const monitor::Observation& observation) {
+  const auto& latest = replay_.Latest();
+  const bool newer = latest && latest->term == observation.term &&
+                     latest->in_recovery == observation.in_recovery &&
+                     latest->replayed <= observation.replayed &&
+                     latest->received <= observation.received;
+  if (reachable_ && newer) {
+    Observe(observation);
+  }
+}
+
+void InstancePool::Lost() {
+  if (reachable_) {
+    Log(LogLevel::kWarning, "instance_lost", {{"database", database_}, {"instance", spec_.id}});
+    // An instance that does not answer its probe will not answer its statements either.
+    for (const ConnectionPointer& connection : connections_) {
+      connection->Abort();
+    }
+  }
+  reachable_ = false;
+  probed_ = true;
+  replay_.Reset();
+  for (const WaiterPointer& waiter : waiting_positions_) {
+    Wake(waiter, true);
+  }
+}
+
+// --- Execution --------------------------------------------------------------------------------
+
+std::optional<BatchReply> InstancePool::RefuseNewWork(const BatchRequest& request) const {
+  if (draining_ || stopped_) {
+    return Refuse(request, Refusal::kStopping, "the pool owner is stopping");
+  }
+  if (spec_.intent == InstanceIntent::kLeaving) {
+    return Refuse(request, Refusal::kLeaving, "the instance is leaving");
+  }
+  if (!reachable_) {
+    return Refuse(request, Refusal::kUnreachable, "the instance cannot be reached");
+  }
+  const auto& latest = replay_.Latest();
+  if (latest && latest->term < known_term_) {
+    return Refuse(request, Refusal::kNotPrimary, "the instance is of an earlier term");
+  }
+  if (request.access == Access::kWrite && latest && latest->in_recovery) {
+    return Refuse(request, Refusal::kNotPrimary, "the instance is a replica");
+  }
+  return std::nullopt;
+}
+
+awaitable<BatchReply> InstancePool::Execute(SessionKey session, BatchRequest request) {
+  const auto self = shared_from_this();
+  const Instant deadline = SteadyNow() + Duration{request.budget_us};
+  ++counters_.batches;
+  ++in_flight_;
+  BatchReply reply = co_await ExecuteAdmitted(session, request, deadline);
+  --in_flight_;
+  counters_.refused += reply.outcome == Outcome::kRefused ? 1 : 0;
+  counters_.unknown += reply.outcome == Outcome::kUnknown ? 1 : 0;
+  co_return reply;
+}
+
+awaitable<BatchReply> InstancePool::ExecuteAdmitted(SessionKey session, const BatchRequest& request,
+                                                    Instant deadline) {
+  const auto held = pinned_.find(session);
+  if (request.continues) {
+    if (held == pinned_.end()) {
+      co_return Refuse(request, Refusal::kTransactionLost,
+                       "the transaction's connection is gone; it was rolled back");
+    }
+    held->second.busy = true;
+  } else {
+    if (held != pinned_.end()) {
+      Release(session);
+    }
+    co_await WaitForFirstProbe(deadline);
+    if (auto refusal = RefuseNewWork(request)) {
+      co_return std::move(*refusal);
+    }
+    if (request.max_staleness_us > 0 && replay_.ReplayLag().count() > request.max_staleness_us) {
+      co_return Refuse(request, Refusal::kBehind, "the replica lags more than max_staleness_ms");
+    }
+    auto behind = co_await WaitForPosition(request, deadline);
+    if (behind) {
+      co_return std::move(*behind);
+    }
+  }
+  if (!request.request_id.empty() && !request_table_ready_) {
+    co_await EnsureRequestTable(deadline);
+  }
+  const Ticket ticket = next_ticket_++;
+  auto refusal = co_await WaitForSlot(request, ticket, deadline);
+  if (refusal) {
+    const auto kept = pinned_.find(session);
+    if (kept != pinned_.end()) {
+      kept->second.busy = false;
+    }
+    co_return std::move(*refusal);
+  }
+  ConnectionPointer connection;
+  PinnedTransaction* pinned = nullptr;
+  if (request.continues) {
+    const auto current = pinned_.find(session);
+    if (current == pinned_.end()) {
+      FinishTicket(ticket);
+      co_return Refuse(request, Refusal::kTransactionLost, "the transaction was rolled back");
+    }
+    pinned = &current->second;
+    connection = pinned->connection;
+  } else {
+    auto obtained = co_await Obtain(deadline);
+    if (!IsOk(obtained)) {
+      FinishTicket(ticket);
+      BatchReply refusal = ErrorOf(obtained);
+      refusal.number = request.number;
+      co_return refusal;
+    }
+    connection = ValueOf(obtained);
+  }
+  running_[session] = {connection, false};
+  bool recorded = pinned != nullptr && pinned->recorded;
+  bool sent = false;
+  BatchReply reply = co_await RunOn(connection, request, pinned, &sent);
+  const bool released = running_[session].released;
+  running_.erase(session);
+  recorded = recorded || (!request.request_id.empty() && sent);
+  FinishTicket(ticket);
+  const bool abandoned = released && connection->Status() != wire::TransactionStatus::kIdle;
+  if (reply.outcome == Outcome::kUnknown || abandoned || !connection->Usable()) {
+    pinned_.erase(session);
+    Discard(connection);
+    co_return reply;
+  }
+  reply.status = connection->Status();
+  if (reply.status != wire::TransactionStatus::kIdle) {
+    KeepPinned(session, connection, recorded);
+    co_return reply;
+  }
+  pinned_.erase(session);
+  ReturnConnection(connection);
+  // Without a position the batch failed and was rolled back, so there is nothing to confirm.
+  const bool committed = request.access == Access::kWrite && reply.outcome == Outcome::kDone &&
+                         reply.position != common::Position{};
+  if (committed && settings_.confirm_commits) {
+    const auto verdict = co_await Confirm(reply.position, true, settings_.confirm_timeout);
+    if (verdict != confirmation::Verdict::kConfirmed) {
+      const char* why = verdict == confirmation::Verdict::kSuperseded
+                            ? "the primary was replaced before its commit was confirmed"
+                            : "no majority confirmed the commit in time";
+      co_return Unknown(request, why);
+    }
+    ++counters_.confirmed;
+  }
+  co_return reply;
+}
+
+awaitable<void> InstancePool::WaitForFirstProbe(Instant deadline) {
+  if (probed_ || stopped_) {
+    co_return;
+  }
+  auto waiter = std::make_shared<Waiter>(loop_);
+  waiting_positions_.push_back(waiter);
+  co_await WaitOn(waiter, deadline - SteadyNow());
+  waiting_positions_.remove(waiter);
+}
+
+awaitable<std::optional<BatchReply>> InstancePool::WaitForPosition(const BatchRequest& request,
+                                                                   Instant deadline) {
+  if (request.access != Access::kRead || !settings_.check_positions ||
+      request.required == common::Position{}) {
+    co_return std::nullopt;
+  }
+  const Instant limit = std::min(deadline, SteadyNow() + Duration{request.read_wait_us});
+  while (!replay_.HasReplayed(request.required)) {
+    const auto predicted = replay_.PredictWait(request.required, SteadyNow());
+    if (!predicted || SteadyNow() + *predicted > limit || SteadyNow() >= limit) {
+      ++counters_.behind;
+      BatchReply refusal = Refuse(request, Refusal::kBehind, "the replica is behind",
+                                  predicted.value_or(kDefaultRetryAfter));
+      if (replay_.Latest()) {
+        refusal.replayed = {replay_.Latest()->term, replay_.Latest()->replayed};
+      }
+      co_return refusal;
+    }
+    auto waiter = std::make_shared<Waiter>(loop_);
+    waiting_positions_.push_back(waiter);
+    Wake(monitor_pause_, false);
+    co_await WaitOn(waiter, limit - SteadyNow());
+    waiting_positions_.remove(waiter);
+    if (waiter->failed) {
+      co_return Refuse(request, Refusal::kUnreachable, "the instance was lost");
+    }
+  }
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<BatchReply>> InstancePool::WaitForSlot(const BatchRequest& request,
+                                                               Ticket ticket, Instant deadline) {
+  const Arrival arrival{ticket, request.share_group, deadline, request.continues};
+  const ArrivalDecision decision = admission_.Arrive(arrival, SteadyNow());
+  if (decision.verdict == Verdict::kStarted) {
+    co_return std::nullopt;
+  }
+  if (decision.verdict == Verdict::kRefused) {
+    co_return Refuse(request, Refusal::kOverloaded, "no slot is free before the deadline",
+                     decision.retry_after);
+  }
+  auto waiter = std::make_shared<Waiter>(loop_);
+  waiting_tickets_[ticket] = waiter;
+  co_await WaitOn(waiter, deadline - SteadyNow());
+  waiting_tickets_.erase(ticket);
+  if (waiter->done && !waiter->failed) {
+    co_return std::nullopt;
+  }
+  admission_.Withdraw(ticket);
+  co_return Refuse(request, Refusal::kOverloaded, "no slot became free before the deadline",
+                   admission_.PredictWait(request.share_group));
+}
+
+void InstancePool::FinishTicket(Ticket ticket) {
+  for (const Ticket started : admission_.Finish(ticket, SteadyNow())) {
+    const auto waiting = waiting_tickets_.find(started);
+    if (waiting != waiting_tickets_.end()) {
+      Wake(waiting->second, false);
+    }
+  }
+}
+
+awaitable<common::Result<InstancePool::ConnectionPointer, BatchReply>> InstancePool::Obtain(
+    Instant deadline) {
+  const BatchRequest unnamed;
+  while (SteadyNow() < deadline && !stopped_) {
+    while (!idle_.empty()) {
+      const ConnectionPointer connection = idle_.back();
+      idle_.pop_back();
+      if (connection->Usable()) {
+        co_return connection;
+      }
+      Discard(connection);
+    }
+    const std::size_t most =
+        std::max<std::size_t>(1, spec_.connections - std::min(spec_.connections - 1,
+                                                              settings_.reserved_connections));
+    if (connections_.size() < most && opening_ < settings_.openings_at_once) {
+      const ConnectionPointer connection = NewConnection();
+      connections_.insert(connection);
+      ++opening_;
+      const auto failure = co_await connection->Open(settings_.connect_timeout);
+      --opening_;
+      if (!failure) {
+        ++counters_.connections_opened;
+        co_return connection;
+      }
+      Discard(connection);
+      const bool full = failure->fault == ConnectionFault::kTooMany;
+      co_return Refuse(unnamed, full ? Refusal::kOverloaded : Refusal::kUnreachable,
+                       failure->message);
+    }
+    auto waiter = std::make_shared<Waiter>(loop_);
+    waiting_connections_.push_back(waiter);
+    co_await WaitOn(waiter, deadline - SteadyNow());
+    waiting_connections_.remove(waiter);
+  }
+  co_return Refuse(unnamed, Refusal::kOverloaded, "no connection became free before the deadline");
+}
+
+awaitable<void> InstancePool::EnsureRequestTable(Instant deadline) {
+  auto obtained = co_await Obtain(deadline);
+  if (!IsOk(obtained)) {
+    co_return;  // the batch itself will find out
+  }
+  const ConnectionPointer connection = ValueOf(obtained);
+  const Statement create = TextStatement(absl::StrCat(
+      "CREATE TABLE IF NOT EXISTS ", common::ToAbsl(kRequestTable), " (id text PRIMARY KEY)"));
+  std::vector<Command> commands = {{&create, true}};
+  const auto created = co_await connection->Run(std::move(commands), false);
+  if (!IsOk(created)) {
+    Discard(connection);
+    co_return;
+  }
+  request_table_ready_ = !ValueOf(created).front().answer.error;
+  ReturnConnection(connection);
+}
+
+void InstancePool::ReturnConnection(ConnectionPointer connection) {
+  if (stopped_ || !connection->Usable()) {
+    Discard(connection);
+    return;
+  }
+  idle_.push_back(std::move(connection));
+  if (!waiting_connections_.empty()) {
+    Wake(waiting_connections_.front(), false);
+  }
+}
+
+void InstancePool::Discard(const ConnectionPointer& connection) {
+  connection->Abort();
+  counters_.connections_lost += connections_.erase(connection);
+  if (!waiting_connections_.empty()) {
+    Wake(waiting_connections_.front(), false);
+  }
+}
+
+awaitable<BatchReply> InstancePool::RunOn(ConnectionPointer connection, const BatchRequest& request,
+                                          PinnedTransaction* pinned, bool* sent) {
+  const bool in_transaction = pinned != nullptr;
+  const bool check = !in_transaction && settings_.check_positions &&
+                     request.access == Access::kRead &&
+                     !common::Covers(connection->seen_replayed, request.required);
+  const bool record =
+      !request.request_id.empty() && (pinned == nullptr || !pinned->recorded);
+  const bool apply_settings =
+      !in_transaction && connection->applied_settings != request.settings;
+  const RunPlan plan = BuildPlan(request, in_transaction, apply_settings, check, record);
+  *sent = record;
+  const bool usable = connection->Usable();
+  auto run = co_await connection->Run(plan.commands, true);
+  if (!IsOk(run)) {
+    if (!usable) {
+      co_return Refuse(request, Refusal::kUnreachable, ErrorOf(run).message);
+    }
+    co_return Unknown(request, ErrorOf(run).message);
+  }
+  std::vector<CommandResult>& results = ValueOf(run);
+  if (apply_settings) {
+    connection->applied_settings = request.settings;
+  }
+  if (request.changes_settings) {
+    connection->applied_settings.reset();
+  }
+  BatchReply reply;
+  reply.number = request.number;
+  reply.outcome = Outcome::kDone;
+  const auto after = backend::ReadObservation(results[plan.after]);
+  if (after) {
+    reply.position = {after->term, after->replayed};
+    reply.replayed = reply.position;
+    connection->seen_replayed = reply.position;
+    ObserveInBand(*after);
+  }
+  if (plan.check) {
+    const auto before = backend::ReadObservation(results[*plan.check]);
+    if (!before || !common::Covers({before->term, before->replayed}, request.required)) {
+      // The rows read are dropped unseen, so for the caller the read did not run.
+      BatchReply refusal = Refuse(request, Refusal::kBehind, "the replica is behind");
+      refusal.replayed = reply.replayed;
+      co_return refusal;
+    }
+  }
+  for (const std::size_t place : plan.caller) {
+    reply.answers.push_back(std::move(results[place].answer));
+  }
+  if (plan.record && results[*plan.record].answer.error) {
+    const wire::ErrorFields& error = *results[*plan.record].answer.error;
+    StatementAnswer answer;
+    answer.error = error;
+    reply.answers.assign(request.statements.size(), {});
+    reply.answers[0] =
+        error.sqlstate == common::kUniqueViolation ? AlreadyRecorded(request.request_id) : answer;
+  }
+  if (plan.commit && AnyError(reply.answers)) {
+    // The added transaction failed and its COMMIT was skipped; it ends here.
+    const Statement rollback = TextStatement("ROLLBACK");
+    std::vector<Command> ending = {{&rollback, true}};
+    co_await connection->Run(std::move(ending), false);
+  }
+  if (plan.commit && !AnyError(reply.answers) && results[*plan.commit].answer.error) {
+    reply.answers.back().error = results[*plan.commit].answer.error;
+  }
+  if (!after && request.access == Access::kWrite && !AnyError(reply.answers) &&
+      connection->Status() == wire::TransactionStatus::kIdle) {
+    co_return Unknown(request, "the position of the commit could not be read");
+  }
+  if (AnswerBytes(reply) > settings_.largest_answer_bytes) {
+    StatementAnswer answer;
+    answer.error = wire::ErrorFields{std::string(common::kProgramLimitExceeded),
+                                     "the answer is larger than pool.largest_answer_bytes", ""};
+    reply.answers.assign(request.statements.size(), {});
+    reply.answers[0] = std::move(answer);
+  }
+  counters_.reads_served += request.access == Access::kRead ? 1 : 0;
+  co_return reply;
+}
+
+// --- Open transactions ------------------------------------------------------------------------
+
+void InstancePool::KeepPinned(const SessionKey& session, const ConnectionPointer& connection,
+                              bool recorded) {
+  PinnedTransaction& pinned = pinned_[session];
+  pinned.connection = connection;
+  pinned.recorded = recorded;
+  pinned.busy = false;
+  pinned.last_used = SteadyNow();
+}
+
+void InstancePool::Release(const SessionKey& session) {
+  const auto running = running_.find(session);
+  if (running != running_.end()) {
+    running->second.released = true;  // rolled back when the batch ends
+    return;
+  }
+  const auto found = pinned_.find(session);
+  if (found == pinned_.end()) {
+    return;
+  }
+  // Closing the connection makes the database roll back; no state can leak to the next session.
+  const ConnectionPointer connection = found->second.connection;
+  pinned_.erase(found);
+  Discard(connection);
+}
+
+void InstancePool::ReleaseGateway(const cluster::MemberId& gateway) {
+  std::vector<SessionKey> gone;
+  for (const auto& [session, pinned] : pinned_) {
+    if (session.gateway == gateway) {
+      gone.push_back(session);
+    }
+  }
+  for (const auto& [session, running] : running_) {
+    if (session.gateway == gateway) {
+      gone.push_back(session);
+    }
+  }
+  for (const SessionKey& session : gone) {
+    Release(session);
+  }
+}
+
+void InstancePool::ExpireIdleTransactions(Instant now) {
+  std::vector<SessionKey> expired;
+  for (const auto& [session, pinned] : pinned_) {
+    if (!pinned.busy && now - pinned.last_used > settings_.idle_transaction_timeout) {
+      expired.push_back(session);
+    }
+  }
+  for (const SessionKey& session : expired) {
+    Release(session);
+  }
+}
+
+void InstancePool::Cancel(const SessionKey& session) {
+  const auto found = running_.find(session);
+  if (found == running_.end()) {
+    return;
+  }
+  // PQcancel blocks while it connects, so it runs on a thread of its own.
+  auto handle = std::make_shared<std::unique_ptr<PGcancel, void (*)(PGcancel*)>>(
+      found->second.connection->CancelHandle());
+  std::thread([handle] {
+    std::array<char, 256> message{};
+    PQcancel(handle->get(), message.data(), static_cast<int>(message.size()));
+  }).detach();
+}
+
+// --- Confirmation -----------------------------------------------------------------------------
+
+void InstancePool::StartConfirmers() {
+  for (const configuration::InstanceSpec& spec : database_spec_.instances) {
+    if (spec.id == spec_.id || confirmers_.contains(spec.id)) {
+      continue;
+    }
+    confirmers_[spec.id] = std::make_shared<Waiter>(loop_);
+    const auto self = shared_from_this();
+    const std::string peer = spec.id;
+    asio::co_spawn(
+        loop_, [self, peer]() -> awaitable<void> { co_await self->ConfirmWith(peer); },
+        asio::detached);
+  }
+}
+
+awaitable<void> InstancePool::ConfirmWith(std::string peer) {
+  ConnectionPointer connection;
+  while (!stopped_) {
+    const auto spec =
+        std::find_if(database_spec_.instances.begin(), database_spec_.instances.end(),
+                     [&](const configuration::InstanceSpec& entry) { return entry.id == peer; });
+    if (spec == database_spec_.instances.end()) {
+      confirmers_.erase(peer);
+      co_return;
+    }
+    Settle(confirmation_.Expire(SteadyNow()));
+    if (!confirmation_.WantsProbe(peer)) {
+      confirmers_[peer] = std::make_shared<Waiter>(loop_);
+      co_await WaitOn(confirmers_[peer], kLongestWait);
+      continue;
+    }
+    if (connection == nullptr || !connection->Usable()) {
+      connection = NewConnection(*spec);
+      const auto failure = co_await connection->Open(settings_.connect_timeout);
+      if (failure) {
+        connection = nullptr;
+        co_await WaitOn(std::make_shared<Waiter>(loop_), kReconnectPause);
+      }
+      continue;
+    }
+    const confirmation::ProbeNumber probe = confirmation_.ProbeSent(peer);
+    const auto answered = co_await ProbeInTime(connection);
+    if (!IsOk(answered)) {
+      confirmation_.ProbeFailed(probe);
+      continue;
+    }
+    const monitor::Observation& answer = ValueOf(answered);
+    Settle(confirmation_.ProbeAnswered(probe, {answer.term, answer.received}));
+    if (confirmation_.WantsProbe(peer)) {
+      co_await WaitOn(std::make_shared<Waiter>(loop_), settings_.confirm_pause);
+    }
+  }
+}
+
+void InstancePool::Settle(const std::vector<confirmation::Resolution>& resolutions) {
+  for (const confirmation::Resolution& resolution : resolutions) {
+    const auto found = confirming_.find(resolution.number);
+    if (found == confirming_.end()) {
+      continue;
+    }
+    counters_.superseded += resolution.verdict == confirmation::Verdict::kSuperseded ? 1 : 0;
+    found->second.second = resolution.verdict;
+    Wake(found->second.first, false);
+  }
+}
+
+awaitable<confirmation::Verdict> InstancePool::Confirm(common::Position position,
+                                                       bool position_needed, Duration limit) {
+  const confirmation::PendingNumber number = next_pending_++;
+  const auto waiter = std::make_shared<Waiter>(loop_);
+  confirming_[number] = {waiter, confirmation::Verdict::kTimedOut};
+  Settle(confirmation_.Add(number, position, position_needed, SteadyNow() + limit));
+  for (const auto& [peer, confirmer] : confirmers_) {
+    Wake(confirmer, false);
+  }
+  co_await WaitOn(waiter, limit);
+  Settle(confirmation_.Expire(SteadyNow()));
+  const confirmation::Verdict verdict = confirming_[number].second;
+  confirming_.erase(number);
+  co_return verdict;
+}
+
+awaitable<BarrierReply> InstancePool::Barrier(BarrierRequest request) {
+  const auto self = shared_from_this();
+  BarrierReply reply;
+  reply.number = request.number;
+  const Instant deadline = SteadyNow() + Duration{request.budget_us};
+  co_await WaitForFirstProbe(deadline);
+  auto obtained = co_await Obtain(deadline);
+  if (!IsOk(obtained)) {
+    reply.reason = ErrorOf(obtained).reason;
+    co_return reply;
+  }
+  const ConnectionPointer connection = ValueOf(obtained);
+  const auto probed = co_await ProbeInTime(connection);
+  if (!IsOk(probed)) {
+    Discard(connection);
+    reply.reason = ErrorOf(probed).message;
+    co_return reply;
+  }
+  ReturnConnection(connection);
+  const monitor::Observation& observation = ValueOf(probed);
+  if (observation.in_recovery) {
+    reply.reason = "the instance is a replica";
+    co_return reply;
+  }
+  reply.position = {observation.term, observation.received};
+  const auto verdict =
+      co_await Confirm(reply.position, false, std::min(settings_.confirm_timeout,
+                                                       Duration{request.budget_us}));
+  reply.confirmed = verdict == confirmation::Verdict::kConfirmed;
+  reply.reason = reply.confirmed ? "" : "no majority confirmed the primary's term";
+  co_return reply;
+}
+
+}  // namespace valvekeel::pool
--- /dev/null
+++ b/src/pool/instance_pool.h
@@ -0,0 +1,217 @@
+// The owner of one instance's connections: admission, execution, monitoring, confirmation.
+//
+// Owns: every connection this daemon has to the instance, the sessions' open transactions on them,
+// and the monitor's observations. Invariant: a connection belongs to one session from the start of a
+// transaction until it is idle again; a batch is refused as not run only before its first byte went
+// out; no commit is answered as done before a majority confirmed it. Thread: the event loop's.
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "backend/connection.h"
+#include "configuration/specs.h"
+#include "confirmation/majority_confirmation.h"
+#include "monitor/replay_predictor.h"
+#include "pool/admission.h"
+#include "pool/protocol.h"
+
+namespace valvekeel::pool {
+
+/// Settings of pools; see docs/operators/pool.md.
+struct PoolSettings {
+  common::Duration probe_interval{100'000};
+  common::Duration probe_timeout{1'000'000};
+  common::Duration connect_timeout{2'000'000};
+  common::Duration confirm_timeout{3'000'000};
+  common::Duration confirm_pause{500};           // between probes while a replica is behind
+  common::Duration idle_transaction_timeout{60'000'000};
+  std::uint32_t openings_at_once = 4;
+  std::uint32_t reserved_connections = 4;        // for probes, confirmations and other owners
+  std::size_t largest_answer_bytes = std::size_t{64} << 20U;
+  std::string user = "valvekeel";
+  bool confirm_commits = true;    // switched off by tests only
+  bool check_positions = true;    // switched off by tests and baselines only
+};
+
+/// Counters for metrics and reports.
+struct PoolCounters {
+  std::uint64_t batches = 0;
+  std::uint64_t reads_served = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t confirmed = 0;
+  std::uint64_t superseded = 0;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t connections_lost = 0;
+  std::uint64_t behind = 0;
+};
+
+/// Who holds an open transaction: a session of a gateway's incarnation.
+struct SessionKey {
+  cluster::MemberId gateway;
+  std::uint64_t incarnation = 0;
+  SessionNumber session = 0;
+
+  auto operator<=>(const SessionKey&) const = default;
+};
+
+/// Reported when the monitor sees a change of role or term, or loses the instance.
+using TopologyHandler = std::function<void(const std::string& database, const std::string& instance,
+                                           const monitor::Observation& observation)>;
+
+class InstancePool : public std::enable_shared_from_this<InstancePool> {
+ public:
+  InstancePool(asio::io_context& loop, PoolSettings settings, TopologyHandler on_topology);
+  ~InstancePool();
+  InstancePool(const InstancePool&) = delete;
+  InstancePool& operator=(const InstancePool&) = delete;
+
+  /// Starts monitoring. @param instance id within the database group.
+  void Start(const configuration::DatabaseSpec& database, const std::string& instance);
+
+  /// Takes changed specifications.
+  void Configure(const configuration::DatabaseSpec& database);
+  void SetShare(const configuration::ShareGroupSpec& group);
+
+  /// Tells the highest term known for the database group; an instance of an earlier one is stale.
+  void SetKnownTerm(common::Term term) { known_term_ = std::max(known_term_, term); }
+
+  /// Runs a batch for a session.
+  asio::awaitable<BatchReply> Execute(SessionKey session, BatchRequest request);
+
+  /// @return a position that covers every write acknowledged before the call.
+  asio::awaitable<BarrierReply> Barrier(BarrierRequest request);
+
+  /// Rolls back what a session left open.
+  void Release(const SessionKey& session);
+
+  /// Rolls back what all sessions of a gateway left open.
+  void ReleaseGateway(const cluster::MemberId& gateway);
+
+  /// @return true if the session's transaction is open here.
+  bool Holds(const SessionKey& session) const { return pinned_.contains(session); }
+
+  /// Cancels the statement that the session is running.
+  void Cancel(const SessionKey& session);
+
+  /// Takes no new work; open transactions go on.
+  void Drain() { draining_ = true; }
+
+  /// Closes everything.
+  void Stop();
+
+  /// @return number of batches and open transactions in progress.
+  std::size_t InFlight() const { return in_flight_ + pinned_.size(); }
+
+  const PoolCounters& Counters() const { return counters_; }
+  const Admission& AdmissionState() const { return admission_; }
+  const monitor::ReplayPredictor& Replay() const { return replay_; }
+  const configuration::InstanceSpec& Spec() const { return spec_; }
+  std::size_t Connections() const { return connections_.size(); }
+  std::size_t Pinned() const { return pinned_.size(); }
+
+ private:
+  using ConnectionPointer = std::shared_ptr<backend::Connection>;
+  struct PinnedTransaction {
+    ConnectionPointer connection;
+    bool recorded = false;  // its request id is in the transaction
+    bool busy = false;
+    common::Instant last_used{0};
+  };
+  struct RunningBatch {
+    ConnectionPointer connection;
+    bool released = false;  // its caller is gone; roll back when the batch ends
+  };
+  struct Waiter {
+    explicit Waiter(asio::io_context& loop) : timer(loop) {}
+    asio::steady_timer timer;
+    bool done = false;
+    bool failed = false;
+  };
+  using WaiterPointer = std::shared_ptr<Waiter>;
+
+  asio::awaitable<void> Monitor();
+  asio::awaitable<void> ConfirmWith(std::string peer);
+  asio::awaitable<void> WaitOn(WaiterPointer waiter, common::Duration limit);
+  static void Wake(const WaiterPointer& waiter, bool failed);
+
+  asio::awaitable<std::optional<BatchReply>> WaitForPosition(const BatchRequest& request,
+                                                             common::Instant deadline);
+  asio::awaitable<std::optional<BatchReply>> WaitForSlot(const BatchRequest& request, Ticket ticket,
+                                                         common::Instant deadline);
+  asio::awaitable<common::Result<ConnectionPointer, BatchReply>> Obtain(common::Instant deadline);
+  asio::awaitable<void> EnsureRequestTable(common::Instant deadline);
+  asio::awaitable<BatchReply> RunOn(ConnectionPointer connection, const BatchRequest& request,
+                                    PinnedTransaction* pinned, bool* sent);
+  asio::awaitable<BatchReply> ExecuteAdmitted(SessionKey session, const BatchRequest& request,
+                                              common::Instant deadline);
+  asio::awaitable<confirmation::Verdict> Confirm(common::Position position, bool position_needed,
+                                                 common::Duration limit);
+  void Settle(const std::vector<confirmation::Resolution>& resolutions);
+  void Observe(const monitor::Observation& observation);
+  asio::awaitable<void> WaitForFirstProbe(common::Instant deadline);
+  void ObserveInBand(const monitor::Observation& observation);
+  void Lost();
+  asio::awaitable<common::Result<monitor::Observation, backend::ConnectionError>> ProbeInTime(
+      ConnectionPointer connection);
+  void FinishTicket(Ticket ticket);
+  void ReturnConnection(ConnectionPointer connection);
+  void Discard(const ConnectionPointer& connection);
+  void KeepPinned(const SessionKey& session, const ConnectionPointer& connection, bool recorded);
+  void ExpireIdleTransactions(common::Instant now);
+  void StartConfirmers();
+  std::optional<BatchReply> RefuseNewWork(const BatchRequest& request) const;
+  ConnectionPointer NewConnection() const;
+  ConnectionPointer NewConnection(const configuration::InstanceSpec& spec) const;
+
+  asio::io_context& loop_;
+  PoolSettings settings_;
+  TopologyHandler on_topology_;
+  std::string database_;
+  configuration::DatabaseSpec database_spec_;
+  configuration::InstanceSpec spec_;
+  bool stopped_ = false;
+  bool draining_ = false;
+  std::size_t in_flight_ = 0;
+  PoolCounters counters_;
+
+  Admission admission_;
+  Ticket next_ticket_ = 1;
+  std::map<Ticket, WaiterPointer> waiting_tickets_;
+
+  std::set<ConnectionPointer> connections_;  // all, whatever they do
+  std::vector<ConnectionPointer> idle_;
+  std::list<WaiterPointer> waiting_connections_;
+  std::uint32_t opening_ = 0;
+  bool request_table_ready_ = false;
+  std::map<SessionKey, PinnedTransaction> pinned_;
+  std::map<SessionKey, RunningBatch> running_;
+
+  monitor::ReplayPredictor replay_;
+  std::list<WaiterPointer> waiting_positions_;
+  WaiterPointer monitor_pause_;
+  bool reachable_ = false;
+  bool probed_ = false;  // the first probe has ended, whatever its result
+  common::Term known_term_ = 0;
+
+  confirmation::MajorityConfirmation confirmation_{1};
+  confirmation::PendingNumber next_pending_ = 1;
+  std::map<confirmation::PendingNumber, std::pair<WaiterPointer, confirmation::Verdict>> confirming_;
+  std::map<std::string, WaiterPointer> confirmers_;  // by peer instance; wakes its coroutine
+};
+
+/// Table in which request ids are recorded.
+inline constexpr std::string_view kRequestTable = "valvekeel_requests";
+
+}  // namespace valvekeel::pool
