Hollow daemons, capacity run; zone loss seen; probes prepared and fewer

Cause: at 48 daemons the loss of a whole zone was never seen (nobody left to suspect), and changes sometimes waited 500 ms for repair. Ruled out: latency of the tree (17 ms over two regions). Change: bridges watch the other zones; a node forwards the same part of a tree once, not every part inside one forwarded earlier, since two roots could each leave out what the other seemed to cover. Probes are prepared statements, 250 ms apart, and left out while answers carry the same observation; the lag estimate is a lower bound.

--- /dev/null
+++ b/apps/valvekeel_sim.cc
@@ -0,0 +1,55 @@
+// valvekeel-sim: the daemon's decision code on simulated time.
+//
+//   valvekeel-sim capacity --sizes=48,96,192  what control costs a daemon at each size
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/numbers.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "sim/capacity.h"
+
+ABSL_FLAG(std::vector<std::string>, sizes, (std::vector<std::string>{"48", "96", "192"}),
+          "numbers of daemons, comma separated");
+ABSL_FLAG(double, databases_per_daemon, 1200.0 / 770.0, "database groups for each daemon");
+ABSL_FLAG(int, cut_seconds, 60, "simulated length of the cut between regions");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the run");
+
+namespace {
+
+constexpr int kUsageError = 2;
+constexpr std::size_t kLargestSize = 5000;
+
+int RunCapacity() {
+  for (const std::string& text : absl::GetFlag(FLAGS_sizes)) {
+    std::size_t daemons = 0;
+    if (!absl::SimpleAtoi(text, &daemons) || daemons < 8 || daemons > kLargestSize) {
+      std::cerr << "--sizes: \"" << text << "\" is not a number from 8 to 5000\n";
+      return kUsageError;
+    }
+    valvekeel::sim::CapacityPlan plan;
+    plan.shape.daemons = daemons;
+    plan.shape.databases = static_cast<std::size_t>(static_cast<double>(daemons) *
+                                                    absl::GetFlag(FLAGS_databases_per_daemon));
+    plan.shape.seed = absl::GetFlag(FLAGS_seed);
+    plan.region_cut = std::chrono::seconds(absl::GetFlag(FLAGS_cut_seconds));
+    std::cout << valvekeel::sim::FormatCapacity(valvekeel::sim::MeasureCapacity(plan)) << std::endl;
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("valvekeel-sim capacity [--sizes=N,...]");
+  const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
+  if (words.size() == 2 && std::string(words[1]) == "capacity") {
+    return RunCapacity();
+  }
+  std::cerr << "usage: valvekeel-sim capacity [--sizes=N,...]\n";
+  return kUsageError;
+}
--- a/src/backend/connection.cc
+++ b/src/backend/connection.cc
@@ -24,6 +24,7 @@
 using pool::Statement;
 
 constexpr std::size_t kProbeColumns = 4;
+constexpr const char* kProbeName = "valvekeel_probe";
 
 void IgnoreNotice(void* /*context*/, const PGresult* /*result*/) {}
 
@@ -179,8 +180,8 @@
   return observation;
 }
 
-Connection::Connection(asio::io_context& loop, cluster::Endpoint address, std::string database,
-                       std::string user)
+Connection::Connection(asio::io_context& loop, const cluster::Endpoint& address,
+                       const std::string& database, const std::string& user)
     : loop_(loop),
       conninfo_(absl::StrCat("hostaddr=", address.host, " port=", address.port, " dbname='",
                              database, "' user='", user,
@@ -299,12 +300,46 @@
     co_return Lost();
   }
   usable_ = true;
+  const bool prepared = co_await PrepareProbe();
+  if (!prepared) {
+    co_return Lost();
+  }
   co_return std::nullopt;
 }
 
+awaitable<bool> Connection::PrepareProbe() {
+  // Probes are most of the control traffic to instances; prepared, one is a fifth of the bytes.
+  if (PQsendPrepare(connection_, kProbeName, ProbeStatement().text.c_str(), 0, nullptr) == 0 ||
+      PQpipelineSync(connection_) == 0) {
+    co_return false;
+  }
+  const bool flushed = co_await FlushOutput();
+  if (!flushed) {
+    co_return false;
+  }
+  bool lost = false;
+  PGresult* result = co_await NextResult(&lost);
+  const bool prepared = !lost && PQresultStatus(result) == PGRES_COMMAND_OK;
+  PQclear(result);
+  if (!prepared) {
+    co_return false;
+  }
+  PGresult* end = co_await NextResult(&lost);
+  PQclear(end);
+  PGresult* sync = co_await NextResult(&lost);
+  const bool synced = !lost && PQresultStatus(sync) == PGRES_PIPELINE_SYNC;
+  PQclear(sync);
+  co_return synced;
+}
+
 bool Connection::SendCommand(const Command& command) {
   const Statement& statement = *command.statement;
-  if (statement.describe_only) {
+  if (&statement == &ProbeStatement()) {
+    if (PQsendQueryPrepared(connection_, kProbeName, 0, nullptr, nullptr, nullptr,
+                            wire::kTextFormat) == 0) {
+      return false;
+    }
+  } else if (statement.describe_only) {
     if (PQsendPrepare(connection_, "", statement.text.c_str(),
                       static_cast<int>(statement.parameter_types.size()),
                       statement.parameter_types.data()) == 0 ||
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -53,8 +53,8 @@
 class Connection {
  public:
   /// @param address of the instance. @param database, user as PostgreSQL knows them.
-  Connection(asio::io_context& loop, cluster::Endpoint address, std::string database,
-             std::string user);
+  Connection(asio::io_context& loop, const cluster::Endpoint& address, const std::string& database,
+             const std::string& user);
   ~Connection();
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -90,6 +90,7 @@
   asio::awaitable<bool> WaitReadable();
   asio::awaitable<bool> WaitWritable();
   asio::awaitable<bool> FlushOutput();
+  asio::awaitable<bool> PrepareProbe();
   asio::awaitable<PGresult*> NextResult(bool* lost);
   bool SendCommand(const Command& command);
   bool Attach();
--- a/src/cluster/node.cc
+++ b/src/cluster/node.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kRingOrder = "ring";
 constexpr std::string_view kBridgeOrder = "bridge/";
 constexpr std::string_view kRelayOrder = "relay/";
+constexpr std::size_t kRememberedForwards = 64;
 constexpr std::size_t kLargestReply = 500;  // entries in one message
 
 struct HashedMember {
@@ -67,6 +68,7 @@
     ForgetGone(now);
   }
   WatchPredecessors(now);
+  WatchZones(now);
   return TakeActions();
 }
 
@@ -101,6 +103,15 @@
 
 void Node::Handle(const MemberId& from, const Heartbeat& message, Instant now) {
   const Entry* known = table_.Find({EntryKind::kMember, from});
+  if (known != nullptr) {
+    const std::string zone = FromEntry(*known).zone;
+    if (zone != self_.zone) {
+      zone_heard_[zone] = now;
+      if (!ZoneReachable(zone)) {
+        PublishZone(zone, true, now);
+      }
+    }
+  }
   if (known == nullptr || message.table_hash == table_.RootHash()) {
     if (known == nullptr) {
       SendTo(from, Digest{table_.Hashes()});
@@ -124,12 +135,14 @@
     }
   }
   joined_ = true;
-  if (fresh.empty()) {
-    return;
-  }
   if (message.forward) {
-    Forward(fresh, message.span);
-  } else if (IsBridge()) {
+    // Two trees may carry the same entry, from two relays or two bridges, and each cuts its parts
+    // at another place: what came first is no reason to leave out the part asked for now.
+    const std::vector<Entry>& entries = fresh.empty() ? message.entries : fresh;
+    if (!entries.empty() && !AlreadyForwarded(entries.front(), message.span)) {
+      Forward(entries, message.span);
+    }
+  } else if (IsBridge() && !fresh.empty()) {
     // Repaired by comparison: after a cut between zones the rest of this zone lacks it too.
     Forward(fresh, Span{});
   }
@@ -264,8 +277,25 @@
   Forward(entries, Span{});
 }
 
+bool Node::AlreadyForwarded(const Entry& entry, Span span) const {
+  const Entry* held = table_.Find(entry.id);
+  if (span.first > span.last || held == nullptr || held->version > entry.version) {
+    return true;  // nothing to forward to, or a newer version is on its way
+  }
+  // Only the very same part counts. A part inside one forwarded earlier does not: two roots that
+  // each leave out what the other seems to cover would leave it out both.
+  return std::any_of(forwarded_.begin(), forwarded_.end(), [&](const Forwarded& earlier) {
+    return earlier.id == entry.id && earlier.version == entry.version &&
+           earlier.span.first == span.first && earlier.span.last == span.last;
+  });
+}
+
 void Node::Forward(const std::vector<Entry>& entries, Span span) {
   RebuildView();
+  forwarded_.push_back({entries.front().id, entries.front().version, span});
+  if (forwarded_.size() > kRememberedForwards) {
+    forwarded_.pop_front();
+  }
   const auto zone = serving_by_zone_.find(self_.zone);
   if (zone == serving_by_zone_.end()) {
     return;
@@ -314,7 +344,9 @@
   successors_ = Neighbors(true);
   predecessors_ = Neighbors(false);
   bridge_peers_.clear();
-  if (IsBridge()) {
+  const std::vector<MemberId> own_bridges = BridgesOf(self_.zone);
+  bridge_ = std::find(own_bridges.begin(), own_bridges.end(), self_.id) != own_bridges.end();
+  if (bridge_) {
     for (const auto& [zone, members] : serving_by_zone_) {
       if (zone != self_.zone) {
         const std::vector<MemberId> bridges = BridgesOf(zone);
@@ -323,12 +355,12 @@
     }
   }
   const std::vector<MemberId> relays = RankOwners(std::string(kRelayOrder) + self_.zone,
-                                                  ServingIn(self_.zone), settings_.relays_per_zone);
+                                                  KnownIn(self_.zone), settings_.relays_per_zone);
   relay_ = std::find(relays.begin(), relays.end(), self_.id) != relays.end();
 }
 
 std::vector<MemberId> Node::Neighbors(bool successors) const {
-  const std::vector<HashedMember> ring = HashOrder(kRingOrder, ServingIn(self_.zone));
+  const std::vector<HashedMember> ring = HashOrder(kRingOrder, KnownIn(self_.zone));
   std::vector<MemberId> neighbors;
   const auto self = std::find_if(ring.begin(), ring.end(),
                                  [&](const HashedMember& member) { return member.id == self_.id; });
@@ -345,9 +377,29 @@
   return neighbors;
 }
 
-std::vector<Member> Node::ServingIn(const std::string& zone) const {
+const std::vector<Member>& Node::KnownIn(const std::string& zone) const {
+  static const std::vector<Member> kNone;
   const auto found = serving_by_zone_.find(zone);
-  return found == serving_by_zone_.end() ? std::vector<Member>{} : found->second;
+  return found == serving_by_zone_.end() ? kNone : found->second;
+}
+
+std::vector<Member> Node::ServingIn(const std::string& zone) const {
+  return ZoneReachable(zone) ? KnownIn(zone) : std::vector<Member>{};
+}
+
+std::vector<Member> Node::ServingAnywhere() const {
+  std::vector<Member> members;
+  for (const auto& [zone, known] : serving_by_zone_) {
+    if (ZoneReachable(zone)) {
+      members.insert(members.end(), known.begin(), known.end());
+    }
+  }
+  return members;
+}
+
+bool Node::ZoneReachable(const std::string& zone) const {
+  const Entry* entry = table_.Find({EntryKind::kZone, self_.zone + "/" + zone});
+  return entry == nullptr || entry->value.value("reachable", true);
 }
 
 std::vector<Member> Node::AllMembers() const {
@@ -359,13 +411,10 @@
 }
 
 std::vector<MemberId> Node::BridgesOf(const std::string& zone) const {
-  return RankOwners(std::string(kBridgeOrder) + zone, ServingIn(zone), settings_.bridges_per_zone);
+  return RankOwners(std::string(kBridgeOrder) + zone, KnownIn(zone), settings_.bridges_per_zone);
 }
 
-bool Node::IsBridge() const {
-  const std::vector<MemberId> bridges = BridgesOf(self_.zone);
-  return std::find(bridges.begin(), bridges.end(), self_.id) != bridges.end();
-}
+bool Node::IsBridge() const { return bridge_; }
 
 bool Node::IsRelay() const { return relay_; }
 
@@ -393,6 +442,34 @@
   }
 }
 
+void Node::WatchZones(Instant now) {
+  if (!IsBridge()) {
+    zone_heard_.clear();
+    return;
+  }
+  for (const auto& [zone, members] : serving_by_zone_) {
+    if (zone == self_.zone) {
+      continue;
+    }
+    const Instant heard = zone_heard_.try_emplace(zone, now).first->second;
+    if (now - heard >= settings_.zone_lost_after && ZoneReachable(zone)) {
+      PublishZone(zone, false, now);
+    }
+  }
+}
+
+void Node::PublishZone(const std::string& zone, bool reachable, Instant now) {
+  Entry entry;
+  entry.id = {EntryKind::kZone, self_.zone + "/" + zone};
+  const Entry* before = table_.Find(entry.id);
+  entry.version = {before == nullptr ? 1 : before->version.major + 1, 0};
+  entry.value = {{"reachable", reachable}};
+  if (ApplyEntry(entry, now)) {
+    // Only this zone acts on it; the others learn it by comparison.
+    Forward({entry}, Span{});
+  }
+}
+
 void Node::CheckWatched(const MemberId& id, Instant now) {
   Watched& watched = watched_[id];
   if (now - watched.last_heard < settings_.suspect_after) {
--- a/src/cluster/node.h
+++ b/src/cluster/node.h
@@ -1,12 +1,13 @@
 // One daemon's part in the cluster: heartbeats, suspicion, dissemination, repair.
 //
 // Owns: this daemon's copy of the replicated table and its view of who is alive. Invariant: every
-// entry that is new to this daemon is forwarded at most once; a member is declared failed only
+// entry is forwarded to each part of the tree at most once; a member is declared failed only
 // after it has had time to refute the suspicion. Pure: time and messages in, actions out; the
 // daemon, the simulator and the capacity run use the same code. Thread: its host's.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -29,7 +30,8 @@
   common::Duration fail_after{1'500'000};  // counted from the suspicion
   common::Duration forget_after{3'600'000'000};
   common::Duration join_retry{500'000};
-  common::Duration repair_interval{500'000};  // least time between two digests sent to a peer
+  common::Duration repair_interval{500'000};    // least time between two digests sent to a peer
+  common::Duration zone_lost_after{6'000'000};  // silence of all of a zone's bridges
   std::size_t ring_successors = 3;
   std::size_t bridges_per_zone = 2;
   std::size_t relays_per_zone = 2;
@@ -78,9 +80,15 @@
   const Member& Self() const { return self_; }
   const replicated::ReplicatedTable& Table() const { return table_; }
 
-  /// @return serving members of the zone, this daemon included.
+  /// @return serving members of the zone, this daemon included; none if the zone is unreachable.
   std::vector<Member> ServingIn(const std::string& zone) const;
 
+  /// @return serving members of all reachable zones.
+  std::vector<Member> ServingAnywhere() const;
+
+  /// @return false if this daemon's zone hears nothing from any bridge of the zone.
+  bool ZoneReachable(const std::string& zone) const;
+
   /// @return all known members, whatever their state.
   std::vector<Member> AllMembers() const;
 
@@ -108,11 +116,15 @@
   void RefuteIfNeeded(common::Instant now);
   void Broadcast(const std::vector<replicated::Entry>& entries);
   void Forward(const std::vector<replicated::Entry>& entries, Span span);
+  bool AlreadyForwarded(const replicated::Entry& entry, Span span) const;
   void SendTo(const MemberId& to, Message message);
   void SendHeartbeats();
   void WatchPredecessors(common::Instant now);
   void CheckWatched(const MemberId& id, common::Instant now);
   void ForgetGone(common::Instant now);
+  void WatchZones(common::Instant now);
+  void PublishZone(const std::string& zone, bool reachable, common::Instant now);
+  const std::vector<Member>& KnownIn(const std::string& zone) const;
   void TryJoin(common::Instant now);
   void RebuildView();
   void UpdateView(const replicated::Entry& entry);
@@ -131,14 +143,21 @@
   std::vector<MemberId> bridge_peers_;  // bridges of other zones, if this daemon is a bridge
   bool view_changed_ = true;
   bool relay_ = false;
+  bool bridge_ = false;
   std::map<MemberId, Watched> watched_;
+  std::map<std::string, common::Instant> zone_heard_;  // other zones, while this one is a bridge
+  struct Forwarded {
+    replicated::EntryId id;
+    replicated::Version version;
+    Span span;
+  };
+  std::deque<Forwarded> forwarded_;  // the newest, to tell repetitions from other trees' parts
   std::map<MemberId, common::Instant> repaired_at_;
   std::map<MemberId, common::Instant> gone_at_;
   common::Instant next_heartbeat_{0};
   common::Instant next_join_{0};
   std::size_t next_seed_ = 0;
   bool joined_ = false;
-  bool first_view_ = true;
   Actions actions_;
 };
 
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -33,10 +33,9 @@
 }
 
 template <typename Count>
-void Number(Schema& schema, std::string key, std::string unit, std::string meaning,
-            std::int64_t lowest, std::int64_t highest, Count* target) {
-  schema.Integer(std::move(key), std::move(unit), std::move(meaning), lowest, highest,
-                 static_cast<std::int64_t>(*target),
+void Number(Schema& schema, const std::string& key, const std::string& unit,
+            const std::string& meaning, std::int64_t lowest, std::int64_t highest, Count* target) {
+  schema.Integer(key, unit, meaning, lowest, highest, static_cast<std::int64_t>(*target),
                  [target](std::int64_t value) { *target = static_cast<Count>(value); });
 }
 
--- a/src/daemon/directory.cc
+++ b/src/daemon/directory.cc
@@ -64,6 +64,7 @@
                                     entry.value.value("primary", "")};
       return {entry.id.name};
     case EntryKind::kMember:
+    case EntryKind::kZone:
       break;
   }
   return {};
@@ -112,11 +113,7 @@
   std::vector<cluster::Member> members = node_.ServingIn(instance.zone);
   if (members.empty()) {
     // No daemon lives in the instance's zone: any other may serve it from further away.
-    for (cluster::Member& member : node_.AllMembers()) {
-      if (cluster::IsServing(member)) {
-        members.push_back(std::move(member));
-      }
-    }
+    members = node_.ServingAnywhere();
   }
   const std::vector<cluster::MemberId> ranked =
       cluster::RankOwners(PoolObject(database, instance.id), members, members.size());
--- a/src/monitor/replay_predictor.cc
+++ b/src/monitor/replay_predictor.cc
@@ -17,6 +17,7 @@
   latest_.reset();
   receipts_.clear();
   replay_lag_ = Duration{0};
+  current_at_ = Instant{0};
 }
 
 void ReplayPredictor::Observe(const Observation& observation, Instant now) {
@@ -41,14 +42,21 @@
   }
   if (observation.replayed >= observation.received) {
     replay_lag_ = Duration{0};
+    current_at_ = now;
   } else if (arrived) {
-    replay_lag_ = now - *arrived;
+    // It was replayed at some time after the observation before this one, so that is all that is
+    // certain: a longer lag would only be the time between two observations.
+    replay_lag_ = std::max(Duration{0}, observed_at_ - *arrived);
+    current_at_ = std::max(current_at_, *arrived);
   } else if (!receipts_.empty()) {
     // The oldest receipt is still not replayed, so the lag is at least its age.
     replay_lag_ = std::max(replay_lag_, now - receipts_.front().at);
   }
+  observed_at_ = now;
 }
 
+Duration ReplayPredictor::Staleness(Instant now) const { return now - current_at_; }
+
 bool ReplayPredictor::HasReplayed(Position required) const {
   return latest_ && latest_->term >= required.term && latest_->replayed >= required.lsn;
 }
--- a/src/monitor/replay_predictor.h
+++ b/src/monitor/replay_predictor.h
@@ -36,9 +36,12 @@
 
   const std::optional<Observation>& Latest() const { return latest_; }
 
-  /// @return the time from receipt to replay seen last.
+  /// @return the shortest time from receipt to replay that the observations allow.
   common::Duration ReplayLag() const { return replay_lag_; }
 
+  /// @return the longest time for which data read now may have been out of date.
+  common::Duration Staleness(common::Instant now) const;
+
  private:
   struct Receipt {
     common::Lsn received = 0;
@@ -48,6 +51,8 @@
   std::optional<Observation> latest_;
   std::deque<Receipt> receipts_;  // grows in both fields
   common::Duration replay_lag_{0};
+  common::Instant observed_at_{0};
+  common::Instant current_at_{0};  // when all that is replayed now was the newest received
 };
 
 }  // namespace valvekeel::monitor
--- a/src/pool/instance_pool.cc
+++ b/src/pool/instance_pool.cc
@@ -265,6 +265,13 @@
       const Duration pause =
           waiting_positions_.empty() ? settings_.probe_interval : kPositionPollInterval;
       co_await WaitOn(monitor_pause_, pause);
+      // Answers to statements carry the same observation, so a busy instance needs few probes.
+      while (!stopped_ && waiting_positions_.empty() &&
+             SteadyNow() - observed_at_ < settings_.probe_interval) {
+        ExpireIdleTransactions(SteadyNow());
+        monitor_pause_ = std::make_shared<Waiter>(loop_);
+        co_await WaitOn(monitor_pause_, observed_at_ + settings_.probe_interval - SteadyNow());
+      }
     }
   }
 }
@@ -289,6 +296,7 @@
                        latest->in_recovery != observation.in_recovery;
   reachable_ = true;
   probed_ = true;
+  observed_at_ = SteadyNow();
   replay_.Observe(observation, SteadyNow());
   for (const WaiterPointer& waiter : waiting_positions_) {
     Wake(waiter, false);
@@ -376,7 +384,8 @@
     if (auto refusal = RefuseNewWork(request)) {
       co_return std::move(*refusal);
     }
-    if (request.max_staleness_us > 0 && replay_.ReplayLag().count() > request.max_staleness_us) {
+    if (request.max_staleness_us > 0 &&
+        replay_.Staleness(SteadyNow()).count() > request.max_staleness_us) {
       co_return Refuse(request, Refusal::kBehind, "the replica lags more than max_staleness_ms");
     }
     auto behind = co_await WaitForPosition(request, deadline);
@@ -816,6 +825,10 @@
       continue;
     }
     const monitor::Observation& answer = ValueOf(answered);
+    if (!answer.in_recovery && answer.term > known_term_ && on_topology_) {
+      // The new primary itself; no need to wait for its own owner's next probe.
+      on_topology_(database_, peer, answer);
+    }
     Settle(confirmation_.ProbeAnswered(probe, {answer.term, answer.received}));
     if (confirmation_.WantsProbe(peer)) {
       co_await WaitOn(std::make_shared<Waiter>(loop_), settings_.confirm_pause);
--- a/src/pool/instance_pool.h
+++ b/src/pool/instance_pool.h
@@ -30,7 +30,7 @@
 
 /// Settings of pools; see docs/operators/pool.md.
 struct PoolSettings {
-  common::Duration probe_interval{100'000};
+  common::Duration probe_interval{250'000};
   common::Duration probe_timeout{1'000'000};
   common::Duration connect_timeout{2'000'000};
   common::Duration confirm_timeout{3'000'000};
@@ -210,6 +210,7 @@
   std::list<WaiterPointer> waiting_positions_;
   WaiterPointer monitor_pause_;
   bool reachable_ = false;
+  common::Instant observed_at_{0};
   bool probed_ = false;  // the first probe has ended, whatever its result
   common::Term known_term_ = 0;
 
--- a/src/replicated/replicated_table.h
+++ b/src/replicated/replicated_table.h
@@ -24,6 +24,7 @@
   kDatabase = 1,    // version: the platform's resource version
   kShareGroup = 2,  // version: the platform's resource version
   kTopology = 3,    // version: term
+  kZone = 4,        // version: count of changes; name: observing zone "/" zone
 };
 
 struct EntryId {
