--- a/src/cluster/node.cc
+++ b/src/cluster/node.cc
@@ -102,9 +102,9 @@
 // --- Messages ---------------------------------------------------------------------------------
 
 void Node::Handle(const MemberId& from, const Heartbeat& message, Instant now) {
-  const Entry* known = table_.Find({EntryKind::kMember, from});
-  if (known != nullptr) {
-    const std::string zone = FromEntry(*known).zone;
+  const auto known = members_.find(from);
+  if (known != members_.end()) {
+    const std::string& zone = known->second.zone;
     if (zone != self_.zone) {
       zone_heard_[zone] = now;
       if (!ZoneReachable(zone)) {
@@ -112,8 +112,8 @@
       }
     }
   }
-  if (known == nullptr || message.table_hash == table_.RootHash()) {
-    if (known == nullptr) {
+  if (known == members_.end() || message.table_hash == table_.RootHash()) {
+    if (known == members_.end()) {
       SendTo(from, Digest{table_.Hashes()});
     }
     return;
@@ -160,7 +160,7 @@
     }
   }
   if (!reply.buckets.empty()) {
-    SendTo(from, std::move(reply));
+    SendTo(from, reply);
   }
 }
 
@@ -185,10 +185,10 @@
     }
   }
   if (!wanted.ids.empty()) {
-    SendTo(from, std::move(wanted));
+    SendTo(from, wanted);
   }
   if (!newer.entries.empty()) {
-    SendTo(from, std::move(newer));
+    SendTo(from, newer);
   }
 }
 
@@ -199,7 +199,7 @@
       reply.entries.push_back(*entry);
     }
   }
-  SendTo(from, std::move(reply));
+  SendTo(from, reply);
 }
 
 void Node::Handle(const MemberId& /*from*/, const Join& message, Instant now) {
@@ -215,7 +215,7 @@
       SendTo(joining, std::exchange(part, {}));
     }
   }
-  SendTo(joining, std::move(part));
+  SendTo(joining, part);
 }
 
 // --- Table ------------------------------------------------------------------------------------
@@ -226,6 +226,7 @@
   }
   if (entry.id.kind == EntryKind::kMember) {
     view_changed_ = true;
+    members_[entry.id.name] = FromEntry(entry);
     const bool gone = entry.version.minor >= static_cast<std::uint64_t>(MemberState::kLeaving);
     if (gone) {
       gone_at_[entry.id.name] = now;
@@ -257,6 +258,7 @@
       continue;
     }
     table_.Forget({EntryKind::kMember, it->first});
+    members_.erase(it->first);
     view_changed_ = true;
     it = gone_at_.erase(it);
   }
@@ -315,16 +317,13 @@
   }
 }
 
-void Node::SendTo(const MemberId& to, Message message) {
+void Node::SendTo(const MemberId& to, const Message& message) {
   if (to == self_.id) {
     return;
   }
-  const Entry* entry = table_.Find({EntryKind::kMember, to});
-  if (entry != nullptr) {
-    actions_.push_back(SendAction{to, FromEntry(*entry).peer, std::move(message)});
-  } else {
-    actions_.push_back(SendAction{to, {}, std::move(message)});
-  }
+  const auto member = members_.find(to);
+  const Endpoint address = member == members_.end() ? Endpoint{} : member->second.peer;
+  actions_.emplace_back(std::in_place_type<SendAction>, SendAction{to, address, message});
 }
 
 // --- View -------------------------------------------------------------------------------------
@@ -335,10 +334,9 @@
   }
   view_changed_ = false;
   serving_by_zone_.clear();
-  for (const Entry* entry : table_.OfKind(EntryKind::kMember)) {
-    Member member = FromEntry(*entry);
-    if (IsServing(member) || member.id == self_.id) {
-      serving_by_zone_[member.zone].push_back(std::move(member));
+  for (const auto& [id, member] : members_) {
+    if (IsServing(member) || id == self_.id) {
+      serving_by_zone_[member.zone].push_back(member);
     }
   }
   successors_ = Neighbors(true);
@@ -404,8 +402,8 @@
 
 std::vector<Member> Node::AllMembers() const {
   std::vector<Member> members;
-  for (const Entry* entry : table_.OfKind(EntryKind::kMember)) {
-    members.push_back(FromEntry(*entry));
+  for (const auto& [id, member] : members_) {
+    members.push_back(member);
   }
   return members;
 }
@@ -476,11 +474,11 @@
     watched.suspected = false;
     return;
   }
-  const Entry* entry = table_.Find({EntryKind::kMember, id});
-  if (entry == nullptr) {
+  const auto known = members_.find(id);
+  if (known == members_.end()) {
     return;
   }
-  Member member = FromEntry(*entry);
+  Member member = known->second;
   if (!watched.suspected) {
     watched.suspected = true;
     watched.suspected_at = now;
--- a/src/cluster/node.h
+++ b/src/cluster/node.h
@@ -117,7 +117,7 @@
   void Broadcast(const std::vector<replicated::Entry>& entries);
   void Forward(const std::vector<replicated::Entry>& entries, Span span);
   bool AlreadyForwarded(const replicated::Entry& entry, Span span) const;
-  void SendTo(const MemberId& to, Message message);
+  void SendTo(const MemberId& to, const Message& message);
   void SendHeartbeats();
   void WatchPredecessors(common::Instant now);
   void CheckWatched(const MemberId& id, common::Instant now);
@@ -137,6 +137,7 @@
   std::vector<Endpoint> seeds_;
   NodeSettings settings_;
   replicated::ReplicatedTable table_;
+  std::map<MemberId, Member> members_;                          // the table's members, typed
   std::map<std::string, std::vector<Member>> serving_by_zone_;  // by id within a zone
   std::vector<MemberId> successors_;
   std::vector<MemberId> predecessors_;
--- a/src/standin/database_group.cc
+++ b/src/standin/database_group.cc
@@ -225,6 +225,7 @@
   Tick(now);
   instances_[instance].isolated = true;
   in_flight_[instance].clear();
+  Tick(now);
 }
 
 void DatabaseGroup::Heal(std::size_t instance, common::Instant now) {
@@ -240,6 +241,7 @@
   instances_[instance].up = false;
   ++instances_[instance].generation;
   in_flight_[instance].clear();
+  Tick(now);
 }
 
 void DatabaseGroup::Start(std::size_t instance, common::Instant now) {
