Ownership is ranked once a view and looked through in parts

Cause: every statement ranked all members of a zone anew, and every change of members ranked 3,600 instances at once: at the design size 193 hashes and copies a statement and a pause of the event loop estimated above 100 ms. Change: the first four owners of an instance are kept until the view changes; a change looks through 50 database groups a tick. Not measured: the pause itself at the size (no daemon of that size runs here).

--- a/src/cluster/node.cc
+++ b/src/cluster/node.cc
@@ -224,6 +224,7 @@
   if (!table_.Apply(entry)) {
     return false;
   }
+  view_changed_ = view_changed_ || entry.id.kind == EntryKind::kZone;
   if (entry.id.kind == EntryKind::kMember) {
     view_changed_ = true;
     members_[entry.id.name] = FromEntry(entry);
@@ -333,6 +334,7 @@
     return;
   }
   view_changed_ = false;
+  ++view_epoch_;
   serving_by_zone_.clear();
   for (const auto& [id, member] : members_) {
     if (IsServing(member) || id == self_.id) {
--- a/src/cluster/node.h
+++ b/src/cluster/node.h
@@ -83,6 +83,9 @@
   /// @return serving members of the zone, this daemon included; none if the zone is unreachable.
   std::vector<Member> ServingIn(const std::string& zone) const;
 
+  /// @return a number that changes whenever members or the reachability of zones change.
+  std::uint64_t ViewEpoch() const { return view_epoch_; }
+
   /// @return serving members of all reachable zones.
   std::vector<Member> ServingAnywhere() const;
 
@@ -143,6 +146,7 @@
   std::vector<MemberId> predecessors_;
   std::vector<MemberId> bridge_peers_;  // bridges of other zones, if this daemon is a bridge
   bool view_changed_ = true;
+  std::uint64_t view_epoch_ = 0;
   bool relay_ = false;
   bool bridge_ = false;
   std::map<MemberId, Watched> watched_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -40,6 +40,7 @@
 constexpr Duration kAvoidMember{1'000'000};
 constexpr Duration kAvoidInstance{500'000};
 constexpr Duration kUnownedPoolIdle{10'000'000};
+constexpr std::size_t kDatabasesPerTick = 50;
 constexpr Duration kFarewellWait{2'000'000};
 constexpr const char* kDatabases = "databases";
 constexpr const char* kShareGroups = "sharegroups";
@@ -176,6 +177,7 @@
 
 void Daemon::OnChanged(const Entry& entry) {
   const std::set<std::string> databases = directory_->Apply(entry);
+  adoption_restarts_ = pools_stale_ && !adopted_up_to_.empty();
   pools_stale_ = true;
   if (entry.id.kind == EntryKind::kMember) {
     const cluster::Member member = cluster::FromEntry(entry);
@@ -362,18 +364,31 @@
   return pool;
 }
 
+void Daemon::AdoptPools(Instant now) {
+  // A part of the instances at a time: at 3,600 of them a whole pass would hold up the callers.
+  const auto& databases = directory_->Databases();
+  for (std::size_t looked_at = 0; looked_at < kDatabasesPerTick && pools_stale_; ++looked_at) {
+    const auto next = databases.upper_bound(adopted_up_to_);
+    if (next == databases.end()) {
+      pools_stale_ = adoption_restarts_;
+      adoption_restarts_ = false;
+      adopted_up_to_.clear();
+      return;
+    }
+    adopted_up_to_ = next->first;
+    for (const configuration::InstanceSpec& instance : next->second.instances) {
+      const auto owner = directory_->OwnerOf(next->first, instance, now);
+      if (owner && owner->id == self_.id) {
+        PoolFor(next->first, instance.id);
+      }
+    }
+  }
+}
+
 void Daemon::ReconcilePools() {
   const Instant now = SteadyNow();
   if (pools_stale_ && !stopping_) {
-    pools_stale_ = false;
-    for (const auto& [name, spec] : directory_->Databases()) {
-      for (const configuration::InstanceSpec& instance : spec.instances) {
-        const auto owner = directory_->OwnerOf(name, instance, now);
-        if (owner && owner->id == self_.id) {
-          PoolFor(name, instance.id);
-        }
-      }
-    }
+    AdoptPools(now);
   }
   for (auto it = pools_.begin(); it != pools_.end();) {
     const auto owner = OwnerOf(it->first.first, it->first.second);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -81,6 +81,7 @@
   void OnOutgoingLost(const cluster::MemberId& member, bool connected);
   void OnTopology(const std::string& database, const std::string& instance,
                   const monitor::Observation& observation);
+  void AdoptPools(common::Instant now);
   void ReconcilePools();
   void ReconcileRelay();
   void ApplyObject(const platform::Object& object, bool deleted);
@@ -111,7 +112,9 @@
   std::list<std::shared_ptr<ChangeWaiter>> change_waiters_;
   asio::steady_timer ticker_;
   bool platform_reachable_ = false;
-  bool pools_stale_ = true;
+  bool pools_stale_ = true;         // instances may have become this daemon's own
+  bool adoption_restarts_ = false;  // something changed while they were being looked through
+  std::string adopted_up_to_;       // last database looked at
   bool stopping_ = false;
   common::Instant stop_deadline_{0};
   common::Instant farewell_deadline_{0};
--- a/src/daemon/directory.cc
+++ b/src/daemon/directory.cc
@@ -14,6 +14,8 @@
 using replicated::Entry;
 using replicated::EntryKind;
 
+constexpr std::size_t kRankedOwners = 4;  // the owner and who takes over if links to it fail
+
 /// Puts a specification read from an entry into its map; a faulty one is logged and left out.
 template <typename Spec>
 void ApplySpec(const Entry& entry, const configuration::SpecResult<Spec>& read,
@@ -107,27 +109,40 @@
   return view;
 }
 
-std::optional<cluster::Member> Directory::OwnerOf(const std::string& database,
-                                                  const configuration::InstanceSpec& instance,
-                                                  common::Instant now) const {
+const std::vector<cluster::Member>& Directory::RankedOwners(
+    const std::string& database, const configuration::InstanceSpec& instance) const {
+  Ranking& ranking = rankings_[{database, instance.id}];
+  if (ranking.epoch == node_.ViewEpoch() && ranking.zone == instance.zone) {
+    return ranking.members;
+  }
   std::vector<cluster::Member> members = node_.ServingIn(instance.zone);
   if (members.empty()) {
     // No daemon lives in the instance's zone: any other may serve it from further away.
     members = node_.ServingAnywhere();
   }
-  const std::vector<cluster::MemberId> ranked =
-      cluster::RankOwners(PoolObject(database, instance.id), members, members.size());
-  const auto member_of = [&](const cluster::MemberId& id) {
-    return *std::find_if(members.begin(), members.end(),
-                         [&](const cluster::Member& member) { return member.id == id; });
-  };
-  for (const cluster::MemberId& id : ranked) {
-    const auto avoided = avoided_members_.find(id);
+  ranking.epoch = node_.ViewEpoch();
+  ranking.zone = instance.zone;
+  ranking.members.clear();
+  for (const cluster::MemberId& id :
+       cluster::RankOwners(PoolObject(database, instance.id), members, kRankedOwners)) {
+    ranking.members.push_back(
+        *std::find_if(members.begin(), members.end(),
+                      [&](const cluster::Member& member) { return member.id == id; }));
+  }
+  return ranking.members;
+}
+
+std::optional<cluster::Member> Directory::OwnerOf(const std::string& database,
+                                                  const configuration::InstanceSpec& instance,
+                                                  common::Instant now) const {
+  const std::vector<cluster::Member>& ranked = RankedOwners(database, instance);
+  for (const cluster::Member& member : ranked) {
+    const auto avoided = avoided_members_.find(member.id);
     if (avoided == avoided_members_.end() || avoided->second <= now) {
-      return member_of(id);
+      return member;
     }
   }
-  return ranked.empty() ? std::nullopt : std::optional<cluster::Member>(member_of(ranked.front()));
+  return ranked.empty() ? std::nullopt : std::make_optional(ranked.front());
 }
 
 void Directory::NoteReplayed(const std::string& database, const std::string& instance,
--- a/src/daemon/directory.h
+++ b/src/daemon/directory.h
@@ -50,6 +50,10 @@
                                          const configuration::InstanceSpec& instance,
                                          common::Instant now) const;
 
+  /// @return members in the order in which they may own the instance, the first few of them.
+  const std::vector<cluster::Member>& RankedOwners(
+      const std::string& database, const configuration::InstanceSpec& instance) const;
+
   void NoteReplayed(const std::string& database, const std::string& instance,
                     common::Position replayed);
   void AvoidInstance(const std::string& database, const std::string& instance,
@@ -62,7 +66,15 @@
     common::Instant avoid_until{0};
   };
 
+  /// Ranking of an instance's owners, right as long as the view has not changed.
+  struct Ranking {
+    std::uint64_t epoch = 0;
+    std::string zone;
+    std::vector<cluster::Member> members;
+  };
+
   const cluster::Node& node_;
+  mutable std::map<std::pair<std::string, std::string>, Ranking> rankings_;
   std::map<std::string, configuration::DatabaseSpec> databases_;
   std::map<std::string, configuration::ShareGroupSpec> share_groups_;
   std::map<std::string, Topology> topologies_;
