A view rebuilt while it was read: mended, found by the region-cut test

Cause: marking a zone unreachable rebuilds the view (since the view's epoch was added), and the loop that found the silent zones was still reading it: a daemon would have crashed when regions lose each other. Change: silent zones are found first, then published.

--- a/src/cluster/node.cc
+++ b/src/cluster/node.cc
@@ -447,15 +447,20 @@
     zone_heard_.clear();
     return;
   }
+  // Publishing rebuilds the view, so the zones are found first.
+  std::vector<std::string> silent;
   for (const auto& [zone, members] : serving_by_zone_) {
     if (zone == self_.zone) {
       continue;
     }
     const Instant heard = zone_heard_.try_emplace(zone, now).first->second;
     if (now - heard >= settings_.zone_lost_after && ZoneReachable(zone)) {
-      PublishZone(zone, false, now);
+      silent.push_back(zone);
     }
   }
+  for (const std::string& zone : silent) {
+    PublishZone(zone, false, now);
+  }
 }
 
 void Node::PublishZone(const std::string& zone, bool reachable, Instant now) {
--- a/tests/gateway/session_test.cc
+++ b/tests/gateway/session_test.cc
@@ -193,4 +193,59 @@
   CHECK(fixture.server.SessionCount() == 0);
 }
 
+TEST_CASE("Prepared statements go over any connection, unnamed, with their parameters",
+          "[gateway]") {
+  SessionFixture fixture;
+  fixture.RunClient([&] {
+    const auto connection = fixture.Connect();
+    PGresult* prepared =
+        PQprepare(connection.get(), "add", "INSERT INTO t VALUES ($1, $2)", 2, nullptr);
+    CHECK(PQresultStatus(prepared) == PGRES_COMMAND_OK);
+    PQclear(prepared);
+    for (const char* value : {"one", "two"}) {
+      const char* values[] = {value, nullptr};
+      PGresult* run = PQexecPrepared(connection.get(), "add", 2, values, nullptr, nullptr, 0);
+      CHECK(PQresultStatus(run) == PGRES_COMMAND_OK);
+      PQclear(run);
+    }
+    PGresult* unknown =
+        PQexecPrepared(connection.get(), "nothing", 0, nullptr, nullptr, nullptr, 0);
+    CHECK(std::string(PQresultErrorField(unknown, PG_DIAG_SQLSTATE)) == "26000");
+    PQclear(unknown);
+  });
+  REQUIRE(fixture.requests.size() == 2);
+  const pool::Statement& second = fixture.requests[1].statements[0];
+  CHECK(second.text == "INSERT INTO t VALUES ($1, $2)");
+  REQUIRE(second.parameters.size() == 2);
+  CHECK(second.parameters[0] == "two");
+  CHECK_FALSE(second.parameters[1]);
+}
+
+TEST_CASE("A pipeline up to one Sync is one batch", "[gateway]") {
+  SessionFixture fixture;
+  fixture.RunClient([&] {
+    const auto connection = fixture.Connect();
+    PGconn* session = connection.get();
+    CHECK(PQenterPipelineMode(session) == 1);
+    for (int i = 0; i < 3; ++i) {
+      PQsendQueryParams(session, "INSERT INTO t VALUES (1)", 0, nullptr, nullptr, nullptr, nullptr,
+                        0);
+    }
+    PQpipelineSync(session);
+    int completed = 0;
+    for (int i = 0; i < 3; ++i) {
+      PGresult* result = PQgetResult(session);
+      completed += PQresultStatus(result) == PGRES_COMMAND_OK ? 1 : 0;
+      PQclear(result);
+      PQclear(PQgetResult(session));
+    }
+    CHECK(completed == 3);
+    PGresult* sync = PQgetResult(session);
+    CHECK(PQresultStatus(sync) == PGRES_PIPELINE_SYNC);
+    PQclear(sync);
+  });
+  REQUIRE(fixture.requests.size() == 1);
+  CHECK(fixture.requests[0].statements.size() == 3);
+}
+
 }  // namespace valvekeel::gateway
