--- a/src/gateway/session.cc
+++ b/src/gateway/session.cc
@@ -1,9 +1,7 @@
 #include "gateway/session.h"
 
 #include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
@@ -12,7 +10,6 @@
 #include <asio/write.hpp>
 #include <utility>
 
-#include "common/position.h"
 #include "common/sqlstate.h"
 #include "gateway/session_parts.h"
 
--- a/src/pool/instance_pool_commit.cc
+++ b/src/pool/instance_pool_commit.cc
@@ -1,7 +1,5 @@
 // Open transactions and confirmation of commits; the rest of the pool is in instance_pool.cc.
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <array>
 #include <asio/co_spawn.hpp>
@@ -9,14 +7,9 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <thread>
-#include <utility>
 
-#include "common/sqlstate.h"
-#include "common/text.h"
 #include "common/time.h"
 #include "pool/instance_pool.h"
-#include "pool/run_plan.h"
-#include "runtime/logging.h"
 
 namespace valvekeel::pool {
 namespace {
@@ -24,18 +17,11 @@
 using asio::awaitable;
 using asio::redirect_error;
 using asio::use_awaitable;
-using backend::Command;
-using backend::CommandResult;
-using backend::ConnectionFault;
 using common::Duration;
-using common::ErrorOf;
 using common::Instant;
 using common::IsOk;
 using common::SteadyNow;
 using common::ValueOf;
-using configuration::InstanceIntent;
-using runtime::Log;
-using runtime::LogLevel;
 
 constexpr Duration kReconnectPause{50'000};
 constexpr Duration kLongestWait{3'600'000'000};
--- a/src/standin/evaluator.cc
+++ b/src/standin/evaluator.cc
@@ -445,11 +445,11 @@
       continue;
     }
     ++count;
-    if (IsNull(total)) {
-      total = ValueOf(value);
-    } else if (name == "sum" || name == "avg") {
+    const bool adds = name == "sum" || name == "avg";
+    const int wanted_order = name == "min" ? -1 : 1;
+    if (!IsNull(total) && adds) {
       total = ValueOf(Arithmetic("+", total, ValueOf(value)));
-    } else if (Compare(ValueOf(value), total) == (name == "min" ? -1 : 1)) {
+    } else if (IsNull(total) || Compare(ValueOf(value), total) == wanted_order) {
       total = ValueOf(value);
     }
   }
--- a/src/standin/sql_statements.cc
+++ b/src/standin/sql_statements.cc
@@ -1,6 +1,5 @@
 // The statements on tables of a stand-in session; transactions and the rest are in sql_session.cc.
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
