--- a/src/pool/instance_pool.h
+++ b/src/pool/instance_pool.h
@@ -30,7 +30,7 @@
 
 /// Settings of pools; see docs/operators/pool.md.
 struct PoolSettings {
-  common::Duration probe_interval{250'000};
+  common::Duration probe_interval{500'000};
   common::Duration probe_timeout{1'000'000};
   common::Duration connect_timeout{2'000'000};
   common::Duration confirm_timeout{3'000'000};
--- a/src/sim/capacity.cc
+++ b/src/sim/capacity.cc
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 
+#include "cluster/placement.h"
+
 namespace valvekeel::sim {
 namespace {
 
@@ -204,6 +207,28 @@
   return result;
 }
 
+PlacementResult MeasurePlacement(const ClusterShape& shape) {
+  ClusterSim sim(shape);
+  sim.StartAll();
+  sim.Run(kSettle);
+  const cluster::Node& node = sim.NodeAt(0);
+  std::map<cluster::MemberId, std::size_t> owned;
+  for (std::size_t database = 0; database < shape.databases; ++database) {
+    const replicated::Entry entry = ClusterSim::DatabaseEntry(database, 1);
+    for (const json& instance : entry.value.at("instances")) {
+      const std::string object =
+          "pool/" + entry.id.name + "/" + instance.at("id").get<std::string>();
+      ++owned[cluster::OwnerOf(object, node.ServingIn(instance.at("zone").get<std::string>()))];
+    }
+  }
+  std::vector<std::size_t> counts;
+  for (std::size_t daemon = 0; daemon < sim.Size(); ++daemon) {
+    counts.push_back(owned[sim.NodeAt(daemon).Self().id]);
+  }
+  std::sort(counts.begin(), counts.end());
+  return {counts[counts.size() / 2], counts.back()};
+}
+
 std::string FormatCapacity(const CapacityResult& result) {
   const json line = {{"daemons", result.daemons},
                      {"databases", result.databases},
--- a/src/sim/capacity.h
+++ b/src/sim/capacity.h
@@ -56,6 +56,15 @@
 /// Runs all phases at one size.
 CapacityResult MeasureCapacity(const CapacityPlan& plan);
 
+/// Instances that a daemon owns, over all daemons.
+struct PlacementResult {
+  std::size_t median = 0;
+  std::size_t worst = 0;
+};
+
+/// Places the instances of all database groups as the daemons would.
+PlacementResult MeasurePlacement(const ClusterShape& shape);
+
 /// @return the result as one line of JSON.
 std::string FormatCapacity(const CapacityResult& result);
 
