--- a/src/cluster/node.h
+++ b/src/cluster/node.h
@@ -130,7 +130,6 @@
   const std::vector<Member>& KnownIn(const std::string& zone) const;
   void TryJoin(common::Instant now);
   void RebuildView();
-  void UpdateView(const replicated::Entry& entry);
   std::vector<MemberId> Neighbors(bool successors) const;
   std::vector<MemberId> BridgesOf(const std::string& zone) const;
   bool IsBridge() const;
