An open transaction outlives the planned stop of its pool's owner

Cause: found while reading: after a planned stop moved ownership, the next statement of a transaction open through another daemon went to the new owner and was answered 40001, while the old owner waited for it until its grace ran out. Change: a gateway remembers which member holds a session's open transaction. Before: scripts/check-open-transaction's steps gave "it was rolled back" and the owner had not ended after 10 s. After: both rows committed, exit status 0. Conclusion: kept; part of make soak.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	scripts/run-tests
 
 soak: build
+	scripts/check-open-transaction
 	scripts/soak
 
 format: setup
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -393,24 +393,35 @@
   return group == nullptr ? std::nullopt : std::make_optional(*group);
 }
 
+std::optional<cluster::Member> Daemon::HolderOf(const std::string& database,
+                                                const std::string& instance,
+                                                pool::SessionNumber session) const {
+  // An open transaction stays with the owner that holds it, also after ownership has moved.
+  const auto held = transaction_owners_.find(session);
+  return held == transaction_owners_.end() ? OwnerOf(database, instance) : held->second;
+}
+
 awaitable<pool::BatchReply> Daemon::Execute(pool::BatchRequest request) {
-  const auto owner = OwnerOf(request.database, request.instance);
+  const pool::SessionNumber session = request.session;
+  const auto owner = request.continues ? HolderOf(request.database, request.instance, session)
+                                       : OwnerOf(request.database, request.instance);
   if (!owner) {
     co_return Unreachable("no daemon owns the instance");
   }
-  // An open transaction stays with the pool that holds it, also after ownership has moved.
-  const auto local = FindPool(request.database, request.instance);
-  const bool held_here =
-      request.continues && local != nullptr && local->Holds(LocalKey(request.session));
-  if (owner->id != self_.id && !held_here) {
-    co_return co_await client_.Execute(*owner, std::move(request));
+  pool::BatchReply reply = Unreachable("the instance is not declared");
+  if (owner->id != self_.id) {
+    reply = co_await client_.Execute(*owner, std::move(request));
+  } else if (const auto pool = PoolFor(request.database, request.instance)) {
+    reply = co_await pool->Execute(LocalKey(session), std::move(request));
   }
-  const auto pool = PoolFor(request.database, request.instance);
-  if (pool == nullptr) {
-    co_return Unreachable("the instance is not declared");
+  const bool open =
+      reply.outcome == pool::Outcome::kDone && reply.status != wire::TransactionStatus::kIdle;
+  if (open) {
+    transaction_owners_[session] = *owner;
+  } else {
+    transaction_owners_.erase(session);
   }
-  const pool::SessionKey session = LocalKey(request.session);
-  co_return co_await pool->Execute(session, std::move(request));
+  co_return reply;
 }
 
 awaitable<pool::BarrierReply> Daemon::Barrier(pool::BarrierRequest request) {
@@ -431,10 +442,11 @@
 }
 
 void Daemon::Release(const pool::ReleaseRequest& request) {
+  const auto owner = HolderOf(request.database, request.instance, request.session);
+  transaction_owners_.erase(request.session);
   if (const auto pool = FindPool(request.database, request.instance)) {
     pool->Release(LocalKey(request.session));
   }
-  const auto owner = OwnerOf(request.database, request.instance);
   if (owner && owner->id != self_.id) {
     client_.Send(*owner, request);
   }
@@ -444,7 +456,7 @@
   if (const auto pool = FindPool(request.database, request.instance)) {
     pool->Cancel(LocalKey(request.session));
   }
-  const auto owner = OwnerOf(request.database, request.instance);
+  const auto owner = HolderOf(request.database, request.instance, request.session);
   if (owner && owner->id != self_.id) {
     client_.Send(*owner, request);
   }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -92,6 +92,8 @@
                                                const std::string& instance) const;
   std::optional<cluster::Member> OwnerOf(const std::string& database,
                                          const std::string& instance) const;
+  std::optional<cluster::Member> HolderOf(const std::string& database, const std::string& instance,
+                                          pool::SessionNumber session) const;
   void WakeChangeWaiters(const std::set<std::string>& databases);
   void RouteHttp();
   std::string Metrics() const;
@@ -108,6 +110,7 @@
   std::optional<gateway::Server> gateway_;
   http::LoopServer http_;
   std::map<PoolKey, OwnedPool> pools_;
+  std::map<pool::SessionNumber, cluster::Member> transaction_owners_;  // of this gateway's sessions
   std::map<std::string, std::unique_ptr<platform::Watcher>> watchers_;  // by kind
   std::list<std::shared_ptr<ChangeWaiter>> change_waiters_;
   asio::steady_timer ticker_;
