--- a/src/cluster/member.h
+++ b/src/cluster/member.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "common/endpoint.h"
 #include "replicated/replicated_table.h"
 
 namespace valvekeel::cluster {
@@ -23,13 +24,7 @@
   kLeft = 4,
 };
 
-/// Where a process can be reached, by IP number.
-struct Endpoint {
-  std::string host;
-  std::uint16_t port = 0;
-
-  bool operator==(const Endpoint&) const = default;
-};
+using common::Endpoint;
 
 struct Member {
   MemberId id;
@@ -53,6 +48,10 @@
   return member.state == MemberState::kAlive || member.state == MemberState::kSuspect;
 }
 
+}  // namespace valvekeel::cluster
+
+namespace valvekeel::common {
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Endpoint, host, port)
 
-}  // namespace valvekeel::cluster
+}  // namespace valvekeel::common
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -501,11 +501,11 @@
     watchers_.clear();
     return;
   }
-  platform::WatchHandlers handlers;
-  handlers.on_list = [this](const std::string& kind, const platform::ObjectList& list) {
+  object_store::WatchHandlers handlers;
+  handlers.on_list = [this](const std::string& kind, const object_store::ObjectList& list) {
     ApplyList(kind, list);
   };
-  handlers.on_event = [this](const platform::WatchEvent& event) {
+  handlers.on_event = [this](const object_store::WatchEvent& event) {
     ApplyObject(event.object, event.deleted);
   };
   handlers.on_reachable = [this](bool reachable) {
@@ -517,11 +517,11 @@
   };
   for (const char* kind : {kDatabases, kShareGroups}) {
     watchers_[kind] =
-        std::make_unique<platform::Watcher>(loop_, settings_.platform, kind, handlers);
+        std::make_unique<object_store::Watcher>(loop_, settings_.platform, kind, handlers);
   }
 }
 
-void Daemon::ApplyObject(const platform::Object& object, bool deleted) {
+void Daemon::ApplyObject(const object_store::Object& object, bool deleted) {
   Entry entry;
   entry.id.kind = object.kind == kDatabases ? EntryKind::kDatabase : EntryKind::kShareGroup;
   entry.id.name = object.name;
@@ -531,25 +531,25 @@
   RunActions(node_->Publish(entry, SteadyNow()));
 }
 
-void Daemon::ApplyList(const std::string& kind, const platform::ObjectList& list) {
+void Daemon::ApplyList(const std::string& kind, const object_store::ObjectList& list) {
   std::set<std::string> listed;
-  for (const platform::Object& object : list.items) {
+  for (const object_store::Object& object : list.items) {
     listed.insert(object.name);
     ApplyObject(object, false);
   }
   const EntryKind entry_kind = kind == kDatabases ? EntryKind::kDatabase : EntryKind::kShareGroup;
-  std::vector<platform::Object> gone;
+  std::vector<object_store::Object> gone;
   for (const Entry* entry : node_->Table().OfKind(entry_kind)) {
     // An entry newer than the list was created after it.
     if (!listed.contains(entry->id.name) && entry->version.major < list.version) {
-      platform::Object object;
+      object_store::Object object;
       object.kind = kind;
       object.name = entry->id.name;
       object.version = list.version;
       gone.push_back(std::move(object));
     }
   }
-  for (const platform::Object& object : gone) {
+  for (const object_store::Object& object : gone) {
     ApplyObject(object, true);
   }
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -22,8 +22,8 @@
 #include "gateway/backends.h"
 #include "gateway/server.h"
 #include "http/loop_server.h"
+#include "object_store/watcher.h"
 #include "peer/network.h"
-#include "platform/watcher.h"
 #include "pool/instance_pool.h"
 
 namespace valvekeel::daemon {
@@ -84,8 +84,8 @@
   void AdoptPools(common::Instant now);
   void ReconcilePools();
   void ReconcileRelay();
-  void ApplyObject(const platform::Object& object, bool deleted);
-  void ApplyList(const std::string& kind, const platform::ObjectList& list);
+  void ApplyObject(const object_store::Object& object, bool deleted);
+  void ApplyList(const std::string& kind, const object_store::ObjectList& list);
   std::shared_ptr<pool::InstancePool> PoolFor(const std::string& database,
                                               const std::string& instance);
   std::shared_ptr<pool::InstancePool> FindPool(const std::string& database,
@@ -111,7 +111,7 @@
   http::LoopServer http_;
   std::map<PoolKey, OwnedPool> pools_;
   std::map<pool::SessionNumber, cluster::Member> transaction_owners_;  // of this gateway's sessions
-  std::map<std::string, std::unique_ptr<platform::Watcher>> watchers_;  // by kind
+  std::map<std::string, std::unique_ptr<object_store::Watcher>> watchers_;  // by kind
   std::list<std::shared_ptr<ChangeWaiter>> change_waiters_;
   asio::steady_timer ticker_;
   bool platform_reachable_ = false;
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -153,17 +153,6 @@
 
 }  // namespace
 
-std::optional<cluster::Endpoint> ParseEndpoint(const std::string& text) {
-  const std::vector<std::string> parts = absl::StrSplit(text, ':');
-  int port = 0;
-  const bool valid = parts.size() == 2 && !parts[0].empty() && absl::SimpleAtoi(parts[1], &port) &&
-                     port > 0 && port <= kMostPort;
-  if (!valid) {
-    return std::nullopt;
-  }
-  return cluster::Endpoint{parts[0], static_cast<std::uint16_t>(port)};
-}
-
 common::Result<DaemonSettings, std::vector<SettingError>> LoadDaemonSettings(
     const std::string& path, const std::vector<std::string>& overrides) {
   DaemonSettings out;
@@ -172,7 +161,7 @@
   AddKeys(schema, out, texts);
   std::vector<SettingError> errors = schema.Load(path, overrides);
   for (const std::string& text : texts.seeds) {
-    const auto seed = ParseEndpoint(text);
+    const auto seed = common::ParseEndpoint(text);
     if (seed) {
       out.seeds.push_back(*seed);
     } else {
@@ -180,7 +169,7 @@
     }
   }
   if (!texts.platform.empty()) {
-    const auto platform = ParseEndpoint(texts.platform);
+    const auto platform = common::ParseEndpoint(texts.platform);
     if (platform) {
       out.platform = *platform;
     } else {
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -43,7 +43,4 @@
 /// @return the table of all settings for the operators' pages.
 std::string DaemonSettingsMarkdown();
 
-/// @return the address in "host:port", or nothing.
-std::optional<cluster::Endpoint> ParseEndpoint(const std::string& text);
-
 }  // namespace valvekeel::daemon
--- /dev/null
+++ b/src/failover/attempt.cc
@@ -0,0 +1,355 @@
+#include "failover/attempt.h"
+
+#include <algorithm>
+
+#include "group/read_lease.h"
+
+namespace valvekeel::failover {
+namespace {
+
+constexpr common::Duration kControlTimeout{300'000};
+constexpr common::Duration kRepeatPause{40'000};
+constexpr common::Duration kStragglerPause{60'000};  // for replicas beyond those needed
+constexpr common::Duration kFenceLimit{2'500'000};   // then replication is resumed
+constexpr common::Duration kClaimLimit{3'000'000};
+constexpr common::Duration kRecordLimit{3'000'000};
+constexpr common::Duration kPromotionTimeout{500'000};
+constexpr common::Duration kPromotionPause{100'000};
+constexpr common::Duration kVerifyLimit{1'500'000};
+constexpr common::Duration kAnnouncePause{50'000};
+/// Left of the action window when a promotion may still be sent.
+constexpr common::Duration kActionReserve{100'000};
+
+}  // namespace
+
+const char* StepName(Step step) {
+  switch (step) {
+    case Step::kClaim:
+      return "claim";
+    case Step::kFence:
+      return "fence";
+    case Step::kRelease:
+      return "release";
+    case Step::kRecord:
+      return "record";
+    case Step::kPromote:
+      return "promote";
+    case Step::kVerify:
+      return "verify";
+    case Step::kFinished:
+      return "finished";
+    case Step::kGivenUp:
+      return "given_up";
+  }
+  return "unknown";
+}
+
+Attempt::Attempt(std::string service, Leadership& leadership, common::Instant now)
+    : service_(std::move(service)), leadership_(leadership), started_(now), entered_(now) {}
+
+std::vector<AttemptAction> Attempt::Advance(const GroupView& view, common::Instant now) {
+  Actions actions;
+  if (new_term_ == 0) {
+    old_term_ = view.term;
+    new_term_ = std::max(view.term, view.highest_term) + 1;
+  }
+  const bool replaced_by_another = view.term > old_term_ && step_ != Step::kVerify && !Ended();
+  if (replaced_by_another) {
+    Enter(Step::kFinished, now);
+    return actions;
+  }
+  // A step that completes lets the next one start at once.
+  Step before = Step::kGivenUp;
+  while (before != step_ && !Ended()) {
+    before = step_;
+    switch (step_) {
+      case Step::kClaim:
+        Claim(now, actions);
+        break;
+      case Step::kFence:
+        Fence(view, now, actions);
+        break;
+      case Step::kRelease:
+        AwaitRelease(view, now, actions);
+        break;
+      case Step::kRecord:
+        Record(view, now, actions);
+        break;
+      case Step::kPromote:
+        Promote(now, actions);
+        break;
+      case Step::kVerify:
+        Verify(view, now, actions);
+        break;
+      case Step::kFinished:
+      case Step::kGivenUp:
+        break;
+    }
+    if (step_ != before) {
+      actions.emplace_back(AttemptNote{StepName(step_), candidate_});
+    }
+  }
+  return actions;
+}
+
+void Attempt::Enter(Step step, common::Instant now) {
+  step_ = step;
+  entered_ = now;
+  write_failed_ = false;
+  write_done_ = false;
+  asked_.clear();
+}
+
+void Attempt::GiveUp(const GroupView& view, const std::string& reason, common::Instant now,
+                     Actions& actions) {
+  actions.emplace_back(AttemptNote{"giving_up", reason});
+  if (!promotion_sent_once_) {
+    ResumeOthers(view, actions);
+  }
+  Enter(Step::kGivenUp, now);
+}
+
+void Attempt::Claim(common::Instant now, Actions& actions) {
+  if (write_done_) {
+    Enter(Step::kFence, now);
+    return;
+  }
+  if (write_failed_ && now >= entered_ + kClaimLimit) {
+    Enter(Step::kGivenUp, now);
+    return;
+  }
+  if (!leadership_.MayWrite(now)) {
+    if (now >= entered_ + kClaimLimit) {
+      Enter(Step::kGivenUp, now);
+    }
+    return;
+  }
+  model::LeadershipRecord attempt;
+  attempt.service = service_;
+  attempt.term = new_term_;
+  actions.emplace_back(WriteRecord{leadership_.Prepare(attempt, now)});
+}
+
+std::size_t Attempt::FencesNeeded(const GroupView& view) {
+  // A commit is acknowledged once `sync_replicas` of the replicas hold it: with all but one less of
+  // them fenced, none can be. Every majority must hold a fenced instance too.
+  const std::size_t members = view.members.size();
+  const std::size_t replicas = members == 0 ? 0 : members - 1;
+  const std::size_t sync = view.sync_replicas;
+  const std::size_t for_commits = replicas >= sync ? replicas - sync + 1 : 1;
+  const std::size_t majority = members / 2 + 1;
+  const std::size_t for_reads = members - majority + 1;
+  return std::max<std::size_t>(1, std::max(std::min(for_commits, replicas), for_reads));
+}
+
+void Attempt::Fence(const GroupView& view, common::Instant now, Actions& actions) {
+  const model::ControlRequest pause{model::ControlKind::kPauseReplication, new_term_};
+  std::size_t replicas = 0;
+  for (const MemberView& member : view.members) {
+    if (member.id == view.primary) {
+      continue;
+    }
+    ++replicas;
+    if (!fenced_.contains(member.id)) {
+      Ask(member.id, pause, kRepeatPause, now, actions);
+    }
+  }
+  const bool enough = fenced_.size() >= FencesNeeded(view);
+  const bool all = fenced_.size() >= replicas;
+  if (enough && fenced_at_ == common::Instant(0)) {
+    fenced_at_ = now;
+  }
+  if (enough && (all || now >= fenced_at_ + kStragglerPause)) {
+    if (ChooseCandidate(view)) {
+      actions.emplace_back(AnnounceFence{new_term_});
+      announced_at_ = now;
+      Enter(Step::kRelease, now);
+      return;
+    }
+  }
+  if (now >= entered_ + kFenceLimit) {
+    GiveUp(view, enough ? "no candidate holds every acknowledged commit" : "too few fenced", now,
+           actions);
+  }
+}
+
+bool Attempt::ChooseCandidate(const GroupView& view) {
+  struct Rank {
+    bool usable = false;
+    common::Position received;
+    bool stays = false;
+  };
+  const auto rank = [&](const MemberView& member) {
+    const auto fenced = fenced_.find(member.id);
+    if (fenced == fenced_.end() || rejected_.contains(member.id)) {
+      return Rank{};
+    }
+    return Rank{true, fenced->second.received, !member.draining && !member.gone};
+  };
+  const MemberView* best = nullptr;
+  for (const MemberView& member : view.members) {
+    const Rank mine = rank(member);
+    if (!mine.usable) {
+      continue;
+    }
+    const Rank other = best == nullptr ? Rank{} : rank(*best);
+    const bool better = !other.usable || mine.received > other.received ||
+                        (mine.received == other.received && mine.stays && !other.stays);
+    if (better) {
+      best = &member;
+    }
+  }
+  if (best == nullptr || rank(*best).received < view.acknowledged) {
+    return false;
+  }
+  candidate_ = best->id;
+  return true;
+}
+
+void Attempt::AwaitRelease(const GroupView& view, common::Instant now, Actions& actions) {
+  if (view.unreleased.empty() || now >= fenced_at_ + group::kLeaseTime) {
+    Enter(Step::kRecord, now);
+    return;
+  }
+  if (now >= announced_at_ + kAnnouncePause) {
+    actions.emplace_back(AnnounceFence{new_term_});
+    announced_at_ = now;
+  }
+}
+
+void Attempt::Record(const GroupView& view, common::Instant now, Actions& actions) {
+  if (write_done_) {
+    Enter(Step::kPromote, now);
+    return;
+  }
+  if (now >= entered_ + kRecordLimit) {
+    GiveUp(view, "the leadership record could not be written", now, actions);
+    return;
+  }
+  if (!leadership_.MayWrite(now) || !leadership_.IsHolder()) {
+    return;
+  }
+  model::LeadershipRecord attempt;
+  attempt.service = service_;
+  attempt.candidate = candidate_;
+  attempt.term = new_term_;
+  actions.emplace_back(WriteRecord{leadership_.Prepare(attempt, now)});
+}
+
+void Attempt::Promote(common::Instant now, Actions& actions) {
+  if (promotion_) {
+    const PromotionStatus status = *promotion_;
+    promotion_.reset();
+    promotion_waiting_ = false;
+    if (status == PromotionStatus::kAccepted) {
+      Enter(Step::kVerify, now);
+      return;
+    }
+    if (status == PromotionStatus::kNotRunning) {
+      rejected_.insert(candidate_);
+      fenced_.erase(candidate_);
+      Enter(Step::kFence, now);
+      return;
+    }
+  }
+  const bool unanswered = promotion_waiting_ && now >= promotion_sent_ + kPromotionTimeout;
+  if (unanswered) {
+    // It may have been done: look, before asking once more.
+    promotion_waiting_ = false;
+    Enter(Step::kVerify, now);
+    return;
+  }
+  if (promotion_waiting_) {
+    return;
+  }
+  if (now + kActionReserve >= leadership_.MayActUntil()) {
+    Enter(Step::kRecord, now);
+    return;
+  }
+  if (promotion_sent_once_ && now < promotion_sent_ + kPromotionPause) {
+    return;
+  }
+  promotion_waiting_ = true;
+  promotion_sent_once_ = true;
+  promotion_sent_ = now;
+  actions.emplace_back(
+      RequestPromotion{candidate_, leadership_.Self(), leadership_.Record().token});
+}
+
+void Attempt::Verify(const GroupView& view, common::Instant now, Actions& actions) {
+  if (leads_ || view.term > old_term_) {
+    ResumeOthers(view, actions);
+    Enter(Step::kFinished, now);
+    return;
+  }
+  if (now >= entered_ + kVerifyLimit) {
+    Enter(Step::kRecord, now);
+    return;
+  }
+  Ask(candidate_, {model::ControlKind::kStatus, 0}, kRepeatPause, now, actions);
+}
+
+void Attempt::Ask(const std::string& instance, const model::ControlRequest& request,
+                  common::Duration pause, common::Instant now, Actions& actions) {
+  Outstanding& outstanding = asked_[instance];
+  const bool late = outstanding.waiting && now >= outstanding.sent + kControlTimeout;
+  const bool pausing = now < outstanding.sent + pause;
+  if ((outstanding.waiting && !late) || pausing) {
+    return;
+  }
+  outstanding = {now, true};
+  actions.emplace_back(SendControl{instance, request});
+}
+
+void Attempt::ResumeOthers(const GroupView& view, Actions& actions) {
+  for (const MemberView& member : view.members) {
+    const bool other = member.id != candidate_ || step_ != Step::kVerify;
+    if (other && member.id != view.primary) {
+      actions.emplace_back(SendControl{member.id, {model::ControlKind::kResumeReplication, 0}});
+    }
+  }
+}
+
+void Attempt::ControlAnswered(const std::string& instance, const model::ControlRequest& request,
+                              const std::optional<model::InstanceStatus>& status) {
+  const auto asked = asked_.find(instance);
+  if (asked != asked_.end()) {
+    asked->second.waiting = false;
+  }
+  if (!status) {
+    return;
+  }
+  if (request.kind == model::ControlKind::kPauseReplication && step_ == Step::kFence) {
+    const bool fenced = !status->primary && status->fenced_term >= new_term_;
+    if (fenced && request.term == new_term_) {
+      fenced_[instance] = {status->received};
+    } else {
+      // Something newer is known there: fence above it.
+      const common::Term seen = std::max(status->term, status->fenced_term);
+      if (seen >= new_term_) {
+        new_term_ = seen + 1;
+        fenced_.clear();
+        fenced_at_ = common::Instant(0);
+        asked_.clear();
+      }
+    }
+    return;
+  }
+  const bool leads = status->primary && status->term > old_term_ && instance == candidate_;
+  if (request.kind == model::ControlKind::kStatus && step_ == Step::kVerify && leads) {
+    leads_ = true;
+  }
+}
+
+void Attempt::RecordWritten(bool held) {
+  write_done_ = held;
+  write_failed_ = !held;
+}
+
+void Attempt::PromotionAnswered(PromotionStatus status) {
+  if (promotion_waiting_) {
+    promotion_ = status;
+  }
+}
+
+}  // namespace valvekeel::failover
--- /dev/null
+++ b/src/failover/attempt.h
@@ -0,0 +1,169 @@
+// One replacement of a group's primary, step by step.
+//
+//   claim     write the leadership record
+//   fence     pause replication at so many replicas that the old primary can't get a commit
+//             acknowledged, and that every majority of the group holds one that was paused
+//   release   wait until every daemon let go of reads at the old primary, or the lease time
+//   record    write the leadership record again, with the candidate
+//   promote   ask the platform to promote the candidate
+//   verify    wait until the candidate says that it leads
+//
+// Owns: the state of one attempt. Invariant: the promotion is asked for only while the leadership
+// allows it, with the candidate of the highest position among the fenced replicas, and only if that
+// position covers every commit known to be acknowledged. Pure. Thread: its host's.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/position.h"
+#include "common/time.h"
+#include "failover/leadership.h"
+#include "model/reply.h"
+#include "model/request.h"
+
+namespace valvekeel::failover {
+
+/// One instance of the group.
+struct MemberView {
+  std::string id;
+  bool draining = false;
+  bool gone = false;  // no longer listed; may still hold the only copy of a commit
+};
+
+/// What the daemon knows of the group.
+struct GroupView {
+  std::string service;
+  common::Term term = 0;  // of the known primary
+  std::string primary;    // empty if none is known
+  std::uint32_t sync_replicas = 0;
+  std::vector<MemberView> members;
+  common::Term highest_term = 0;     // seen anywhere, fences included
+  common::Position acknowledged;     // highest commit known to be acknowledged
+  std::set<std::string> unreleased;  // daemons that may still read at the old primary
+};
+
+/// Sends a control request to an instance.
+struct SendControl {
+  std::string instance;
+  model::ControlRequest request;
+};
+
+/// Tells all daemons to let go of terms below the new one.
+struct AnnounceFence {
+  common::Term new_term = 0;
+};
+
+struct WriteRecord {
+  RecordWrite write;
+};
+
+/// Asks the platform to promote.
+struct RequestPromotion {
+  std::string candidate;
+  std::string holder;
+  std::uint64_t token = 0;
+};
+
+/// A line for the log.
+struct AttemptNote {
+  std::string step;
+  std::string detail;
+};
+
+using AttemptAction =
+    std::variant<SendControl, AnnounceFence, WriteRecord, RequestPromotion, AttemptNote>;
+
+enum class PromotionStatus : std::uint8_t { kAccepted, kNotRunning, kRefused, kNoAnswer };
+
+enum class Step : std::uint8_t {
+  kClaim,
+  kFence,
+  kRelease,
+  kRecord,
+  kPromote,
+  kVerify,
+  kFinished,
+  kGivenUp,
+};
+
+/// @return the step's name in logs.
+const char* StepName(Step step);
+
+class Attempt {
+ public:
+  /// @param leadership of this daemon, outlives the attempt.
+  Attempt(std::string service, Leadership& leadership, common::Instant now);
+
+  /// Goes on as far as possible. @return what is to be done.
+  std::vector<AttemptAction> Advance(const GroupView& view, common::Instant now);
+
+  /// Takes an instance's answer to a control request, nothing if there was none.
+  void ControlAnswered(const std::string& instance, const model::ControlRequest& request,
+                       const std::optional<model::InstanceStatus>& status);
+
+  /// Takes the result of the record's write. @param held as Leadership::Written returned.
+  void RecordWritten(bool held);
+
+  void PromotionAnswered(PromotionStatus status);
+
+  const std::string& Service() const { return service_; }
+  Step CurrentStep() const { return step_; }
+  bool Ended() const { return step_ == Step::kFinished || step_ == Step::kGivenUp; }
+  const std::string& Candidate() const { return candidate_; }
+  common::Term NewTerm() const { return new_term_; }
+
+ private:
+  struct Fenced {
+    common::Position received;
+  };
+  struct Outstanding {
+    common::Instant sent{0};
+    bool waiting = false;
+  };
+
+  using Actions = std::vector<AttemptAction>;
+
+  void Enter(Step step, common::Instant now);
+  void GiveUp(const GroupView& view, const std::string& reason, common::Instant now,
+              Actions& actions);
+  void Claim(common::Instant now, Actions& actions);
+  void Fence(const GroupView& view, common::Instant now, Actions& actions);
+  void AwaitRelease(const GroupView& view, common::Instant now, Actions& actions);
+  void Record(const GroupView& view, common::Instant now, Actions& actions);
+  void Promote(common::Instant now, Actions& actions);
+  void Verify(const GroupView& view, common::Instant now, Actions& actions);
+  void Ask(const std::string& instance, const model::ControlRequest& request,
+           common::Duration pause, common::Instant now, Actions& actions);
+  void ResumeOthers(const GroupView& view, Actions& actions);
+  bool ChooseCandidate(const GroupView& view);
+  static std::size_t FencesNeeded(const GroupView& view);
+
+  std::string service_;
+  Leadership& leadership_;
+  Step step_ = Step::kClaim;
+  common::Instant started_{0};
+  common::Instant entered_{0};
+  common::Term old_term_ = 0;
+  common::Term new_term_ = 0;
+  bool write_failed_ = false;
+  bool write_done_ = false;
+  std::map<std::string, Fenced> fenced_;
+  std::map<std::string, Outstanding> asked_;
+  common::Instant fenced_at_{0};
+  common::Instant announced_at_{0};
+  std::string candidate_;
+  std::optional<PromotionStatus> promotion_;
+  common::Instant promotion_sent_{0};
+  bool promotion_waiting_ = false;
+  bool promotion_sent_once_ = false;
+  std::set<std::string> rejected_;  // candidates that do not run
+  bool leads_ = false;
+};
+
+}  // namespace valvekeel::failover
--- /dev/null
+++ b/src/failover/leadership.h
@@ -0,0 +1,87 @@
+// Which daemon may promote instances.
+//
+// One record in the metadata store names the holder; it is written only under a condition on its
+// revision. A holder may act on a write for kActionWindow after it sent the write; nobody else
+// writes before it has seen the record unchanged for kTakeoverTime. So two holders never act at the
+// same time, and the token of whoever acts later is higher.
+//
+// Owns: the record as last seen. Invariant: MayActUntil() is earlier than any other daemon's first
+// write after ours, as long as clocks run at the same rate. Pure. Thread: its host's.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "common/time.h"
+#include "model/catalog.h"
+
+namespace valvekeel::failover {
+
+/// How long after sending a write that succeeded its holder may act on it.
+inline constexpr common::Duration kActionWindow{700'000};
+
+/// How long a record must have been seen unchanged before another daemon replaces its holder.
+inline constexpr common::Duration kTakeoverTime{1'600'000};
+
+/// How a write of the record ended.
+enum class WriteStatus : std::uint8_t {
+  kWritten,
+  kConflict,  // the record has another revision; it is given
+  kRefused,   // nothing was done
+  kNoAnswer,  // it may have been done, or may be done later
+};
+
+struct WriteResult {
+  WriteStatus status = WriteStatus::kNoAnswer;
+  std::uint64_t revision = 0;      // of the record as it is now, 0 if there is none
+  model::LeadershipRecord record;  // as it is now, of kWritten and kConflict
+};
+
+/// A conditional write.
+struct RecordWrite {
+  model::LeadershipRecord record;
+  std::uint64_t revision = 0;  // the record must have; 0: it must not exist
+};
+
+class Leadership {
+ public:
+  /// @param holder name of this life of this daemon; differs from that of an earlier life.
+  explicit Leadership(std::string holder) : holder_(std::move(holder)) {}
+
+  /// Takes the record as the store has it. @param revision 0 if there is none.
+  void Seen(const model::LeadershipRecord& record, std::uint64_t revision, common::Instant now);
+
+  /// @return true if this daemon may write the record now.
+  bool MayWrite(common::Instant now) const;
+
+  /// @param attempt service, candidate and term that the write is about; may be empty.
+  /// @return the write to make; MayWrite must hold.
+  RecordWrite Prepare(const model::LeadershipRecord& attempt, common::Instant now);
+
+  /// Takes the result of the write made last. @return true if this daemon holds the record with it.
+  bool Written(const WriteResult& result, common::Instant now);
+
+  bool Writing() const { return writing_; }
+  bool IsHolder() const { return known_ && record_.holder == holder_; }
+  const std::string& Holder() const { return record_.holder; }
+  const model::LeadershipRecord& Record() const { return record_; }
+  const std::string& Self() const { return holder_; }
+
+  /// @return the instant until which this daemon may act on its last successful write.
+  common::Instant MayActUntil() const { return acts_until_; }
+
+ private:
+  std::string holder_;
+  bool known_ = false;
+  model::LeadershipRecord record_;
+  std::uint64_t revision_ = 0;
+  common::Instant changed_at_{0};
+  bool writing_ = false;
+  std::string writing_nonce_;
+  common::Instant first_sent_{0};  // of the write in progress, its repetitions included
+  common::Instant acts_until_{0};
+  std::uint64_t writes_ = 0;
+};
+
+}  // namespace valvekeel::failover
--- /dev/null
+++ b/src/group/position_history.cc
@@ -0,0 +1,42 @@
+#include "group/position_history.h"
+
+namespace valvekeel::group {
+namespace {
+
+constexpr common::Duration kKept{10'000'000};
+constexpr common::Duration kSpacing{20'000};
+
+}  // namespace
+
+void PositionHistory::Add(const PositionSample& sample) {
+  const bool older = newest_ && (sample.instant <= newest_->instant);
+  if (older) {
+    return;
+  }
+  // A lower position from a later question means another primary's log: what was known before no
+  // longer orders with it.
+  if (newest_ && sample.position < newest_->position) {
+    samples_.clear();
+  }
+  newest_ = sample;
+  if (samples_.empty() || sample.instant >= samples_.back().instant + kSpacing) {
+    samples_.push_back(sample);
+  }
+  while (samples_.front().instant + kKept < sample.instant) {
+    samples_.pop_front();
+  }
+}
+
+std::optional<common::Position> PositionHistory::Covering(common::Instant instant) const {
+  for (const PositionSample& sample : samples_) {
+    if (sample.instant >= instant) {
+      return sample.position;
+    }
+  }
+  if (newest_ && newest_->instant >= instant) {
+    return newest_->position;
+  }
+  return std::nullopt;
+}
+
+}  // namespace valvekeel::group
--- /dev/null
+++ b/src/group/read_lease.cc
@@ -0,0 +1,77 @@
+#include "group/read_lease.h"
+
+#include <algorithm>
+
+namespace valvekeel::group {
+namespace {
+
+/// Rounds that are kept while answers are missing.
+constexpr std::size_t kOpenRounds = 8;
+
+}  // namespace
+
+RoundNumber ReadLease::StartRound(std::size_t members, common::Instant now) {
+  const RoundNumber number = next_round_++;
+  rounds_[number] = {members, now, {}};
+  if (rounds_.size() > kOpenRounds) {
+    rounds_.erase(rounds_.begin());
+  }
+  return number;
+}
+
+bool ReadLease::Answer(RoundNumber round, const std::string& instance,
+                       const model::InstanceStatus& status) {
+  const auto found = rounds_.find(round);
+  if (found == rounds_.end()) {
+    return false;
+  }
+  found->second.answers[instance] = status;
+  if (!Confirm(found->second)) {
+    return false;
+  }
+  rounds_.erase(found);
+  return true;
+}
+
+bool ReadLease::Confirm(const Round& round) {
+  const auto primary = std::max_element(
+      round.answers.begin(), round.answers.end(), [](const auto& a, const auto& b) {
+        const common::Term a_term = a.second.primary ? a.second.term : 0;
+        const common::Term b_term = b.second.primary ? b.second.term : 0;
+        return a_term < b_term;
+      });
+  if (primary == round.answers.end() || !primary->second.primary) {
+    return false;
+  }
+  const common::Term term = primary->second.term;
+  const auto agrees = [term](const auto& entry) {
+    return entry.second.term <= term && entry.second.fenced_term <= term;
+  };
+  const auto votes = std::count_if(round.answers.begin(), round.answers.end(), agrees);
+  const std::size_t majority = round.members / 2 + 1;
+  if (static_cast<std::size_t>(votes) < majority || term <= released_term_) {
+    return false;
+  }
+  Renew({term, primary->first, round.started});
+  return true;
+}
+
+void ReadLease::Renew(const Confirmation& confirmation) {
+  if (confirmation.term <= released_term_ || confirmation.term < newest_.term) {
+    return;
+  }
+  if (confirmation.term > newest_.term || confirmation.started > newest_.started) {
+    newest_ = confirmation;
+  }
+}
+
+void ReadLease::Release(common::Term term) { released_term_ = std::max(released_term_, term); }
+
+bool ReadLease::Holds(common::Instant now) const { return HeldAt(now, newest_.term); }
+
+bool ReadLease::HeldAt(common::Instant instant, common::Term term) const {
+  return term != 0 && newest_.term == term && term > released_term_ &&
+         instant < newest_.started + kLeaseTime;
+}
+
+}  // namespace valvekeel::group
--- /dev/null
+++ b/src/host/catalog_copy_json.cc
@@ -0,0 +1,119 @@
+#include "host/catalog_copy_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace valvekeel::host {
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const common::Endpoint& endpoint) {
+  return json::array({endpoint.host, endpoint.port});
+}
+
+common::Endpoint EndpointFrom(const json& value) {
+  return {value.at(0).get<std::string>(), value.at(1).get<std::uint16_t>()};
+}
+
+json ToJson(const model::Route& route) {
+  return {{"database", route.database},
+          {"service", route.service},
+          {"consistency", static_cast<int>(route.consistency)},
+          {"timeout_us", route.timeout.count()},
+          {"target_latency_us", route.target_latency.count()},
+          {"priority", route.priority},
+          {"max_staleness_us", route.max_staleness.count()}};
+}
+
+model::Route RouteFrom(const json& value) {
+  model::Route route;
+  route.database = value.at("database").get<std::string>();
+  route.service = value.at("service").get<std::string>();
+  route.consistency = static_cast<model::Consistency>(value.at("consistency").get<int>());
+  route.timeout = common::Duration(value.at("timeout_us").get<std::int64_t>());
+  route.target_latency = common::Duration(value.at("target_latency_us").get<std::int64_t>());
+  route.priority = value.at("priority").get<std::uint32_t>();
+  route.max_staleness = common::Duration(value.at("max_staleness_us").get<std::int64_t>());
+  return route;
+}
+
+json ToJson(const model::Configuration& configuration) {
+  json routes = json::array();
+  for (const auto& [database, route] : configuration.routes) {
+    routes.push_back(ToJson(route));
+  }
+  json services = json::array();
+  for (const auto& [name, service] : configuration.services) {
+    services.push_back(json::array({name, service.max_connections, service.sync_replicas}));
+  }
+  return {{"version", configuration.version},
+          {"routes", std::move(routes)},
+          {"services", std::move(services)},
+          {"transaction_idle_us", configuration.transaction_idle.count()}};
+}
+
+model::Configuration ConfigurationFrom(const json& value) {
+  model::Configuration configuration;
+  configuration.version = value.at("version").get<std::uint64_t>();
+  for (const json& each : value.at("routes")) {
+    const model::Route route = RouteFrom(each);
+    configuration.routes[route.database] = route;
+  }
+  for (const json& each : value.at("services")) {
+    const model::Service service{each.at(0).get<std::string>(), each.at(1).get<std::uint32_t>(),
+                                 each.at(2).get<std::uint32_t>()};
+    configuration.services[service.name] = service;
+  }
+  configuration.transaction_idle =
+      common::Duration(value.at("transaction_idle_us").get<std::int64_t>());
+  return configuration;
+}
+
+json ToJson(const model::InstanceEntry& entry) {
+  return json::array({entry.id, entry.service, ToJson(entry.address), entry.zone, entry.slots,
+                      entry.draining, entry.primary});
+}
+
+model::InstanceEntry InstanceFrom(const json& value) {
+  return {value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
+          EndpointFrom(value.at(2)),        value.at(3).get<std::string>(),
+          value.at(4).get<std::uint32_t>(), value.at(5).get<bool>(),
+          value.at(6).get<bool>()};
+}
+
+}  // namespace
+
+std::string EncodeCatalogCopy(const proxy::CatalogCopy& copy) {
+  json instances = json::array();
+  for (const model::InstanceEntry& entry : copy.instances) {
+    instances.push_back(ToJson(entry));
+  }
+  json daemons = json::array();
+  for (const model::DaemonEntry& entry : copy.daemons) {
+    daemons.push_back(json::array({entry.name, entry.zone, ToJson(entry.peer)}));
+  }
+  const json whole = {{"configuration", ToJson(copy.configuration)},
+                      {"instances", std::move(instances)},
+                      {"daemons", std::move(daemons)}};
+  return whole.dump();
+}
+
+std::optional<proxy::CatalogCopy> DecodeCatalogCopy(const std::string& text) {
+  try {
+    const json whole = json::parse(text);
+    proxy::CatalogCopy copy;
+    copy.configuration = ConfigurationFrom(whole.at("configuration"));
+    for (const json& each : whole.at("instances")) {
+      copy.instances.push_back(InstanceFrom(each));
+    }
+    for (const json& each : whole.at("daemons")) {
+      copy.daemons.push_back(
+          {each.at(0).get<std::string>(), each.at(1).get<std::string>(), EndpointFrom(each.at(2))});
+    }
+    return copy;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/host/codec.h
@@ -0,0 +1,116 @@
+// Interfaces to the outside that an adapter implements: protocols, metadata store, promotion.
+//
+// Owns: nothing. Invariant: adapters translate only; they decide nothing and keep no state beyond
+// what decoding needs. Thread: the event loop's.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "failover/attempt.h"
+#include "failover/leadership.h"
+#include "metadata/collection_follower.h"
+#include "model/reply.h"
+#include "model/request.h"
+#include "proxy/actions.h"
+#include "proxy/caller_session.h"
+
+namespace valvekeel::host {
+
+/// First message of a caller.
+struct CallerStart {
+  std::string database;
+  std::string user;
+};
+
+/// The caller ends its session.
+struct CallerEnd {};
+
+/// What a caller sent can't be read; the session ends with this error.
+struct CallerFault {
+  model::ErrorCode error = model::ErrorCode::kMalformed;
+  std::string reason;
+};
+
+using CallerMessage = std::variant<CallerStart, proxy::CallerCommand, CallerEnd, CallerFault>;
+
+/// Protocol towards one caller.
+class CallerCodec {
+ public:
+  virtual ~CallerCodec() = default;
+
+  /// Takes bytes. @return the messages that are whole; nothing follows a CallerFault.
+  virtual std::vector<CallerMessage> Decode(std::string_view bytes) = 0;
+
+  virtual std::string EncodeAccept() = 0;
+  virtual std::string EncodeReply(const model::Reply& reply) = 0;
+
+  /// Last bytes of a session that ends with an error.
+  virtual std::string EncodeFault(model::ErrorCode error, const std::string& text) = 0;
+};
+
+/// The instance takes requests now.
+struct InstanceAccepted {};
+
+/// The instance does not take the connection.
+struct InstanceRejected {
+  model::ErrorCode error = model::ErrorCode::kFailed;
+};
+
+/// What the instance sent can't be read; the connection ends.
+struct InstanceFault {
+  std::string reason;
+};
+
+using InstanceMessage =
+    std::variant<InstanceAccepted, InstanceRejected, model::Reply, InstanceFault>;
+
+/// Protocol towards one instance.
+class InstanceCodec {
+ public:
+  virtual ~InstanceCodec() = default;
+
+  virtual std::string EncodeStart(const std::string& service, const std::string& instance) = 0;
+  virtual std::string EncodeRequest(const model::InstanceRequest& request) = 0;
+
+  /// Takes bytes. @return the messages that are whole; nothing follows an InstanceFault.
+  virtual std::vector<InstanceMessage> Decode(std::string_view bytes) = 0;
+};
+
+/// The metadata store.
+class MetadataStore {
+ public:
+  using ReadHandler = std::function<void(const metadata::ReadResult&)>;
+  using WriteHandler = std::function<void(const failover::WriteResult&)>;
+  using RegisterHandler = std::function<void(bool written)>;
+
+  virtual ~MetadataStore() = default;
+  virtual void Read(const metadata::ReadCall& call, ReadHandler handler) = 0;
+  virtual void WriteLeadership(const failover::RecordWrite& write, WriteHandler handler) = 0;
+  virtual void WriteDaemon(const model::DaemonEntry& entry, RegisterHandler handler) = 0;
+};
+
+/// The service that promotes instances.
+class PromotionService {
+ public:
+  using Handler = std::function<void(failover::PromotionStatus)>;
+
+  virtual ~PromotionService() = default;
+  virtual void Promote(const proxy::Promote& promotion, Handler handler) = 0;
+};
+
+/// All that a platform brings.
+class Adapter {
+ public:
+  virtual ~Adapter() = default;
+  virtual std::unique_ptr<CallerCodec> NewCallerCodec() = 0;
+  virtual std::unique_ptr<InstanceCodec> NewInstanceCodec() = 0;
+  virtual MetadataStore& Store() = 0;
+  virtual PromotionService& Promotions() = 0;
+};
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/host/host_settings.cc
@@ -0,0 +1,142 @@
+#include "host/host_settings.h"
+
+#include <chrono>
+#include <limits>
+#include <utility>
+
+namespace valvekeel::host {
+namespace {
+
+using common::Duration;
+using settings::Schema;
+using settings::SettingError;
+
+constexpr std::int64_t kLongestMs = 3'600'000;
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+void Time(Schema& schema, const std::string& key, const std::string& meaning, std::int64_t lowest,
+          Duration* target) {
+  schema.Integer(key, "ms", meaning, lowest, kLongestMs, Milliseconds(*target),
+                 [target](std::int64_t value) { *target = std::chrono::milliseconds(value); });
+}
+
+/// Addresses as texts, before they are checked.
+struct AddressTexts {
+  std::string callers;
+  std::string health;
+  std::string admin;
+  std::string peer;
+  std::string store;
+  std::string promotion;
+  std::vector<std::string> seeds;
+};
+
+void Address(Schema& schema, const std::string& key, const std::string& meaning,
+             std::string* target) {
+  schema.Text(key, meaning + ", host:port", "", true,
+              [target](const std::string& value) { *target = value; });
+}
+
+void AddKeys(Schema& schema, HostSettings& out, AddressTexts& texts) {
+  schema.Text("daemon.name", "name of this daemon, unique among all", "", true,
+              [&out](const std::string& value) { out.proxy.name = value; });
+  schema.Text("daemon.zone", "zone in which this daemon runs", "", true,
+              [&out](const std::string& value) { out.proxy.zone = value; });
+  Address(schema, "listen.callers", "where callers connect", &texts.callers);
+  Address(schema, "listen.health", "where readiness is asked for", &texts.health);
+  schema.Text("listen.health_path", "path that answers 200 if ready, else 503", out.health_path,
+              false, [&out](const std::string& value) { out.health_path = value; });
+  Address(schema, "listen.admin", "metrics, status and the catalog for other daemons",
+          &texts.admin);
+  Address(schema, "listen.peer", "heartbeats of other daemons (UDP)", &texts.peer);
+  Address(schema, "store.address", "the metadata store", &texts.store);
+  Address(schema, "promotion.address", "the promotion service", &texts.promotion);
+  schema.TextList("daemon.seeds", "admin addresses of daemons that may be running",
+                  [&texts](const std::vector<std::string>& value) { texts.seeds = value; });
+  Time(schema, "daemon.stop_grace_ms", "time from the stop signal until the process is killed", 1,
+       &out.proxy.stop_grace);
+  Time(schema, "daemon.drain_limit_ms", "longest use of an instance that leaves", 1,
+       &out.proxy.drain_limit);
+  Time(schema, "store.watch_wait_ms", "longest wait of a watch", 100, &out.proxy.watch_wait);
+  Time(schema, "peers.heartbeat_ms", "time between heartbeats to a live daemon", 10,
+       &out.proxy.heartbeat_interval);
+  Time(schema, "groups.lease_round_ms", "time between rounds that renew the read lease", 10,
+       &out.proxy.lease_round_interval);
+  schema.Real("requests.hold_fraction", "",
+              "share of a statement's time for which it may wait for an instance", 0.0, 1.0,
+              out.proxy.hold_fraction, [&out](double value) { out.proxy.hold_fraction = value; });
+  schema.Integer("requests.most_sessions", "sessions", "callers' sessions at once", 1, 1'000'000,
+                 static_cast<std::int64_t>(out.most_sessions), [&out](std::int64_t value) {
+                   out.most_sessions = static_cast<std::size_t>(value);
+                 });
+  schema.Integer("log.lines_per_event", "lines/s", "lines of one event in a second", 1, 100'000,
+                 out.log.lines_per_event, [&out](std::int64_t value) {
+                   out.log.lines_per_event = static_cast<std::uint32_t>(value);
+                 });
+}
+
+/// Parses the addresses, notes those that are none.
+class AddressCheck {
+ public:
+  AddressCheck(std::string path, std::vector<SettingError>& errors)
+      : path_(std::move(path)), errors_(errors) {}
+
+  void Take(const std::string& key, const std::string& text, common::Endpoint* target) {
+    if (text.empty()) {
+      return;  // reported as missing already
+    }
+    const auto parsed = common::ParseEndpoint(text);
+    if (parsed) {
+      *target = *parsed;
+    } else {
+      errors_.push_back({path_, 0, key, "\"" + text + "\" is not host:port"});
+    }
+  }
+
+ private:
+  std::string path_;
+  std::vector<SettingError>& errors_;
+};
+
+}  // namespace
+
+common::Result<HostSettings, std::vector<SettingError>> LoadHostSettings(
+    const std::string& path, const std::vector<std::string>& overrides) {
+  HostSettings out;
+  AddressTexts texts;
+  Schema schema;
+  AddKeys(schema, out, texts);
+  std::vector<SettingError> errors = schema.Load(path, overrides);
+  AddressCheck check(path, errors);
+  check.Take("listen.callers", texts.callers, &out.callers);
+  check.Take("listen.health", texts.health, &out.health);
+  check.Take("listen.admin", texts.admin, &out.admin);
+  check.Take("listen.peer", texts.peer, &out.proxy.peer);
+  check.Take("store.address", texts.store, &out.store);
+  check.Take("promotion.address", texts.promotion, &out.promotion);
+  for (const std::string& text : texts.seeds) {
+    common::Endpoint seed;
+    check.Take("daemon.seeds", text, &seed);
+    if (seed.port != 0 && seed.host != out.admin.host) {
+      out.proxy.seed_catalogs.push_back(seed);
+      out.proxy.seed_peers.push_back({seed.host, out.proxy.peer.port});
+    }
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  return out;
+}
+
+std::string HostSettingsMarkdown() {
+  HostSettings out;
+  AddressTexts texts;
+  Schema schema;
+  AddKeys(schema, out, texts);
+  return schema.Markdown();
+}
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/host/metrics.cc
@@ -0,0 +1,101 @@
+#include "host/metrics.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+namespace valvekeel::host {
+namespace {
+
+constexpr double kSecond = 1e6;
+
+const char* ConsistencyName(model::Consistency consistency) {
+  switch (consistency) {
+    case model::Consistency::kPrimary:
+      return "primary";
+    case model::Consistency::kBoundedStaleness:
+      return "bounded_staleness";
+    case model::Consistency::kReadYourWrites:
+      return "read_your_writes";
+  }
+  return "unknown";
+}
+
+prometheus::Histogram::BucketBoundaries Boundaries() {
+  return {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2};
+}
+
+double Seconds(common::Duration duration) {
+  return static_cast<double>(duration.count()) / kSecond;
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : statement_seconds_(prometheus::BuildHistogram()
+                             .Name("valvekeel_statement_seconds")
+                             .Help("Time of statements that an instance answered, by stage")
+                             .Register(registry_)) {}
+
+void Metrics::Observe(const proxy::StatementTimes& times) {
+  const std::string consistency = ConsistencyName(times.consistency);
+  statement_seconds_.Add({{"consistency", consistency}, {"stage", "wait"}}, Boundaries())
+      .Observe(Seconds(times.waited));
+  statement_seconds_.Add({{"consistency", consistency}, {"stage", "instance"}}, Boundaries())
+      .Observe(Seconds(times.instance));
+}
+
+void Metrics::Gauge(const std::string& name, const std::string& help,
+                    const std::map<std::string, std::string>& labels, double value) {
+  prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels).Set(value);
+}
+
+std::string Metrics::Text(proxy::Proxy& proxy, const runtime::BoundedLog& log,
+                          common::Instant now) {
+  const proxy::DispatchCounters& counters = proxy.Dispatch().Counters();
+  Gauge("valvekeel_commands_total", "Commands of callers", {},
+        static_cast<double>(counters.commands));
+  Gauge("valvekeel_statements_succeeded_total", "Statements that an instance ran", {},
+        static_cast<double>(counters.succeeded));
+  Gauge("valvekeel_reads_total", "Reads answered", {{"instance", "replica"}},
+        static_cast<double>(counters.replica_reads));
+  Gauge("valvekeel_reads_total", "Reads answered", {{"instance", "primary"}},
+        static_cast<double>(counters.primary_reads));
+  Gauge("valvekeel_retries_total", "Statements tried again after a promise", {},
+        static_cast<double>(counters.retries));
+  Gauge("valvekeel_resent_reads_total", "Reads sent again for want of an answer", {},
+        static_cast<double>(counters.resent_reads));
+  for (const auto& [code, count] : counters.errors) {
+    Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
+          static_cast<double>(count));
+  }
+  Gauge("valvekeel_sessions", "Callers' sessions", {},
+        static_cast<double>(proxy.Dispatch().SessionCount()));
+  Gauge("valvekeel_waiting", "Statements waiting for an instance", {},
+        static_cast<double>(proxy.Dispatch().WaitingCount()));
+  Gauge("valvekeel_configuration_version", "Version in force", {},
+        static_cast<double>(proxy.CatalogView().Configuration().version));
+  Gauge("valvekeel_store_connected", "1 if the metadata store answers", {},
+        proxy.CatalogView().Connected() ? 1 : 0);
+  Gauge("valvekeel_live_daemons", "Other daemons heard", {},
+        static_cast<double>(proxy.Peers().LiveNames(now).size()));
+  for (const auto& [service, group] : proxy.Groups().All()) {
+    Gauge("valvekeel_group_term", "Term of the known primary", {{"service", service}},
+          group.lease.Newest().term);
+    Gauge("valvekeel_lease_age_seconds", "Age of the read lease's round", {{"service", service}},
+          Seconds(now - group.lease.Newest().started));
+  }
+  for (const auto& [id, backend] : proxy.Backends().All()) {
+    Gauge("valvekeel_connections", "Connections to the instance", {{"instance", id}},
+          static_cast<double>(backend.Connections().size()));
+    Gauge("valvekeel_requests_in_flight", "Connections with a request outstanding",
+          {{"instance", id}}, static_cast<double>(backend.Busy()));
+  }
+  Gauge("valvekeel_log_lines_dropped_total", "Log lines lost to a slow reader", {},
+        static_cast<double>(log.Dropped()));
+  Gauge("valvekeel_log_lines_suppressed_total", "Log lines over the limit of their event", {},
+        static_cast<double>(log.Suppressed()));
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/host/proxy_host.cc
@@ -0,0 +1,438 @@
+#include "host/proxy_host.h"
+
+#include <unistd.h>
+
+#include <random>
+#include <utility>
+
+#include "host/catalog_copy_json.h"
+
+namespace valvekeel::host {
+namespace {
+
+constexpr unsigned kInstanceUserTimeoutMs = 4000;
+constexpr int kReadyStatus = 200;
+constexpr int kNotReadyStatus = 503;
+constexpr int kNotFoundStatus = 404;
+constexpr const char* kCatalogPath = "/catalog";
+constexpr const char* kMetricsPath = "/metrics";
+constexpr common::Duration kFetchTimeout{500'000};
+constexpr common::Duration kFlushBeforeExit{150'000};
+
+const char* LevelName(proxy::LogLevel level) {
+  return level == proxy::LogLevel::kWarning ? "warning" : "info";
+}
+
+}  // namespace
+
+ProxyHost::ProxyHost(asio::io_context& loop, HostSettings settings, Adapter& adapter)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      adapter_(adapter),
+      proxy_(settings_.proxy, std::random_device{}()),
+      log_(STDOUT_FILENO, settings_.proxy.name, settings_.log),
+      acceptor_(loop),
+      peers_(loop),
+      tick_(loop) {}
+
+void ProxyHost::Log(const char* event, const runtime::BoundedLog::Fields& fields) {
+  log_.Write("info", event, fields, common::SteadyNow());
+  log_.Flush();
+}
+
+std::optional<StartError> ProxyHost::Start() {
+  if (!ListenForCallers()) {
+    return StartError{"callers' address cannot be bound"};
+  }
+  if (!ListenForPeers()) {
+    return StartError{"peers' address cannot be bound"};
+  }
+  for (const common::Endpoint& address : {settings_.health, settings_.admin}) {
+    auto server = std::make_unique<net::HttpServer>(
+        loop_, [this](const net::HttpMessage& request) { return AnswerHttp(request); });
+    if (!server->Listen(address)) {
+      return StartError{common::FormatEndpoint(address) + " cannot be bound"};
+    }
+    http_.push_back(std::move(server));
+  }
+  Log("started", {{"zone", settings_.proxy.zone},
+                  {"incarnation", std::to_string(settings_.proxy.incarnation)},
+                  {"callers", common::FormatEndpoint(settings_.callers)}});
+  ScheduleTick();
+  return std::nullopt;
+}
+
+void ProxyHost::Stop() {
+  proxy_.Stop(common::SteadyNow());
+  Drain();
+}
+
+bool ProxyHost::ListenForCallers() {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(settings_.callers.host, error);
+  const asio::ip::tcp::endpoint endpoint(host, settings_.callers.port);
+  acceptor_.open(endpoint.protocol(), error);
+  acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  acceptor_.bind(endpoint, error);
+  if (error) {
+    return false;
+  }
+  acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return false;
+  }
+  AcceptCaller();
+  return true;
+}
+
+bool ProxyHost::ListenForPeers() {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(settings_.proxy.peer.host, error);
+  const asio::ip::udp::endpoint endpoint(host, settings_.proxy.peer.port);
+  peers_.open(endpoint.protocol(), error);
+  peers_.bind(endpoint, error);
+  if (error) {
+    return false;
+  }
+  peers_.non_blocking(true, error);
+  ReceivePeer();
+  return true;
+}
+
+void ProxyHost::ScheduleTick() {
+  tick_.expires_after(proxy::kTick);
+  tick_.async_wait([this](const asio::error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    proxy_.Tick(common::SteadyNow());
+    Drain();
+    log_.Flush();
+    ScheduleTick();
+  });
+}
+
+void ProxyHost::AcceptCaller() {
+  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      AddCaller(std::move(socket));
+    }
+    AcceptCaller();
+  });
+}
+
+void ProxyHost::AddCaller(asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
+  auto codec = adapter_.NewCallerCodec();
+  if (callers_.size() >= settings_.most_sessions) {
+    stream->Send(
+        codec->EncodeFault(model::ErrorCode::kBusy, "retry_after_ms=1000 too many sessions"));
+    stream->CloseAfterFlush();
+    return;
+  }
+  const proxy::SessionNumber number = next_session_++;
+  Caller& caller = callers_[number];
+  caller.stream = stream;
+  caller.codec = std::move(codec);
+  stream->Start([this, number](std::string_view bytes) { CallerBytes(number, bytes); },
+                [this, number] { CallerGone(number); });
+}
+
+void ProxyHost::CallerBytes(proxy::SessionNumber number, std::string_view bytes) {
+  const auto found = callers_.find(number);
+  if (found == callers_.end()) {
+    return;
+  }
+  const std::vector<CallerMessage> messages = found->second.codec->Decode(bytes);
+  const common::Instant now = common::SteadyNow();
+  for (const CallerMessage& message : messages) {
+    if (const auto* start = std::get_if<CallerStart>(&message)) {
+      found->second.started = true;
+      proxy_.SessionStarted(number, start->database, start->user, now);
+    } else if (const auto* command = std::get_if<proxy::CallerCommand>(&message)) {
+      proxy_.CommandReceived(number, *command, now);
+    } else if (const auto* fault = std::get_if<CallerFault>(&message)) {
+      found->second.stream->Send(found->second.codec->EncodeFault(fault->error, fault->reason));
+      found->second.stream->CloseAfterFlush();
+      CallerGone(number);
+      return;
+    } else {
+      found->second.stream->CloseAfterFlush();
+      CallerGone(number);
+      return;
+    }
+  }
+  Drain();
+}
+
+void ProxyHost::CallerGone(proxy::SessionNumber number) {
+  callers_.erase(number);
+  proxy_.SessionClosed(number, common::SteadyNow());
+  Drain();
+}
+
+void ProxyHost::InstanceConnected(proxy::ConnectionNumber number,
+                                  const proxy::OpenConnection& action) {
+  const auto found = instances_.find(number);
+  if (found == instances_.end()) {
+    return;
+  }
+  InstanceConnection& connection = found->second;
+  connection.stream->Start([this, number](std::string_view bytes) { InstanceBytes(number, bytes); },
+                           [this, number] { InstanceGone(number); });
+  connection.stream->Send(connection.codec->EncodeStart(action.service, action.instance));
+}
+
+void ProxyHost::FailConnection(proxy::ConnectionNumber number, proxy::OpenFailure failure,
+                               model::ErrorCode error) {
+  const auto found = instances_.find(number);
+  if (found == instances_.end()) {
+    return;
+  }
+  const auto stream = found->second.stream;
+  instances_.erase(found);
+  stream->Close();
+  proxy_.ConnectionFailed(number, failure, error, common::SteadyNow());
+  Drain();
+}
+
+void ProxyHost::InstanceBytes(proxy::ConnectionNumber number, std::string_view bytes) {
+  const auto found = instances_.find(number);
+  if (found == instances_.end()) {
+    return;
+  }
+  const std::vector<InstanceMessage> messages = found->second.codec->Decode(bytes);
+  for (const InstanceMessage& message : messages) {
+    if (!TakeInstanceMessage(number, message)) {
+      break;
+    }
+  }
+  Drain();
+}
+
+bool ProxyHost::TakeInstanceMessage(proxy::ConnectionNumber number,
+                                    const InstanceMessage& message) {
+  const auto found = instances_.find(number);
+  if (found == instances_.end()) {
+    return false;
+  }
+  const common::Instant now = common::SteadyNow();
+  if (std::holds_alternative<InstanceAccepted>(message)) {
+    found->second.accepted = true;
+    proxy_.ConnectionOpened(number, now);
+    return true;
+  }
+  if (const auto* rejected = std::get_if<InstanceRejected>(&message)) {
+    FailConnection(number, proxy::OpenFailure::kRejected, rejected->error);
+    return false;
+  }
+  if (const auto* reply = std::get_if<model::Reply>(&message)) {
+    proxy_.Answered(number, *reply, now);
+    return true;
+  }
+  Log("instance_protocol_error", {{"reason", std::get<InstanceFault>(message).reason}});
+  const auto stream = found->second.stream;
+  instances_.erase(found);
+  stream->Close();
+  proxy_.ConnectionClosed(number, now);
+  return false;
+}
+
+void ProxyHost::InstanceGone(proxy::ConnectionNumber number) {
+  if (instances_.erase(number) > 0) {
+    proxy_.ConnectionClosed(number, common::SteadyNow());
+    Drain();
+  }
+}
+
+void ProxyHost::ReceivePeer() {
+  peers_.async_receive_from(
+      asio::buffer(peer_input_), peer_sender_,
+      [this](const asio::error_code& error, std::size_t count) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          const auto message = proxy::DecodePeerMessage({peer_input_.data(), count});
+          if (common::IsOk(message)) {
+            proxy_.PeerHeard({peer_sender_.address().to_string(), peer_sender_.port()},
+                             common::ValueOf(message), common::SteadyNow());
+            Drain();
+          }
+        }
+        ReceivePeer();
+      });
+}
+
+net::HttpResponse ProxyHost::AnswerHttp(const net::HttpMessage& request) {
+  if (request.target == settings_.health_path) {
+    return {ready_ ? kReadyStatus : kNotReadyStatus, "", "text/plain", {}};
+  }
+  if (request.target == kCatalogPath) {
+    return {kReadyStatus, EncodeCatalogCopy(proxy_.Catalog()), "application/json", {}};
+  }
+  if (request.target == kMetricsPath) {
+    return {kReadyStatus, metrics_.Text(proxy_, log_, common::SteadyNow()), "text/plain", {}};
+  }
+  return {kNotFoundStatus, "", "text/plain", {}};
+}
+
+void ProxyHost::Drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  for (auto actions = proxy_.TakeActions(); !actions.empty(); actions = proxy_.TakeActions()) {
+    for (const proxy::Action& action : actions) {
+      std::visit([this](const auto& each) { Do(each); }, action);
+    }
+  }
+  draining_ = false;
+}
+
+void ProxyHost::Do(const proxy::OpenConnection& action) {
+  const proxy::ConnectionNumber number = action.connection;
+  InstanceConnection& connection = instances_[number];
+  connection.stream = std::make_shared<net::Stream>(loop_);
+  connection.stream->SetUserTimeout(kInstanceUserTimeoutMs);
+  connection.codec = adapter_.NewInstanceCodec();
+  connection.stream->Connect(
+      action.address, settings_.connect_timeout,
+      [this, number, action] { InstanceConnected(number, action); },
+      [this, number](net::ConnectFault fault) {
+        FailConnection(number,
+                       fault == net::ConnectFault::kRefused ? proxy::OpenFailure::kRefused
+                                                            : proxy::OpenFailure::kSilent,
+                       model::ErrorCode::kFailed);
+      });
+}
+
+void ProxyHost::Do(const proxy::SendRequests& action) {
+  const auto found = instances_.find(action.connection);
+  if (found == instances_.end()) {
+    return;
+  }
+  std::string bytes;
+  for (const model::InstanceRequest& request : action.requests) {
+    bytes += found->second.codec->EncodeRequest(request);
+  }
+  found->second.stream->Send(std::move(bytes));
+}
+
+void ProxyHost::Do(const proxy::CloseConnection& action) {
+  const auto found = instances_.find(action.connection);
+  if (found == instances_.end()) {
+    return;
+  }
+  const auto stream = found->second.stream;
+  instances_.erase(found);
+  stream->Close();
+}
+
+void ProxyHost::Do(const proxy::AcceptSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.stream->Send(found->second.codec->EncodeAccept());
+  }
+}
+
+void ProxyHost::Do(const proxy::AnswerCaller& action) {
+  if (action.times) {
+    metrics_.Observe(*action.times);
+  }
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.stream->Send(found->second.codec->EncodeReply(action.reply));
+  }
+}
+
+void ProxyHost::Do(const proxy::CloseSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found == callers_.end()) {
+    return;
+  }
+  const auto stream = found->second.stream;
+  if (action.with_error) {
+    stream->Send(found->second.codec->EncodeFault(action.error, action.error_text));
+  }
+  callers_.erase(found);
+  stream->CloseAfterFlush();
+}
+
+void ProxyHost::Do(const proxy::ReadCatalog& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().Read(action.read, [this, call](const metadata::ReadResult& result) {
+    proxy_.CatalogRead(call, result, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::WriteLeadership& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().WriteLeadership(action.write, [this, call](const failover::WriteResult& result) {
+    proxy_.LeadershipWritten(call, result, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::WriteDaemon& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().WriteDaemon(action.entry, [this, call](bool written) {
+    proxy_.DaemonWritten(call, written, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::Promote& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Promotions().Promote(action, [this, call](failover::PromotionStatus status) {
+    proxy_.Promoted(call, status, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::SendPeer& action) {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(action.address.host, error);
+  if (!error) {
+    // A heartbeat that the system does not take is lost like any other datagram.
+    peers_.send_to(asio::buffer(proxy::EncodePeerMessage(action.message)),
+                   asio::ip::udp::endpoint(host, action.address.port), 0, error);
+  }
+}
+
+void ProxyHost::Do(const proxy::FetchCatalog& action) {
+  const proxy::CallNumber call = action.call;
+  auto client = std::make_shared<net::HttpClient>(loop_, action.address);
+  net::HttpRequest request;
+  request.target = kCatalogPath;
+  client->Call(request, kFetchTimeout, [this, call, client](const net::HttpResult& result) {
+    std::optional<proxy::CatalogCopy> copy;
+    if (common::IsOk(result)) {
+      copy = DecodeCatalogCopy(common::ValueOf(result).body);
+    }
+    proxy_.CatalogFetched(call, copy, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::SetReady& action) { ready_ = action.ready; }
+
+void ProxyHost::Do(const proxy::Exit& action) {
+  static_cast<void>(action);
+  log_.Flush();
+  const auto timer = std::make_shared<asio::steady_timer>(loop_, kFlushBeforeExit);
+  timer->async_wait([this, timer](const asio::error_code&) {
+    log_.Flush();
+    loop_.stop();
+  });
+}
+
+void ProxyHost::Do(const proxy::LogEvent& action) {
+  log_.Write(LevelName(action.level), action.event, action.fields, common::SteadyNow());
+}
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/host/proxy_host.h
@@ -0,0 +1,114 @@
+// Runs the proxy's decision code on an event loop: sockets, timers, signals, logs.
+//
+// Owns: all sockets of the daemon. Invariant: it decides nothing: each event goes to the decision
+// code, each action is carried out. Thread: the event loop's.
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "common/endpoint.h"
+#include "host/codec.h"
+#include "host/host_settings.h"
+#include "host/metrics.h"
+#include "net/http.h"
+#include "net/stream.h"
+#include "proxy/proxy.h"
+#include "runtime/bounded_log.h"
+
+namespace valvekeel::host {
+
+/// Why the host could not start.
+struct StartError {
+  std::string reason;
+};
+
+class ProxyHost {
+ public:
+  /// @param adapter outlives the host.
+  ProxyHost(asio::io_context& loop, HostSettings settings, Adapter& adapter);
+
+  /// Binds all addresses and begins. @return the error if an address can't be bound.
+  std::optional<StartError> Start();
+
+  /// Begins a planned stop; the loop is stopped when it is over.
+  void Stop();
+
+  /// Writes a line to the log.
+  void Log(const char* event, const runtime::BoundedLog::Fields& fields);
+
+ private:
+  struct Caller {
+    std::shared_ptr<net::Stream> stream;
+    std::unique_ptr<CallerCodec> codec;
+    bool started = false;
+  };
+  struct InstanceConnection {
+    std::shared_ptr<net::Stream> stream;
+    std::unique_ptr<InstanceCodec> codec;
+    bool accepted = false;
+  };
+
+  bool ListenForCallers();
+  bool ListenForPeers();
+  void AcceptCaller();
+  void AddCaller(asio::ip::tcp::socket socket);
+  void CallerBytes(proxy::SessionNumber number, std::string_view bytes);
+  void CallerGone(proxy::SessionNumber number);
+  void InstanceBytes(proxy::ConnectionNumber number, std::string_view bytes);
+  void InstanceGone(proxy::ConnectionNumber number);
+  void InstanceConnected(proxy::ConnectionNumber number, const proxy::OpenConnection& action);
+  void FailConnection(proxy::ConnectionNumber number, proxy::OpenFailure failure,
+                      model::ErrorCode error);
+  bool TakeInstanceMessage(proxy::ConnectionNumber number, const InstanceMessage& message);
+  void ReceivePeer();
+  void ScheduleTick();
+  net::HttpResponse AnswerHttp(const net::HttpMessage& request);
+
+  /// Carries out what the decision code asks for.
+  void Drain();
+  void Do(const proxy::OpenConnection& action);
+  void Do(const proxy::SendRequests& action);
+  void Do(const proxy::CloseConnection& action);
+  void Do(const proxy::AcceptSession& action);
+  void Do(const proxy::AnswerCaller& action);
+  void Do(const proxy::CloseSession& action);
+  void Do(const proxy::ReadCatalog& action);
+  void Do(const proxy::WriteLeadership& action);
+  void Do(const proxy::WriteDaemon& action);
+  void Do(const proxy::Promote& action);
+  void Do(const proxy::SendPeer& action);
+  void Do(const proxy::FetchCatalog& action);
+  void Do(const proxy::SetReady& action);
+  void Do(const proxy::Exit& action);
+  void Do(const proxy::LogEvent& action);
+
+  asio::io_context& loop_;
+  HostSettings settings_;
+  Adapter& adapter_;
+  proxy::Proxy proxy_;
+  runtime::BoundedLog log_;
+  Metrics metrics_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::udp::socket peers_;
+  asio::ip::udp::endpoint peer_sender_;
+  std::array<char, 65536> peer_input_{};
+  std::vector<std::unique_ptr<net::HttpServer>> http_;
+  asio::steady_timer tick_;
+  std::map<proxy::SessionNumber, Caller> callers_;
+  std::map<proxy::ConnectionNumber, InstanceConnection> instances_;
+  proxy::SessionNumber next_session_ = 1;
+  bool ready_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace valvekeel::host
--- /dev/null
+++ b/src/metadata/collection_follower.cc
@@ -0,0 +1,89 @@
+#include "metadata/collection_follower.h"
+
+#include <algorithm>
+
+namespace valvekeel::metadata {
+namespace {
+
+constexpr common::Duration kListTimeout{1'500'000};
+constexpr common::Duration kWatchSlack{700'000};  // a watch's answer may come this much later
+constexpr common::Duration kShortestBackoff{100'000};
+constexpr std::uint32_t kMostDoublings = 3;
+
+}  // namespace
+
+std::optional<ReadCall> CollectionFollower::Next(common::Instant now) {
+  if (calling_ || now < not_before_) {
+    return std::nullopt;
+  }
+  calling_ = true;
+  if (!revision_) {
+    return ReadCall{collection_, std::nullopt, common::Duration(0), kListTimeout};
+  }
+  return ReadCall{collection_, revision_, watch_wait_, watch_wait_ + kWatchSlack};
+}
+
+std::vector<CatalogChange> CollectionFollower::Answer(const ReadResult& result, common::Instant now,
+                                                      double jitter) {
+  calling_ = false;
+  connected_ = result.status == ReadStatus::kOk || result.status == ReadStatus::kHistoryGone;
+  if (result.status == ReadStatus::kHistoryGone) {
+    revision_.reset();
+    return {};
+  }
+  if (!connected_) {
+    BackOff(now, jitter);
+    return {};
+  }
+  failures_ = 0;
+  const bool was_list = !revision_;
+  revision_ = result.revision;
+  return was_list ? ApplyList(result) : ApplyEvents(result);
+}
+
+void CollectionFollower::BackOff(common::Instant now, double jitter) {
+  const common::Duration backoff = kShortestBackoff * (1U << std::min(failures_, kMostDoublings));
+  const auto spread = static_cast<std::int64_t>(jitter * static_cast<double>(backoff.count()));
+  not_before_ = now + backoff / 2 + common::Duration(spread);
+  ++failures_;
+}
+
+std::vector<CatalogChange> CollectionFollower::ApplyList(const ReadResult& result) {
+  std::vector<CatalogChange> changes;
+  std::map<std::string, std::uint64_t> listed;
+  for (const model::CatalogObject& object : result.objects) {
+    listed[object.name] = object.revision;
+    const auto known = known_.find(object.name);
+    if (known == known_.end() || known->second < object.revision) {
+      changes.push_back({object});
+    }
+  }
+  for (const auto& [name, revision] : known_) {
+    if (!listed.contains(name)) {
+      changes.push_back({{name, result.revision, true, std::monostate()}});
+    }
+  }
+  known_ = std::move(listed);
+  listed_ = true;
+  return changes;
+}
+
+std::vector<CatalogChange> CollectionFollower::ApplyEvents(const ReadResult& result) {
+  std::vector<CatalogChange> changes;
+  for (const model::CatalogObject& object : result.objects) {
+    const auto known = known_.find(object.name);
+    const bool older = known != known_.end() && known->second >= object.revision && !object.gone;
+    if (older) {
+      continue;
+    }
+    if (object.gone) {
+      known_.erase(object.name);
+    } else {
+      known_[object.name] = object.revision;
+    }
+    changes.push_back({object});
+  }
+  return changes;
+}
+
+}  // namespace valvekeel::metadata
--- /dev/null
+++ b/src/metadata/collection_follower.h
@@ -0,0 +1,81 @@
+// Follows one collection of the metadata store: a list, then a chain of watches.
+//
+// Owns: the objects known and the revision reached. Invariant: an object's revision never falls; a
+// history that is gone, or a broken answer, leads to a fresh list. Pure. Thread: its host's.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "model/catalog.h"
+
+namespace valvekeel::metadata {
+
+/// A call to the store.
+struct ReadCall {
+  model::Collection collection = model::Collection::kConfiguration;
+  std::optional<std::uint64_t> after_revision;  // a watch; nothing: a list
+  common::Duration wait{0};                     // longest wait of a watch
+  common::Duration timeout{0};                  // after which the host gives the call up
+};
+
+/// How a call ended.
+enum class ReadStatus : std::uint8_t {
+  kOk,
+  kHistoryGone,  // the watch's revision is no longer known
+  kRefused,      // throttled or unavailable: nothing was done
+  kNoAnswer,
+};
+
+struct ReadResult {
+  ReadStatus status = ReadStatus::kNoAnswer;
+  std::uint64_t revision = 0;  // of the store
+  std::vector<model::CatalogObject> objects;
+};
+
+/// A change of an object that the follower did not know yet.
+struct CatalogChange {
+  model::CatalogObject object;
+};
+
+class CollectionFollower {
+ public:
+  /// @param collection to follow. @param watch_wait longest time that a watch waits.
+  CollectionFollower(model::Collection collection, common::Duration watch_wait)
+      : collection_(collection), watch_wait_(watch_wait) {}
+
+  /// @return the call to make now, if any.
+  std::optional<ReadCall> Next(common::Instant now);
+
+  /// Takes the answer of the call that Next returned.
+  /// @param jitter between 0 and 1, spreads the repeated calls of many daemons.
+  /// @return what is new, in the store's order.
+  std::vector<CatalogChange> Answer(const ReadResult& result, common::Instant now, double jitter);
+
+  /// @return true if the last call was answered, so that what is known is at most a watch old.
+  bool Connected() const { return connected_; }
+
+  /// @return true once a list was read.
+  bool Listed() const { return listed_; }
+
+ private:
+  void BackOff(common::Instant now, double jitter);
+  std::vector<CatalogChange> ApplyList(const ReadResult& result);
+  std::vector<CatalogChange> ApplyEvents(const ReadResult& result);
+
+  model::Collection collection_;
+  common::Duration watch_wait_;
+  std::map<std::string, std::uint64_t> known_;  // revisions by name
+  std::optional<std::uint64_t> revision_;       // to watch from; nothing: list first
+  bool calling_ = false;
+  bool listed_ = false;
+  bool connected_ = false;
+  common::Instant not_before_{0};
+  std::uint32_t failures_ = 0;
+};
+
+}  // namespace valvekeel::metadata
--- /dev/null
+++ b/src/model/catalog.h
@@ -0,0 +1,95 @@
+// Configuration and discovery as the decision code sees them.
+//
+// Owns: the typed contents of the metadata store. Invariant: none beyond the types; the store's
+// adapter has checked them. Thread: any (values only).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/endpoint.h"
+#include "common/position.h"
+#include "common/time.h"
+
+namespace valvekeel::model {
+
+/// Which commits a read must see.
+enum class Consistency : std::uint8_t {
+  kPrimary,           // every commit acknowledged before the read
+  kBoundedStaleness,  // commits acknowledged longer ago than the bound
+  kReadYourWrites,    // as above, and those of the same session
+};
+
+/// How requests for one database are served.
+struct Route {
+  std::string database;
+  std::string service;
+  Consistency consistency = Consistency::kPrimary;
+  common::Duration timeout{0};         // of a statement
+  common::Duration target_latency{0};  // of an operation
+  std::uint32_t priority = 0;          // 0 is the highest
+  common::Duration max_staleness{0};
+};
+
+/// A database group as configured.
+struct Service {
+  std::string name;
+  std::uint32_t max_connections = 1;  // of an instance, over all daemons
+  std::uint32_t sync_replicas = 0;    // that hold a commit before it is acknowledged
+};
+
+/// One version of the whole configuration.
+struct Configuration {
+  std::uint64_t version = 0;
+  std::map<std::string, Route> routes;  // by database
+  std::map<std::string, Service> services;
+  common::Duration transaction_idle{0};  // after which an idle transaction may be ended
+};
+
+/// An instance as it announces itself.
+struct InstanceEntry {
+  std::string id;
+  std::string service;
+  common::Endpoint address;
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  bool primary = false;  // as it sees itself
+};
+
+/// A daemon as it announces itself.
+struct DaemonEntry {
+  std::string name;
+  std::string zone;
+  common::Endpoint peer;  // for messages of other daemons
+};
+
+/// Who may promote instances, and what it is about to promote.
+struct LeadershipRecord {
+  std::string holder;
+  std::uint64_t token = 0;     // rises whenever the holder changes
+  std::uint64_t sequence = 0;  // rises with every write
+  std::string nonce;           // names the write, to recognize it after a lost answer
+  std::string service;         // of the attempt, empty if there is none
+  std::string candidate;
+  common::Term term = 0;
+};
+
+enum class Collection : std::uint8_t { kConfiguration, kInstances, kDaemons, kLeadership };
+
+using CatalogPayload =
+    std::variant<std::monostate, Configuration, InstanceEntry, DaemonEntry, LeadershipRecord>;
+
+/// One object of a collection; the payload is empty if it could not be read.
+struct CatalogObject {
+  std::string name;
+  std::uint64_t revision = 0;
+  bool gone = false;
+  CatalogPayload payload;
+};
+
+}  // namespace valvekeel::model
--- /dev/null
+++ b/src/model/reply.h
@@ -0,0 +1,65 @@
+// Answers of instances and answers to callers.
+//
+// Owns: the error codes with what each promises. Invariant: a code for which PromisesNothingKept is
+// true is sent to a caller only if nothing of the request is or will be kept. Thread: any.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/position.h"
+#include "common/time.h"
+
+namespace valvekeel::model {
+
+enum class ErrorCode : std::uint8_t {
+  kBusy,                // no capacity
+  kLagging,             // the log lacks the required position
+  kReadOnly,            // the instance is not the primary
+  kWrongInstance,       // another instance answers at the address
+  kTooManyConnections,  // the instance has no connection left
+  kAborted,             // the transaction was rolled back
+  kFailed,              // ran and failed
+  kTimeout,             // ran out of time, may have run
+  kInDoubt,             // sent, the outcome is unknown
+  kUnknownStatement,    // no prepared statement of that name
+  kUnknownDatabase,
+  kMalformed,
+  kTooLarge,
+  kDenied,
+};
+
+/// @return true if the code promises that nothing of the request is kept.
+bool PromisesNothingKept(ErrorCode code);
+
+/// @return the code's name in logs and metrics.
+const char* ErrorCodeName(ErrorCode code);
+
+enum class TransactionState : std::uint8_t { kIdle, kOpen, kFailed };
+
+/// What an instance says about itself.
+struct InstanceStatus {
+  bool primary = false;
+  common::Term term = 0;
+  common::Position received;
+  common::Term fenced_term = 0;  // replication is paused up to this term, 0 if it is not
+  common::Duration lag{0};
+  std::uint32_t busy_slots = 0;
+  std::uint32_t connections = 0;
+};
+
+/// Answer to one request: rows and either a signature or an error.
+struct Reply {
+  std::vector<std::string> rows;
+  bool succeeded = false;
+  std::string signature;  // of the instance, "-" if the proxy answered
+  ErrorCode error = ErrorCode::kFailed;
+  std::string error_text;
+  TransactionState state = TransactionState::kIdle;
+  std::optional<common::Position> position;  // of the instance's log
+  std::optional<InstanceStatus> status;      // of a status request
+};
+
+}  // namespace valvekeel::model
--- /dev/null
+++ b/src/net/http.cc
@@ -0,0 +1,268 @@
+#include "net/http.h"
+
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace valvekeel::net {
+namespace {
+
+constexpr std::size_t kMostIdle = 8;
+constexpr std::size_t kMostServed = 64;
+constexpr unsigned kUserTimeoutMs = 3000;
+
+std::string RequestBytes(const HttpRequest& request, const common::Endpoint& server) {
+  std::string bytes = request.method + " " + request.target +
+                      " HTTP/1.1\r\nHost: " + common::FormatEndpoint(server) + "\r\n";
+  for (const auto& [name, value] : request.headers) {
+    bytes += name + ": " + value + "\r\n";
+  }
+  if (!request.body.empty() || request.method != "GET") {
+    bytes +=
+        "Content-Type: application/json\r\nContent-Length: " + std::to_string(request.body.size()) +
+        "\r\n";
+  }
+  return bytes + "\r\n" + request.body;
+}
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 404:
+      return "Not Found";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
+  }
+}
+
+std::string ResponseBytes(const HttpResponse& response, bool keep_alive) {
+  std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                      ReasonPhrase(response.status) + "\r\nContent-Type: " + response.content_type +
+                      "\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\n";
+  if (!keep_alive) {
+    bytes += "Connection: close\r\n";
+  }
+  return bytes + "\r\n" + response.body;
+}
+
+}  // namespace
+
+struct HttpClient::Connection {
+  std::shared_ptr<Stream> stream;
+  HttpParser parser{HttpRole::kReadsResponses};
+  std::shared_ptr<Exchange> exchange;  // in progress
+};
+
+struct HttpClient::Exchange {
+  explicit Exchange(asio::io_context& loop) : timer(loop) {}
+
+  asio::steady_timer timer;
+  std::string bytes;
+  HttpHandler handler;
+  std::shared_ptr<Connection> connection;
+  std::chrono::steady_clock::time_point deadline;
+  bool sent = false;
+  bool finished = false;
+};
+
+HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server)
+    : loop_(loop),
+      server_(std::move(server)),
+      idle_(std::make_shared<std::vector<std::shared_ptr<Connection>>>()) {}
+
+void HttpClient::SetServer(const common::Endpoint& server) {
+  if (server == server_) {
+    return;
+  }
+  server_ = server;
+  for (const auto& connection : *idle_) {
+    connection->stream->Close();
+  }
+  idle_->clear();
+}
+
+void HttpClient::Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result) {
+  if (exchange->finished) {
+    return;
+  }
+  exchange->finished = true;
+  exchange->timer.cancel();
+  if (exchange->connection) {
+    exchange->connection->exchange.reset();
+    if (!common::IsOk(result)) {
+      exchange->connection->stream->Close();
+    }
+  }
+  exchange->handler(result);
+}
+
+void HttpClient::Call(const HttpRequest& request, std::chrono::microseconds timeout,
+                      HttpHandler handler) {
+  auto exchange = std::make_shared<Exchange>(loop_);
+  exchange->bytes = RequestBytes(request, server_);
+  exchange->handler = std::move(handler);
+  exchange->timer.expires_after(timeout);
+  exchange->timer.async_wait([exchange](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      Finish(exchange, exchange->sent ? HttpFault::kNoAnswer : HttpFault::kNotSent);
+    }
+  });
+  while (!idle_->empty()) {
+    const std::shared_ptr<Connection> connection = idle_->back();
+    idle_->pop_back();
+    if (connection->stream->Open()) {
+      exchange->connection = connection;
+      connection->exchange = exchange;
+      Send(exchange);
+      return;
+    }
+  }
+  auto connection = std::make_shared<Connection>();
+  connection->stream = std::make_shared<Stream>(loop_);
+  connection->stream->SetUserTimeout(kUserTimeoutMs);
+  connection->exchange = exchange;
+  exchange->connection = connection;
+  const std::weak_ptr<Connection> weak = connection;
+  const auto idle = idle_;
+  connection->stream->Connect(
+      server_, timeout,
+      [this, weak, idle] {
+        const auto opened = weak.lock();
+        if (!opened || !opened->exchange) {
+          return;
+        }
+        opened->stream->Start(
+            [weak, idle](std::string_view bytes) {
+              const auto reading = weak.lock();
+              if (!reading) {
+                return;
+              }
+              if (!reading->parser.Feed(bytes)) {
+                if (reading->exchange) {
+                  Finish(reading->exchange, HttpFault::kNoAnswer);
+                }
+                reading->stream->Close();
+                return;
+              }
+              for (HttpMessage& message : reading->parser.Take()) {
+                const std::shared_ptr<Exchange> done = reading->exchange;
+                if (!done) {
+                  reading->stream->Close();
+                  return;
+                }
+                if (message.keep_alive && idle->size() < kMostIdle) {
+                  idle->push_back(reading);
+                } else {
+                  reading->stream->CloseAfterFlush();
+                }
+                HttpResponse response;
+                response.status = message.status;
+                response.body = std::move(message.body);
+                response.headers = std::move(message.headers);
+                Finish(done, response);
+              }
+            },
+            [weak] {
+              const auto ended = weak.lock();
+              if (ended && ended->exchange) {
+                Finish(ended->exchange, HttpFault::kNoAnswer);
+              }
+            });
+        Send(opened->exchange);
+      },
+      [weak](ConnectFault) {
+        const auto failed = weak.lock();
+        if (failed && failed->exchange) {
+          Finish(failed->exchange, HttpFault::kNotSent);
+        }
+      });
+}
+
+void HttpClient::Send(const std::shared_ptr<Exchange>& exchange) {
+  exchange->sent = true;
+  exchange->connection->stream->Send(std::move(exchange->bytes));
+}
+
+HttpServer::HttpServer(asio::io_context& loop, Handler handler)
+    : loop_(loop), handler_(std::move(handler)), acceptor_(loop) {}
+
+HttpServer::~HttpServer() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+bool HttpServer::Listen(const common::Endpoint& address) {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(address.host, error);
+  if (error) {
+    return false;
+  }
+  const asio::ip::tcp::endpoint endpoint(host, address.port);
+  acceptor_.open(endpoint.protocol(), error);
+  acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  acceptor_.bind(endpoint, error);
+  if (error) {
+    return false;
+  }
+  acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+std::uint16_t HttpServer::Port() const {
+  asio::error_code error;
+  return acceptor_.local_endpoint(error).port();
+}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      Serve(std::move(socket));
+    }
+    Accept();
+  });
+}
+
+void HttpServer::Serve(asio::ip::tcp::socket socket) {
+  if (*connections_ >= kMostServed) {
+    asio::error_code ignored;
+    socket.close(ignored);
+    return;
+  }
+  ++*connections_;
+  const auto count = connections_;
+  auto stream = std::make_shared<Stream>(loop_, std::move(socket));
+  auto parser = std::make_shared<HttpParser>(HttpRole::kReadsRequests);
+  const std::weak_ptr<Stream> weak = stream;
+  stream->Start(
+      [this, weak, parser, count](std::string_view bytes) {
+        const auto serving = weak.lock();
+        if (!serving) {
+          return;
+        }
+        if (!parser->Feed(bytes)) {
+          serving->Close();
+          --*count;
+          return;
+        }
+        for (const HttpMessage& message : parser->Take()) {
+          serving->Send(ResponseBytes(handler_(message), message.keep_alive));
+          if (!message.keep_alive) {
+            serving->CloseAfterFlush();
+            --*count;
+            return;
+          }
+        }
+      },
+      [count] { --*count; });
+}
+
+}  // namespace valvekeel::net
--- /dev/null
+++ b/src/net/stream.cc
@@ -0,0 +1,195 @@
+#include "net/stream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace valvekeel::net {
+namespace {
+
+/// Bytes that may wait for a peer that does not read.
+constexpr std::size_t kMostWaiting = std::size_t{4} << 20U;
+
+}  // namespace
+
+Stream::Stream(asio::io_context& loop, asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), timer_(loop), open_(true) {
+  ApplyOptions();
+}
+
+Stream::Stream(asio::io_context& loop) : socket_(loop), timer_(loop) {}
+
+void Stream::SetUserTimeout(unsigned milliseconds) { user_timeout_ms_ = milliseconds; }
+
+void Stream::ApplyOptions() {
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (user_timeout_ms_ > 0) {
+    // Asio has no option of this name; the call fails harmlessly where it is not known.
+    static_cast<void>(::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                   &user_timeout_ms_, sizeof(user_timeout_ms_)));
+  }
+}
+
+void Stream::Connect(const common::Endpoint& address, std::chrono::microseconds timeout,
+                     ConnectedHandler connected, ConnectFailedHandler failed) {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(address.host, error);
+  if (!error) {
+    socket_.open(asio::ip::tcp::v4(), error);
+  }
+  if (error) {
+    asio::post(timer_.get_executor(), [failed] { failed(ConnectFault::kRefused); });
+    return;
+  }
+  open_ = true;
+  auto self = shared_from_this();
+  const auto done = std::make_shared<bool>(false);
+  timer_.expires_after(timeout);
+  timer_.async_wait([self, done, failed](const asio::error_code& cancelled) {
+    if (cancelled || *done) {
+      return;
+    }
+    *done = true;
+    self->Close();
+    failed(ConnectFault::kTimedOut);
+  });
+  socket_.async_connect({host, address.port}, [self, done, connected = std::move(connected),
+                                               failed](const asio::error_code& fault) {
+    if (*done) {
+      return;
+    }
+    *done = true;
+    self->timer_.cancel();
+    if (!self->open_) {
+      return;
+    }
+    if (fault) {
+      self->Close();
+      failed(ConnectFault::kRefused);
+      return;
+    }
+    self->ApplyOptions();
+    connected();
+  });
+}
+
+void Stream::Start(BytesHandler bytes, ClosedHandler closed) {
+  bytes_ = std::move(bytes);
+  closed_ = std::move(closed);
+  Read();
+}
+
+void Stream::Read() {
+  auto self = shared_from_this();
+  socket_.async_read_some(asio::buffer(input_),
+                          [self](const asio::error_code& error, std::size_t count) {
+                            if (!self->open_) {
+                              return;
+                            }
+                            if (error) {
+                              self->Fail();
+                              return;
+                            }
+                            if (self->bytes_) {
+                              self->bytes_(std::string_view(self->input_.data(), count));
+                            }
+                            if (self->open_) {
+                              self->Read();
+                            }
+                          });
+}
+
+bool Stream::Send(std::string bytes) {
+  if (!open_ || close_after_flush_) {
+    return false;
+  }
+  if (waiting_.size() + bytes.size() > kMostWaiting) {
+    Fail();
+    return false;
+  }
+  if (waiting_.empty()) {
+    waiting_ = std::move(bytes);
+  } else {
+    waiting_ += bytes;
+  }
+  if (!write_in_progress_) {
+    Write();
+  }
+  return true;
+}
+
+void Stream::Write() {
+  // Most writes fit into the socket's buffer: no need for a turn of the loop.
+  asio::error_code error;
+  socket_.non_blocking(true, error);
+  const std::size_t sent = error ? 0 : socket_.write_some(asio::buffer(waiting_), error);
+  if (error && error != asio::error::would_block && error != asio::error::try_again) {
+    auto self = shared_from_this();
+    asio::post(timer_.get_executor(), [self] { self->Fail(); });
+    return;
+  }
+  waiting_.erase(0, error ? 0 : sent);
+  if (waiting_.empty()) {
+    if (close_after_flush_) {
+      Close();
+    }
+    return;
+  }
+  writing_ = std::exchange(waiting_, {});
+  write_in_progress_ = true;
+  auto self = shared_from_this();
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self](const asio::error_code& fault, std::size_t) {
+                      self->write_in_progress_ = false;
+                      self->writing_.clear();
+                      if (!self->open_) {
+                        return;
+                      }
+                      if (fault) {
+                        self->Fail();
+                      } else if (!self->waiting_.empty()) {
+                        self->Write();
+                      } else if (self->close_after_flush_) {
+                        self->Close();
+                      }
+                    });
+}
+
+void Stream::Fail() {
+  if (!open_) {
+    return;
+  }
+  // The handler may hold the last reference to this object.
+  auto self = shared_from_this();
+  const ClosedHandler closed = std::move(closed_);
+  Close();
+  if (closed) {
+    closed();
+  }
+}
+
+void Stream::CloseAfterFlush() {
+  close_after_flush_ = true;
+  if (!write_in_progress_ && waiting_.empty()) {
+    Close();
+  }
+}
+
+void Stream::Close() {
+  if (!open_) {
+    return;
+  }
+  open_ = false;
+  timer_.cancel();
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  bytes_ = nullptr;
+  closed_ = nullptr;
+}
+
+}  // namespace valvekeel::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,76 @@
+// One TCP connection with buffered writes.
+//
+// Owns: the socket and what is still to be written. Invariant: after Close or an error no handler
+// is called any more, but for the one call of the closed handler; what waits to be written is
+// bounded. Thread: the event loop's.
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "common/endpoint.h"
+
+namespace valvekeel::net {
+
+/// Why a connection could not be opened.
+enum class ConnectFault { kRefused, kTimedOut };
+
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  using BytesHandler = std::function<void(std::string_view)>;
+  using ClosedHandler = std::function<void()>;
+  using ConnectedHandler = std::function<void()>;
+  using ConnectFailedHandler = std::function<void(ConnectFault)>;
+
+  /// Takes over an accepted socket.
+  Stream(asio::io_context& loop, asio::ip::tcp::socket socket);
+  explicit Stream(asio::io_context& loop);
+
+  /// Opens the connection. @param timeout longest time to wait.
+  void Connect(const common::Endpoint& address, std::chrono::microseconds timeout,
+               ConnectedHandler connected, ConnectFailedHandler failed);
+
+  /// Starts to read. @param closed called once if the other side or an error ends the connection.
+  void Start(BytesHandler bytes, ClosedHandler closed);
+
+  /// Sends bytes in order. @return false if too much waits already: the connection is closed then.
+  bool Send(std::string bytes);
+
+  /// Ends the connection once what was sent has left.
+  void CloseAfterFlush();
+
+  /// Ends the connection at once.
+  void Close();
+
+  bool Open() const { return open_; }
+
+  /// Longest time that sent bytes may stay unacknowledged. @param milliseconds 0 for the system's.
+  void SetUserTimeout(unsigned milliseconds);
+
+ private:
+  void Read();
+  void Write();
+  void Fail();
+  void ApplyOptions();
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::array<char, 8192> input_{};
+  std::string writing_;
+  std::string waiting_;
+  bool open_ = false;
+  bool write_in_progress_ = false;
+  bool close_after_flush_ = false;
+  unsigned user_timeout_ms_ = 0;
+  BytesHandler bytes_;
+  ClosedHandler closed_;
+};
+
+}  // namespace valvekeel::net
--- a/src/platform/client.cc
+++ b/src/object_store/client.cc
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "object_store/client.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-namespace valvekeel::platform {
+namespace valvekeel::object_store {
 namespace {
 
 using common::IsOk;
@@ -224,4 +224,4 @@
   return {FaultKind::kUnavailable, "the watch ended"};
 }
 
-}  // namespace valvekeel::platform
+}  // namespace valvekeel::object_store
--- a/src/platform/client.h
+++ b/src/object_store/client.h
@@ -14,7 +14,7 @@
 #include "cluster/member.h"
 #include "common/result.h"
 
-namespace valvekeel::platform {
+namespace valvekeel::object_store {
 
 enum class FaultKind : std::uint8_t {
   kUnavailable,  // no answer, nothing was changed (reads) or it is not known (changes)
@@ -75,4 +75,4 @@
   cluster::Endpoint address_;
 };
 
-}  // namespace valvekeel::platform
+}  // namespace valvekeel::object_store
--- a/src/platform/watcher.cc
+++ b/src/object_store/watcher.cc
@@ -1,4 +1,4 @@
-#include "platform/watcher.h"
+#include "object_store/watcher.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-namespace valvekeel::platform {
+namespace valvekeel::object_store {
 namespace {
 
 constexpr std::chrono::milliseconds kPauseAfterFault{200};
@@ -89,4 +89,4 @@
   shared_->stop = true;
 }
 
-}  // namespace valvekeel::platform
+}  // namespace valvekeel::object_store
--- a/src/platform/watcher.h
+++ b/src/object_store/watcher.h
@@ -10,9 +10,9 @@
 #include <memory>
 #include <string>
 
-#include "platform/client.h"
+#include "object_store/client.h"
 
-namespace valvekeel::platform {
+namespace valvekeel::object_store {
 
 /// Receives what a watcher sees.
 struct WatchHandlers {
@@ -39,4 +39,4 @@
   std::shared_ptr<Shared> shared_;
 };
 
-}  // namespace valvekeel::platform
+}  // namespace valvekeel::object_store
--- /dev/null
+++ b/src/proxy/actions.h
@@ -0,0 +1,133 @@
+// What the proxy's decision code asks its host to do.
+//
+// Owns: the typed actions. Invariant: an action carries all that its host needs; the host decides
+// nothing. Thread: any (values only).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/endpoint.h"
+#include "common/time.h"
+#include "failover/leadership.h"
+#include "metadata/collection_follower.h"
+#include "model/catalog.h"
+#include "model/reply.h"
+#include "model/request.h"
+#include "proxy/peer_message.h"
+
+namespace valvekeel::proxy {
+
+/// Number of a caller's session, counted by the host.
+using SessionNumber = std::uint64_t;
+
+/// Number of a connection to an instance, counted by the proxy.
+using ConnectionNumber = std::uint64_t;
+
+/// Number of a call whose answer the host brings back, counted by the proxy.
+using CallNumber = std::uint64_t;
+
+struct OpenConnection {
+  ConnectionNumber connection = 0;
+  common::Endpoint address;
+  std::string service;
+  std::string instance;
+};
+
+/// Sends requests in one write; each is answered in turn.
+struct SendRequests {
+  ConnectionNumber connection = 0;
+  std::vector<model::InstanceRequest> requests;
+};
+
+struct CloseConnection {
+  ConnectionNumber connection = 0;
+};
+
+/// Tells a caller that its session may begin.
+struct AcceptSession {
+  SessionNumber session = 0;
+};
+
+/// How long a statement took, for metrics.
+struct StatementTimes {
+  model::Consistency consistency = model::Consistency::kPrimary;
+  common::Duration waited{0};    // for an instance
+  common::Duration instance{0};  // from sending to the answer
+};
+
+/// Answers the caller's oldest unanswered command.
+struct AnswerCaller {
+  SessionNumber session = 0;
+  model::Reply reply;
+  std::optional<StatementTimes> times;  // of a statement that an instance answered
+};
+
+/// Ends a session once what was sent to it has left; an error goes out first if there is one.
+struct CloseSession {
+  SessionNumber session = 0;
+  bool with_error = false;
+  model::ErrorCode error = model::ErrorCode::kBusy;
+  std::string error_text;
+};
+
+struct ReadCatalog {
+  CallNumber call = 0;
+  metadata::ReadCall read;
+};
+
+struct WriteLeadership {
+  CallNumber call = 0;
+  failover::RecordWrite write;
+};
+
+/// Writes what this daemon announces of itself, whatever is there.
+struct WriteDaemon {
+  CallNumber call = 0;
+  model::DaemonEntry entry;
+};
+
+struct Promote {
+  CallNumber call = 0;
+  std::string service;
+  std::string instance;
+  std::string holder;
+  std::uint64_t token = 0;
+};
+
+struct SendPeer {
+  common::Endpoint address;
+  PeerMessage message;
+};
+
+/// Asks another daemon for the catalog that it knows.
+struct FetchCatalog {
+  CallNumber call = 0;
+  common::Endpoint address;
+};
+
+struct SetReady {
+  bool ready = false;
+};
+
+/// Ends the process.
+struct Exit {};
+
+enum class LogLevel : std::uint8_t { kInfo, kWarning };
+
+/// A line for the log; see docs/operators/log-events.md.
+struct LogEvent {
+  LogLevel level = LogLevel::kInfo;
+  const char* event = "";
+  std::vector<std::pair<const char*, std::string>> fields;
+};
+
+using Action = std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession,
+                            AnswerCaller, CloseSession, ReadCatalog, WriteLeadership, WriteDaemon,
+                            Promote, SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/backend.h
@@ -0,0 +1,120 @@
+// One instance as this daemon sees it: its connections and its health.
+//
+// Owns: the connections to the instance with what is in force on each. Invariant: a connection is
+// handed out only if it is open, has no request outstanding, holds no transaction and belongs to no
+// session. Pure. Thread: its host's.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "model/catalog.h"
+#include "model/command.h"
+#include "model/reply.h"
+#include "model/request.h"
+#include "proxy/actions.h"
+
+namespace valvekeel::proxy {
+
+/// Session values by name.
+using SessionValues = std::map<std::string, std::string>;
+
+/// What an outstanding request is for.
+enum class Purpose : std::uint8_t {
+  kStatement,    // a caller's command
+  kPreparation,  // brings the connection to the caller's state
+  kControl,      // a control request
+  kCleanup,      // rolls back what nobody waits for
+};
+
+/// Number of a control request.
+using ControlNumber = std::uint64_t;
+
+struct Outstanding {
+  Purpose purpose = Purpose::kStatement;
+  common::Instant sent{0};
+  ControlNumber control = 0;
+};
+
+struct Connection {
+  ConnectionNumber number = 0;
+  bool open = false;
+  common::Instant created{0};
+  common::Instant last_used{0};
+  SessionValues values;
+  std::map<model::PreparedStatement, std::string> prepared;  // names on this connection
+  std::optional<SessionNumber> session;                      // that it belongs to for now
+  model::TransactionState state = model::TransactionState::kIdle;
+  std::deque<Outstanding> outstanding;
+};
+
+/// A control request that waits for a connection or an answer.
+struct ControlItem {
+  ControlNumber number = 0;
+  model::ControlRequest request;
+  common::Instant queued{0};
+};
+
+/// Taken for the latency of an instance until one was measured.
+inline constexpr double kInitialLatencyUs = 10'000;
+
+class Backend {
+ public:
+  explicit Backend(model::InstanceEntry entry) : entry_(std::move(entry)) {}
+
+  const model::InstanceEntry& Entry() const { return entry_; }
+  void SetEntry(const model::InstanceEntry& entry) { entry_ = entry; }
+
+  // Connections.
+  Connection& Add(ConnectionNumber number, common::Instant now);
+  Connection* Find(ConnectionNumber number);
+  void Remove(ConnectionNumber number) { connections_.erase(number); }
+  std::map<ConnectionNumber, Connection>& Connections() { return connections_; }
+  const std::map<ConnectionNumber, Connection>& Connections() const { return connections_; }
+
+  /// @return a free connection, preferably with these values in force, or nothing.
+  Connection* PickFree(const SessionValues& values);
+  std::size_t Opening() const;
+  std::size_t Busy() const;  // connections with a request outstanding
+
+  // Health.
+  void Heard(common::Instant now);
+  void OpenFailed(common::Instant now, bool refused);
+  void ProbeFailed(common::Instant now);
+
+  /// @return true if requests have been unanswered in silence for a while.
+  bool Silent(common::Instant now) const;
+
+  /// @return true if it does not answer at all.
+  bool Unreachable() const { return unreachable_since_.has_value(); }
+  std::optional<common::Instant> UnreachableSince() const { return unreachable_since_; }
+
+  bool MayOpen(common::Instant now) const { return now >= open_not_before_; }
+  void DelayOpening(common::Instant until) { open_not_before_ = until; }
+
+  // Load.
+  void NoteLatency(common::Duration latency);
+  double LatencyUs() const { return latency_us_; }
+  common::Instant avoid_until{0};    // after it refused for want of capacity
+  common::Instant lagging_until{0};  // after it lacked a position
+  common::Instant probe_sent_at{0};  // of the last health probe
+  std::deque<ControlItem> control_queue;
+  std::optional<common::Instant> gone_since;      // its entry is no longer listed
+  std::optional<common::Instant> draining_since;  // it said that it will end
+  std::optional<model::InstanceStatus> status;    // last seen
+
+ private:
+  model::InstanceEntry entry_;
+  std::map<ConnectionNumber, Connection> connections_;
+  common::Instant last_heard_{0};
+  std::optional<common::Instant> unreachable_since_;
+  common::Instant open_not_before_{0};
+  double latency_us_ = kInitialLatencyUs;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/backend_set.cc
@@ -0,0 +1,382 @@
+#include "proxy/backend_set.h"
+
+#include <algorithm>
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Duration kControlTimeout{300'000};
+constexpr common::Duration kProbePause{250'000};
+constexpr common::Duration kAbandonedLimit{3'000'000};  // for an answer that nobody waits for
+constexpr common::Duration kOpenLimit{800'000};         // for a connection to be accepted
+constexpr common::Duration kCrowdedPause{400'000};      // after an instance had no connection left
+constexpr common::Duration kRemovedAfter{30'000'000};   // an entry that is gone and unreachable
+constexpr std::size_t kExtraForControl = 1;
+constexpr std::size_t kDefaultLimit = 2;
+
+const char* OpenFailureName(OpenFailure failure) {
+  switch (failure) {
+    case OpenFailure::kRefused:
+      return "refused";
+    case OpenFailure::kSilent:
+      return "silent";
+    case OpenFailure::kRejected:
+      return "another instance answers";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void BackendSet::SetEntry(const model::InstanceEntry& entry, common::Instant now) {
+  const auto found = backends_.find(entry.id);
+  if (found == backends_.end()) {
+    backends_.emplace(entry.id, Backend(entry));
+    outbox_.Log("instance_listed", {{"instance", entry.id},
+                                    {"service", entry.service},
+                                    {"zone", entry.zone},
+                                    {"draining", entry.draining ? "true" : "false"}});
+  }
+  Backend& backend = backends_.at(entry.id);
+  backend.SetEntry(entry);
+  backend.gone_since.reset();
+  if (!entry.draining) {
+    backend.draining_since.reset();
+  } else if (!backend.draining_since) {
+    backend.draining_since = now;
+    outbox_.Log("instance_draining", {{"instance", entry.id}, {"service", entry.service}});
+  }
+}
+
+void BackendSet::EntryGone(const std::string& id, common::Instant now) {
+  Backend* backend = Find(id);
+  if (backend != nullptr && !backend->gone_since) {
+    backend->gone_since = now;
+    outbox_.Log("instance_unlisted", {{"instance", id}, {"service", backend->Entry().service}});
+  }
+}
+
+Backend* BackendSet::Find(const std::string& id) {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit) {
+  limits_[service] = limit;
+}
+
+std::size_t BackendSet::ConnectionLimit(const std::string& service) const {
+  const auto found = limits_.find(service);
+  return found == limits_.end() ? kDefaultLimit : found->second;
+}
+
+bool BackendSet::Open(Backend& backend, common::Instant now, std::size_t extra) {
+  const std::size_t limit = ConnectionLimit(backend.Entry().service) + extra;
+  if (!backend.MayOpen(now) || backend.Connections().size() >= limit) {
+    return false;
+  }
+  const ConnectionNumber number = outbox_.NextNumber();
+  backend.Add(number, now);
+  owners_[number] = backend.Entry().id;
+  outbox_.Emit(
+      OpenConnection{number, backend.Entry().address, backend.Entry().service, backend.Entry().id});
+  return true;
+}
+
+void BackendSet::Send(Backend& backend, Connection& connection,
+                      std::vector<model::InstanceRequest> requests, Purpose purpose,
+                      common::Instant now) {
+  static_cast<void>(backend);
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    connection.outstanding.push_back({purpose, now, 0});
+  }
+  connection.last_used = now;
+  outbox_.Emit(SendRequests{connection.number, std::move(requests)});
+}
+
+void BackendSet::Control(const std::string& instance, const model::ControlRequest& request,
+                         ControlCallback callback, common::Instant now) {
+  Backend* backend = Find(instance);
+  if (backend == nullptr) {
+    callback(std::nullopt, now);
+    return;
+  }
+  const ControlNumber number = outbox_.NextNumber();
+  controls_[number] = {std::move(callback), instance, now};
+  backend->control_queue.push_back({number, request, now});
+  ServeControls(*backend, now);
+}
+
+void BackendSet::ServeControls(Backend& backend, common::Instant now) {
+  while (!backend.control_queue.empty()) {
+    Connection* connection = backend.PickFree({});
+    if (connection == nullptr) {
+      if (backend.Opening() == 0) {
+        Open(backend, now, kExtraForControl);
+      }
+      return;
+    }
+    const ControlItem item = backend.control_queue.front();
+    backend.control_queue.pop_front();
+    connection->outstanding.push_back({Purpose::kControl, now, item.number});
+    outbox_.Emit(SendRequests{connection->number, {item.request}});
+  }
+}
+
+void BackendSet::FinishControl(ControlNumber number,
+                               const std::optional<model::InstanceStatus>& status,
+                               common::Instant now) {
+  const auto found = controls_.find(number);
+  if (found == controls_.end()) {
+    return;
+  }
+  const PendingControl control = std::move(found->second);
+  controls_.erase(found);
+  if (Backend* backend = Find(control.instance); backend != nullptr && status) {
+    backend->status = status;
+  }
+  control.callback(status, now);
+}
+
+void BackendSet::Release(Backend& backend, Connection& connection, common::Instant now) {
+  connection.session.reset();
+  const bool in_transaction = connection.state != model::TransactionState::kIdle;
+  if (connection.outstanding.empty() && in_transaction) {
+    model::Command rollback;
+    rollback.kind = model::CommandKind::kRollback;
+    Send(backend, connection, {model::SessionRequest{"", rollback, std::nullopt}},
+         Purpose::kCleanup, now);
+    return;
+  }
+  ServeControls(backend, now);
+}
+
+void BackendSet::Close(Backend& backend, ConnectionNumber number) {
+  Connection* connection = backend.Find(number);
+  if (connection == nullptr) {
+    return;
+  }
+  outbox_.Emit(CloseConnection{number});
+  owners_.erase(number);
+  std::vector<ControlNumber> unanswered;
+  for (const Outstanding& outstanding : connection->outstanding) {
+    if (outstanding.purpose == Purpose::kControl) {
+      unanswered.push_back(outstanding.control);
+    }
+  }
+  backend.Remove(number);
+  for (const ControlNumber control : unanswered) {
+    // Its time is over soon; the callback comes from ExpireControls.
+    const auto pending = controls_.find(control);
+    if (pending != controls_.end()) {
+      pending->second.started = common::Instant(0);
+    }
+  }
+}
+
+Backend* BackendSet::Owner(ConnectionNumber number) {
+  const auto owner = owners_.find(number);
+  return owner == owners_.end() ? nullptr : Find(owner->second);
+}
+
+void BackendSet::Opened(ConnectionNumber number, common::Instant now) {
+  Backend* backend = Owner(number);
+  if (backend == nullptr) {
+    return;
+  }
+  const bool was_unreachable = backend->Unreachable();
+  backend->Heard(now);
+  if (was_unreachable) {
+    outbox_.Log("instance_regained", {{"instance", backend->Entry().id}});
+  }
+  Connection* connection = backend->Find(number);
+  connection->open = true;
+  connection->last_used = now;
+  ServeControls(*backend, now);
+  observer_->OnCapacity(now);
+}
+
+void BackendSet::OpenFailed(ConnectionNumber number, OpenFailure failure, model::ErrorCode error,
+                            common::Instant now) {
+  Backend* backend = Owner(number);
+  if (backend == nullptr) {
+    return;
+  }
+  owners_.erase(number);
+  backend->Remove(number);
+  const bool wrong_instance =
+      failure == OpenFailure::kRejected && error == model::ErrorCode::kWrongInstance;
+  if (failure != OpenFailure::kRejected || wrong_instance) {
+    const bool was_unreachable = backend->Unreachable();
+    backend->OpenFailed(now, failure != OpenFailure::kSilent);
+    if (!was_unreachable && backend->Unreachable()) {
+      outbox_.Log("instance_lost",
+                  {{"instance", backend->Entry().id}, {"reason", OpenFailureName(failure)}},
+                  LogLevel::kWarning);
+    }
+  } else {
+    backend->Heard(now);
+    backend->DelayOpening(now + kCrowdedPause);
+    outbox_.Log("connection_rejected",
+                {{"instance", backend->Entry().id}, {"reason", model::ErrorCodeName(error)}});
+  }
+  observer_->OnCapacity(now);
+}
+
+void BackendSet::Answered(ConnectionNumber number, const model::Reply& reply, common::Instant now) {
+  Backend* backend = Owner(number);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(number);
+  if (connection == nullptr) {
+    return;
+  }
+  backend->Heard(now);
+  if (connection->outstanding.empty()) {
+    Closed(number, now);
+    outbox_.Emit(CloseConnection{number});
+    return;
+  }
+  const Outstanding outstanding = connection->outstanding.front();
+  connection->outstanding.pop_front();
+  connection->state = reply.state;
+  connection->last_used = now;
+  if (outstanding.purpose == Purpose::kControl) {
+    FinishControl(outstanding.control, reply.status, now);
+    // The callback may have closed the connection.
+    connection = backend->Find(number);
+  } else if (connection->session) {
+    observer_->OnAnswer(*backend, *connection, outstanding, reply, now);
+    connection = backend->Find(number);
+  }
+  if (connection == nullptr) {
+    return;
+  }
+  if (!connection->session && connection->outstanding.empty()) {
+    Release(*backend, *connection, now);
+    observer_->OnCapacity(now);
+  }
+}
+
+void BackendSet::Closed(ConnectionNumber number, common::Instant now) {
+  Backend* backend = Owner(number);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(number);
+  if (connection == nullptr) {
+    return;
+  }
+  if (!connection->open) {
+    OpenFailed(number, OpenFailure::kRefused, model::ErrorCode::kFailed, now);
+    return;
+  }
+  Connection lost = std::move(*connection);
+  owners_.erase(number);
+  backend->Remove(number);
+  for (const Outstanding& outstanding : lost.outstanding) {
+    if (outstanding.purpose == Purpose::kControl) {
+      FinishControl(outstanding.control, std::nullopt, now);
+    }
+  }
+  if (lost.session) {
+    observer_->OnLost(*backend, lost, now);
+  }
+  // Find out at once whether the instance still listens.
+  if (backend->Connections().empty()) {
+    Open(*backend, now);
+  }
+}
+
+void BackendSet::ExpireControls(common::Instant now) {
+  std::vector<ControlNumber> expired;
+  for (const auto& [number, control] : controls_) {
+    if (now >= control.started + kControlTimeout) {
+      expired.push_back(number);
+    }
+  }
+  for (const ControlNumber number : expired) {
+    if (Backend* backend = Find(controls_[number].instance)) {
+      std::erase_if(backend->control_queue,
+                    [number](const ControlItem& item) { return item.number == number; });
+    }
+    FinishControl(number, std::nullopt, now);
+  }
+}
+
+void BackendSet::CheckHealth(Backend& backend, common::Instant now) {
+  const bool probe_due = now >= backend.probe_sent_at + kProbePause;
+  if (backend.Silent(now) && !backend.Unreachable() && probe_due) {
+    backend.probe_sent_at = now;
+    const std::string id = backend.Entry().id;
+    Control(
+        id, {model::ControlKind::kStatus, 0},
+        [this, id](const std::optional<model::InstanceStatus>& status, common::Instant at) {
+          Backend* probed = Find(id);
+          if (probed == nullptr || status || probed->Unreachable()) {
+            return;
+          }
+          probed->ProbeFailed(at);
+          if (probed->Unreachable()) {
+            outbox_.Log("instance_lost", {{"instance", id}, {"reason", "silent"}},
+                        LogLevel::kWarning);
+          }
+        },
+        now);
+  }
+  const bool wanted = backend.Unreachable() || backend.Connections().empty();
+  if (wanted && backend.Opening() == 0) {
+    Open(backend, now, kExtraForControl);
+  }
+}
+
+void BackendSet::TrimConnections(Backend& backend, common::Instant now) {
+  std::vector<ConnectionNumber> closing;
+  const std::size_t limit = ConnectionLimit(backend.Entry().service);
+  std::size_t total = backend.Connections().size();
+  std::vector<ConnectionNumber> unopened;
+  for (auto& [number, connection] : backend.Connections()) {
+    if (!connection.open && now >= connection.created + kOpenLimit) {
+      unopened.push_back(number);
+    }
+    const bool idle = connection.open && connection.outstanding.empty() && !connection.session;
+    const bool surplus = idle && total > limit;
+    const bool abandoned = !connection.session && !connection.outstanding.empty() &&
+                           now >= connection.outstanding.front().sent + kAbandonedLimit;
+    if (surplus || abandoned) {
+      closing.push_back(number);
+      --total;
+    }
+  }
+  for (const ConnectionNumber number : closing) {
+    Close(backend, number);
+  }
+  for (const ConnectionNumber number : unopened) {
+    outbox_.Emit(CloseConnection{number});
+    OpenFailed(number, OpenFailure::kSilent, model::ErrorCode::kFailed, now);
+  }
+}
+
+bool BackendSet::RemoveEnded(Backend& backend, common::Instant now) {
+  const bool ended =
+      backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kRemovedAfter;
+  if (!ended) {
+    return false;
+  }
+  while (!backend.Connections().empty()) {
+    Close(backend, backend.Connections().begin()->first);
+  }
+  return true;
+}
+
+void BackendSet::Tick(common::Instant now) {
+  ExpireControls(now);
+  std::vector<std::string> ended;
+  for (auto& [id, backend] : backends_) {
+    CheckHealth(backend, now);
+    TrimConnections(backend, now);
+    if (RemoveEnded(backend, now)) {
+      ended.push_back(id);
+    }
+  }
+  for (const std::string& id : ended) {
+    backends_.erase(id);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/backend_set.h
@@ -0,0 +1,113 @@
+// All instances and the connections to them.
+//
+// Owns: the backends, which connection belongs to which, and control requests in progress.
+// Invariant: every control request's callback is called exactly once, at the latest kControlTimeout
+// after the request. Pure. Thread: its host's.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "proxy/backend.h"
+#include "proxy/outbox.h"
+
+namespace valvekeel::proxy {
+
+/// Takes a control request's answer: the instance's status, or nothing if there was none.
+using ControlCallback =
+    std::function<void(const std::optional<model::InstanceStatus>&, common::Instant now)>;
+
+/// Why a connection could not be opened.
+enum class OpenFailure : std::uint8_t {
+  kRefused,   // nobody listens
+  kSilent,    // no answer in time
+  kRejected,  // the instance answered with an error
+};
+
+/// Told of what happens to connections that serve callers.
+class ConnectionObserver {
+ public:
+  virtual ~ConnectionObserver() = default;
+
+  /// A request of the session's was answered.
+  virtual void OnAnswer(Backend& backend, Connection& connection, const Outstanding& outstanding,
+                        const model::Reply& reply, common::Instant now) = 0;
+
+  /// The connection is gone; it is removed after this call.
+  virtual void OnLost(Backend& backend, Connection& connection, common::Instant now) = 0;
+
+  /// Some instance may take more work now.
+  virtual void OnCapacity(common::Instant now) = 0;
+};
+
+class BackendSet {
+ public:
+  explicit BackendSet(Outbox& outbox) : outbox_(outbox) {}
+
+  void SetObserver(ConnectionObserver* observer) { observer_ = observer; }
+
+  /// Takes an instance's entry as the store has it.
+  void SetEntry(const model::InstanceEntry& entry, common::Instant now);
+
+  /// The instance's entry is gone; the instance may still serve.
+  void EntryGone(const std::string& id, common::Instant now);
+
+  Backend* Find(const std::string& id);
+  std::map<std::string, Backend>& All() { return backends_; }
+  const std::map<std::string, Backend>& All() const { return backends_; }
+
+  /// Sets how many connections this daemon may have to an instance.
+  void SetConnectionLimit(const std::string& service, std::size_t limit);
+  std::size_t ConnectionLimit(const std::string& service) const;
+
+  /// Opens a connection if the limit allows it. @param extra connections beyond the limit.
+  bool Open(Backend& backend, common::Instant now, std::size_t extra = 0);
+
+  /// Sends requests of one purpose over a connection.
+  void Send(Backend& backend, Connection& connection, std::vector<model::InstanceRequest> requests,
+            Purpose purpose, common::Instant now);
+
+  /// Sends a control request as soon as a connection is free.
+  void Control(const std::string& instance, const model::ControlRequest& request,
+               ControlCallback callback, common::Instant now);
+
+  /// Gives a connection back: whatever transaction is open on it is rolled back first.
+  void Release(Backend& backend, Connection& connection, common::Instant now);
+
+  /// Closes a connection without telling the observer.
+  void Close(Backend& backend, ConnectionNumber number);
+
+  void Opened(ConnectionNumber number, common::Instant now);
+  void OpenFailed(ConnectionNumber number, OpenFailure failure, model::ErrorCode error,
+                  common::Instant now);
+  void Answered(ConnectionNumber number, const model::Reply& reply, common::Instant now);
+  void Closed(ConnectionNumber number, common::Instant now);
+  void Tick(common::Instant now);
+
+ private:
+  struct PendingControl {
+    ControlCallback callback;
+    std::string instance;
+    common::Instant started{0};
+  };
+
+  Backend* Owner(ConnectionNumber number);
+  void ServeControls(Backend& backend, common::Instant now);
+  void FinishControl(ControlNumber number, const std::optional<model::InstanceStatus>& status,
+                     common::Instant now);
+  void ExpireControls(common::Instant now);
+  void CheckHealth(Backend& backend, common::Instant now);
+  void TrimConnections(Backend& backend, common::Instant now);
+  bool RemoveEnded(Backend& backend, common::Instant now);
+
+  Outbox& outbox_;
+  ConnectionObserver* observer_ = nullptr;
+  std::map<std::string, Backend> backends_;
+  std::map<ConnectionNumber, std::string> owners_;
+  std::map<ControlNumber, PendingControl> controls_;
+  std::map<std::string, std::size_t> limits_;  // by service
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/caller_session.h
@@ -0,0 +1,83 @@
+// State of one caller's session.
+//
+// Owns: the session's values, prepared statements, transaction and commands. Invariant: at most one
+// command is in progress; a transaction's connection is set from its first statement until its end.
+// Thread: its host's (values only).
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "common/position.h"
+#include "common/time.h"
+#include "model/catalog.h"
+#include "model/command.h"
+#include "proxy/actions.h"
+#include "proxy/backend.h"
+
+namespace valvekeel::proxy {
+
+/// A command as it came from the caller.
+struct CallerCommand {
+  std::string request_id;
+  model::Command command;
+};
+
+enum class OperationPhase : std::uint8_t {
+  kWaiting,    // for an instance that can take it
+  kPreparing,  // the connection is being brought to the session's state
+  kRunning,    // the caller's own text was sent
+};
+
+/// The command in progress.
+struct Operation {
+  CallerCommand caller;
+  model::Route route;
+  common::Instant arrived{0};
+  common::Instant deadline{0};    // when the statement's time is over
+  common::Instant hold_until{0};  // refused if no instance was found by then
+  common::Instant not_before{0};  // pause after an instance refused it
+  OperationPhase phase = OperationPhase::kWaiting;
+  std::string instance;
+  ConnectionNumber connection = 0;
+  common::Instant sent{0};
+  std::size_t preparations = 0;              // not answered yet
+  std::optional<common::Position> required;  // that the instance's log must hold
+  std::uint32_t attempts = 0;
+  std::set<std::string> avoided;  // instances that could not serve it
+  const char* last_refusal = "no instance";
+};
+
+struct Transaction {
+  bool open = false;
+  bool read_only = false;
+  bool failed = false;  // only its end is taken
+  bool ran = false;     // a statement has run in it
+  std::string begin_id;
+  model::Route route;
+  common::Instant began{0};
+  common::Instant last_active{0};
+  std::string instance;
+  std::optional<ConnectionNumber> connection;
+};
+
+struct CallerSession {
+  SessionNumber number = 0;
+  std::string database;
+  std::string user;
+  bool accepted = false;
+  common::Instant started{0};
+  SessionValues values;
+  std::map<std::string, model::PreparedStatement> prepared;
+  Transaction transaction;
+  std::optional<Operation> operation;
+  std::deque<CallerCommand> queue;
+  common::Position own_commit;  // last acknowledged commit of the session
+  common::Instant own_commit_at{0};
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/catalog_state.cc
@@ -0,0 +1,182 @@
+#include "proxy/catalog_state.h"
+
+#include <algorithm>
+
+namespace valvekeel::proxy {
+namespace {
+
+using model::Collection;
+
+const char* CollectionName(Collection collection) {
+  switch (collection) {
+    case Collection::kConfiguration:
+      return "configuration";
+    case Collection::kInstances:
+      return "instances";
+    case Collection::kDaemons:
+      return "daemons";
+    case Collection::kLeadership:
+      return "leadership";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+CatalogState::CatalogState(const ProxySettings& settings, Outbox& outbox) : outbox_(outbox) {
+  for (const Collection collection : {Collection::kConfiguration, Collection::kInstances,
+                                      Collection::kDaemons, Collection::kLeadership}) {
+    followers_.emplace(collection, metadata::CollectionFollower(collection, settings.watch_wait));
+  }
+}
+
+void CatalogState::Tick(common::Instant now) {
+  for (auto& [collection, follower] : followers_) {
+    const auto call = follower.Next(now);
+    if (!call) {
+      continue;
+    }
+    const CallNumber number = outbox_.NextNumber();
+    calls_[number] = collection;
+    outbox_.Emit(ReadCatalog{number, *call});
+  }
+}
+
+CatalogUpdate CatalogState::Answered(CallNumber call, const metadata::ReadResult& result,
+                                     common::Instant now, double jitter) {
+  CatalogUpdate update;
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) {
+    return update;
+  }
+  const Collection collection = found->second;
+  calls_.erase(found);
+  metadata::CollectionFollower& follower = followers_.at(collection);
+  const bool was_listed = follower.Listed();
+  for (const metadata::CatalogChange& change : follower.Answer(result, now, jitter)) {
+    Apply(change.object, collection, update);
+  }
+  const bool first_list = follower.Listed() && !was_listed;
+  if (first_list && collection == Collection::kLeadership && !update.leadership) {
+    update.leadership = {model::LeadershipRecord{}, 0};
+  }
+  if (first_list && collection == Collection::kInstances) {
+    DropUnlisted(result, update);
+  }
+  if (result.status != metadata::ReadStatus::kOk) {
+    outbox_.Log("store_call_failed",
+                {{"collection", CollectionName(collection)},
+                 {"status", std::to_string(static_cast<int>(result.status))}},
+                LogLevel::kWarning);
+  }
+  NoteConnection(now);
+  return update;
+}
+
+void CatalogState::DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update) {
+  std::set<std::string> listed;
+  for (const model::CatalogObject& object : result.objects) {
+    listed.insert(object.name);
+  }
+  for (auto instance = instances_.begin(); instance != instances_.end();) {
+    if (listed.contains(instance->first)) {
+      ++instance;
+      continue;
+    }
+    update.instances_gone.push_back(instance->first);
+    instance = instances_.erase(instance);
+  }
+}
+
+void CatalogState::NoteConnection(common::Instant now) {
+  static_cast<void>(now);
+  const bool connected = std::all_of(followers_.begin(), followers_.end(),
+                                     [](const auto& entry) { return entry.second.Connected(); });
+  if (connected != connected_) {
+    connected_ = connected;
+    outbox_.Log(connected ? "store_regained" : "store_lost", {},
+                connected ? LogLevel::kInfo : LogLevel::kWarning);
+  }
+}
+
+void CatalogState::Apply(const model::CatalogObject& object, Collection collection,
+                         CatalogUpdate& update) {
+  if (object.gone) {
+    if (collection == Collection::kInstances && instances_.erase(object.name) > 0) {
+      update.instances_gone.push_back(object.name);
+    }
+    if (collection == Collection::kDaemons) {
+      daemons_.erase(object.name);
+    }
+    return;
+  }
+  if (const auto* configuration = std::get_if<model::Configuration>(&object.payload)) {
+    update.configuration = TakeConfiguration(*configuration, "store") || update.configuration;
+  } else if (const auto* instance = std::get_if<model::InstanceEntry>(&object.payload)) {
+    instances_[instance->id] = *instance;
+    update.instances.push_back(*instance);
+  } else if (const auto* daemon = std::get_if<model::DaemonEntry>(&object.payload)) {
+    daemons_[daemon->name] = *daemon;
+    update.daemons.push_back(*daemon);
+  } else if (const auto* record = std::get_if<model::LeadershipRecord>(&object.payload)) {
+    update.leadership = {*record, object.revision};
+  } else {
+    outbox_.Log("store_object_unreadable",
+                {{"collection", CollectionName(collection)}, {"name", object.name}},
+                LogLevel::kWarning);
+  }
+}
+
+bool CatalogState::TakeConfiguration(const model::Configuration& configuration,
+                                     const char* source) {
+  if (configuration.version <= configuration_.version) {
+    return false;
+  }
+  outbox_.Log("configuration_in_force", {{"version", std::to_string(configuration.version)},
+                                         {"before", std::to_string(configuration_.version)},
+                                         {"routes", std::to_string(configuration.routes.size())},
+                                         {"source", source}});
+  configuration_ = configuration;
+  return true;
+}
+
+CatalogUpdate CatalogState::TakeCopy(const CatalogCopy& copy) {
+  CatalogUpdate update;
+  update.configuration = TakeConfiguration(copy.configuration, "daemon");
+  // The store's own word goes first: a copy only fills what was never listed.
+  if (!followers_.at(Collection::kInstances).Listed()) {
+    for (const model::InstanceEntry& instance : copy.instances) {
+      if (instances_.emplace(instance.id, instance).second) {
+        update.instances.push_back(instance);
+      }
+    }
+  }
+  for (const model::DaemonEntry& daemon : copy.daemons) {
+    if (daemons_.emplace(daemon.name, daemon).second) {
+      update.daemons.push_back(daemon);
+    }
+  }
+  return update;
+}
+
+std::set<std::string> CatalogState::DaemonNames() const {
+  std::set<std::string> names;
+  for (const auto& [name, daemon] : daemons_) {
+    names.insert(name);
+  }
+  return names;
+}
+
+CatalogCopy CatalogState::Copy() const {
+  CatalogCopy copy;
+  copy.configuration = configuration_;
+  for (const auto& [id, instance] : instances_) {
+    copy.instances.push_back(instance);
+  }
+  for (const auto& [name, daemon] : daemons_) {
+    copy.daemons.push_back(daemon);
+  }
+  return copy;
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/catalog_state.h
@@ -0,0 +1,78 @@
+// What the metadata store holds, as this daemon knows it.
+//
+// Owns: the followers of all collections, the configuration in force and the list of daemons.
+// Invariant: the configuration's version never falls within one life. Pure. Thread: its host's.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "metadata/collection_follower.h"
+#include "model/catalog.h"
+#include "proxy/outbox.h"
+#include "proxy/proxy_settings.h"
+
+namespace valvekeel::proxy {
+
+/// A copy of the catalog, as daemons hand it to each other.
+struct CatalogCopy {
+  model::Configuration configuration;
+  std::vector<model::InstanceEntry> instances;
+  std::vector<model::DaemonEntry> daemons;
+};
+
+/// What an answer changed.
+struct CatalogUpdate {
+  bool configuration = false;
+  std::vector<model::InstanceEntry> instances;
+  std::vector<std::string> instances_gone;
+  std::vector<model::DaemonEntry> daemons;
+  std::optional<std::pair<model::LeadershipRecord, std::uint64_t>> leadership;
+};
+
+class CatalogState {
+ public:
+  CatalogState(const ProxySettings& settings, Outbox& outbox);
+
+  /// Makes the calls that are due.
+  void Tick(common::Instant now);
+
+  /// Takes an answer. @param jitter between 0 and 1.
+  CatalogUpdate Answered(CallNumber call, const metadata::ReadResult& result, common::Instant now,
+                         double jitter);
+
+  /// Takes another daemon's copy; only what is newer counts.
+  CatalogUpdate TakeCopy(const CatalogCopy& copy);
+
+  /// @return the configuration in force, version 0 if there is none.
+  const model::Configuration& Configuration() const { return configuration_; }
+  const std::map<std::string, model::DaemonEntry>& Daemons() const { return daemons_; }
+  const std::map<std::string, model::InstanceEntry>& Instances() const { return instances_; }
+  std::set<std::string> DaemonNames() const;
+
+  /// @return true if the store answers.
+  bool Connected() const { return connected_; }
+
+  CatalogCopy Copy() const;
+
+ private:
+  void Apply(const model::CatalogObject& object, model::Collection collection,
+             CatalogUpdate& update);
+  /// Drops what another daemon's copy held and the first list does not.
+  void DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update);
+  bool TakeConfiguration(const model::Configuration& configuration, const char* source);
+  void NoteConnection(common::Instant now);
+
+  Outbox& outbox_;
+  std::map<model::Collection, metadata::CollectionFollower> followers_;
+  std::map<CallNumber, model::Collection> calls_;
+  model::Configuration configuration_;
+  std::map<std::string, model::InstanceEntry> instances_;
+  std::map<std::string, model::DaemonEntry> daemons_;
+  bool connected_ = false;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/dispatcher.cc
@@ -0,0 +1,324 @@
+#include "proxy/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr std::size_t kMostQueuedCommands = 16;
+
+}  // namespace
+
+Dispatcher::Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
+                       Outbox& outbox)
+    : settings_(settings),
+      backends_(backends),
+      groups_(groups),
+      outbox_(outbox),
+      placement_(settings.zone, backends) {}
+
+void Dispatcher::SetConfiguration(const model::Configuration* configuration, common::Instant now) {
+  configuration_ = configuration;
+  const std::set<SessionNumber> starting = std::exchange(starting_, {});
+  for (const SessionNumber number : starting) {
+    const Session session = *Find(number);
+    sessions_.erase(number);
+    SessionStarted(number, session.database, session.user, now);
+  }
+}
+
+Dispatcher::Session* Dispatcher::Find(SessionNumber number) {
+  const auto found = sessions_.find(number);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+const model::Route* Dispatcher::RouteOf(const Session& session) const {
+  if (configuration_ == nullptr) {
+    return nullptr;
+  }
+  const auto found = configuration_->routes.find(session.database);
+  return found == configuration_->routes.end() ? nullptr : &found->second;
+}
+
+void Dispatcher::SessionStarted(SessionNumber number, const std::string& database,
+                                const std::string& user, common::Instant now) {
+  Session session;
+  session.number = number;
+  session.database = database;
+  session.user = user;
+  session.started = now;
+  if (configuration_ == nullptr) {
+    starting_.insert(number);
+    sessions_.emplace(number, std::move(session));
+    return;
+  }
+  if (RouteOf(session) == nullptr) {
+    outbox_.Log("session_refused", {{"database", database},
+                                    {"reason", "unknown database"},
+                                    {"version", std::to_string(configuration_->version)}});
+    outbox_.Emit(CloseSession{number, true, model::ErrorCode::kUnknownDatabase, database});
+    return;
+  }
+  session.accepted = true;
+  sessions_.emplace(number, std::move(session));
+  outbox_.Emit(AcceptSession{number});
+}
+
+void Dispatcher::CommandReceived(SessionNumber number, const CallerCommand& command,
+                                 common::Instant now) {
+  Session* session = Find(number);
+  if (session == nullptr) {
+    return;
+  }
+  ++counters_.commands;
+  if (session->operation || !session->accepted) {
+    if (session->queue.size() >= kMostQueuedCommands) {
+      outbox_.Emit(
+          CloseSession{number, true, model::ErrorCode::kMalformed, "too many commands at once"});
+      SessionClosed(number, now);
+      return;
+    }
+    session->queue.push_back(command);
+    return;
+  }
+  Run(*session, command, now);
+  TakeNext(*session, now);
+}
+
+void Dispatcher::TakeNext(Session& session, common::Instant now) {
+  const SessionNumber number = session.number;
+  while (Session* current = Find(number)) {
+    if (current->operation || current->queue.empty()) {
+      break;
+    }
+    const CallerCommand command = std::move(current->queue.front());
+    current->queue.pop_front();
+    Run(*current, command, now);
+  }
+  Session* current = Find(number);
+  const bool rests = current != nullptr && !current->operation && !current->transaction.open;
+  if (closing_ && rests) {
+    outbox_.Emit(CloseSession{number});
+    SessionClosed(number, now);
+  }
+}
+
+void Dispatcher::SessionClosed(SessionNumber number, common::Instant now) {
+  Session* session = Find(number);
+  if (session == nullptr) {
+    return;
+  }
+  if (session->operation) {
+    Abandon(*session, now);
+    session->operation.reset();
+  }
+  EndTransaction(*session, now);
+  waiting_.erase(number);
+  starting_.erase(number);
+  sessions_.erase(number);
+}
+
+void Dispatcher::Run(Session& session, const CallerCommand& command, common::Instant now) {
+  session.transaction.last_active = now;
+  switch (command.command.kind) {
+    case model::CommandKind::kBegin:
+    case model::CommandKind::kBeginReadOnly:
+      Begin(session, command, now);
+      return;
+    case model::CommandKind::kRollback:
+      Rollback(session, now);
+      return;
+    case model::CommandKind::kSet:
+      SetValue(session, command.command);
+      return;
+    case model::CommandKind::kPrepare:
+      Prepare(session, command.command);
+      return;
+    case model::CommandKind::kDeallocate:
+      Deallocate(session, command.command);
+      return;
+    case model::CommandKind::kRead:
+    case model::CommandKind::kWrite:
+    case model::CommandKind::kExecute:
+    case model::CommandKind::kCommit:
+      RunOnData(session, command, now);
+      return;
+    case model::CommandKind::kInvalid:
+      AnswerError(session, model::ErrorCode::kMalformed, "unknown command");
+      return;
+  }
+}
+
+void Dispatcher::Begin(Session& session, const CallerCommand& command, common::Instant now) {
+  if (session.transaction.open) {
+    AnswerError(session, model::ErrorCode::kMalformed, "a transaction is open");
+    return;
+  }
+  const model::Route* route = RouteOf(session);
+  if (route == nullptr) {
+    AnswerError(session, model::ErrorCode::kUnknownDatabase, session.database);
+    return;
+  }
+  // The instance hears of it with the first statement, so that no connection waits meanwhile.
+  Transaction& transaction = session.transaction;
+  transaction = Transaction{};
+  transaction.open = true;
+  transaction.read_only = command.command.kind == model::CommandKind::kBeginReadOnly;
+  transaction.begin_id = command.request_id;
+  transaction.route = *route;
+  transaction.began = now;
+  transaction.last_active = now;
+  AnswerLocally(session);
+}
+
+void Dispatcher::Rollback(Session& session, common::Instant now) {
+  if (!session.transaction.open) {
+    AnswerError(session, model::ErrorCode::kMalformed, "no transaction is open");
+    return;
+  }
+  EndTransaction(session, now);
+  AnswerLocally(session);
+}
+
+void Dispatcher::SetValue(Session& session, const model::Command& command) {
+  session.values[command.name] = command.arguments;
+  AnswerLocally(session);
+}
+
+void Dispatcher::Prepare(Session& session, const model::Command& command) {
+  session.prepared[command.name] = command.prepared;
+  AnswerLocally(session);
+}
+
+void Dispatcher::Deallocate(Session& session, const model::Command& command) {
+  if (session.prepared.erase(command.name) == 0) {
+    AnswerError(session, model::ErrorCode::kUnknownStatement, command.name);
+    return;
+  }
+  AnswerLocally(session);
+}
+
+void Dispatcher::RunOnData(Session& session, const CallerCommand& command, common::Instant now) {
+  const Transaction& transaction = session.transaction;
+  const model::CommandKind kind = command.command.kind;
+  const bool commits = kind == model::CommandKind::kCommit;
+  if (commits && !transaction.open) {
+    AnswerError(session, model::ErrorCode::kMalformed, "no transaction is open");
+    return;
+  }
+  if (transaction.open && transaction.failed) {
+    if (commits) {
+      EndTransaction(session, now);
+      AnswerError(session, model::ErrorCode::kAborted, "the transaction had failed");
+    } else {
+      AnswerError(session, model::ErrorCode::kMalformed, "the transaction has failed");
+    }
+    return;
+  }
+  const bool unknown_name =
+      kind == model::CommandKind::kExecute && !session.prepared.contains(command.command.name);
+  if (unknown_name) {
+    AnswerError(session, model::ErrorCode::kUnknownStatement, command.command.name);
+    return;
+  }
+  const model::Route* route = transaction.open ? &transaction.route : RouteOf(session);
+  if (route == nullptr) {
+    AnswerError(session, model::ErrorCode::kUnknownDatabase, session.database);
+    return;
+  }
+  Operation operation;
+  operation.caller = command;
+  operation.route = *route;
+  operation.arrived = now;
+  operation.deadline = now + route->timeout;
+  operation.hold_until =
+      now + common::Duration(static_cast<std::int64_t>(
+                settings_.hold_fraction * static_cast<double>(route->timeout.count())));
+  session.operation = std::move(operation);
+  if (!TryStart(session, now)) {
+    waiting_.insert(session.number);
+  }
+}
+
+model::TransactionState Dispatcher::StateOf(const Session& session) const {
+  if (!session.transaction.open) {
+    return model::TransactionState::kIdle;
+  }
+  return session.transaction.failed ? model::TransactionState::kFailed
+                                    : model::TransactionState::kOpen;
+}
+
+void Dispatcher::AnswerLocally(Session& session) {
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.signature = "-";
+  reply.state = StateOf(session);
+  outbox_.Emit(AnswerCaller{session.number, std::move(reply), std::nullopt});
+}
+
+void Dispatcher::AnswerError(Session& session, model::ErrorCode code, const std::string& text) {
+  ++counters_.errors[model::ErrorCodeName(code)];
+  if (session.transaction.open) {
+    session.transaction.failed = true;
+  }
+  model::Reply reply;
+  reply.error = code;
+  reply.error_text = text;
+  reply.state = StateOf(session);
+  outbox_.Emit(AnswerCaller{session.number, std::move(reply), std::nullopt});
+}
+
+void Dispatcher::FinishWithError(Session& session, model::ErrorCode code, const std::string& reason,
+                                 common::Instant now) {
+  const Operation operation = std::move(*session.operation);
+  session.operation.reset();
+  waiting_.erase(session.number);
+  const GroupState* group = groups_.Find(operation.route.service);
+  outbox_.Log(
+      "request_failed",
+      {{"request", operation.caller.request_id},
+       {"error", model::ErrorCodeName(code)},
+       {"reason", reason},
+       {"service", operation.route.service},
+       {"instance", operation.instance},
+       {"attempts", std::to_string(operation.attempts)},
+       {"held_ms", Milliseconds(now - operation.arrived)},
+       {"term", group == nullptr ? "" : std::to_string(group->lease.Newest().term)},
+       {"lease_age_ms", group == nullptr ? "" : Milliseconds(now - group->lease.Newest().started)}},
+      LogLevel::kWarning);
+  if (operation.caller.command.kind == model::CommandKind::kCommit) {
+    EndTransaction(session, now);
+  }
+  AnswerError(session, code, reason);
+  TakeNext(session, now);
+}
+
+void Dispatcher::FinishWithReply(Session& session, const model::Reply& reply, common::Instant now) {
+  const Operation& operation = *session.operation;
+  const StatementTimes times{operation.route.consistency, operation.sent - operation.arrived,
+                             now - operation.sent};
+  session.operation.reset();
+  if (!reply.succeeded) {
+    ++counters_.errors[model::ErrorCodeName(reply.error)];
+  } else {
+    ++counters_.succeeded;
+  }
+  session.transaction.last_active = now;
+  outbox_.Emit(AnswerCaller{session.number, reply, times});
+  TakeNext(session, now);
+}
+
+void Dispatcher::EndTransaction(Session& session, common::Instant now) {
+  const Transaction transaction = std::exchange(session.transaction, Transaction{});
+  if (!transaction.connection) {
+    return;
+  }
+  Backend* backend = backends_.Find(transaction.instance);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
+  if (connection != nullptr) {
+    backends_.Release(*backend, *connection, now);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/dispatcher.h
@@ -0,0 +1,137 @@
+// Callers' sessions: what is answered at once, what runs where, what is tried again.
+//
+// Owns: the sessions and their operations. Invariant: every command is answered once; what was sent
+// to an instance is sent again only if it reads, or after a promise that nothing of it is kept; a
+// connection serves one session from the first request sent for it until it is released. Pure.
+// Thread: its host's.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "proxy/backend_set.h"
+#include "proxy/caller_session.h"
+#include "proxy/group_set.h"
+#include "proxy/outbox.h"
+#include "proxy/proxy_settings.h"
+#include "proxy/read_placement.h"
+
+namespace valvekeel::proxy {
+
+/// Counters for metrics.
+struct DispatchCounters {
+  std::uint64_t commands = 0;
+  std::uint64_t succeeded = 0;
+  std::uint64_t replica_reads = 0;
+  std::uint64_t primary_reads = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resent_reads = 0;
+  std::map<std::string, std::uint64_t> errors;  // answered to callers, by code
+};
+
+class Dispatcher : public ConnectionObserver {
+ public:
+  Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups, Outbox& outbox);
+
+  /// Takes a new version of the configuration; in force from each session's next transaction.
+  void SetConfiguration(const model::Configuration* configuration, common::Instant now);
+
+  void SessionStarted(SessionNumber number, const std::string& database, const std::string& user,
+                      common::Instant now);
+  void CommandReceived(SessionNumber number, const CallerCommand& command, common::Instant now);
+  void SessionClosed(SessionNumber number, common::Instant now);
+
+  void OnAnswer(Backend& backend, Connection& connection, const Outstanding& outstanding,
+                const model::Reply& reply, common::Instant now) override;
+  void OnLost(Backend& backend, Connection& connection, common::Instant now) override;
+  void OnCapacity(common::Instant now) override;
+
+  void Tick(common::Instant now);
+
+  /// Ends sessions that rest; with `all`, also those in a transaction.
+  void CloseResting(bool all, common::Instant now);
+
+  /// From now on each session ends as soon as it rests.
+  void StartClosing() { closing_ = true; }
+
+  std::size_t SessionCount() const { return sessions_.size(); }
+  std::size_t WaitingCount() const { return waiting_.size(); }
+  const DispatchCounters& Counters() const { return counters_; }
+
+ private:
+  using Session = CallerSession;
+
+  Session* Find(SessionNumber number);
+  const model::Route* RouteOf(const Session& session) const;
+
+  // Commands.
+  void Begin(Session& session, const CallerCommand& command, common::Instant now);
+  void Run(Session& session, const CallerCommand& command, common::Instant now);
+  void Rollback(Session& session, common::Instant now);
+  void Prepare(Session& session, const model::Command& command);
+  void SetValue(Session& session, const model::Command& command);
+  void Deallocate(Session& session, const model::Command& command);
+  void RunOnData(Session& session, const CallerCommand& command, common::Instant now);
+  void TakeNext(Session& session, common::Instant now);
+
+  // Answers.
+  model::TransactionState StateOf(const Session& session) const;
+  void AnswerLocally(Session& session);
+  void AnswerError(Session& session, model::ErrorCode code, const std::string& text);
+  void FinishWithError(Session& session, model::ErrorCode code, const std::string& reason,
+                       common::Instant now);
+  void FinishWithReply(Session& session, const model::Reply& reply, common::Instant now);
+  void EndTransaction(Session& session, common::Instant now);
+
+  // Placement and execution.
+  void Pump(common::Instant now);
+  bool TryStart(Session& session, common::Instant now);
+  bool NeedsPrimary(const Session& session) const;
+  std::vector<Placement> Places(const Session& session, common::Instant now);
+  bool StartOn(Session& session, const Placement& place, common::Instant now);
+  void SendPreparation(Session& session, Backend& backend, Connection& connection,
+                       const std::optional<common::Position>& required, common::Instant now);
+  void SendStatement(Session& session, Backend& backend, Connection& connection,
+                     common::Instant now);
+  std::vector<model::InstanceRequest> Preparation(
+      const Session& session, Connection& connection,
+      const std::optional<common::Position>& required) const;
+  void Wait(Session& session, const std::string& avoid, const char* reason, common::Duration pause,
+            common::Instant now);
+  void AnswerToStatement(Session& session, Backend& backend, Connection& connection,
+                         const model::Reply& reply, common::Instant now);
+  void AnswerToPreparation(Session& session, Backend& backend, Connection& connection,
+                           const model::Reply& reply, common::Instant now);
+  void Succeeded(Session& session, Backend& backend, Connection& connection,
+                 const model::Reply& reply, common::Instant now);
+  void Refused(Session& session, Backend& backend, Connection& connection,
+               const model::Reply& reply, common::Instant now);
+  bool IsWrite(const Session& session) const;
+  bool MayHaveCommitted(const Session& session) const;
+  void Abandon(Session& session, common::Instant now);
+
+  // Time.
+  void CheckOperation(Session& session, common::Instant now);
+  void CheckTransaction(Session& session, common::Instant now);
+  bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
+  void NoteStalledWrites(common::Instant now);
+
+  const ProxySettings& settings_;
+  BackendSet& backends_;
+  GroupSet& groups_;
+  Outbox& outbox_;
+  ReadPlacement placement_;
+  const model::Configuration* configuration_ = nullptr;
+  std::map<SessionNumber, Session> sessions_;
+  std::set<SessionNumber> waiting_;   // with an operation in phase kWaiting
+  std::set<SessionNumber> starting_;  // not accepted yet
+  bool pumping_ = false;
+  bool pump_again_ = false;
+  bool closing_ = false;
+  DispatchCounters counters_;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/dispatcher_execution.cc
@@ -0,0 +1,431 @@
+// Placement, execution and repetition of operations.
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/dispatcher.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Duration kBusyPause{8'000};       // before an instance is asked again
+constexpr common::Duration kReadOnlyPause{20'000};  // until a new primary may be known
+constexpr common::Duration kLaggingMemory{40'000};
+constexpr std::uint32_t kMostAttempts = 12;
+constexpr std::size_t kInFlightPerSlot = 2;
+
+}  // namespace
+
+bool Dispatcher::IsWrite(const Session& session) const {
+  const model::Command& command = session.operation->caller.command;
+  if (command.kind == model::CommandKind::kWrite) {
+    return true;
+  }
+  if (command.kind != model::CommandKind::kExecute) {
+    return false;
+  }
+  const auto prepared = session.prepared.find(command.name);
+  return prepared != session.prepared.end() && prepared->second.writes;
+}
+
+bool Dispatcher::MayHaveCommitted(const Session& session) const {
+  if (session.operation->phase != OperationPhase::kRunning) {
+    return false;
+  }
+  if (session.transaction.open) {
+    return session.operation->caller.command.kind == model::CommandKind::kCommit &&
+           !session.transaction.read_only;
+  }
+  return IsWrite(session);
+}
+
+bool Dispatcher::NeedsPrimary(const Session& session) const {
+  const Operation& operation = *session.operation;
+  if (operation.route.consistency == model::Consistency::kPrimary) {
+    return true;
+  }
+  if (session.transaction.open) {
+    return !session.transaction.read_only;
+  }
+  return IsWrite(session);
+}
+
+std::vector<Placement> Dispatcher::Places(const Session& session, common::Instant now) {
+  const Operation& operation = *session.operation;
+  const std::string& service = operation.route.service;
+  const std::string primary = groups_.UsablePrimary(service, now);
+  const Backend* leader = backends_.Find(primary);
+  if (NeedsPrimary(session)) {
+    if (leader == nullptr || !ReadPlacement::TakesWork(*leader, now)) {
+      return {};
+    }
+    return {Placement{primary, std::nullopt, 0}};
+  }
+  const GroupState& group = groups_.Get(service, now);
+  const ReadNeed need{operation.route.consistency, operation.route.max_staleness,
+                      session.transaction.open ? session.transaction.began : operation.arrived,
+                      session.own_commit, session.own_commit_at};
+  return placement_.Candidates(group, primary, groups_.Members(service), need, now);
+}
+
+void Dispatcher::OnCapacity(common::Instant now) { Pump(now); }
+
+void Dispatcher::Pump(common::Instant now) {
+  pump_again_ = true;
+  if (pumping_) {
+    return;
+  }
+  pumping_ = true;
+  while (std::exchange(pump_again_, false)) {
+    std::vector<Session*> order;
+    for (const SessionNumber number : waiting_) {
+      order.push_back(Find(number));
+    }
+    std::sort(order.begin(), order.end(), [](const Session* a, const Session* b) {
+      const auto rank = [](const Session* session) {
+        const Operation& operation = *session->operation;
+        return std::tuple(operation.route.priority, operation.arrived, session->number);
+      };
+      return rank(a) < rank(b);
+    });
+    for (Session* session : order) {
+      if (now >= session->operation->not_before && TryStart(*session, now)) {
+        waiting_.erase(session->number);
+      }
+    }
+  }
+  pumping_ = false;
+}
+
+bool Dispatcher::TryStart(Session& session, common::Instant now) {
+  Operation& operation = *session.operation;
+  const Transaction& transaction = session.transaction;
+  if (transaction.open && transaction.connection) {
+    Backend* backend = backends_.Find(transaction.instance);
+    Connection* connection = backend->Find(*transaction.connection);
+    operation.instance = transaction.instance;
+    operation.connection = connection->number;
+    SendPreparation(session, *backend, *connection, std::nullopt, now);
+    return true;
+  }
+  const std::vector<Placement> places = Places(session, now);
+  if (places.empty()) {
+    operation.last_refusal = NeedsPrimary(session) ? "no usable primary" : "no fresh instance";
+    return false;
+  }
+  const bool all_avoided = std::all_of(places.begin(), places.end(), [&](const Placement& place) {
+    return operation.avoided.contains(place.instance);
+  });
+  if (all_avoided) {
+    operation.avoided.clear();
+  }
+  for (const Placement& place : places) {
+    if (!operation.avoided.contains(place.instance) && StartOn(session, place, now)) {
+      return true;
+    }
+  }
+  operation.last_refusal = "no free connection";
+  return false;
+}
+
+bool Dispatcher::StartOn(Session& session, const Placement& place, common::Instant now) {
+  Backend& backend = *backends_.Find(place.instance);
+  const std::size_t most = std::max<std::size_t>(1, backend.Entry().slots) * kInFlightPerSlot;
+  if (backend.Busy() >= most) {
+    return false;
+  }
+  Connection* connection = backend.PickFree(session.values);
+  if (connection == nullptr) {
+    if (backend.Opening() <= waiting_.size()) {
+      backends_.Open(backend, now);
+    }
+    return false;
+  }
+  connection->session = session.number;
+  Operation& operation = *session.operation;
+  operation.instance = place.instance;
+  operation.connection = connection->number;
+  ++operation.attempts;
+  SendPreparation(session, backend, *connection, place.required, now);
+  return true;
+}
+
+std::vector<model::InstanceRequest> Dispatcher::Preparation(
+    const Session& session, Connection& connection,
+    const std::optional<common::Position>& required) const {
+  std::vector<model::InstanceRequest> requests;
+  const bool surplus =
+      std::any_of(connection.values.begin(), connection.values.end(),
+                  [&](const auto& value) { return !session.values.contains(value.first); });
+  if (surplus) {
+    requests.emplace_back(model::ControlRequest{model::ControlKind::kResetSession, 0});
+    connection.values.clear();
+    connection.prepared.clear();
+  }
+  for (const auto& [name, value] : session.values) {
+    const auto in_force = connection.values.find(name);
+    if (in_force != connection.values.end() && in_force->second == value) {
+      continue;
+    }
+    model::Command set;
+    set.kind = model::CommandKind::kSet;
+    set.name = name;
+    set.arguments = value;
+    requests.emplace_back(model::SessionRequest{"", set, std::nullopt});
+    connection.values[name] = value;
+  }
+  const model::Command& command = session.operation->caller.command;
+  if (command.kind == model::CommandKind::kExecute) {
+    const model::PreparedStatement& statement = session.prepared.at(command.name);
+    if (!connection.prepared.contains(statement)) {
+      model::Command prepare;
+      prepare.kind = model::CommandKind::kPrepare;
+      prepare.name = "p" + std::to_string(connection.prepared.size() + 1);
+      prepare.prepared = statement;
+      connection.prepared[statement] = prepare.name;
+      requests.emplace_back(model::SessionRequest{"", prepare, std::nullopt});
+    }
+  }
+  if (session.transaction.open && !session.transaction.connection) {
+    model::Command begin;
+    begin.kind = session.transaction.read_only ? model::CommandKind::kBeginReadOnly
+                                               : model::CommandKind::kBegin;
+    requests.emplace_back(model::SessionRequest{session.transaction.begin_id, begin, required});
+  }
+  return requests;
+}
+
+void Dispatcher::SendPreparation(Session& session, Backend& backend, Connection& connection,
+                                 const std::optional<common::Position>& required,
+                                 common::Instant now) {
+  Operation& operation = *session.operation;
+  operation.required = session.transaction.open ? std::nullopt : required;
+  operation.sent = now;
+  std::vector<model::InstanceRequest> requests = Preparation(session, connection, required);
+  if (requests.empty()) {
+    SendStatement(session, backend, connection, now);
+    return;
+  }
+  operation.phase = OperationPhase::kPreparing;
+  operation.preparations = requests.size();
+  backends_.Send(backend, connection, std::move(requests), Purpose::kPreparation, now);
+}
+
+void Dispatcher::SendStatement(Session& session, Backend& backend, Connection& connection,
+                               common::Instant now) {
+  Operation& operation = *session.operation;
+  operation.phase = OperationPhase::kRunning;
+  operation.sent = now;
+  model::SessionRequest request{operation.caller.request_id, operation.caller.command,
+                                operation.required};
+  if (request.command.kind == model::CommandKind::kExecute) {
+    request.command.name = connection.prepared.at(session.prepared.at(request.command.name));
+  }
+  backends_.Send(backend, connection, {std::move(request)}, Purpose::kStatement, now);
+}
+
+void Dispatcher::OnAnswer(Backend& backend, Connection& connection, const Outstanding& outstanding,
+                          const model::Reply& reply, common::Instant now) {
+  Session* session = Find(*connection.session);
+  const bool expected = session != nullptr && session->operation &&
+                        session->operation->connection == connection.number;
+  if (!expected) {
+    connection.session.reset();
+    return;
+  }
+  if (reply.position) {
+    groups_.NotePosition(backend.Entry().service, backend.Entry().id, *reply.position,
+                         outstanding.sent);
+  }
+  if (outstanding.purpose == Purpose::kPreparation) {
+    AnswerToPreparation(*session, backend, connection, reply, now);
+  } else {
+    AnswerToStatement(*session, backend, connection, reply, now);
+  }
+}
+
+void Dispatcher::AnswerToPreparation(Session& session, Backend& backend, Connection& connection,
+                                     const model::Reply& reply, common::Instant now) {
+  Operation& operation = *session.operation;
+  if (operation.preparations > 0) {
+    --operation.preparations;
+  }
+  if (reply.succeeded && operation.preparations > 0) {
+    return;
+  }
+  if (reply.succeeded) {
+    if (session.transaction.open && !session.transaction.connection) {
+      session.transaction.connection = connection.number;
+      session.transaction.instance = backend.Entry().id;
+    }
+    SendStatement(session, backend, connection, now);
+    return;
+  }
+  if (operation.preparations > 0 || !model::PromisesNothingKept(reply.error)) {
+    // The connection's state is not known: what it stands for ends with it.
+    outbox_.Log("preparation_failed",
+                {{"request", operation.caller.request_id},
+                 {"instance", backend.Entry().id},
+                 {"error", model::ErrorCodeName(reply.error)}},
+                LogLevel::kWarning);
+    Connection lost = connection;
+    backends_.Close(backend, lost.number);
+    OnLost(backend, lost, now);
+    return;
+  }
+  Refused(session, backend, connection, reply, now);
+}
+
+void Dispatcher::AnswerToStatement(Session& session, Backend& backend, Connection& connection,
+                                   const model::Reply& reply, common::Instant now) {
+  if (reply.succeeded) {
+    Succeeded(session, backend, connection, reply, now);
+  } else {
+    Refused(session, backend, connection, reply, now);
+  }
+}
+
+void Dispatcher::Succeeded(Session& session, Backend& backend, Connection& connection,
+                           const model::Reply& reply, common::Instant now) {
+  Operation& operation = *session.operation;
+  backend.NoteLatency(now - operation.sent);
+  const bool commits = MayHaveCommitted(session);
+  if (commits && reply.position) {
+    session.own_commit = *reply.position;
+    session.own_commit_at = now;
+    groups_.NoteAcknowledged(operation.route.service, *reply.position);
+  }
+  if (!IsWrite(session) && operation.caller.command.kind != model::CommandKind::kCommit) {
+    const bool at_primary =
+        groups_.UsablePrimary(operation.route.service, now) == operation.instance;
+    ++(at_primary ? counters_.primary_reads : counters_.replica_reads);
+  }
+  session.transaction.ran = true;
+  const bool transaction_ended =
+      session.transaction.open && reply.state == model::TransactionState::kIdle;
+  if (transaction_ended) {
+    EndTransaction(session, now);
+  } else if (!session.transaction.open) {
+    connection.session.reset();
+  }
+  FinishWithReply(session, reply, now);
+}
+
+void Dispatcher::Refused(Session& session, Backend& backend, Connection& connection,
+                         const model::Reply& reply, common::Instant now) {
+  Operation& operation = *session.operation;
+  const std::string& instance = backend.Entry().id;
+  const model::ErrorCode code = reply.error;
+  if (code == model::ErrorCode::kLagging) {
+    backend.lagging_until = now + kLaggingMemory;
+  }
+  if (code == model::ErrorCode::kBusy) {
+    backend.avoid_until = now + kBusyPause;
+  }
+  if (code == model::ErrorCode::kReadOnly) {
+    groups_.Get(operation.route.service, now).round_at = common::Instant(0);
+  }
+  const bool first = !session.transaction.open || !session.transaction.ran;
+  if (first && model::PromisesNothingKept(code) && operation.attempts < kMostAttempts) {
+    ++counters_.retries;
+    if (code != model::ErrorCode::kLagging) {
+      outbox_.Log("request_retried", {{"request", operation.caller.request_id},
+                                      {"instance", instance},
+                                      {"error", model::ErrorCodeName(code)},
+                                      {"attempt", std::to_string(operation.attempts)}});
+    }
+    session.transaction.connection.reset();
+    connection.session.reset();
+    const bool read_only = code == model::ErrorCode::kReadOnly;
+    const bool lagging = code == model::ErrorCode::kLagging;
+    const common::Duration pause =
+        read_only ? kReadOnlyPause : (lagging ? common::Duration(0) : kBusyPause / 4);
+    Wait(session, instance, model::ErrorCodeName(code), pause, now);
+    return;
+  }
+  outbox_.Log("request_failed",
+              {{"request", operation.caller.request_id},
+               {"error", model::ErrorCodeName(code)},
+               {"reason", "the instance answered so"},
+               {"service", operation.route.service},
+               {"instance", instance},
+               {"held_ms", Milliseconds(now - operation.arrived)}},
+              LogLevel::kWarning);
+  if (session.transaction.open) {
+    session.transaction.failed = reply.state == model::TransactionState::kFailed;
+    if (reply.state == model::TransactionState::kIdle) {
+      EndTransaction(session, now);
+    }
+  } else {
+    connection.session.reset();
+  }
+  FinishWithReply(session, reply, now);
+}
+
+void Dispatcher::Wait(Session& session, const std::string& avoid, const char* reason,
+                      common::Duration pause, common::Instant now) {
+  Operation& operation = *session.operation;
+  operation.phase = OperationPhase::kWaiting;
+  operation.connection = 0;
+  operation.last_refusal = reason;
+  operation.not_before = now + pause;
+  operation.avoided.insert(avoid);
+  waiting_.insert(session.number);
+  if (pause == common::Duration(0) && TryStart(session, now)) {
+    waiting_.erase(session.number);
+  }
+}
+
+void Dispatcher::Abandon(Session& session, common::Instant now) {
+  Operation& operation = *session.operation;
+  Backend* backend = backends_.Find(operation.instance);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(operation.connection);
+  if (connection == nullptr || operation.phase == OperationPhase::kWaiting) {
+    return;
+  }
+  const bool in_transaction = session.transaction.open;
+  session.transaction.connection.reset();
+  if (in_transaction || operation.phase == OperationPhase::kPreparing) {
+    // Closing rolls back whatever was begun.
+    backends_.Close(*backend, connection->number);
+    return;
+  }
+  // The instance may still be at work: the connection is free again once it has answered.
+  connection->session.reset();
+  static_cast<void>(now);
+}
+
+void Dispatcher::OnLost(Backend& backend, Connection& connection, common::Instant now) {
+  Session* session = Find(*connection.session);
+  connection.session.reset();
+  if (session == nullptr) {
+    return;
+  }
+  const bool running = session->operation && session->operation->connection == connection.number;
+  session->transaction.connection.reset();
+  if (!running) {
+    session->transaction.failed = session->transaction.open;
+    outbox_.Log("transaction_lost",
+                {{"request", session->transaction.begin_id}, {"instance", backend.Entry().id}},
+                LogLevel::kWarning);
+    return;
+  }
+  Operation& operation = *session->operation;
+  const bool first = !session->transaction.open || !session->transaction.ran;
+  if (MayHaveCommitted(*session)) {
+    FinishWithError(*session, model::ErrorCode::kInDoubt, "the connection was lost", now);
+    return;
+  }
+  if (first && operation.attempts < kMostAttempts) {
+    ++counters_.retries;
+    outbox_.Log("request_retried", {{"request", operation.caller.request_id},
+                                    {"instance", backend.Entry().id},
+                                    {"error", "connection lost"},
+                                    {"attempt", std::to_string(operation.attempts)}});
+    Wait(*session, backend.Entry().id, "connection lost", common::Duration(1), now);
+    return;
+  }
+  FinishWithError(*session, model::ErrorCode::kAborted, "the connection was lost", now);
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/dispatcher_time.cc
@@ -0,0 +1,160 @@
+// What time brings about: refusals, time-outs, repeated reads, ended transactions.
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/dispatcher.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Duration kStartLimit{1'500'000};  // for a session before the first configuration
+constexpr common::Duration kShortestResend{
+    100'000};  // without an answer, before a read goes out again
+constexpr std::uint32_t kMostResends = 3;
+constexpr common::Duration kIdleSlack{200'000};
+constexpr const char* kComeBack = "retry_after_ms=250 ";
+
+}  // namespace
+
+bool Dispatcher::ResendDue(const Session& session, const Backend& backend,
+                           common::Instant now) const {
+  const Operation& operation = *session.operation;
+  const bool single_read = !session.transaction.open && !IsWrite(session);
+  const bool first_of_transaction = session.transaction.open && !session.transaction.ran &&
+                                    operation.caller.command.kind != model::CommandKind::kCommit;
+  if ((!single_read && !first_of_transaction) || operation.attempts > kMostResends) {
+    return false;
+  }
+  if (backend.Unreachable()) {
+    return true;
+  }
+  const common::Duration patience = std::max(kShortestResend, operation.route.target_latency / 2);
+  return now >= operation.sent + patience;
+}
+
+void Dispatcher::CheckOperation(Session& session, common::Instant now) {
+  Operation& operation = *session.operation;
+  if (operation.phase == OperationPhase::kWaiting) {
+    if (now >= std::min(operation.hold_until, operation.deadline)) {
+      FinishWithError(session, model::ErrorCode::kBusy,
+                      std::string(kComeBack) + operation.last_refusal, now);
+    }
+    return;
+  }
+  const Backend* backend = backends_.Find(operation.instance);
+  const bool resend = backend != nullptr && ResendDue(session, *backend, now);
+  if (resend && now < operation.deadline) {
+    ++counters_.resent_reads;
+    outbox_.Log("request_resent", {{"request", operation.caller.request_id},
+                                   {"instance", operation.instance},
+                                   {"waited_ms", Milliseconds(now - operation.sent)},
+                                   {"attempt", std::to_string(operation.attempts)}});
+    Abandon(session, now);
+    // A fresh measure of patience elsewhere, within the statement's time.
+    operation.hold_until = std::max(operation.hold_until, now + kShortestResend);
+    Wait(session, operation.instance, "no answer", common::Duration(0), now);
+    return;
+  }
+  const bool replaced = backend != nullptr && backend->Unreachable() && NeedsPrimary(session) &&
+                        groups_.UsablePrimary(operation.route.service, now) != operation.instance;
+  if (now < operation.deadline && !replaced) {
+    return;
+  }
+  const bool committed = MayHaveCommitted(session);
+  const bool in_transaction = session.transaction.open;
+  const bool sent = operation.phase == OperationPhase::kRunning;
+  Abandon(session, now);
+  const char* reason = replaced ? "the primary is lost" : "the statement's time is over";
+  if (committed) {
+    FinishWithError(session, model::ErrorCode::kInDoubt, reason, now);
+  } else if (in_transaction) {
+    FinishWithError(session, model::ErrorCode::kAborted, reason, now);
+  } else {
+    FinishWithError(session, sent ? model::ErrorCode::kTimeout : model::ErrorCode::kBusy, reason,
+                    now);
+  }
+}
+
+void Dispatcher::CheckTransaction(Session& session, common::Instant now) {
+  Transaction& transaction = session.transaction;
+  const common::Duration limit =
+      configuration_ == nullptr ? common::Duration(0) : configuration_->transaction_idle;
+  const bool rests = !session.operation && transaction.connection && !transaction.failed;
+  if (!rests || limit == common::Duration(0) ||
+      now < transaction.last_active + limit + kIdleSlack) {
+    return;
+  }
+  outbox_.Log("transaction_ended", {{"request", transaction.begin_id},
+                                    {"instance", transaction.instance},
+                                    {"idle_ms", Milliseconds(now - transaction.last_active)}});
+  Backend* backend = backends_.Find(transaction.instance);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
+  transaction.failed = true;
+  transaction.connection.reset();
+  if (connection != nullptr) {
+    backends_.Release(*backend, *connection, now);
+  }
+}
+
+void Dispatcher::NoteStalledWrites(common::Instant now) {
+  for (auto& [service, group] : groups_.All()) {
+    group.write_stalled_since.reset();
+  }
+  for (const auto& [number, session] : sessions_) {
+    if (!session.operation || !MayHaveCommitted(session)) {
+      continue;
+    }
+    const Operation& operation = *session.operation;
+    GroupState& group = groups_.Get(operation.route.service, now);
+    const bool at_primary = operation.instance == group.lease.Newest().primary;
+    if (at_primary && (!group.write_stalled_since || operation.sent < *group.write_stalled_since)) {
+      group.write_stalled_since = operation.sent;
+    }
+  }
+}
+
+void Dispatcher::Tick(common::Instant now) {
+  std::vector<SessionNumber> numbers;
+  for (const auto& [number, session] : sessions_) {
+    if (session.operation || session.transaction.open || !session.accepted) {
+      numbers.push_back(number);
+    }
+  }
+  for (const SessionNumber number : numbers) {
+    Session* session = Find(number);
+    if (session == nullptr) {
+      continue;
+    }
+    if (!session->accepted) {
+      if (now >= session->started + kStartLimit) {
+        outbox_.Emit(CloseSession{number, true, model::ErrorCode::kBusy,
+                                  std::string(kComeBack) + "no configuration yet"});
+        SessionClosed(number, now);
+      }
+      continue;
+    }
+    if (session->operation) {
+      CheckOperation(*session, now);
+    } else {
+      CheckTransaction(*session, now);
+    }
+  }
+  NoteStalledWrites(now);
+  Pump(now);
+}
+
+void Dispatcher::CloseResting(bool all, common::Instant now) {
+  std::vector<SessionNumber> resting;
+  for (const auto& [number, session] : sessions_) {
+    if (!session.operation && (all || !session.transaction.open)) {
+      resting.push_back(number);
+    }
+  }
+  for (const SessionNumber number : resting) {
+    outbox_.Emit(CloseSession{number});
+    SessionClosed(number, now);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/failover_driver.cc
@@ -0,0 +1,298 @@
+#include "proxy/failover_driver.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Share of the live daemons whose opinion is enough to call a primary lost.
+constexpr double kLostShare = 0.3;
+/// Time that a primary's entry is gone before it is replaced.
+constexpr common::Duration kUnlistedLimit{2'000'000};
+/// Time after a failed attempt before the next.
+constexpr common::Duration kRetryPause{500'000};
+/// Time after a successful one.
+constexpr common::Duration kSettledPause{1'000'000};
+/// Advantage in time of each daemon over the next in order.
+constexpr common::Duration kTurnStep{700'000};
+/// An unlisted member that can't be reached is left out of the count after this time.
+constexpr common::Duration kDepartedLimit{1'500'000};
+
+std::string HolderName(const ProxySettings& settings) {
+  return settings.name + "." + std::to_string(settings.incarnation);
+}
+
+/// @return the daemon's name within a holder's.
+std::string DaemonOfHolder(const std::string& holder) {
+  return holder.substr(0, holder.rfind('.'));
+}
+
+}  // namespace
+
+FailoverDriver::FailoverDriver(const ProxySettings& settings, BackendSet& backends,
+                               GroupSet& groups, const PeerTable& peers, Outbox& outbox)
+    : settings_(settings),
+      backends_(backends),
+      groups_(groups),
+      peers_(peers),
+      outbox_(outbox),
+      leadership_(HolderName(settings)) {}
+
+void FailoverDriver::RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
+                                common::Instant now) {
+  const std::string before = leadership_.Holder();
+  leadership_.Seen(record, revision, now);
+  if (leadership_.Holder() != before) {
+    outbox_.Log("leader_changed", {{"holder", leadership_.Holder()},
+                                   {"token", std::to_string(record.token)},
+                                   {"revision", std::to_string(revision)}});
+  }
+}
+
+void FailoverDriver::RecordWritten(CallNumber call, const failover::WriteResult& result,
+                                   common::Instant now) {
+  const auto write = record_writes_.find(call);
+  if (write == record_writes_.end()) {
+    return;
+  }
+  const std::string service = write->second;
+  record_writes_.erase(write);
+  const bool held = leadership_.Written(result, now);
+  outbox_.Log("leadership_written", {{"service", service},
+                                     {"held", held ? "true" : "false"},
+                                     {"token", std::to_string(leadership_.Record().token)},
+                                     {"status", std::to_string(static_cast<int>(result.status))}});
+  const auto attempt = attempts_.find(service);
+  if (attempt != attempts_.end()) {
+    attempt->second->RecordWritten(held);
+  }
+}
+
+void FailoverDriver::Promoted(CallNumber call, failover::PromotionStatus status,
+                              common::Instant now) {
+  const auto promotion = promotions_.find(call);
+  if (promotion == promotions_.end()) {
+    return;
+  }
+  const std::string service = promotion->second;
+  promotions_.erase(promotion);
+  outbox_.Log("promotion_answered",
+              {{"service", service}, {"status", std::to_string(static_cast<int>(status))}});
+  const auto attempt = attempts_.find(service);
+  if (attempt != attempts_.end()) {
+    attempt->second->PromotionAnswered(status);
+  }
+  static_cast<void>(now);
+}
+
+bool FailoverDriver::LostToMany(const GroupState& group, common::Instant now) const {
+  std::size_t live = 1;
+  std::size_t lost = group.lost ? 1 : 0;
+  for (const auto& [address, peer] : peers_.All()) {
+    if (!peers_.Alive(peer, now) || peer.last.stopping) {
+      continue;
+    }
+    ++live;
+    const auto report =
+        std::find_if(peer.last.groups.begin(), peer.last.groups.end(),
+                     [&](const GroupReport& each) { return each.service == group.service; });
+    if (report != peer.last.groups.end() && report->primary_lost) {
+      ++lost;
+    }
+  }
+  const auto needed =
+      static_cast<std::size_t>(std::max(1.0, std::ceil(kLostShare * static_cast<double>(live))));
+  return lost >= needed;
+}
+
+std::string FailoverDriver::NeedOf(const GroupState& group, const model::Service& service,
+                                   common::Instant now) const {
+  static_cast<void>(service);
+  if (LostToMany(group, now)) {
+    return "lost";
+  }
+  const auto primary = backends_.All().find(group.lease.Newest().primary);
+  if (primary == backends_.All().end() || !group.lease.Holds(now)) {
+    return "";
+  }
+  if (primary->second.draining_since) {
+    return "draining";
+  }
+  const bool unlisted =
+      primary->second.gone_since && now >= *primary->second.gone_since + kUnlistedLimit;
+  return unlisted ? "unlisted" : "";
+}
+
+bool FailoverDriver::IsTurn(const Wish& wish, common::Instant now) const {
+  std::vector<std::string> able = {settings_.name};
+  for (const std::string& name : peers_.LiveNames(now)) {
+    const Peer* peer = peers_.ByName(name);
+    if (peer != nullptr && peer->last.store_connected) {
+      able.push_back(name);
+    }
+  }
+  std::sort(able.begin(), able.end());
+  const std::string holder = DaemonOfHolder(leadership_.Holder());
+  const auto at = std::find(able.begin(), able.end(), holder);
+  if (at != able.end()) {
+    std::rotate(able.begin(), at, at + 1);
+  }
+  const auto rank = std::find(able.begin(), able.end(), settings_.name) - able.begin();
+  return now >= wish.since + kTurnStep * rank;
+}
+
+failover::GroupView FailoverDriver::ViewOf(const GroupState& group, const model::Service& service,
+                                           const std::set<std::string>& registered,
+                                           common::Term new_term, common::Instant now) const {
+  failover::GroupView view;
+  view.service = group.service;
+  view.term = group.lease.Newest().term;
+  view.primary = group.lease.Newest().primary;
+  view.sync_replicas = service.sync_replicas;
+  view.highest_term = group.highest_term;
+  for (const std::string& id : groups_.Members(group.service)) {
+    const Backend& backend = backends_.All().at(id);
+    const bool departed =
+        backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
+    if (!departed) {
+      view.members.push_back(
+          {id, backend.draining_since.has_value(), backend.gone_since.has_value()});
+    }
+  }
+  std::set<std::string> daemons = registered;
+  for (const std::string& name : peers_.LiveNames(now)) {
+    daemons.insert(name);
+  }
+  daemons.erase(settings_.name);
+  for (const std::string& name : daemons) {
+    const Peer* peer = peers_.ByName(name);
+    bool released = false;
+    if (peer != nullptr && peers_.Alive(*peer, now)) {
+      for (const GroupReport& report : peer->last.groups) {
+        released =
+            released || (report.service == group.service && report.released_below >= new_term);
+      }
+    }
+    if (!released) {
+      view.unreleased.insert(name);
+    }
+  }
+  return view;
+}
+
+void FailoverDriver::Tick(const model::Configuration& configuration,
+                          const std::set<std::string>& registered, bool store_connected,
+                          common::Instant now) {
+  store_connected_ = store_connected;
+  for (const auto& [name, service] : configuration.services) {
+    GroupState* group = groups_.Find(name);
+    if (group == nullptr) {
+      continue;
+    }
+    if (attempts_.contains(name)) {
+      AdvanceAttempt(name, configuration, registered, now);
+      continue;
+    }
+    const std::string reason = NeedOf(*group, service, now);
+    if (reason.empty()) {
+      wishes_.erase(name);
+      continue;
+    }
+    Wish& wish = wishes_.try_emplace(name, Wish{now, reason}).first->second;
+    const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now);
+    if (allowed) {
+      outbox_.Log("failover_started", {{"service", name},
+                                       {"reason", reason},
+                                       {"primary", group->lease.Newest().primary},
+                                       {"term", std::to_string(group->lease.Newest().term)}});
+      attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
+      AdvanceAttempt(name, configuration, registered, now);
+    }
+  }
+}
+
+void FailoverDriver::AdvanceAttempt(const std::string& service,
+                                    const model::Configuration& configuration,
+                                    const std::set<std::string>& registered, common::Instant now) {
+  failover::Attempt& attempt = *attempts_.at(service);
+  GroupState& group = *groups_.Find(service);
+  const failover::GroupView view =
+      ViewOf(group, configuration.services.at(service), registered, attempt.NewTerm(), now);
+  Perform(group, attempt.Advance(view, now), now);
+  if (!attempt.Ended()) {
+    return;
+  }
+  const bool finished = attempt.CurrentStep() == failover::Step::kFinished;
+  outbox_.Log("failover_ended", {{"service", service},
+                                 {"outcome", failover::StepName(attempt.CurrentStep())},
+                                 {"candidate", attempt.Candidate()}});
+  not_before_[service] = now + (finished ? kSettledPause : kRetryPause);
+  group.fence_below = finished ? 0 : group.fence_below;
+  wishes_.erase(service);
+  attempts_.erase(service);
+}
+
+void FailoverDriver::Perform(GroupState& group, const std::vector<failover::AttemptAction>& actions,
+                             common::Instant now) {
+  for (const failover::AttemptAction& action : actions) {
+    std::visit([&](const auto& each) { Do(group, each, now); }, action);
+  }
+}
+
+void FailoverDriver::Do(GroupState& group, const failover::SendControl& action,
+                        common::Instant now) {
+  const std::string service = group.service;
+  const auto answered = [this, service, action](const std::optional<model::InstanceStatus>& status,
+                                                common::Instant) {
+    if (status) {
+      outbox_.Log("control_answered",
+                  {{"service", service},
+                   {"instance", action.instance},
+                   {"request", std::to_string(static_cast<int>(action.request.kind))},
+                   {"primary", status->primary ? "true" : "false"},
+                   {"term", std::to_string(status->term)},
+                   {"fenced_term", std::to_string(status->fenced_term)},
+                   {"received", PositionText(status->received)}});
+    }
+    const auto attempt = attempts_.find(service);
+    if (attempt != attempts_.end()) {
+      attempt->second->ControlAnswered(action.instance, action.request, status);
+    }
+  };
+  backends_.Control(action.instance, action.request, answered, now);
+}
+
+void FailoverDriver::Do(GroupState& group, const failover::AnnounceFence& action,
+                        common::Instant now) {
+  group.fence_below = action.new_term;
+  groups_.ReleaseBelow(group, action.new_term);
+  urgent_ = true;
+  static_cast<void>(now);
+}
+
+void FailoverDriver::Do(GroupState& group, const failover::WriteRecord& action,
+                        common::Instant now) {
+  const CallNumber call = outbox_.NextNumber();
+  record_writes_[call] = group.service;
+  outbox_.Emit(WriteLeadership{call, action.write});
+  static_cast<void>(now);
+}
+
+void FailoverDriver::Do(GroupState& group, const failover::RequestPromotion& action,
+                        common::Instant now) {
+  const CallNumber call = outbox_.NextNumber();
+  promotions_[call] = group.service;
+  outbox_.Emit(Promote{call, group.service, action.candidate, action.holder, action.token});
+  static_cast<void>(now);
+}
+
+void FailoverDriver::Do(GroupState& group, const failover::AttemptNote& action,
+                        common::Instant now) {
+  outbox_.Log("failover_step",
+              {{"service", group.service}, {"step", action.step}, {"detail", action.detail}});
+  static_cast<void>(now);
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/failover_driver.h
@@ -0,0 +1,84 @@
+// Starts and drives replacements of primaries.
+//
+// Owns: this daemon's leadership and its attempts, one a group at most. Invariant: only a daemon
+// that reaches the metadata store starts an attempt; of several the current holder goes first, then
+// the others in order of their names. Pure. Thread: its host's.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "failover/attempt.h"
+#include "failover/leadership.h"
+#include "proxy/backend_set.h"
+#include "proxy/group_set.h"
+#include "proxy/outbox.h"
+#include "proxy/peer_table.h"
+#include "proxy/proxy_settings.h"
+
+namespace valvekeel::proxy {
+
+class FailoverDriver {
+ public:
+  FailoverDriver(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
+                 const PeerTable& peers, Outbox& outbox);
+
+  /// Takes the leadership record as the store has it. @param revision 0 if there is none.
+  void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
+                  common::Instant now);
+
+  void RecordWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
+  void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
+
+  /// @param configuration in force. @param registered names of all daemons in the store.
+  void Tick(const model::Configuration& configuration, const std::set<std::string>& registered,
+            bool store_connected, common::Instant now);
+
+  /// @return true if an attempt is in progress here.
+  bool Active() const { return !attempts_.empty(); }
+
+  /// @return true since the last call if the other daemons should hear of a fence at once.
+  bool TakeUrgent() { return std::exchange(urgent_, false); }
+
+ private:
+  struct Wish {
+    common::Instant since{0};
+    std::string reason;
+  };
+
+  std::string NeedOf(const GroupState& group, const model::Service& service,
+                     common::Instant now) const;
+  bool LostToMany(const GroupState& group, common::Instant now) const;
+  bool IsTurn(const Wish& wish, common::Instant now) const;
+  failover::GroupView ViewOf(const GroupState& group, const model::Service& service,
+                             const std::set<std::string>& registered, common::Term new_term,
+                             common::Instant now) const;
+  void Perform(GroupState& group, const std::vector<failover::AttemptAction>& actions,
+               common::Instant now);
+  void Do(GroupState& group, const failover::SendControl& action, common::Instant now);
+  void Do(GroupState& group, const failover::AnnounceFence& action, common::Instant now);
+  void Do(GroupState& group, const failover::WriteRecord& action, common::Instant now);
+  void Do(GroupState& group, const failover::RequestPromotion& action, common::Instant now);
+  void Do(GroupState& group, const failover::AttemptNote& action, common::Instant now);
+  void AdvanceAttempt(const std::string& service, const model::Configuration& configuration,
+                      const std::set<std::string>& registered, common::Instant now);
+
+  const ProxySettings& settings_;
+  BackendSet& backends_;
+  GroupSet& groups_;
+  const PeerTable& peers_;
+  Outbox& outbox_;
+  failover::Leadership leadership_;
+  std::map<std::string, std::unique_ptr<failover::Attempt>> attempts_;  // by service
+  std::map<std::string, Wish> wishes_;                                  // by service
+  std::map<std::string, common::Instant> not_before_;                   // by service
+  std::map<CallNumber, std::string> record_writes_;                     // service by call
+  std::map<CallNumber, std::string> promotions_;                        // service by call
+  bool store_connected_ = false;
+  bool urgent_ = false;
+};
+
+}  // namespace valvekeel::proxy
