--- /dev/null
+++ b/src/proxy/group_set.cc
@@ -0,0 +1,266 @@
+#include "proxy/group_set.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Age of the lease's round after which a daemon that is not the prober asks by itself.
+constexpr common::Duration kOwnRoundAge{600'000};
+/// Age after which all members are asked, not just a majority.
+constexpr common::Duration kAskAllAge{450'000};
+constexpr common::Duration kOwnRoundPause{200'000};
+/// Time without a lease after which the primary counts as lost.
+constexpr common::Duration kLeaselessLimit{500'000};
+/// Time after the group was first seen in which it is not judged.
+constexpr common::Duration kSettling{1'500'000};
+/// Time for which a write may stay unanswered at a primary that answers else.
+constexpr common::Duration kStallLimit{700'000};
+
+}  // namespace
+
+GroupState& GroupSet::Get(const std::string& service, common::Instant now) {
+  const auto [found, added] = groups_.try_emplace(service);
+  if (added) {
+    found->second.service = service;
+    found->second.known_since = now;
+    found->second.lease_held_at = now;
+  }
+  return found->second;
+}
+
+GroupState* GroupSet::Find(const std::string& service) {
+  const auto found = groups_.find(service);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> GroupSet::Members(const std::string& service) const {
+  std::vector<std::string> members;
+  for (const auto& [id, backend] : backends_.All()) {
+    if (backend.Entry().service == service) {
+      members.push_back(id);
+    }
+  }
+  return members;
+}
+
+std::string GroupSet::UsablePrimary(const std::string& service, common::Instant now) {
+  const GroupState* state = Find(service);
+  if (state == nullptr || !state->lease.Holds(now)) {
+    return "";
+  }
+  return state->lease.Newest().primary;
+}
+
+void GroupSet::NotePosition(const std::string& service, const std::string& instance,
+                            const common::Position& position, common::Instant sent) {
+  GroupState* state = Find(service);
+  if (state == nullptr) {
+    return;
+  }
+  const group::Confirmation& newest = state->lease.Newest();
+  if (instance == newest.primary && state->lease.HeldAt(sent, newest.term)) {
+    state->history.Add({sent, position});
+  }
+}
+
+void GroupSet::NoteAcknowledged(const std::string& service, const common::Position& position) {
+  GroupState* state = Find(service);
+  if (state != nullptr) {
+    state->acknowledged = std::max(state->acknowledged, position);
+  }
+}
+
+bool GroupSet::TakeReports(const PeerMessage& message,
+                           std::optional<common::Instant> counted_from) {
+  bool released = false;
+  for (const GroupReport& report : message.groups) {
+    GroupState* state = Find(report.service);
+    if (state == nullptr) {
+      continue;
+    }
+    state->acknowledged = std::max(state->acknowledged, report.acknowledged);
+    state->highest_term = std::max(state->highest_term, report.term);
+    state->observed_fence = std::max(state->observed_fence, report.fence_below);
+    released = ReleaseBelow(*state, report.fence_below) || released;
+    if (!counted_from || !report.confirmation_age) {
+      continue;
+    }
+    const common::Term before = state->lease.Newest().term;
+    state->lease.Renew({report.term, report.primary, *counted_from - *report.confirmation_age});
+    if (state->lease.Newest().term > before) {
+      outbox_.Log("primary_learned", {{"service", report.service},
+                                      {"primary", report.primary},
+                                      {"term", std::to_string(report.term)},
+                                      {"from", message.name}});
+    }
+    if (report.sample_age) {
+      NotePosition(report.service, report.primary, report.sample,
+                   *counted_from - *report.sample_age);
+    }
+  }
+  return released;
+}
+
+std::vector<GroupReport> GroupSet::Reports(common::Instant now) const {
+  std::vector<GroupReport> reports;
+  for (const auto& [service, state] : groups_) {
+    GroupReport report;
+    report.service = service;
+    const group::Confirmation& newest = state.lease.Newest();
+    report.term = newest.term;
+    report.primary = newest.primary;
+    if (newest.term != 0 && state.lease.Holds(now)) {
+      report.confirmation_age = now - newest.started;
+      const auto& sample = state.history.Newest();
+      if (sample) {
+        report.sample_age = now - sample->instant;
+        report.sample = sample->position;
+      }
+    }
+    report.acknowledged = state.acknowledged;
+    report.primary_lost = state.lost;
+    report.fence_below = state.fence_below;
+    report.released_below = state.lease.ReleasedTerm() + 1;
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+bool GroupSet::ReleaseBelow(GroupState& state, common::Term term) {
+  if (term == 0 || state.lease.ReleasedTerm() + 1 >= term) {
+    return false;
+  }
+  state.lease.Release(term - 1);
+  state.highest_term = std::max(state.highest_term, term);
+  outbox_.Log("lease_released", {{"service", state.service}, {"below_term", std::to_string(term)}});
+  return true;
+}
+
+bool GroupSet::IsProber(const std::string& service, common::Instant now) const {
+  const std::hash<std::string> hash;
+  const std::size_t own = hash(service + "/" + settings_.name);
+  for (const std::string& name : peers_.LiveNames(now)) {
+    if (hash(service + "/" + name) < own) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<std::string> GroupSet::RoundTargets(GroupState& state, bool all, common::Instant now) {
+  const std::vector<std::string> members = Members(state.service);
+  if (all || state.lease.Newest().term == 0) {
+    return members;
+  }
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const std::string& id : members) {
+    const Backend* backend = backends_.Find(id);
+    const bool usable = !backend->Unreachable() && !backend->Silent(now) && !backend->gone_since;
+    if (id == state.lease.Newest().primary || !usable) {
+      continue;
+    }
+    (backend->Entry().zone == settings_.zone ? near : far).push_back(id);
+  }
+  std::vector<std::string> targets = {state.lease.Newest().primary};
+  const std::size_t majority = members.size() / 2 + 1;
+  near.insert(near.end(), far.begin(), far.end());
+  for (const std::string& id : near) {
+    if (targets.size() < majority) {
+      targets.push_back(id);
+    }
+  }
+  return targets;
+}
+
+void GroupSet::StartRound(GroupState& state, common::Instant now) {
+  state.round_at = now;
+  const bool old = now >= state.lease.Newest().started + kAskAllAge;
+  const std::vector<std::string> targets = RoundTargets(state, old, now);
+  const group::RoundNumber round = state.lease.StartRound(Members(state.service).size(), now);
+  const std::string service = state.service;
+  for (const std::string& id : targets) {
+    const auto answered = [this, service, id, round, now](
+                              const std::optional<model::InstanceStatus>& status, common::Instant) {
+      GroupState* group = Find(service);
+      if (group == nullptr || !status) {
+        return;
+      }
+      const common::Term seen = std::max(status->term, status->fenced_term);
+      group->highest_term = std::max(group->highest_term, seen);
+      const group::Confirmation before = group->lease.Newest();
+      if (group->lease.Answer(round, id, *status)) {
+        if (group->lease.Newest().term > before.term) {
+          outbox_.Log("primary_confirmed", {{"service", service},
+                                            {"primary", group->lease.Newest().primary},
+                                            {"term", std::to_string(group->lease.Newest().term)}});
+        }
+      }
+      if (status->primary) {
+        NotePosition(service, id, status->received, now);
+      }
+    };
+    backends_.Control(id, {model::ControlKind::kStatus, 0}, answered, now);
+  }
+}
+
+std::string GroupSet::Suspicion(const GroupState& state, common::Instant now) const {
+  if (now < state.known_since + kSettling) {
+    return "";
+  }
+  const Backend* primary = backends_.All().contains(state.lease.Newest().primary)
+                               ? &backends_.All().at(state.lease.Newest().primary)
+                               : nullptr;
+  if (primary != nullptr && primary->Unreachable()) {
+    return "unreachable";
+  }
+  if (!state.lease.Holds(now) && now >= state.lease_held_at + kLeaselessLimit) {
+    return "no lease";
+  }
+  if (state.write_stalled_since && now >= *state.write_stalled_since + kStallLimit) {
+    return "writes unanswered";
+  }
+  return "";
+}
+
+void GroupSet::Judge(GroupState& state, common::Instant now) {
+  if (state.lease.Holds(now)) {
+    state.lease_held_at = now;
+  }
+  const std::string suspicion = Suspicion(state, now);
+  const bool lost = !suspicion.empty();
+  if (lost == state.lost) {
+    return;
+  }
+  state.lost = lost;
+  if (lost) {
+    outbox_.Log("primary_lost",
+                {{"service", state.service},
+                 {"primary", state.lease.Newest().primary},
+                 {"term", std::to_string(state.lease.Newest().term)},
+                 {"reason", suspicion},
+                 {"confirmed_ms_ago", Milliseconds(now - state.lease.Newest().started)}},
+                LogLevel::kWarning);
+  } else {
+    outbox_.Log("primary_regained", {{"service", state.service},
+                                     {"primary", state.lease.Newest().primary},
+                                     {"term", std::to_string(state.lease.Newest().term)}});
+  }
+}
+
+void GroupSet::Tick(common::Instant now) {
+  for (auto& [service, state] : groups_) {
+    const common::Duration age = now - state.lease.Newest().started;
+    const bool as_prober =
+        now >= state.round_at + settings_.lease_round_interval && IsProber(service, now);
+    const bool by_itself = age >= kOwnRoundAge && now >= state.round_at + kOwnRoundPause;
+    if (as_prober || by_itself) {
+      StartRound(state, now);
+    }
+    Judge(state, now);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/group_set.h
@@ -0,0 +1,88 @@
+// The database groups: who leads, what a read needs, whether the primary is lost.
+//
+// Owns: a read lease, the primary's positions and the opinion about the primary of each group.
+// Invariant: a position sample is taken only from the primary of the lease's term, for a request
+// sent while the lease held. Pure. Thread: its host's.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "group/position_history.h"
+#include "group/read_lease.h"
+#include "proxy/backend_set.h"
+#include "proxy/outbox.h"
+#include "proxy/peer_message.h"
+#include "proxy/peer_table.h"
+#include "proxy/proxy_settings.h"
+
+namespace valvekeel::proxy {
+
+struct GroupState {
+  std::string service;
+  group::ReadLease lease;
+  group::PositionHistory history;
+  common::Position acknowledged;                       // highest commit known to be acknowledged
+  common::Term highest_term = 0;                       // seen anywhere, fences included
+  common::Term fence_below = 0;                        // announced by this daemon's attempt
+  common::Term observed_fence = 0;                     // announced by any daemon
+  common::Instant known_since{0};                      // when the group was first seen here
+  common::Instant lease_held_at{0};                    // when the lease was last seen held
+  common::Instant round_at{0};                         // of the last round asked by this daemon
+  std::size_t next_replica = 0;                        // rotates the replicas that rounds ask
+  std::optional<common::Instant> write_stalled_since;  // oldest unanswered write at the primary
+  bool lost = false;                                   // this daemon's opinion
+};
+
+class GroupSet {
+ public:
+  GroupSet(const ProxySettings& settings, BackendSet& backends, const PeerTable& peers,
+           Outbox& outbox)
+      : settings_(settings), backends_(backends), peers_(peers), outbox_(outbox) {}
+
+  GroupState& Get(const std::string& service, common::Instant now);
+  GroupState* Find(const std::string& service);
+  std::map<std::string, GroupState>& All() { return groups_; }
+
+  /// @return ids of the group's instances.
+  std::vector<std::string> Members(const std::string& service) const;
+
+  /// @return the primary if reads and writes may go there now, else empty.
+  std::string UsablePrimary(const std::string& service, common::Instant now);
+
+  /// Notes what an instance reported to a request sent at an instant.
+  void NotePosition(const std::string& service, const std::string& instance,
+                    const common::Position& position, common::Instant sent);
+
+  void NoteAcknowledged(const std::string& service, const common::Position& position);
+
+  /// Takes a peer's reports. @param counted_from our instant that its ages count from, if known.
+  /// @return true if a lease was let go, of which the peer should hear at once.
+  bool TakeReports(const PeerMessage& message, std::optional<common::Instant> counted_from);
+
+  /// @return what is told to the other daemons.
+  std::vector<GroupReport> Reports(common::Instant now) const;
+
+  /// Lets go of all terms below. @return true if that was news.
+  bool ReleaseBelow(GroupState& state, common::Term term);
+
+  /// Asks for the lease where it is due, forms opinions.
+  void Tick(common::Instant now);
+
+ private:
+  bool IsProber(const std::string& service, common::Instant now) const;
+  void StartRound(GroupState& state, common::Instant now);
+  std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
+  void Judge(GroupState& state, common::Instant now);
+  std::string Suspicion(const GroupState& state, common::Instant now) const;
+
+  const ProxySettings& settings_;
+  BackendSet& backends_;
+  const PeerTable& peers_;
+  Outbox& outbox_;
+  std::map<std::string, GroupState> groups_;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/peer_message.h
@@ -0,0 +1,56 @@
+// Heartbeats between daemons.
+//
+// Owns: the typed message and its encoding (CBOR). Invariant: ages are counted from the moment of
+// sending, so a receiver that knows which of its own messages the sender had seen can place them on
+// its own clock without trusting the other's. Thread: any (values only).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/position.h"
+#include "common/result.h"
+#include "common/time.h"
+
+namespace valvekeel::proxy {
+
+/// What a daemon knows of one database group.
+struct GroupReport {
+  std::string service;
+  common::Term term = 0;
+  std::string primary;
+  std::optional<common::Duration> confirmation_age;  // of the read lease's newest round
+  std::optional<common::Duration> sample_age;        // of `sample`
+  common::Position sample;                           // the primary's position, see PositionHistory
+  common::Position acknowledged;                     // highest acknowledged commit known
+  bool primary_lost = false;
+  common::Term fence_below = 0;     // all are asked to let go of terms below
+  common::Term released_below = 0;  // the sender has let go of terms below
+};
+
+struct PeerMessage {
+  std::string name;
+  std::string zone;
+  std::uint64_t incarnation = 0;  // of the sender, chosen at its start
+  std::uint64_t sequence = 0;     // counts the sender's messages to the receiver
+  std::uint64_t echoed = 0;       // highest sequence that the sender got from the receiver
+  std::uint64_t echoed_incarnation = 0;
+  bool store_connected = false;
+  bool stopping = false;
+  std::uint64_t configuration_version = 0;
+  std::vector<GroupReport> groups;
+};
+
+/// Why bytes are not a message.
+struct PeerMessageError {
+  std::string reason;
+};
+
+std::string EncodePeerMessage(const PeerMessage& message);
+
+common::Result<PeerMessage, PeerMessageError> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/peer_table.cc
@@ -0,0 +1,91 @@
+#include "proxy/peer_table.h"
+
+#include <algorithm>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Own messages remembered for each peer.
+constexpr std::size_t kSentKept = 64;
+
+}  // namespace
+
+void PeerTable::Add(const common::Endpoint& address) {
+  Peer& peer = peers_[address];
+  peer.address = address;
+}
+
+void PeerTable::Stamp(Peer& peer, PeerMessage& message, common::Instant now) const {
+  message.name = self_;
+  message.incarnation = incarnation_;
+  message.sequence = peer.next_sequence++;
+  message.echoed = peer.highest_sequence;
+  message.echoed_incarnation = peer.incarnation;
+  peer.sent.emplace_back(message.sequence, now);
+  if (peer.sent.size() > kSentKept) {
+    peer.sent.pop_front();
+  }
+}
+
+std::optional<common::Instant> PeerTable::Receive(const common::Endpoint& from,
+                                                  const PeerMessage& message, common::Instant now) {
+  if (message.name == self_) {
+    return std::nullopt;
+  }
+  Peer& peer = peers_[from];
+  peer.address = from;
+  // A later life may have a lower number if the time of day was set back in between.
+  const bool another = message.incarnation != peer.incarnation;
+  const bool new_life = another && (message.incarnation > peer.incarnation || !Alive(peer, now));
+  const bool newer =
+      message.incarnation == peer.incarnation && message.sequence > peer.highest_sequence;
+  if (!new_life && !newer) {
+    return std::nullopt;
+  }
+  peer.name = message.name;
+  peer.incarnation = message.incarnation;
+  peer.highest_sequence = message.sequence;
+  peer.heard = now;
+  peer.last = message;
+  if (message.echoed_incarnation != incarnation_) {
+    return std::nullopt;
+  }
+  const auto echoed = std::find_if(peer.sent.begin(), peer.sent.end(),
+                                   [&](const auto& sent) { return sent.first == message.echoed; });
+  if (echoed == peer.sent.end()) {
+    return std::nullopt;
+  }
+  return echoed->second;
+}
+
+bool PeerTable::Alive(const Peer& peer, common::Instant now) const {
+  return peer.heard && now < *peer.heard + kPeerSilence;
+}
+
+std::vector<std::string> PeerTable::LiveNames(common::Instant now) const {
+  std::vector<std::string> names;
+  for (const auto& [address, peer] : peers_) {
+    if (Alive(peer, now) && !peer.last.stopping) {
+      names.push_back(peer.name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::size_t PeerTable::HeardWithin(common::Duration age, common::Instant now) const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(),
+      [&](const auto& entry) { return entry.second.heard && now < *entry.second.heard + age; }));
+}
+
+const Peer* PeerTable::ByName(const std::string& name) const {
+  for (const auto& [address, peer] : peers_) {
+    if (peer.name == name) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/peer_table.h
@@ -0,0 +1,75 @@
+// The other daemons, as heard from.
+//
+// Owns: when each was heard and which of our messages it had seen. Invariant: an instant derived
+// from a peer's age is never later than the true one: it is counted from our own message that the
+// peer had seen when it sent. Pure. Thread: its host's.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/endpoint.h"
+#include "common/time.h"
+#include "proxy/peer_message.h"
+
+namespace valvekeel::proxy {
+
+/// Silence after which a peer does not count as alive.
+inline constexpr common::Duration kPeerSilence{900'000};
+
+struct Peer {
+  common::Endpoint address;
+  std::string name;  // empty until it was heard
+  std::optional<common::Instant> heard;
+  std::uint64_t incarnation = 0;
+  std::uint64_t highest_sequence = 0;  // heard of this incarnation
+  std::uint64_t next_sequence = 1;     // of our messages to it
+  std::deque<std::pair<std::uint64_t, common::Instant>> sent;
+  common::Instant next_heartbeat{0};
+  PeerMessage last;
+};
+
+class PeerTable {
+ public:
+  /// @param incarnation of this daemon.
+  PeerTable(std::string self, std::uint64_t incarnation)
+      : self_(std::move(self)), incarnation_(incarnation) {}
+
+  /// Adds an address to send to, unless it is known.
+  void Add(const common::Endpoint& address);
+
+  /// Forgets an address.
+  void Remove(const common::Endpoint& address) { peers_.erase(address); }
+
+  /// Completes a message for the peer: sequence, echo.
+  void Stamp(Peer& peer, PeerMessage& message, common::Instant now) const;
+
+  /// Takes a message.
+  /// @return our instant that the peer's ages count from, at the latest; nothing if unknown or if
+  /// the message is older than one already taken.
+  std::optional<common::Instant> Receive(const common::Endpoint& from, const PeerMessage& message,
+                                         common::Instant now);
+
+  bool Alive(const Peer& peer, common::Instant now) const;
+
+  /// @return names of the live peers that are not stopping.
+  std::vector<std::string> LiveNames(common::Instant now) const;
+
+  /// @return number of peers heard no longer than this ago.
+  std::size_t HeardWithin(common::Duration age, common::Instant now) const;
+
+  std::map<common::Endpoint, Peer>& All() { return peers_; }
+  const std::map<common::Endpoint, Peer>& All() const { return peers_; }
+  const Peer* ByName(const std::string& name) const;
+
+ private:
+  std::string self_;
+  std::uint64_t incarnation_;
+  std::map<common::Endpoint, Peer> peers_;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/proxy_settings.h
@@ -0,0 +1,32 @@
+// Settings of the proxy's decision code.
+//
+// Owns: the values with their defaults. Invariant: none; the settings' schema checks ranges.
+// Thread: any (values only).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/endpoint.h"
+#include "common/time.h"
+
+namespace valvekeel::proxy {
+
+struct ProxySettings {
+  std::string name;                             // of this daemon
+  std::string zone;                             // in which it runs
+  std::uint64_t incarnation = 0;                // of this life, chosen by the host
+  common::Endpoint peer;                        // own address for other daemons
+  std::vector<common::Endpoint> seed_peers;     // daemons that may be there, for heartbeats
+  std::vector<common::Endpoint> seed_catalogs;  // the same daemons, for FetchCatalog
+  common::Duration stop_grace{6'000'000};       // from the stop signal to the kill
+  common::Duration drain_limit{7'000'000};      // longest use of an instance that is leaving
+  common::Duration watch_wait{2'000'000};       // longest wait of a watch of the store
+  common::Duration heartbeat_interval{250'000};
+  common::Duration lease_round_interval{300'000};
+  /// Share of a statement's time for which it may wait for an instance before it is refused.
+  double hold_fraction = 0.45;
+};
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/read_placement.cc
@@ -0,0 +1,84 @@
+#include "proxy/read_placement.h"
+
+#include <algorithm>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Added to the bound, for the time between the caller's first byte and its arrival here.
+constexpr common::Duration kStalenessMargin{30'000};
+constexpr double kOtherZoneUs = 12'000;  // time of the way and price of the bytes
+constexpr double kPrimaryUs = 15'000;    // the primary is left to writes
+constexpr double kLaggingUs = 40'000;
+constexpr double kCrowdedUs = 30'000;
+
+}  // namespace
+
+std::optional<common::Position> ReadPlacement::Required(const GroupState& group,
+                                                        const ReadNeed& need) {
+  const auto bound = group.history.Covering(need.arrived - need.max_staleness + kStalenessMargin);
+  if (!bound || need.consistency == model::Consistency::kPrimary) {
+    return std::nullopt;
+  }
+  if (need.consistency == model::Consistency::kBoundedStaleness) {
+    return bound;
+  }
+  common::Position own = need.own_commit;
+  const auto& newest = group.history.Newest();
+  // Whatever was acknowledged before the newest sample is covered by it, also if the position told
+  // with the commit was rolled back in between.
+  if (newest && newest->instant >= need.own_commit_at && newest->position < own) {
+    own = newest->position;
+  }
+  return std::max(*bound, own);
+}
+
+bool ReadPlacement::TakesWork(const Backend& backend, common::Instant now) {
+  return !backend.Unreachable() && !backend.Silent(now);
+}
+
+double ReadPlacement::Cost(const Backend& backend, common::Instant now) const {
+  const double slots = std::max<double>(1, backend.Entry().slots);
+  const auto busy = static_cast<double>(backend.Busy());
+  double cost = backend.LatencyUs() * (1 + busy / slots);
+  if (backend.Entry().zone != zone_) {
+    cost += kOtherZoneUs;
+  }
+  if (now < backend.lagging_until) {
+    cost += kLaggingUs;
+  }
+  if (now < backend.avoid_until) {
+    cost += kCrowdedUs;
+  }
+  return cost;
+}
+
+std::vector<Placement> ReadPlacement::Candidates(const GroupState& group,
+                                                 const std::string& usable_primary,
+                                                 const std::vector<std::string>& members,
+                                                 const ReadNeed& need, common::Instant now) const {
+  const std::optional<common::Position> required = Required(group, need);
+  std::vector<Placement> staying;
+  std::vector<Placement> leaving;
+  for (const std::string& id : members) {
+    const Backend& backend = backends_.All().at(id);
+    const bool primary = id == usable_primary;
+    if (!TakesWork(backend, now) || (!primary && !required)) {
+      continue;
+    }
+    Placement placement{id, std::nullopt, Cost(backend, now)};
+    if (primary) {
+      placement.cost_us += kPrimaryUs;
+    } else {
+      placement.required = required;
+    }
+    const bool leaves = backend.draining_since || backend.gone_since;
+    (leaves ? leaving : staying).push_back(std::move(placement));
+  }
+  const auto cheaper = [](const Placement& a, const Placement& b) { return a.cost_us < b.cost_us; };
+  std::sort(staying.begin(), staying.end(), cheaper);
+  // An instance that leaves gets work only if no other can take it.
+  return staying.empty() ? leaving : staying;
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/runtime/bounded_log.cc
@@ -0,0 +1,79 @@
+#include "runtime/bounded_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace valvekeel::runtime {
+namespace {
+
+/// A pipe that reports room takes this much without blocking (POSIX's PIPE_BUF on Linux).
+constexpr std::size_t kWriteBytes = 4096;
+
+std::int64_t MillisecondsOfDay() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}  // namespace
+
+BoundedLog::BoundedLog(int descriptor, std::string process, LogLimits limits)
+    : descriptor_(descriptor), process_(std::move(process)), limits_(limits) {}
+
+void BoundedLog::Write(std::string_view level, const char* event, const Fields& fields,
+                       common::Instant now) {
+  Rate& rate = rates_[event];
+  if (now >= rate.period_start + limits_.period) {
+    rate.period_start = now;
+    rate.written = 0;
+  }
+  if (rate.written >= limits_.lines_per_event) {
+    ++rate.suppressed;
+    ++suppressed_;
+    return;
+  }
+  ++rate.written;
+  nlohmann::ordered_json line;
+  line["seq"] = ++sequence_;
+  line["time_ms"] = MillisecondsOfDay();
+  line["mono_ms"] = now.count() / 1000;
+  line["level"] = level;
+  line["process"] = process_;
+  line["event"] = event;
+  for (const auto& [name, value] : fields) {
+    line[name] = value;
+  }
+  if (rate.suppressed > 0) {
+    line["suppressed_before"] = std::exchange(rate.suppressed, 0);
+  }
+  std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  text += '\n';
+  if (buffer_.size() + text.size() > limits_.buffered_bytes) {
+    ++dropped_;
+    return;
+  }
+  buffer_ += text;
+}
+
+bool BoundedLog::Flush() {
+  while (!buffer_.empty()) {
+    pollfd ready{descriptor_, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      return false;
+    }
+    const ssize_t written =
+        ::write(descriptor_, buffer_.data(), std::min(buffer_.size(), kWriteBytes));
+    if (written <= 0) {
+      return false;
+    }
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+}  // namespace valvekeel::runtime
