--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -83,7 +83,8 @@
   idle_->clear();
 }
 
-void HttpClient::Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result) {
+// By value: the caller's pointer may be the one that is reset here.
+void HttpClient::Finish(std::shared_ptr<Exchange> exchange, const HttpResult& result) {
   if (exchange->finished) {
     return;
   }
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -188,8 +188,7 @@
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  bytes_ = nullptr;
-  closed_ = nullptr;
+  // The handlers stay until the end: one of them may be running.
 }
 
 }  // namespace valvekeel::net
--- /dev/null
+++ b/tests/net/http_test.cc
@@ -0,0 +1,103 @@
+#include "net/http.h"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+namespace valvekeel::net {
+namespace {
+
+using common::ErrorOf;
+using common::IsOk;
+using common::ValueOf;
+
+constexpr std::chrono::milliseconds kTimeout{300};
+
+/// Runs the loop until the call has ended.
+HttpResult CallAndWait(asio::io_context& loop, HttpClient& client, const HttpRequest& request) {
+  std::optional<HttpResult> ended;
+  client.Call(request, kTimeout, [&](const HttpResult& result) { ended = result; });
+  while (!ended) {
+    loop.run_one();
+  }
+  return *ended;
+}
+
+/// Accepts connections and closes each once something was read.
+class ClosingServer {
+ public:
+  explicit ClosingServer(asio::io_context& loop)
+      : loop_(loop), acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+  }
+  std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      auto stream = std::make_shared<Stream>(loop_, std::move(socket));
+      const std::weak_ptr<Stream> weak = stream;
+      stream->Start([weak](std::string_view) { weak.lock()->Close(); }, [] {});
+      Accept();
+    });
+  }
+
+  asio::io_context& loop_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+}  // namespace
+
+TEST_CASE("A call is answered, and the connection serves the next one", "[net]") {
+  asio::io_context loop;
+  HttpServer server(loop, [](const HttpMessage& request) {
+    return HttpResponse{200, request.method + " " + request.target + " " + request.body,
+                        "text/plain", {}};
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  for (const std::string body : {"one", "two"}) {
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = "/path?a=1";
+    request.body = body;
+    const HttpResult result = CallAndWait(loop, client, request);
+    REQUIRE(IsOk(result));
+    CHECK(ValueOf(result).body == "PUT /path?a=1 " + body);
+  }
+}
+
+TEST_CASE("A connection that ends under a call leaves it without an answer", "[net]") {
+  asio::io_context loop;
+  ClosingServer server(loop);
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  const HttpResult result = CallAndWait(loop, client, {});
+  REQUIRE_FALSE(IsOk(result));
+  CHECK(ErrorOf(result) == HttpFault::kNoAnswer);
+}
+
+TEST_CASE("A call to a port that nobody listens on was not sent", "[net]") {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor unused(loop, {asio::ip::make_address("127.0.0.1"), 0});
+  const std::uint16_t port = unused.local_endpoint().port();
+  unused.close();
+  HttpClient client(loop, {"127.0.0.1", port});
+  const HttpResult result = CallAndWait(loop, client, {});
+  REQUIRE_FALSE(IsOk(result));
+  CHECK(ErrorOf(result) == HttpFault::kNotSent);
+}
+
+TEST_CASE("Bytes that are not HTTP, and heads without end, are refused", "[net]") {
+  HttpParser garbage(HttpRole::kReadsRequests);
+  CHECK_FALSE(garbage.Feed("\x01\x02 nothing\r\n\r\n"));
+  HttpParser endless(HttpRole::kReadsRequests);
+  bool taken = endless.Feed("GET / HTTP/1.1\r\n");
+  for (int i = 0; taken && i < 2000; ++i) {
+    taken = endless.Feed("Name-" + std::to_string(i) + ": " + std::string(100, 'x') + "\r\n");
+  }
+  CHECK_FALSE(taken);
+}
+
+}  // namespace valvekeel::net
