Fences are counted over all replicas; a change of an instance within one answer keeps its order

Replicas are now counted whether the primary is listed or not, the highest count of any live daemon decides, and a daemon must have known the group for 1.5 s. A daemon that finishes a replacement asks at once who leads and tells the others at once. Ruled out: lost fences, a wrong choice among the fenced.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -130,11 +130,18 @@
   actions.emplace_back(WriteRecord{leadership_.Prepare(attempt, now)});
 }
 
+std::size_t Attempt::ReplicasOf(const GroupView& view) {
+  return static_cast<std::size_t>(
+      std::count_if(view.members.begin(), view.members.end(),
+                    [&](const MemberView& member) { return member.id != view.primary; }));
+}
+
 std::size_t Attempt::FencesNeeded(const GroupView& view) {
   // A commit is acknowledged once `sync_replicas` of the replicas hold it: with all but one less of
   // them fenced, none can be. Every majority must hold a fenced instance too.
-  const std::size_t members = view.members.size();
-  const std::size_t replicas = members == 0 ? 0 : members - 1;
+  // A primary that is not known, or no longer listed, counts all the same.
+  const std::size_t replicas = std::max(ReplicasOf(view), view.known_replicas);
+  const std::size_t members = replicas + 1;
   const std::size_t sync = view.sync_replicas;
   const std::size_t for_commits = replicas >= sync ? replicas - sync + 1 : 1;
   const std::size_t majority = members / 2 + 1;
@@ -144,12 +151,11 @@
 
 void Attempt::Fence(const GroupView& view, common::Instant now, Actions& actions) {
   const model::ControlRequest pause{model::ControlKind::kPauseReplication, new_term_};
-  std::size_t replicas = 0;
+  const std::size_t replicas = ReplicasOf(view);
   for (const MemberView& member : view.members) {
     if (member.id == view.primary) {
       continue;
     }
-    ++replicas;
     if (!fenced_.contains(member.id)) {
       Ask(member.id, pause, kRepeatPause, now, actions);
     }
@@ -168,8 +174,7 @@
     }
   }
   if (now >= entered_ + kFenceLimit) {
-    GiveUp(view, enough ? "no candidate holds every acknowledged commit" : "too few fenced", now,
-           actions);
+    GiveUp(view, enough ? "no candidate" : "too few fenced", now, actions);
   }
 }
 
@@ -199,7 +204,7 @@
       best = &member;
     }
   }
-  if (best == nullptr || rank(*best).received < view.acknowledged) {
+  if (best == nullptr) {
     return false;
   }
   candidate_ = best->id;
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -9,8 +9,8 @@
 //   verify    wait until the candidate says that it leads
 //
 // Owns: the state of one attempt. Invariant: the promotion is asked for only while the leadership
-// allows it, with the candidate of the highest position among the fenced replicas, and only if that
-// position covers every commit known to be acknowledged. Pure. Thread: its host's.
+// allows it, with the candidate of the highest position among the fenced replicas; these are so
+// many that one of them holds every acknowledged commit. Pure. Thread: its host's.
 #pragma once
 
 #include <cstdint>
@@ -43,8 +43,8 @@
   std::string primary;    // empty if none is known
   std::uint32_t sync_replicas = 0;
   std::vector<MemberView> members;
+  std::size_t known_replicas = 0;    // as other daemons count them
   common::Term highest_term = 0;     // seen anywhere, fences included
-  common::Position acknowledged;     // highest commit known to be acknowledged
   std::set<std::string> unreleased;  // daemons that may still read at the old primary
 };
 
@@ -142,6 +142,7 @@
            common::Duration pause, common::Instant now, Actions& actions);
   void ResumeOthers(const GroupView& view, Actions& actions);
   bool ChooseCandidate(const GroupView& view);
+  static std::size_t ReplicasOf(const GroupView& view);
   static std::size_t FencesNeeded(const GroupView& view);
 
   std::string service_;
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -103,6 +103,7 @@
                          CatalogUpdate& update) {
   if (object.gone) {
     if (collection == Collection::kInstances && instances_.erase(object.name) > 0) {
+      std::erase_if(update.instances, [&](const auto& each) { return each.id == object.name; });
       update.instances_gone.push_back(object.name);
     }
     if (collection == Collection::kDaemons) {
@@ -114,6 +115,7 @@
     update.configuration = TakeConfiguration(*configuration, "store") || update.configuration;
   } else if (const auto* instance = std::get_if<model::InstanceEntry>(&object.payload)) {
     instances_[instance->id] = *instance;
+    std::erase(update.instances_gone, instance->id);
     update.instances.push_back(*instance);
   } else if (const auto* daemon = std::get_if<model::DaemonEntry>(&object.payload)) {
     daemons_[daemon->name] = *daemon;
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -24,7 +24,7 @@
   std::vector<model::DaemonEntry> daemons;
 };
 
-/// What an answer changed.
+/// What an answer changed. An instance stands in one of its lists at most, as it was last.
 struct CatalogUpdate {
   bool configuration = false;
   std::vector<model::InstanceEntry> instances;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -293,7 +293,6 @@
   if (commits && reply.position) {
     session.own_commit = *reply.position;
     session.own_commit_at = now;
-    groups_.NoteAcknowledged(operation.route.service, *reply.position);
   }
   if (!IsWrite(session) && operation.caller.command.kind != model::CommandKind::kCommit) {
     const bool at_primary =
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -17,8 +17,8 @@
 constexpr common::Duration kSettledPause{1'000'000};
 /// Advantage in time of each daemon over the next in order.
 constexpr common::Duration kTurnStep{700'000};
-/// An unlisted member that can't be reached is left out of the count after this time.
-constexpr common::Duration kDepartedLimit{1'500'000};
+/// Time for which a daemon must have known a group before it may replace the group's primary.
+constexpr common::Duration kAcquaintance{1'500'000};
 
 std::string HolderName(const ProxySettings& settings) {
   return settings.name + "." + std::to_string(settings.incarnation);
@@ -152,15 +152,16 @@
   view.primary = group.lease.Newest().primary;
   view.sync_replicas = service.sync_replicas;
   view.highest_term = group.highest_term;
-  for (const std::string& id : groups_.Members(group.service)) {
+  std::vector<std::string> members = groups_.Replicas(group.service, now);
+  if (backends_.All().contains(view.primary)) {
+    members.push_back(view.primary);
+  }
+  for (const std::string& id : members) {
     const Backend& backend = backends_.All().at(id);
-    const bool departed =
-        backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
-    if (!departed) {
-      view.members.push_back(
-          {id, backend.draining_since.has_value(), backend.gone_since.has_value()});
-    }
+    view.members.push_back(
+        {id, backend.draining_since.has_value(), backend.gone_since.has_value()});
   }
+  view.known_replicas = KnownReplicas(group.service, now);
   std::set<std::string> daemons = registered;
   for (const std::string& name : peers_.LiveNames(now)) {
     daemons.insert(name);
@@ -182,6 +183,19 @@
   return view;
 }
 
+std::size_t FailoverDriver::KnownReplicas(const std::string& service, common::Instant now) const {
+  std::size_t most = 0;
+  for (const auto& [address, peer] : peers_.All()) {
+    if (!peers_.Alive(peer, now)) {
+      continue;
+    }
+    for (const GroupReport& report : peer.last.groups) {
+      most = report.service == service ? std::max(most, report.replicas) : most;
+    }
+  }
+  return most;
+}
+
 void FailoverDriver::Tick(const model::Configuration& configuration,
                           const std::set<std::string>& registered, bool store_connected,
                           common::Instant now) {
@@ -201,7 +215,8 @@
       continue;
     }
     Wish& wish = wishes_.try_emplace(name, Wish{now, reason}).first->second;
-    const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now);
+    const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now) &&
+                         now >= group->known_since + kAcquaintance;
     if (allowed) {
       outbox_.Log("failover_started", {{"service", name},
                                        {"reason", reason},
@@ -230,6 +245,7 @@
                                  {"candidate", attempt.Candidate()}});
   not_before_[service] = now + (finished ? kSettledPause : kRetryPause);
   group.fence_below = finished ? 0 : group.fence_below;
+  groups_.AskNow(service, now);
   wishes_.erase(service);
   attempts_.erase(service);
 }
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -56,6 +56,7 @@
   failover::GroupView ViewOf(const GroupState& group, const model::Service& service,
                              const std::set<std::string>& registered, common::Term new_term,
                              common::Instant now) const;
+  std::size_t KnownReplicas(const std::string& service, common::Instant now) const;
   void Perform(GroupState& group, const std::vector<failover::AttemptAction>& actions,
                common::Instant now);
   void Do(GroupState& group, const failover::SendControl& action, common::Instant now);
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -15,6 +15,8 @@
 constexpr common::Duration kLeaselessLimit{500'000};
 /// Time after the group was first seen in which it is not judged.
 constexpr common::Duration kSettling{1'500'000};
+/// An unlisted member that can't be reached is left out of the count after this time.
+constexpr common::Duration kDepartedLimit{1'500'000};
 /// Time for which a write may stay unanswered at a primary that answers else.
 constexpr common::Duration kStallLimit{700'000};
 
@@ -65,10 +67,24 @@
   }
 }
 
-void GroupSet::NoteAcknowledged(const std::string& service, const common::Position& position) {
-  GroupState* state = Find(service);
-  if (state != nullptr) {
-    state->acknowledged = std::max(state->acknowledged, position);
+std::vector<std::string> GroupSet::Replicas(const std::string& service, common::Instant now) const {
+  std::vector<std::string> replicas;
+  const auto group = groups_.find(service);
+  for (const std::string& id : Members(service)) {
+    const Backend& backend = backends_.All().at(id);
+    const bool departed =
+        backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
+    const bool leads = group != groups_.end() && id == group->second.lease.Newest().primary;
+    if (!departed && !leads) {
+      replicas.push_back(id);
+    }
+  }
+  return replicas;
+}
+
+void GroupSet::AskNow(const std::string& service, common::Instant now) {
+  if (GroupState* state = Find(service)) {
+    StartRound(*state, now);
   }
 }
 
@@ -80,7 +96,6 @@
     if (state == nullptr) {
       continue;
     }
-    state->acknowledged = std::max(state->acknowledged, report.acknowledged);
     state->highest_term = std::max(state->highest_term, report.term);
     state->observed_fence = std::max(state->observed_fence, report.fence_below);
     released = ReleaseBelow(*state, report.fence_below) || released;
@@ -119,7 +134,7 @@
         report.sample = sample->position;
       }
     }
-    report.acknowledged = state.acknowledged;
+    report.replicas = Replicas(service, now).size();
     report.primary_lost = state.lost;
     report.fence_below = state.fence_below;
     report.released_below = state.lease.ReleasedTerm() + 1;
@@ -193,6 +208,7 @@
       const group::Confirmation before = group->lease.Newest();
       if (group->lease.Answer(round, id, *status)) {
         if (group->lease.Newest().term > before.term) {
+          news_ = true;
           outbox_.Log("primary_confirmed", {{"service", service},
                                             {"primary", group->lease.Newest().primary},
                                             {"term", std::to_string(group->lease.Newest().term)}});
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "group/position_history.h"
@@ -24,7 +25,6 @@
   std::string service;
   group::ReadLease lease;
   group::PositionHistory history;
-  common::Position acknowledged;                       // highest commit known to be acknowledged
   common::Term highest_term = 0;                       // seen anywhere, fences included
   common::Term fence_below = 0;                        // announced by this daemon's attempt
   common::Term observed_fence = 0;                     // announced by any daemon
@@ -56,7 +56,15 @@
   void NotePosition(const std::string& service, const std::string& instance,
                     const common::Position& position, common::Instant sent);
 
-  void NoteAcknowledged(const std::string& service, const common::Position& position);
+  /// @return ids of the group's replicas that may hold the only copy of a commit: all but those
+  /// that are no longer listed and have not been reached for a while.
+  std::vector<std::string> Replicas(const std::string& service, common::Instant now) const;
+
+  /// @return true if a change of primary was learned since the last call.
+  bool TakeNews() { return std::exchange(news_, false); }
+
+  /// Asks all members now, not only when a round is due.
+  void AskNow(const std::string& service, common::Instant now);
 
   /// Takes a peer's reports. @param counted_from our instant that its ages count from, if known.
   /// @return true if a lease was let go, of which the peer should hear at once.
@@ -83,6 +91,7 @@
   const PeerTable& peers_;
   Outbox& outbox_;
   std::map<std::string, GroupState> groups_;
+  bool news_ = false;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -263,7 +263,9 @@
   failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
   JudgeReadiness(now);
-  SendHeartbeats(failover_.TakeUrgent(), now);
+  const bool fence = failover_.TakeUrgent();
+  const bool news = groups_.TakeNews();
+  SendHeartbeats(fence || news, now);
   AdvanceStop(now);
 }
 
