--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Age of the lease's round after which a daemon that is not the prober asks by itself.
-constexpr common::Duration kOwnRoundAge{600'000};
+constexpr common::Duration kOwnRoundAge{780'000};
 /// Age after which all members are asked, not just a majority.
 constexpr common::Duration kAskAllAge{450'000};
 constexpr common::Duration kOwnRoundPause{200'000};
@@ -207,6 +207,7 @@
       group->highest_term = std::max(group->highest_term, seen);
       const group::Confirmation before = group->lease.Newest();
       if (group->lease.Answer(round, id, *status)) {
+        confirmed_ = true;
         if (group->lease.Newest().term > before.term) {
           news_ = true;
           outbox_.Log("primary_confirmed", {{"service", service},
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -63,6 +63,9 @@
   /// @return true if a change of primary was learned since the last call.
   bool TakeNews() { return std::exchange(news_, false); }
 
+  /// @return true if a round of this daemon's was confirmed since the last call.
+  bool TakeConfirmed() { return std::exchange(confirmed_, false); }
+
   /// Asks all members now, not only when a round is due.
   void AskNow(const std::string& service, common::Instant now);
 
@@ -92,6 +95,7 @@
   Outbox& outbox_;
   std::map<std::string, GroupState> groups_;
   bool news_ = false;
+  bool confirmed_ = false;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -203,6 +203,16 @@
   }
 }
 
+void Proxy::AdvanceHeartbeats(common::Instant now) {
+  // A heartbeat that is due soon carries more if it follows the confirmation at once.
+  for (auto& [address, peer] : peers_.All()) {
+    const bool due_soon = now + settings_.heartbeat_interval / 2 >= peer.next_heartbeat;
+    if (due_soon && peers_.Alive(peer, now)) {
+      peer.next_heartbeat = now;
+    }
+  }
+}
+
 void Proxy::JudgeReadiness(common::Instant now) {
   bool ready = catalog_.Configuration().version > 0 && !stopping_since_;
   for (const auto& [name, service] : catalog_.Configuration().services) {
@@ -265,6 +275,9 @@
   JudgeReadiness(now);
   const bool fence = failover_.TakeUrgent();
   const bool news = groups_.TakeNews();
+  if (groups_.TakeConfirmed()) {
+    AdvanceHeartbeats(now);
+  }
   SendHeartbeats(fence || news, now);
   AdvanceStop(now);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -79,6 +79,7 @@
   void Register(common::Instant now);
   void Bootstrap(common::Instant now);
   void SendHeartbeats(bool urgent, common::Instant now);
+  void AdvanceHeartbeats(common::Instant now);
   void JudgeReadiness(common::Instant now);
   void AdvanceStop(common::Instant now);
   double Jitter();
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -24,7 +24,7 @@
   common::Duration drain_limit{7'000'000};      // longest use of an instance that is leaving
   common::Duration watch_wait{2'000'000};       // longest wait of a watch of the store
   common::Duration heartbeat_interval{250'000};
-  common::Duration lease_round_interval{300'000};
+  common::Duration lease_round_interval{400'000};
   /// Share of a statement's time for which it may wait for an instance before it is refused.
   double hold_fraction = 0.45;
 };
