In-flight limits that adapt to refusals, patience by usual latency, lag learnt from refused reads

Change: the limit falls with each refusal and rises with answers; pauses after refusals double; a read goes out again only after four usual latencies; a replica that lacked what the bound asks for is left out for 20 to 160 ms; an abandoned connection no longer counts and is closed after 0.5 s.

--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -8,9 +8,21 @@
 constexpr common::Duration kSilence{250'000};
 constexpr common::Duration kReopenPause{100'000};
 constexpr double kLatencyWeight = 0.1;  // of the newest value
+constexpr double kInFlightPerSlot = 2;  // at the start and at most
+constexpr double kLeastInFlight = 1;
+constexpr double kBusyFactor = 0.8;    // of the limit after a refusal
+constexpr double kSuccessStep = 0.05;  // added to the limit by an answer
+constexpr common::Duration kShortestBusyPause{4'000};
+constexpr common::Duration kLongestBusyPause{64'000};
+constexpr common::Duration kShortestLaggingPause{20'000};
+constexpr common::Duration kLongestLaggingPause{160'000};
+constexpr common::Duration kLagStep{2'000};  // by which the estimate falls with each success
 
 }  // namespace
 
+Backend::Backend(model::InstanceEntry entry)
+    : entry_(std::move(entry)), in_flight_limit_(kInFlightPerSlot * std::max(1U, entry_.slots)) {}
+
 Connection& Backend::Add(ConnectionNumber number, common::Instant now) {
   Connection& connection = connections_[number];
   connection.number = number;
@@ -52,8 +64,12 @@
 
 std::size_t Backend::Busy() const {
   return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(),
-                    [](const auto& entry) { return !entry.second.outstanding.empty(); }));
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& entry) {
+        const Connection& connection = entry.second;
+        const bool control = !connection.outstanding.empty() &&
+                             connection.outstanding.front().purpose == Purpose::kControl;
+        return !connection.outstanding.empty() && (connection.session || control);
+      }));
 }
 
 void Backend::Heard(common::Instant now) {
@@ -89,9 +105,41 @@
   return false;
 }
 
-void Backend::NoteLatency(common::Duration latency) {
+void Backend::NoteSuccess(common::Duration latency) {
   const auto microseconds = static_cast<double>(latency.count());
   latency_us_ += kLatencyWeight * (microseconds - latency_us_);
+  in_flight_limit_ =
+      std::min(kInFlightPerSlot * std::max(1U, entry_.slots), in_flight_limit_ + kSuccessStep);
+  busy_pause_ = common::Duration(0);
+}
+
+void Backend::NoteBusy(common::Instant now) {
+  if (now < avoid_until_) {
+    return;  // another answer of the same moment
+  }
+  in_flight_limit_ = std::max(kLeastInFlight, in_flight_limit_ * kBusyFactor);
+  busy_pause_ = std::clamp(busy_pause_ * 2, kShortestBusyPause, kLongestBusyPause);
+  avoid_until_ = now + busy_pause_;
+}
+
+void Backend::NoteLagging(common::Duration age, bool bound_missed, common::Instant now) {
+  lag_estimate_ = std::max(lag_estimate_, age);
+  if (bound_missed && now >= lagging_until_) {
+    lagging_pause_ = std::clamp(lagging_pause_ * 2, kShortestLaggingPause, kLongestLaggingPause);
+    lagging_until_ = now + lagging_pause_;
+  }
+}
+
+void Backend::NoteFresh(common::Duration age) {
+  lagging_pause_ = common::Duration(0);
+  lagging_until_ = common::Instant(0);
+  if (age < lag_estimate_) {
+    lag_estimate_ = std::max(age, lag_estimate_ - kLagStep);
+  }
+}
+
+bool Backend::ExpectedFresh(common::Duration age, common::Instant now) const {
+  return now >= lagging_until_ && age >= lag_estimate_;
 }
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -65,7 +65,7 @@
 
 class Backend {
  public:
-  explicit Backend(model::InstanceEntry entry) : entry_(std::move(entry)) {}
+  explicit Backend(model::InstanceEntry entry);
 
   const model::InstanceEntry& Entry() const { return entry_; }
   void SetEntry(const model::InstanceEntry& entry) { entry_ = entry; }
@@ -80,7 +80,10 @@
   /// @return a free connection, preferably with these values in force, or nothing.
   Connection* PickFree(const SessionValues& values);
   std::size_t Opening() const;
-  std::size_t Busy() const;  // connections with a request outstanding
+  std::size_t Busy() const;  // connections that work for somebody
+
+  /// @return true if one more statement may be sent. The limit adapts to the instance's refusals.
+  bool HasRoom() const { return static_cast<double>(Busy()) < in_flight_limit_; }
 
   // Health.
   void Heard(common::Instant now);
@@ -98,10 +101,20 @@
   void DelayOpening(common::Instant until) { open_not_before_ = until; }
 
   // Load.
-  void NoteLatency(common::Duration latency);
+  void NoteSuccess(common::Duration latency);
+  void NoteBusy(common::Instant now);
   double LatencyUs() const { return latency_us_; }
-  common::Instant avoid_until{0};    // after it refused for want of capacity
-  common::Instant lagging_until{0};  // after it lacked a position
+  double InFlightLimit() const { return in_flight_limit_; }
+  common::Instant AvoidUntil() const { return avoid_until_; }
+
+  // Replication lag, as far as reads show it.
+  /// A read with this age of its requirement was refused as lagging.
+  void NoteLagging(common::Duration age, bool bound_missed, common::Instant now);
+  /// A read with this age of its requirement was served.
+  void NoteFresh(common::Duration age);
+  /// @return true if a requirement of this age is expected to be met.
+  bool ExpectedFresh(common::Duration age, common::Instant now) const;
+
   common::Instant probe_sent_at{0};  // of the last health probe
   std::deque<ControlItem> control_queue;
   std::optional<common::Instant> gone_since;      // its entry is no longer listed
@@ -115,6 +128,12 @@
   std::optional<common::Instant> unreachable_since_;
   common::Instant open_not_before_{0};
   double latency_us_ = kInitialLatencyUs;
+  double in_flight_limit_;
+  common::Instant avoid_until_{0};  // after it refused for want of capacity
+  common::Duration busy_pause_{0};
+  common::Duration lag_estimate_{0};  // requirements younger than this were refused
+  common::Instant lagging_until_{0};  // after it lacked even what the bound asks for
+  common::Duration lagging_pause_{0};
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -7,10 +7,10 @@
 
 constexpr common::Duration kControlTimeout{300'000};
 constexpr common::Duration kProbePause{250'000};
-constexpr common::Duration kAbandonedLimit{3'000'000};  // for an answer that nobody waits for
-constexpr common::Duration kOpenLimit{800'000};         // for a connection to be accepted
-constexpr common::Duration kCrowdedPause{400'000};      // after an instance had no connection left
-constexpr common::Duration kRemovedAfter{30'000'000};   // an entry that is gone and unreachable
+constexpr common::Duration kAbandonedLimit{500'000};   // for an answer that nobody waits for
+constexpr common::Duration kOpenLimit{800'000};        // for a connection to be accepted
+constexpr common::Duration kCrowdedPause{400'000};     // after an instance had no connection left
+constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
 constexpr std::size_t kDefaultLimit = 2;
 
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -48,7 +48,10 @@
   std::size_t preparations = 0;              // not answered yet
   std::optional<common::Position> required;  // that the instance's log must hold
   std::uint32_t attempts = 0;
-  std::set<std::string> avoided;  // instances that could not serve it
+  std::uint32_t resends = 0;         // for want of an answer
+  common::Duration required_age{0};  // of the newest commit that `required` covers
+  bool required_own = false;         // it is the session's own commit
+  std::set<std::string> avoided;     // instances that could not serve it
   const char* last_refusal = "no instance";
 };
 
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -8,11 +8,9 @@
 namespace valvekeel::proxy {
 namespace {
 
-constexpr common::Duration kBusyPause{8'000};       // before an instance is asked again
 constexpr common::Duration kReadOnlyPause{20'000};  // until a new primary may be known
-constexpr common::Duration kLaggingMemory{40'000};
-constexpr std::uint32_t kMostAttempts = 12;
-constexpr std::size_t kInFlightPerSlot = 2;
+constexpr common::Duration kRetryPause{2'000};      // before an operation is placed again
+constexpr std::uint32_t kMostAttempts = 30;
 
 }  // namespace
 
@@ -59,7 +57,9 @@
     if (leader == nullptr || !ReadPlacement::TakesWork(*leader, now)) {
       return {};
     }
-    return {Placement{primary, std::nullopt, 0}};
+    Placement at_primary;
+    at_primary.instance = primary;
+    return {at_primary};
   }
   const GroupState& group = groups_.Get(service, now);
   const ReadNeed need{operation.route.consistency, operation.route.max_staleness,
@@ -130,8 +130,7 @@
 
 bool Dispatcher::StartOn(Session& session, const Placement& place, common::Instant now) {
   Backend& backend = *backends_.Find(place.instance);
-  const std::size_t most = std::max<std::size_t>(1, backend.Entry().slots) * kInFlightPerSlot;
-  if (backend.Busy() >= most) {
+  if (!backend.HasRoom() || now < backend.AvoidUntil()) {
     return false;
   }
   Connection* connection = backend.PickFree(session.values);
@@ -145,6 +144,8 @@
   Operation& operation = *session.operation;
   operation.instance = place.instance;
   operation.connection = connection->number;
+  operation.required_age = place.age;
+  operation.required_own = place.own;
   ++operation.attempts;
   SendPreparation(session, backend, *connection, place.required, now);
   return true;
@@ -288,7 +289,10 @@
 void Dispatcher::Succeeded(Session& session, Backend& backend, Connection& connection,
                            const model::Reply& reply, common::Instant now) {
   Operation& operation = *session.operation;
-  backend.NoteLatency(now - operation.sent);
+  backend.NoteSuccess(now - operation.sent);
+  if (operation.required) {
+    backend.NoteFresh(operation.required_age);
+  }
   const bool commits = MayHaveCommitted(session);
   if (commits && reply.position) {
     session.own_commit = *reply.position;
@@ -316,10 +320,10 @@
   const std::string& instance = backend.Entry().id;
   const model::ErrorCode code = reply.error;
   if (code == model::ErrorCode::kLagging) {
-    backend.lagging_until = now + kLaggingMemory;
+    backend.NoteLagging(operation.required_age, !operation.required_own, now);
   }
   if (code == model::ErrorCode::kBusy) {
-    backend.avoid_until = now + kBusyPause;
+    backend.NoteBusy(now);
   }
   if (code == model::ErrorCode::kReadOnly) {
     groups_.Get(operation.route.service, now).round_at = common::Instant(0);
@@ -338,7 +342,7 @@
     const bool read_only = code == model::ErrorCode::kReadOnly;
     const bool lagging = code == model::ErrorCode::kLagging;
     const common::Duration pause =
-        read_only ? kReadOnlyPause : (lagging ? common::Duration(0) : kBusyPause / 4);
+        read_only ? kReadOnlyPause : (lagging ? common::Duration(0) : kRetryPause);
     Wait(session, instance, model::ErrorCodeName(code), pause, now);
     return;
   }
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -12,6 +12,7 @@
 constexpr common::Duration kShortestResend{
     100'000};  // without an answer, before a read goes out again
 constexpr std::uint32_t kMostResends = 3;
+constexpr double kUsualLatencies = 4;  // latencies of the instance that are waited at least
 constexpr common::Duration kIdleSlack{200'000};
 constexpr const char* kComeBack = "retry_after_ms=250 ";
 
@@ -23,13 +24,16 @@
   const bool single_read = !session.transaction.open && !IsWrite(session);
   const bool first_of_transaction = session.transaction.open && !session.transaction.ran &&
                                     operation.caller.command.kind != model::CommandKind::kCommit;
-  if ((!single_read && !first_of_transaction) || operation.attempts > kMostResends) {
+  if ((!single_read && !first_of_transaction) || operation.resends >= kMostResends) {
     return false;
   }
   if (backend.Unreachable()) {
     return true;
   }
-  const common::Duration patience = std::max(kShortestResend, operation.route.target_latency / 2);
+  // An instance that is slow for all has not lost the answer.
+  const common::Duration usual(static_cast<std::int64_t>(kUsualLatencies * backend.LatencyUs()));
+  const common::Duration patience =
+      std::max({kShortestResend, operation.route.target_latency / 2, usual});
   return now >= operation.sent + patience;
 }
 
@@ -46,6 +50,7 @@
   const bool resend = backend != nullptr && ResendDue(session, *backend, now);
   if (resend && now < operation.deadline) {
     ++counters_.resent_reads;
+    ++operation.resends;
     outbox_.Log("request_resent", {{"request", operation.caller.request_id},
                                    {"instance", operation.instance},
                                    {"waited_ms", Milliseconds(now - operation.sent)},
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -7,21 +7,24 @@
 
 /// Added to the bound, for the time between the caller's first byte and its arrival here.
 constexpr common::Duration kStalenessMargin{30'000};
-constexpr double kOtherZoneUs = 12'000;  // time of the way and price of the bytes
-constexpr double kPrimaryUs = 15'000;    // the primary is left to writes
-constexpr double kLaggingUs = 40'000;
+constexpr double kOtherZoneUs = 12'000;   // time of the way and price of the bytes
+constexpr double kPrimaryUs = 15'000;     // the primary is left to writes
+constexpr double kLaggingUs = 1'000'000;  // tried only if nothing else is left
 constexpr double kCrowdedUs = 30'000;
 
 }  // namespace
 
-std::optional<common::Position> ReadPlacement::Required(const GroupState& group,
-                                                        const ReadNeed& need) {
-  const auto bound = group.history.Covering(need.arrived - need.max_staleness + kStalenessMargin);
+std::optional<ReadPlacement::Requirement> ReadPlacement::Required(const GroupState& group,
+                                                                  const ReadNeed& need,
+                                                                  common::Instant now) {
+  const common::Instant covered = need.arrived - need.max_staleness + kStalenessMargin;
+  const auto bound = group.history.Covering(covered);
   if (!bound || need.consistency == model::Consistency::kPrimary) {
     return std::nullopt;
   }
+  const Requirement by_bound{*bound, now - covered, false};
   if (need.consistency == model::Consistency::kBoundedStaleness) {
-    return bound;
+    return by_bound;
   }
   common::Position own = need.own_commit;
   const auto& newest = group.history.Newest();
@@ -30,7 +33,10 @@
   if (newest && newest->instant >= need.own_commit_at && newest->position < own) {
     own = newest->position;
   }
-  return std::max(*bound, own);
+  if (own <= *bound) {
+    return by_bound;
+  }
+  return Requirement{own, now - need.own_commit_at, true};
 }
 
 bool ReadPlacement::TakesWork(const Backend& backend, common::Instant now) {
@@ -44,10 +50,7 @@
   if (backend.Entry().zone != zone_) {
     cost += kOtherZoneUs;
   }
-  if (now < backend.lagging_until) {
-    cost += kLaggingUs;
-  }
-  if (now < backend.avoid_until) {
+  if (now < backend.AvoidUntil()) {
     cost += kCrowdedUs;
   }
   return cost;
@@ -57,7 +60,7 @@
                                                  const std::string& usable_primary,
                                                  const std::vector<std::string>& members,
                                                  const ReadNeed& need, common::Instant now) const {
-  const std::optional<common::Position> required = Required(group, need);
+  const std::optional<Requirement> required = Required(group, need, now);
   std::vector<Placement> staying;
   std::vector<Placement> leaving;
   for (const std::string& id : members) {
@@ -66,11 +69,16 @@
     if (!TakesWork(backend, now) || (!primary && !required)) {
       continue;
     }
-    Placement placement{id, std::nullopt, Cost(backend, now)};
+    Placement placement;
+    placement.instance = id;
+    placement.cost_us = Cost(backend, now);
     if (primary) {
       placement.cost_us += kPrimaryUs;
     } else {
-      placement.required = required;
+      placement.required = required->position;
+      placement.age = required->age;
+      placement.own = required->own;
+      placement.cost_us += backend.ExpectedFresh(required->age, now) ? 0 : kLaggingUs;
     }
     const bool leaves = backend.draining_since || backend.gone_since;
     (leaves ? leaving : staying).push_back(std::move(placement));
--- a/src/proxy/read_placement.h
+++ b/src/proxy/read_placement.h
@@ -19,6 +19,8 @@
 struct Placement {
   std::string instance;
   std::optional<common::Position> required;  // of a replica
+  common::Duration age{0};                   // of the newest commit that must be there
+  bool own = false;                          // that commit is the session's own
   double cost_us = 0;                        // expected time and price, for ordering
 };
 
@@ -40,8 +42,16 @@
                                     const std::vector<std::string>& members, const ReadNeed& need,
                                     common::Instant now) const;
 
-  /// @return the position that a replica must hold for the read, or nothing if none is known.
-  static std::optional<common::Position> Required(const GroupState& group, const ReadNeed& need);
+  /// What a replica must hold for a read.
+  struct Requirement {
+    common::Position position;
+    common::Duration age{0};  // since the newest commit that it covers was acknowledged
+    bool own = false;         // it is the session's own commit
+  };
+
+  /// @return the requirement, or nothing if none is known: then only the primary will do.
+  static std::optional<Requirement> Required(const GroupState& group, const ReadNeed& need,
+                                             common::Instant now);
 
   /// @return true if the instance takes new work.
   static bool TakesWork(const Backend& backend, common::Instant now);
