Read leases from the leadership record; writes held while they stay unanswered; only feasible attempts

A replacement releases the replaced primary's term; the first form released all terms below the fence, so that the promoted primary (old term + 1) was never believed.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -49,11 +49,12 @@
 
 std::vector<AttemptAction> Attempt::Advance(const GroupView& view, common::Instant now) {
   Actions actions;
-  if (new_term_ == 0) {
-    old_term_ = view.term;
-    new_term_ = std::max(view.term, view.highest_term) + 1;
+  if (fence_term_ == 0) {
+    old_term_ = std::max<common::Term>(1, view.term);
+    fence_term_ = std::max(old_term_, view.highest_term) + 1;
   }
-  const bool replaced_by_another = view.term > old_term_ && step_ != Step::kVerify && !Ended();
+  const bool replaced_by_another =
+      (view.term > old_term_ || another_leads_) && step_ != Step::kVerify && !Ended();
   if (replaced_by_another) {
     Enter(Step::kFinished, now);
     return actions;
@@ -105,6 +106,9 @@
   actions.emplace_back(AttemptNote{"giving_up", reason});
   if (!promotion_sent_once_) {
     ResumeOthers(view, actions);
+    if (leadership_.MayWrite(now) && leadership_.IsHolder()) {
+      actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {}, now)});
+    }
   }
   Enter(Step::kGivenUp, now);
 }
@@ -124,10 +128,14 @@
     }
     return;
   }
-  model::LeadershipRecord attempt;
-  attempt.service = service_;
-  attempt.term = new_term_;
-  actions.emplace_back(WriteRecord{leadership_.Prepare(attempt, now)});
+  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, ""}, now)});
+}
+
+bool Attempt::Feasible(const GroupView& view) {
+  const auto reachable = static_cast<std::size_t>(std::count_if(
+      view.members.begin(), view.members.end(),
+      [&](const MemberView& member) { return member.id != view.primary && member.reachable; }));
+  return reachable >= FencesNeeded(view);
 }
 
 std::size_t Attempt::ReplicasOf(const GroupView& view) {
@@ -150,7 +158,7 @@
 }
 
 void Attempt::Fence(const GroupView& view, common::Instant now, Actions& actions) {
-  const model::ControlRequest pause{model::ControlKind::kPauseReplication, new_term_};
+  const model::ControlRequest pause{model::ControlKind::kPauseReplication, fence_term_};
   const std::size_t replicas = ReplicasOf(view);
   for (const MemberView& member : view.members) {
     if (member.id == view.primary) {
@@ -167,7 +175,7 @@
   }
   if (enough && (all || now >= fenced_at_ + kStragglerPause)) {
     if (ChooseCandidate(view)) {
-      actions.emplace_back(AnnounceFence{new_term_});
+      actions.emplace_back(AnnounceFence{old_term_});
       announced_at_ = now;
       Enter(Step::kRelease, now);
       return;
@@ -217,7 +225,7 @@
     return;
   }
   if (now >= announced_at_ + kAnnouncePause) {
-    actions.emplace_back(AnnounceFence{new_term_});
+    actions.emplace_back(AnnounceFence{old_term_});
     announced_at_ = now;
   }
 }
@@ -234,11 +242,7 @@
   if (!leadership_.MayWrite(now) || !leadership_.IsHolder()) {
     return;
   }
-  model::LeadershipRecord attempt;
-  attempt.service = service_;
-  attempt.candidate = candidate_;
-  attempt.term = new_term_;
-  actions.emplace_back(WriteRecord{leadership_.Prepare(attempt, now)});
+  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, candidate_}, now)});
 }
 
 void Attempt::Promote(common::Instant now, Actions& actions) {
@@ -316,7 +320,8 @@
 }
 
 void Attempt::ControlAnswered(const std::string& instance, const model::ControlRequest& request,
-                              const std::optional<model::InstanceStatus>& status) {
+                              const std::optional<model::InstanceStatus>& status,
+                              common::Instant now) {
   const auto asked = asked_.find(instance);
   if (asked != asked_.end()) {
     asked->second.waiting = false;
@@ -325,19 +330,7 @@
     return;
   }
   if (request.kind == model::ControlKind::kPauseReplication && step_ == Step::kFence) {
-    const bool fenced = !status->primary && status->fenced_term >= new_term_;
-    if (fenced && request.term == new_term_) {
-      fenced_[instance] = {status->received};
-    } else {
-      // Something newer is known there: fence above it.
-      const common::Term seen = std::max(status->term, status->fenced_term);
-      if (seen >= new_term_) {
-        new_term_ = seen + 1;
-        fenced_.clear();
-        fenced_at_ = common::Instant(0);
-        asked_.clear();
-      }
-    }
+    TakeFence(instance, request, *status, now);
     return;
   }
   const bool leads = status->primary && status->term > old_term_ && instance == candidate_;
@@ -346,6 +339,34 @@
   }
 }
 
+void Attempt::TakeFence(const std::string& instance, const model::ControlRequest& request,
+                        const model::InstanceStatus& status, common::Instant now) {
+  if (status.primary) {
+    another_leads_ = status.term > old_term_;
+    return;
+  }
+  if (status.term > old_term_) {
+    // A later primary is known there: it is that one which is replaced, and the record must tell
+    // so before anything is fenced.
+    old_term_ = status.term;
+    fence_term_ = std::max(fence_term_, status.fenced_term) + 1;
+    fenced_.clear();
+    fenced_at_ = common::Instant(0);
+    Enter(Step::kClaim, now);
+    return;
+  }
+  if (status.fenced_term == fence_term_ && request.term == fence_term_) {
+    fenced_[instance] = {status.received};
+    return;
+  }
+  if (status.fenced_term > fence_term_) {
+    fence_term_ = status.fenced_term + 1;
+    fenced_.clear();
+    fenced_at_ = common::Instant(0);
+    asked_.clear();
+  }
+}
+
 void Attempt::RecordWritten(bool held) {
   write_done_ = held;
   write_failed_ = !held;
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -33,6 +33,7 @@
 struct MemberView {
   std::string id;
   bool draining = false;
+  bool reachable = false;
   bool gone = false;  // no longer listed; may still hold the only copy of a commit
 };
 
@@ -54,9 +55,9 @@
   model::ControlRequest request;
 };
 
-/// Tells all daemons to let go of terms below the new one.
+/// Tells all daemons to let go of the replaced primary's term.
 struct AnnounceFence {
-  common::Term new_term = 0;
+  common::Term replaced_term = 0;
 };
 
 struct WriteRecord {
@@ -105,7 +106,10 @@
 
   /// Takes an instance's answer to a control request, nothing if there was none.
   void ControlAnswered(const std::string& instance, const model::ControlRequest& request,
-                       const std::optional<model::InstanceStatus>& status);
+                       const std::optional<model::InstanceStatus>& status, common::Instant now);
+
+  /// @return true if so many replicas answer that the primary could be replaced.
+  static bool Feasible(const GroupView& view);
 
   /// Takes the result of the record's write. @param held as Leadership::Written returned.
   void RecordWritten(bool held);
@@ -116,7 +120,7 @@
   Step CurrentStep() const { return step_; }
   bool Ended() const { return step_ == Step::kFinished || step_ == Step::kGivenUp; }
   const std::string& Candidate() const { return candidate_; }
-  common::Term NewTerm() const { return new_term_; }
+  common::Term ReplacedTerm() const { return old_term_; }
 
  private:
   struct Fenced {
@@ -138,6 +142,8 @@
   void Record(const GroupView& view, common::Instant now, Actions& actions);
   void Promote(common::Instant now, Actions& actions);
   void Verify(const GroupView& view, common::Instant now, Actions& actions);
+  void TakeFence(const std::string& instance, const model::ControlRequest& request,
+                 const model::InstanceStatus& status, common::Instant now);
   void Ask(const std::string& instance, const model::ControlRequest& request,
            common::Duration pause, common::Instant now, Actions& actions);
   void ResumeOthers(const GroupView& view, Actions& actions);
@@ -151,7 +157,8 @@
   common::Instant started_{0};
   common::Instant entered_{0};
   common::Term old_term_ = 0;
-  common::Term new_term_ = 0;
+  common::Term fence_term_ = 0;
+  bool another_leads_ = false;
   bool write_failed_ = false;
   bool write_done_ = false;
   std::map<std::string, Fenced> fenced_;
--- a/src/failover/leadership.cc
+++ b/src/failover/leadership.cc
@@ -25,9 +25,15 @@
   return vacant || IsHolder() || now >= changed_at_ + kTakeoverTime;
 }
 
-RecordWrite Leadership::Prepare(const model::LeadershipRecord& attempt, common::Instant now) {
+RecordWrite Leadership::Prepare(const std::string& service, const model::AttemptRecord& attempt,
+                                common::Instant now) {
   RecordWrite write;
-  write.record = attempt;
+  write.record = record_;
+  if (attempt.replaced_term == 0) {
+    write.record.attempts.erase(service);
+  } else {
+    write.record.attempts[service] = attempt;
+  }
   write.record.holder = holder_;
   write.record.token = IsHolder() ? record_.token : record_.token + 1;
   write.record.sequence = record_.sequence + 1;
--- a/src/failover/leadership.h
+++ b/src/failover/leadership.h
@@ -55,9 +55,13 @@
   /// @return true if this daemon may write the record now.
   bool MayWrite(common::Instant now) const;
 
-  /// @param attempt service, candidate and term that the write is about; may be empty.
+  /// @return true if nobody can act on the record's last write any more.
+  bool Settled(common::Instant now) const { return known_ && now >= changed_at_ + kTakeoverTime; }
+
+  /// @param attempt of the service; one of term 0 takes the service's entry out.
   /// @return the write to make; MayWrite must hold.
-  RecordWrite Prepare(const model::LeadershipRecord& attempt, common::Instant now);
+  RecordWrite Prepare(const std::string& service, const model::AttemptRecord& attempt,
+                      common::Instant now);
 
   /// Takes the result of the write made last. @return true if this daemon holds the record with it.
   bool Written(const WriteResult& result, common::Instant now);
--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -6,8 +6,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -88,8 +90,15 @@
   using WriteHandler = std::function<void(const failover::WriteResult&)>;
   using RegisterHandler = std::function<void(bool written)>;
 
+  /// Takes the record and its revision, 0 if there is none; nothing if there was no answer.
+  using LeadershipHandler =
+      std::function<void(const std::optional<std::pair<model::LeadershipRecord, std::uint64_t>>&)>;
+
   virtual ~MetadataStore() = default;
   virtual void Read(const metadata::ReadCall& call, ReadHandler handler) = 0;
+
+  /// Reads the leadership record as it is now.
+  virtual void ReadLeadership(LeadershipHandler handler) = 0;
   virtual void WriteLeadership(const failover::RecordWrite& write, WriteHandler handler) = 0;
   virtual void WriteDaemon(const model::DaemonEntry& entry, RegisterHandler handler) = 0;
 };
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -370,6 +370,19 @@
   });
 }
 
+void ProxyHost::Do(const proxy::ReadLeadership& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().ReadLeadership([this, call](const auto& read) {
+    const common::Instant now = common::SteadyNow();
+    if (read) {
+      proxy_.LeadershipRead(call, read->first, read->second, now);
+    } else {
+      proxy_.LeadershipRead(call, std::nullopt, 0, now);
+    }
+    Drain();
+  });
+}
+
 void ProxyHost::Do(const proxy::WriteLeadership& action) {
   const proxy::CallNumber call = action.call;
   adapter_.Store().WriteLeadership(action.write, [this, call](const failover::WriteResult& result) {
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -83,6 +83,7 @@
   void Do(const proxy::AnswerCaller& action);
   void Do(const proxy::CloseSession& action);
   void Do(const proxy::ReadCatalog& action);
+  void Do(const proxy::ReadLeadership& action);
   void Do(const proxy::WriteLeadership& action);
   void Do(const proxy::WriteDaemon& action);
   void Do(const proxy::Promote& action);
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -68,15 +68,21 @@
   common::Endpoint peer;  // for messages of other daemons
 };
 
-/// Who may promote instances, and what it is about to promote.
+/// A replacement of a group's primary, begun or done.
+struct AttemptRecord {
+  common::Term replaced_term = 0;  // of the primary that is replaced
+  std::string candidate;           // empty until it is chosen
+
+  bool operator==(const AttemptRecord&) const = default;
+};
+
+/// Who may promote instances, and which replacements were begun.
 struct LeadershipRecord {
   std::string holder;
   std::uint64_t token = 0;     // rises whenever the holder changes
   std::uint64_t sequence = 0;  // rises with every write
   std::string nonce;           // names the write, to recognize it after a lost answer
-  std::string service;         // of the attempt, empty if there is none
-  std::string candidate;
-  common::Term term = 0;
+  std::map<std::string, AttemptRecord> attempts;  // the last one of each service
 };
 
 enum class Collection : std::uint8_t { kConfiguration, kInstances, kDaemons, kLeadership };
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -85,6 +85,11 @@
   failover::RecordWrite write;
 };
 
+/// Asks for the leadership record as it is now.
+struct ReadLeadership {
+  CallNumber call = 0;
+};
+
 /// Writes what this daemon announces of itself, whatever is there.
 struct WriteDaemon {
   CallNumber call = 0;
@@ -126,8 +131,9 @@
   std::vector<std::pair<const char*, std::string>> fields;
 };
 
-using Action = std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession,
-                            AnswerCaller, CloseSession, ReadCatalog, WriteLeadership, WriteDaemon,
-                            Promote, SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
+using Action =
+    std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession, AnswerCaller,
+                 CloseSession, ReadCatalog, ReadLeadership, WriteLeadership, WriteDaemon, Promote,
+                 SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -60,6 +60,7 @@
   bool read_only = false;
   bool failed = false;  // only its end is taken
   bool ran = false;     // a statement has run in it
+  bool wrote = false;   // a write has run in it
   std::string begin_id;
   model::Route route;
   common::Instant began{0};
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -111,13 +111,14 @@
                const model::Reply& reply, common::Instant now);
   bool IsWrite(const Session& session) const;
   bool MayHaveCommitted(const Session& session) const;
+  bool WouldCommit(const Session& session) const;
   void Abandon(Session& session, common::Instant now);
 
   // Time.
   void CheckOperation(Session& session, common::Instant now);
   void CheckTransaction(Session& session, common::Instant now);
   bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
-  void NoteStalledWrites(common::Instant now);
+  void NoteUnansweredWrites(common::Instant now);
 
   const ProxySettings& settings_;
   BackendSet& backends_;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -26,17 +26,18 @@
   return prepared != session.prepared.end() && prepared->second.writes;
 }
 
-bool Dispatcher::MayHaveCommitted(const Session& session) const {
-  if (session.operation->phase != OperationPhase::kRunning) {
-    return false;
-  }
+bool Dispatcher::WouldCommit(const Session& session) const {
   if (session.transaction.open) {
     return session.operation->caller.command.kind == model::CommandKind::kCommit &&
-           !session.transaction.read_only;
+           session.transaction.wrote;
   }
   return IsWrite(session);
 }
 
+bool Dispatcher::MayHaveCommitted(const Session& session) const {
+  return session.operation->phase == OperationPhase::kRunning && WouldCommit(session);
+}
+
 bool Dispatcher::NeedsPrimary(const Session& session) const {
   const Operation& operation = *session.operation;
   if (operation.route.consistency == model::Consistency::kPrimary) {
@@ -100,6 +101,10 @@
 bool Dispatcher::TryStart(Session& session, common::Instant now) {
   Operation& operation = *session.operation;
   const Transaction& transaction = session.transaction;
+  if (WouldCommit(session) && groups_.WritesStalled(operation.route.service, now)) {
+    operation.last_refusal = "writes stay unanswered";
+    return false;
+  }
   if (transaction.open && transaction.connection) {
     Backend* backend = backends_.Find(transaction.instance);
     Connection* connection = backend->Find(*transaction.connection);
@@ -294,6 +299,9 @@
     backend.NoteFresh(operation.required_age);
   }
   const bool commits = MayHaveCommitted(session);
+  if (commits) {
+    groups_.NoteWriteAnswered(operation.route.service, operation.instance);
+  }
   if (commits && reply.position) {
     session.own_commit = *reply.position;
     session.own_commit_at = now;
@@ -304,6 +312,7 @@
     ++(at_primary ? counters_.primary_reads : counters_.replica_reads);
   }
   session.transaction.ran = true;
+  session.transaction.wrote = session.transaction.wrote || IsWrite(session);
   const bool transaction_ended =
       session.transaction.open && reply.state == model::TransactionState::kIdle;
   if (transaction_ended) {
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -102,9 +102,9 @@
   }
 }
 
-void Dispatcher::NoteStalledWrites(common::Instant now) {
+void Dispatcher::NoteUnansweredWrites(common::Instant now) {
   for (auto& [service, group] : groups_.All()) {
-    group.write_stalled_since.reset();
+    group.write_sent.reset();
   }
   for (const auto& [number, session] : sessions_) {
     if (!session.operation || !MayHaveCommitted(session)) {
@@ -113,8 +113,8 @@
     const Operation& operation = *session.operation;
     GroupState& group = groups_.Get(operation.route.service, now);
     const bool at_primary = operation.instance == group.lease.Newest().primary;
-    if (at_primary && (!group.write_stalled_since || operation.sent < *group.write_stalled_since)) {
-      group.write_stalled_since = operation.sent;
+    if (at_primary && (!group.write_sent || operation.sent < *group.write_sent)) {
+      group.write_sent = operation.sent;
     }
   }
 }
@@ -145,7 +145,7 @@
       CheckTransaction(*session, now);
     }
   }
-  NoteStalledWrites(now);
+  NoteUnansweredWrites(now);
   Pump(now);
 }
 
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -13,6 +13,8 @@
 constexpr common::Duration kUnlistedLimit{2'000'000};
 /// Time after a failed attempt before the next.
 constexpr common::Duration kRetryPause{500'000};
+/// Time until it is looked again whether enough replicas answer.
+constexpr common::Duration kInfeasiblePause{100'000};
 /// Time after a successful one.
 constexpr common::Duration kSettledPause{1'000'000};
 /// Advantage in time of each daemon over the next in order.
@@ -149,7 +151,7 @@
   failover::GroupView view;
   view.service = group.service;
   view.term = group.lease.Newest().term;
-  view.primary = group.lease.Newest().primary;
+  view.primary = groups_.PrimaryHint(group);
   view.sync_replicas = service.sync_replicas;
   view.highest_term = group.highest_term;
   std::vector<std::string> members = groups_.Replicas(group.service, now);
@@ -158,8 +160,9 @@
   }
   for (const std::string& id : members) {
     const Backend& backend = backends_.All().at(id);
-    view.members.push_back(
-        {id, backend.draining_since.has_value(), backend.gone_since.has_value()});
+    view.members.push_back({id, backend.draining_since.has_value(),
+                            !backend.Unreachable() && !backend.Silent(now),
+                            backend.gone_since.has_value()});
   }
   view.known_replicas = KnownReplicas(group.service, now);
   std::set<std::string> daemons = registered;
@@ -212,19 +215,41 @@
     const std::string reason = NeedOf(*group, service, now);
     if (reason.empty()) {
       wishes_.erase(name);
+      DropStaleEntry(*group, now);
       continue;
     }
     Wish& wish = wishes_.try_emplace(name, Wish{now, reason}).first->second;
     const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now) &&
                          now >= group->known_since + kAcquaintance;
-    if (allowed) {
-      outbox_.Log("failover_started", {{"service", name},
-                                       {"reason", reason},
-                                       {"primary", group->lease.Newest().primary},
-                                       {"term", std::to_string(group->lease.Newest().term)}});
-      attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
-      AdvanceAttempt(name, configuration, registered, now);
+    if (!allowed) {
+      continue;
+    }
+    if (!failover::Attempt::Feasible(ViewOf(*group, service, registered, 0, now))) {
+      not_before_[name] = now + kInfeasiblePause;
+      outbox_.Log("failover_infeasible", {{"service", name}, {"reason", reason}},
+                  LogLevel::kWarning);
+      continue;
     }
+    outbox_.Log("failover_started", {{"service", name},
+                                     {"reason", reason},
+                                     {"primary", group->lease.Newest().primary},
+                                     {"term", std::to_string(group->lease.Newest().term)}});
+    attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
+    AdvanceAttempt(name, configuration, registered, now);
+  }
+}
+
+void FailoverDriver::DropStaleEntry(GroupState& group, common::Instant now) {
+  const auto entry = leadership_.Record().attempts.find(group.service);
+  const bool stale = entry != leadership_.Record().attempts.end() &&
+                     entry->second.replaced_term >= group.lease.Newest().term;
+  // The lease is held by a majority's word although the record does not renew it, and nobody can
+  // act on the entry any more: the replacement never came about.
+  const bool certain =
+      stale && group.lease.Holds(now) && leadership_.Settled(now) && store_connected_;
+  if (certain && leadership_.MayWrite(now) && groups_.IsProber(group.service, now)) {
+    outbox_.Log("failover_entry_dropped", {{"service", group.service}});
+    Do(group, failover::WriteRecord{leadership_.Prepare(group.service, {}, now)}, now);
   }
 }
 
@@ -233,8 +258,8 @@
                                     const std::set<std::string>& registered, common::Instant now) {
   failover::Attempt& attempt = *attempts_.at(service);
   GroupState& group = *groups_.Find(service);
-  const failover::GroupView view =
-      ViewOf(group, configuration.services.at(service), registered, attempt.NewTerm(), now);
+  const failover::GroupView view = ViewOf(group, configuration.services.at(service), registered,
+                                          attempt.ReplacedTerm() + 1, now);
   Perform(group, attempt.Advance(view, now), now);
   if (!attempt.Ended()) {
     return;
@@ -261,7 +286,7 @@
                         common::Instant now) {
   const std::string service = group.service;
   const auto answered = [this, service, action](const std::optional<model::InstanceStatus>& status,
-                                                common::Instant) {
+                                                common::Instant at) {
     if (status) {
       outbox_.Log("control_answered",
                   {{"service", service},
@@ -274,7 +299,7 @@
     }
     const auto attempt = attempts_.find(service);
     if (attempt != attempts_.end()) {
-      attempt->second->ControlAnswered(action.instance, action.request, status);
+      attempt->second->ControlAnswered(action.instance, action.request, status, at);
     }
   };
   backends_.Control(action.instance, action.request, answered, now);
@@ -282,8 +307,8 @@
 
 void FailoverDriver::Do(GroupState& group, const failover::AnnounceFence& action,
                         common::Instant now) {
-  group.fence_below = action.new_term;
-  groups_.ReleaseBelow(group, action.new_term);
+  group.fence_below = action.replaced_term + 1;
+  groups_.ReleaseBelow(group, group.fence_below);
   urgent_ = true;
   static_cast<void>(now);
 }
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -64,6 +64,8 @@
   void Do(GroupState& group, const failover::WriteRecord& action, common::Instant now);
   void Do(GroupState& group, const failover::RequestPromotion& action, common::Instant now);
   void Do(GroupState& group, const failover::AttemptNote& action, common::Instant now);
+  /// Takes a replacement that never came about out of the leadership record.
+  void DropStaleEntry(GroupState& group, common::Instant now);
   void AdvanceAttempt(const std::string& service, const model::Configuration& configuration,
                       const std::set<std::string>& registered, common::Instant now);
 
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -6,6 +6,8 @@
 namespace valvekeel::proxy {
 namespace {
 
+/// Age of the lease at which its prober asks: the store should have renewed it by then.
+constexpr common::Duration kProberRoundAge{550'000};
 /// Age of the lease's round after which a daemon that is not the prober asks by itself.
 constexpr common::Duration kOwnRoundAge{780'000};
 /// Age after which all members are asked, not just a majority.
@@ -17,6 +19,8 @@
 constexpr common::Duration kSettling{1'500'000};
 /// An unlisted member that can't be reached is left out of the count after this time.
 constexpr common::Duration kDepartedLimit{1'500'000};
+/// Time for which a write may stay unanswered before no more are sent with it.
+constexpr common::Duration kStallSuspicion{300'000};
 /// Time for which a write may stay unanswered at a primary that answers else.
 constexpr common::Duration kStallLimit{700'000};
 
@@ -49,7 +53,7 @@
 
 std::string GroupSet::UsablePrimary(const std::string& service, common::Instant now) {
   const GroupState* state = Find(service);
-  if (state == nullptr || !state->lease.Holds(now)) {
+  if (state == nullptr || !registered_ || !state->lease.Holds(now)) {
     return "";
   }
   return state->lease.Newest().primary;
@@ -74,7 +78,7 @@
     const Backend& backend = backends_.All().at(id);
     const bool departed =
         backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
-    const bool leads = group != groups_.end() && id == group->second.lease.Newest().primary;
+    const bool leads = group != groups_.end() && id == PrimaryHint(group->second);
     if (!departed && !leads) {
       replicas.push_back(id);
     }
@@ -82,6 +86,18 @@
   return replicas;
 }
 
+std::string GroupSet::PrimaryHint(const GroupState& state) const {
+  if (state.lease.Newest().term != 0) {
+    return state.lease.Newest().primary;
+  }
+  for (const std::string& id : Members(state.service)) {
+    if (backends_.All().at(id).Entry().primary) {
+      return id;
+    }
+  }
+  return "";
+}
+
 void GroupSet::AskNow(const std::string& service, common::Instant now) {
   if (GroupState* state = Find(service)) {
     StartRound(*state, now);
@@ -105,6 +121,7 @@
     const common::Term before = state->lease.Newest().term;
     state->lease.Renew({report.term, report.primary, *counted_from - *report.confirmation_age});
     if (state->lease.Newest().term > before) {
+      state->writes_stalled.reset();
       outbox_.Log("primary_learned", {{"service", report.service},
                                       {"primary", report.primary},
                                       {"term", std::to_string(report.term)},
@@ -118,6 +135,46 @@
   return released;
 }
 
+void GroupSet::RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked) {
+  for (auto& [service, state] : groups_) {
+    const group::Confirmation newest = state.lease.Newest();
+    const auto attempt = record.attempts.find(service);
+    const bool begun =
+        attempt != record.attempts.end() && attempt->second.replaced_term >= newest.term;
+    if (newest.term != 0 && !begun) {
+      state.lease.Renew({newest.term, newest.primary, asked});
+      confirmed_ = true;
+    }
+  }
+}
+
+common::Duration GroupSet::OldestConfirmation(common::Instant now) const {
+  common::Duration oldest{0};
+  for (const auto& [service, state] : groups_) {
+    if (state.lease.Newest().term != 0) {
+      oldest = std::max(oldest, now - state.lease.Newest().started);
+    }
+  }
+  return oldest;
+}
+
+void GroupSet::NoteWriteAnswered(const std::string& service, const std::string& instance) {
+  GroupState* state = Find(service);
+  if (state != nullptr && instance == state->lease.Newest().primary) {
+    state->writes_stalled.reset();
+  }
+}
+
+bool GroupSet::WritesStalled(const std::string& service, common::Instant now) const {
+  const auto found = groups_.find(service);
+  if (found == groups_.end()) {
+    return false;
+  }
+  const GroupState& state = found->second;
+  const bool waiting = state.write_sent && now >= *state.write_sent + kStallSuspicion;
+  return waiting || (state.writes_stalled && state.write_sent);
+}
+
 std::vector<GroupReport> GroupSet::Reports(common::Instant now) const {
   std::vector<GroupReport> reports;
   for (const auto& [service, state] : groups_) {
@@ -148,7 +205,6 @@
     return false;
   }
   state.lease.Release(term - 1);
-  state.highest_term = std::max(state.highest_term, term);
   outbox_.Log("lease_released", {{"service", state.service}, {"below_term", std::to_string(term)}});
   return true;
 }
@@ -210,6 +266,7 @@
         confirmed_ = true;
         if (group->lease.Newest().term > before.term) {
           news_ = true;
+          group->writes_stalled.reset();
           outbox_.Log("primary_confirmed", {{"service", service},
                                             {"primary", group->lease.Newest().primary},
                                             {"term", std::to_string(group->lease.Newest().term)}});
@@ -236,7 +293,7 @@
   if (!state.lease.Holds(now) && now >= state.lease_held_at + kLeaselessLimit) {
     return "no lease";
   }
-  if (state.write_stalled_since && now >= *state.write_stalled_since + kStallLimit) {
+  if (state.writes_stalled) {
     return "writes unanswered";
   }
   return "";
@@ -246,6 +303,9 @@
   if (state.lease.Holds(now)) {
     state.lease_held_at = now;
   }
+  if (state.write_sent && now >= *state.write_sent + kStallLimit && !state.writes_stalled) {
+    state.writes_stalled = now;
+  }
   const std::string suspicion = Suspicion(state, now);
   const bool lost = !suspicion.empty();
   if (lost == state.lost) {
@@ -270,8 +330,9 @@
 void GroupSet::Tick(common::Instant now) {
   for (auto& [service, state] : groups_) {
     const common::Duration age = now - state.lease.Newest().started;
-    const bool as_prober =
-        now >= state.round_at + settings_.lease_round_interval && IsProber(service, now);
+    const bool as_prober = age >= kProberRoundAge &&
+                           now >= state.round_at + settings_.lease_round_interval &&
+                           IsProber(service, now);
     const bool by_itself = age >= kOwnRoundAge && now >= state.round_at + kOwnRoundPause;
     if (as_prober || by_itself) {
       StartRound(state, now);
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -13,6 +13,7 @@
 
 #include "group/position_history.h"
 #include "group/read_lease.h"
+#include "model/catalog.h"
 #include "proxy/backend_set.h"
 #include "proxy/outbox.h"
 #include "proxy/peer_message.h"
@@ -25,15 +26,16 @@
   std::string service;
   group::ReadLease lease;
   group::PositionHistory history;
-  common::Term highest_term = 0;                       // seen anywhere, fences included
-  common::Term fence_below = 0;                        // announced by this daemon's attempt
-  common::Term observed_fence = 0;                     // announced by any daemon
-  common::Instant known_since{0};                      // when the group was first seen here
-  common::Instant lease_held_at{0};                    // when the lease was last seen held
-  common::Instant round_at{0};                         // of the last round asked by this daemon
-  std::size_t next_replica = 0;                        // rotates the replicas that rounds ask
-  std::optional<common::Instant> write_stalled_since;  // oldest unanswered write at the primary
-  bool lost = false;                                   // this daemon's opinion
+  common::Term highest_term = 0;                  // seen anywhere, fences included
+  common::Term fence_below = 0;                   // announced by this daemon's attempt
+  common::Term observed_fence = 0;                // announced by any daemon
+  common::Instant known_since{0};                 // when the group was first seen here
+  common::Instant lease_held_at{0};               // when the lease was last seen held
+  common::Instant round_at{0};                    // of the last round asked by this daemon
+  std::size_t next_replica = 0;                   // rotates the replicas that rounds ask
+  std::optional<common::Instant> write_sent;      // oldest unanswered write at the primary
+  std::optional<common::Instant> writes_stalled;  // no write has been answered since
+  bool lost = false;                              // this daemon's opinion
 };
 
 class GroupSet {
@@ -60,6 +62,9 @@
   /// that are no longer listed and have not been reached for a while.
   std::vector<std::string> Replicas(const std::string& service, common::Instant now) const;
 
+  /// @return the known primary; before one is known, the instance that says so of itself.
+  std::string PrimaryHint(const GroupState& state) const;
+
   /// @return true if a change of primary was learned since the last call.
   bool TakeNews() { return std::exchange(news_, false); }
 
@@ -73,17 +78,35 @@
   /// @return true if a lease was let go, of which the peer should hear at once.
   bool TakeReports(const PeerMessage& message, std::optional<common::Instant> counted_from);
 
+  /// Takes the leadership record as it was at or after an instant: groups without a replacement
+  /// beyond their primary's term have their leases renewed from that instant.
+  void RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked);
+
+  /// @return the longest time since a known group's lease was renewed.
+  common::Duration OldestConfirmation(common::Instant now) const;
+
+  /// Leases are held only by registered daemons: a promoter waits for those alone.
+  void SetRegistered(bool registered) { registered_ = registered; }
+
+  /// Notes that a write was acknowledged by the primary.
+  void NoteWriteAnswered(const std::string& service, const std::string& instance);
+
+  /// @return true if writes stay unanswered at the primary, so that no more should go there.
+  bool WritesStalled(const std::string& service, common::Instant now) const;
+
   /// @return what is told to the other daemons.
   std::vector<GroupReport> Reports(common::Instant now) const;
 
   /// Lets go of all terms below. @return true if that was news.
   bool ReleaseBelow(GroupState& state, common::Term term);
 
+  /// @return true if this daemon asks the group's instances for all others.
+  bool IsProber(const std::string& service, common::Instant now) const;
+
   /// Asks for the lease where it is due, forms opinions.
   void Tick(common::Instant now);
 
  private:
-  bool IsProber(const std::string& service, common::Instant now) const;
   void StartRound(GroupState& state, common::Instant now);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void Judge(GroupState& state, common::Instant now);
@@ -96,6 +119,7 @@
   std::map<std::string, GroupState> groups_;
   bool news_ = false;
   bool confirmed_ = false;
+  bool registered_ = false;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -31,6 +31,7 @@
       groups_(settings_, backends_, peers_, outbox_),
       catalog_(settings_, outbox_),
       failover_(settings_, backends_, groups_, peers_, outbox_),
+      store_lease_(settings_, groups_, peers_, outbox_),
       dispatcher_(settings_, backends_, groups_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
@@ -79,6 +80,14 @@
   catalog_.Tick(now);
 }
 
+void Proxy::LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
+                           std::uint64_t revision, common::Instant now) {
+  store_lease_.Read(call, record);
+  if (record) {
+    failover_.RecordSeen(*record, revision, now);
+  }
+}
+
 void Proxy::LeadershipWritten(CallNumber call, const failover::WriteResult& result,
                               common::Instant now) {
   failover_.RecordWritten(call, result, now);
@@ -96,6 +105,7 @@
   }
   registering_.reset();
   registered_ = written;
+  groups_.SetRegistered(registered_ || catalog_.Daemons().contains(settings_.name));
   register_not_before_ = now + kRegisterPause;
   outbox_.Log("daemon_registered", {{"written", written ? "true" : "false"}});
 }
@@ -129,6 +139,9 @@
     backends_.EntryGone(id, now);
   }
   for (const model::DaemonEntry& daemon : update.daemons) {
+    if (daemon.name == settings_.name) {
+      groups_.SetRegistered(true);
+    }
     if (daemon.name != settings_.name) {
       peers_.Add(daemon.peer);
     }
@@ -269,6 +282,7 @@
   Register(now);
   SetConnectionLimits(now);
   backends_.Tick(now);
+  store_lease_.Tick(catalog_.Connected(), now);
   groups_.Tick(now);
   failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -23,6 +23,7 @@
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "proxy/store_lease.h"
 
 namespace valvekeel::proxy {
 
@@ -48,6 +49,9 @@
 
   // The metadata store and the promotion service.
   void CatalogRead(CallNumber call, const metadata::ReadResult& result, common::Instant now);
+  /// @param record nothing if the store did not answer; revision 0 if there is no record.
+  void LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
+                      std::uint64_t revision, common::Instant now);
   void LeadershipWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
   void DaemonWritten(CallNumber call, bool written, common::Instant now);
   void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
@@ -91,6 +95,7 @@
   GroupSet groups_;
   CatalogState catalog_;
   FailoverDriver failover_;
+  StoreLease store_lease_;
   Dispatcher dispatcher_;
   std::mt19937_64 random_;
   bool ready_ = false;
--- /dev/null
+++ b/src/proxy/store_lease.cc
@@ -0,0 +1,52 @@
+#include "proxy/store_lease.h"
+
+#include <functional>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Age of a lease at which a daemon reads by itself what the reader should have told it.
+constexpr common::Duration kOwnReadAge{700'000};
+constexpr common::Duration kOwnReadPause{200'000};
+
+}  // namespace
+
+bool StoreLease::IsReader(common::Instant now) const {
+  const std::hash<std::string> hash;
+  const std::size_t own = hash(settings_.name);
+  for (const std::string& name : peers_.LiveNames(now)) {
+    const Peer* peer = peers_.ByName(name);
+    if (peer != nullptr && peer->last.store_connected && hash(name) < own) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void StoreLease::Tick(bool store_connected, common::Instant now) {
+  if (call_ || !store_connected) {
+    return;
+  }
+  const bool as_reader = now >= asked_at_ + settings_.lease_round_interval && IsReader(now);
+  const bool by_itself =
+      now >= asked_at_ + kOwnReadPause && groups_.OldestConfirmation(now) >= kOwnReadAge;
+  if (!as_reader && !by_itself) {
+    return;
+  }
+  call_ = outbox_.NextNumber();
+  asked_at_ = now;
+  outbox_.Emit(ReadLeadership{*call_});
+}
+
+bool StoreLease::Read(CallNumber call, const std::optional<model::LeadershipRecord>& record) {
+  if (call_ != call) {
+    return false;
+  }
+  call_.reset();
+  if (record) {
+    groups_.RenewFromRecord(*record, asked_at_);
+  }
+  return true;
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/store_lease.h
@@ -0,0 +1,44 @@
+// Renews the read leases of all groups by one read of the leadership record.
+//
+// Every promotion is announced in the record before anything is fenced for it, and waits for the
+// lease time or for every registered daemon. So a daemon that has read, at some instant, that no
+// replacement beyond the known primary's term was begun may read at that primary for the lease time
+// from then on. One daemon reads the record for all; the others hear of it in heartbeats.
+//
+// Owns: when the record is read. Invariant: a lease is renewed only from the instant at which the
+// read was sent. Pure. Thread: its host's.
+#pragma once
+
+#include <optional>
+
+#include "proxy/group_set.h"
+#include "proxy/outbox.h"
+#include "proxy/peer_table.h"
+#include "proxy/proxy_settings.h"
+
+namespace valvekeel::proxy {
+
+class StoreLease {
+ public:
+  StoreLease(const ProxySettings& settings, GroupSet& groups, const PeerTable& peers,
+             Outbox& outbox)
+      : settings_(settings), groups_(groups), peers_(peers), outbox_(outbox) {}
+
+  /// Reads the record if it is due.
+  void Tick(bool store_connected, common::Instant now);
+
+  /// Takes the record. @return true if the call was ours.
+  bool Read(CallNumber call, const std::optional<model::LeadershipRecord>& record);
+
+ private:
+  bool IsReader(common::Instant now) const;
+
+  const ProxySettings& settings_;
+  GroupSet& groups_;
+  const PeerTable& peers_;
+  Outbox& outbox_;
+  std::optional<CallNumber> call_;
+  common::Instant asked_at_{0};
+};
+
+}  // namespace valvekeel::proxy
