A promoted replica must hold what replicas that ended may have held alone

'Writes unanswered' then led to a replacement by one of the two. Now the first position heard from the primary after a replica's end is a floor for any candidate, told to all daemons; a replica whose end is not covered by one still counts. Ruled out: a fence that did not hold.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -212,7 +212,7 @@
       best = &member;
     }
   }
-  if (best == nullptr) {
+  if (best == nullptr || rank(*best).received < view.floor) {
     return false;
   }
   candidate_ = best->id;
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -164,6 +164,7 @@
                             !backend.Unreachable() && !backend.Silent(now),
                             backend.gone_since.has_value()});
   }
+  view.floor = group.floor;
   view.known_replicas = KnownReplicas(group.service, now);
   std::set<std::string> daemons = registered;
   for (const std::string& name : peers_.LiveNames(now)) {
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -76,8 +76,10 @@
   const auto group = groups_.find(service);
   for (const std::string& id : Members(service)) {
     const Backend& backend = backends_.All().at(id);
-    const bool departed =
-        backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
+    // A replica whose end is not covered yet may hold a commit that nobody else has.
+    const bool covered = group != groups_.end() && group->second.departed.contains(id);
+    const bool departed = covered && backend.gone_since && backend.Unreachable() &&
+                          now >= *backend.gone_since + kDepartedLimit;
     const bool leads = group != groups_.end() && id == PrimaryHint(group->second);
     if (!departed && !leads) {
       replicas.push_back(id);
@@ -113,6 +115,7 @@
       continue;
     }
     state->highest_term = std::max(state->highest_term, report.term);
+    state->floor = std::max(state->floor, report.floor);
     state->observed_fence = std::max(state->observed_fence, report.fence_below);
     released = ReleaseBelow(*state, report.fence_below) || released;
     if (!counted_from || !report.confirmation_age) {
@@ -191,6 +194,7 @@
         report.sample = sample->position;
       }
     }
+    report.floor = state.floor;
     report.replicas = Replicas(service, now).size();
     report.primary_lost = state.lost;
     report.fence_below = state.fence_below;
@@ -299,6 +303,29 @@
   return "";
 }
 
+void GroupSet::NoteDepartures(GroupState& state, common::Instant now) {
+  for (const std::string& id : Members(state.service)) {
+    const Backend& backend = backends_.All().at(id);
+    const bool ended = backend.gone_since && backend.Unreachable();
+    if (!ended) {
+      state.departures.erase(id);
+      state.departed.erase(id);
+    } else if (!state.departed.contains(id)) {
+      state.departures.try_emplace(id, now);
+    }
+  }
+  for (auto departure = state.departures.begin(); departure != state.departures.end();) {
+    const auto covering = state.history.Covering(departure->second);
+    if (!covering) {
+      ++departure;
+      continue;
+    }
+    state.floor = std::max(state.floor, *covering);
+    state.departed.insert(departure->first);
+    departure = state.departures.erase(departure);
+  }
+}
+
 void GroupSet::Judge(GroupState& state, common::Instant now) {
   if (state.lease.Holds(now)) {
     state.lease_held_at = now;
@@ -337,6 +364,7 @@
     if (as_prober || by_itself) {
       StartRound(state, now);
     }
+    NoteDepartures(state, now);
     Judge(state, now);
   }
 }
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,7 +36,12 @@
   std::size_t next_replica = 0;                   // rotates the replicas that rounds ask
   std::optional<common::Instant> write_sent;      // oldest unanswered write at the primary
   std::optional<common::Instant> writes_stalled;  // no write has been answered since
-  bool lost = false;                              // this daemon's opinion
+  /// Replicas that ended, perhaps with the only copy of a commit, and when that was noticed; until
+  /// a position of the primary from then on is known.
+  std::map<std::string, common::Instant> departures;
+  std::set<std::string> departed;  // whose departure is covered by `floor`
+  common::Position floor;          // a promoted replica must hold at least this
+  bool lost = false;               // this daemon's opinion
 };
 
 class GroupSet {
@@ -109,6 +115,7 @@
  private:
   void StartRound(GroupState& state, common::Instant now);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
+  void NoteDepartures(GroupState& state, common::Instant now);
   void Judge(GroupState& state, common::Instant now);
   std::string Suspicion(const GroupState& state, common::Instant now) const;
 
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -24,7 +24,8 @@
 json GroupToJson(const GroupReport& group) {
   return json::array({group.service, group.term, group.primary, AgeToJson(group.confirmation_age),
                       AgeToJson(group.sample_age), group.sample.term, group.sample.lsn,
-                      group.replicas, group.primary_lost, group.fence_below, group.released_below});
+                      group.floor.term, group.floor.lsn, group.replicas, group.primary_lost,
+                      group.fence_below, group.released_below});
 }
 
 GroupReport GroupFromJson(const json& value) {
@@ -38,6 +39,8 @@
   group.sample_age = AgeFromJson(next());
   group.sample.term = next().get<common::Term>();
   group.sample.lsn = next().get<common::Lsn>();
+  group.floor.term = next().get<common::Term>();
+  group.floor.lsn = next().get<common::Lsn>();
   group.replicas = next().get<std::size_t>();
   group.primary_lost = next().get<bool>();
   group.fence_below = next().get<common::Term>();
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -25,6 +25,7 @@
   std::optional<common::Duration> confirmation_age;  // of the read lease's newest round
   std::optional<common::Duration> sample_age;        // of `sample`
   common::Position sample;                           // the primary's position, see PositionHistory
+  common::Position floor;                            // that a promoted replica must hold
   std::size_t replicas = 0;                          // that the sender counts
   bool primary_lost = false;
   common::Term fence_below = 0;     // all are asked to let go of terms below
