--- /dev/null
+++ b/src/proxysim/callers.cc
@@ -0,0 +1,299 @@
+#include "proxysim/callers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace valvekeel::proxysim {
+namespace {
+
+using common::Duration;
+using model::CommandKind;
+
+constexpr Duration kLeastThink{20'000};
+constexpr Duration kMostThink{400'000};
+constexpr Duration kWay{1'000};
+constexpr Duration kReconnect{50'000};
+constexpr Duration kRetryPause{60'000};
+constexpr std::uint32_t kMostRetries = 2;
+constexpr double kWriteShare = 0.25;
+constexpr double kTransactionShare = 0.25;
+constexpr double kSessionEnds = 0.05;
+constexpr double kHasValue = 0.5;
+constexpr Duration kAnswerLimit{5'000'000};
+
+model::Command MakeCommand(CommandKind kind, const std::string& arguments = "") {
+  model::Command command;
+  command.kind = kind;
+  command.arguments = arguments;
+  return command;
+}
+
+}  // namespace
+
+struct Callers::Caller {
+  DaemonHost* daemon = nullptr;
+  std::uint64_t session = 0;
+  std::uint64_t epoch = 0;  // of the session, so that late events are told apart
+  std::string service;
+  model::Route route;
+  std::map<std::string, std::string> values;
+  // The operation in progress.
+  std::vector<model::Command> commands;
+  std::size_t next = 0;
+  std::string attempt;
+  std::uint32_t retries = 0;
+  bool writes = false;
+  bool active = false;
+  bool commit_sent = false;
+  common::Instant began{0};
+};
+
+Callers::Callers(Cluster& cluster, std::size_t sessions) : cluster_(cluster) {
+  for (std::size_t number = 0; number < sessions; ++number) {
+    callers_.push_back(std::make_shared<Caller>());
+    Connect(callers_.back());
+  }
+}
+
+void Callers::Connect(const std::shared_ptr<Caller>& caller) {
+  World& world = cluster_.Surroundings();
+  const std::uint64_t epoch = ++caller->epoch;
+  caller->session = next_session_++;
+  caller->values.clear();
+  auto& daemons = cluster_.Daemons();
+  caller->daemon = daemons[world.Below(daemons.size())].get();
+  const auto configuration = cluster_.CurrentConfiguration();
+  auto route = configuration.routes.begin();
+  std::advance(route, world.Below(configuration.routes.size()));
+  caller->route = route->second;
+  caller->service = route->second.service;
+  if (!caller->daemon->Ready()) {
+    world.After(kReconnect, [this, caller, epoch] {
+      if (epoch == caller->epoch) {
+        Connect(caller);
+      }
+    });
+    return;
+  }
+  CallerPort port;
+  port.accepted = [this, caller, epoch] {
+    if (epoch == caller->epoch) {
+      Think(caller);
+    }
+  };
+  port.answer = [this, caller, epoch](const model::Reply& reply) {
+    cluster_.Surroundings().After(kWay, [this, caller, epoch, reply] {
+      if (epoch == caller->epoch) {
+        Answered(caller, reply);
+      }
+    });
+  };
+  port.closed = [this, caller, epoch] {
+    cluster_.Surroundings().After(kWay, [this, caller, epoch] {
+      if (epoch == caller->epoch) {
+        Closed(caller);
+      }
+    });
+  };
+  caller->daemon->OpenSession(caller->session, caller->route.database, std::move(port));
+  world.After(std::chrono::seconds(2), [this, caller, epoch] {
+    const bool waits = epoch == caller->epoch && !caller->active && caller->commands.empty();
+    if (waits) {
+      caller->daemon->CloseSession(caller->session);
+      Connect(caller);
+    }
+  });
+}
+
+void Callers::Think(const std::shared_ptr<Caller>& caller) {
+  World& world = cluster_.Surroundings();
+  const std::uint64_t epoch = caller->epoch;
+  caller->commands = {MakeCommand(CommandKind::kRead)};  // marks the session as accepted
+  world.After(world.Between(kLeastThink, kMostThink), [this, caller, epoch] {
+    if (epoch == caller->epoch && cluster_.Surroundings().Now() < stop_at_) {
+      BeginOperation(caller);
+    }
+  });
+}
+
+void Callers::BeginOperation(const std::shared_ptr<Caller>& caller) {
+  World& world = cluster_.Surroundings();
+  if (world.Chance(kSessionEnds)) {
+    caller->daemon->CloseSession(caller->session);
+    Connect(caller);
+    return;
+  }
+  caller->commands.clear();
+  const bool may_write = caller->route.consistency != model::Consistency::kBoundedStaleness;
+  caller->writes = may_write && world.Chance(kWriteShare);
+  const bool transaction = world.Chance(kTransactionShare);
+  if (caller->values.empty() && world.Chance(kHasValue)) {
+    model::Command set = MakeCommand(CommandKind::kSet, std::to_string(world.Below(5)));
+    set.name = "v";
+    caller->commands.push_back(set);
+  }
+  if (transaction) {
+    caller->commands.push_back(
+        MakeCommand(caller->writes ? CommandKind::kBegin : CommandKind::kBeginReadOnly));
+    caller->commands.push_back(MakeCommand(CommandKind::kRead, "k"));
+  }
+  caller->commands.push_back(
+      MakeCommand(caller->writes ? CommandKind::kWrite : CommandKind::kRead, "k"));
+  if (transaction) {
+    caller->commands.push_back(MakeCommand(CommandKind::kCommit));
+  }
+  caller->retries = 0;
+  caller->active = true;
+  caller->began = world.Now();
+  ++SecondOf(caller->began).begun;
+  BeginAttempt(caller);
+}
+
+void Callers::BeginAttempt(const std::shared_ptr<Caller>& caller) {
+  CallerAttempt attempt;
+  attempt.id = std::string("r") + std::to_string(next_attempt_++);
+  attempt.session = caller->session;
+  attempt.service = caller->service;
+  attempt.consistency = caller->route.consistency;
+  attempt.max_staleness = caller->route.max_staleness;
+  attempt.began = cluster_.Surroundings().Now();
+  attempt.values = caller->values;
+  caller->attempt = attempt.id;
+  caller->next = 0;
+  caller->commit_sent = false;
+  cluster_.Record().Begin(std::move(attempt));
+  SendNext(caller);
+}
+
+void Callers::SendNext(const std::shared_ptr<Caller>& caller) {
+  World& world = cluster_.Surroundings();
+  const std::uint64_t epoch = caller->epoch;
+  const model::Command command = caller->commands[caller->next];
+  CallerAttempt* attempt = cluster_.Record().Find(caller->attempt);
+  attempt->in_transaction = std::any_of(
+      caller->commands.begin(), caller->commands.begin() + static_cast<long>(caller->next),
+      [](const model::Command& each) {
+        return each.kind == CommandKind::kBegin || each.kind == CommandKind::kBeginReadOnly;
+      });
+  if (!attempt->in_transaction) {
+    attempt->began = world.Now();
+  }
+  const bool alone = command.kind == CommandKind::kWrite && !attempt->in_transaction;
+  caller->commit_sent = caller->commit_sent || command.kind == CommandKind::kCommit || alone;
+  const std::string id = caller->attempt;
+  world.After(kWay, [this, caller, epoch, command, id] {
+    if (epoch == caller->epoch) {
+      caller->daemon->Command(caller->session, {id, command});
+    }
+  });
+  world.After(kAnswerLimit, [this, caller, epoch, id, step = caller->next] {
+    const bool unanswered =
+        epoch == caller->epoch && caller->active && caller->attempt == id && caller->next == step;
+    if (unanswered) {
+      caller->daemon->CloseSession(caller->session);
+      Closed(caller);
+    }
+  });
+}
+
+void Callers::Answered(const std::shared_ptr<Caller>& caller, const model::Reply& reply) {
+  if (!caller->active) {
+    return;
+  }
+  const model::Command& command = caller->commands[caller->next];
+  if (!reply.succeeded) {
+    const bool promised = model::PromisesNothingKept(reply.error);
+    if (promised && caller->writes) {
+      cluster_.Record().Refused(caller->attempt);
+    }
+    if (reply.state != model::TransactionState::kIdle) {
+      caller->daemon->Command(caller->session,
+                              {caller->attempt, MakeCommand(CommandKind::kRollback)});
+      // The answer to the end of the transaction is not looked at: a new session is simpler.
+      caller->daemon->CloseSession(caller->session);
+      const bool may_retry = promised || !caller->commit_sent;
+      Failed(caller, may_retry);
+      return;
+    }
+    Failed(caller, promised || !caller->writes || !caller->commit_sent);
+    return;
+  }
+  if (model::RunsOnInstance(command.kind) && reply.signature != caller->attempt) {
+    cluster_.Surroundings().Report("MIXED",
+                                   caller->attempt + " got the answer of " + reply.signature);
+  }
+  if (command.kind == CommandKind::kSet) {
+    caller->values[command.name] = command.arguments;
+    cluster_.Record().Find(caller->attempt)->values = caller->values;
+  }
+  ++caller->next;
+  if (caller->next < caller->commands.size()) {
+    SendNext(caller);
+    return;
+  }
+  Succeeded(caller, reply);
+}
+
+void Callers::Succeeded(const std::shared_ptr<Caller>& caller, const model::Reply& reply) {
+  caller->active = false;
+  cluster_.Record().NoteSuccess();
+  ++SecondOf(caller->began).succeeded;
+  if (caller->writes) {
+    cluster_.Record().Acknowledged(caller->attempt, reply.position.value_or(common::Position{}));
+    writes_[caller->service].push_back(cluster_.Surroundings().Now());
+  }
+  Think(caller);
+}
+
+void Callers::Failed(const std::shared_ptr<Caller>& caller, bool may_retry) {
+  World& world = cluster_.Surroundings();
+  const bool again = may_retry && caller->retries < kMostRetries && world.Now() < stop_at_;
+  if (!again) {
+    caller->active = false;
+    Connect(caller);
+    return;
+  }
+  // The values of the session are gone with it: the operation is begun anew on another one.
+  caller->active = false;
+  const std::uint32_t retries = caller->retries + 1;
+  caller->daemon->CloseSession(caller->session);
+  world.After(kRetryPause, [this, caller, retries, epoch = caller->epoch] {
+    if (epoch == caller->epoch) {
+      Connect(caller);
+      caller->retries = retries;
+    }
+  });
+}
+
+void Callers::Closed(const std::shared_ptr<Caller>& caller) {
+  caller->active = false;
+  Connect(caller);
+}
+
+SecondSummary& Callers::SecondOf(common::Instant at) {
+  const auto second =
+      static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(at).count());
+  if (seconds_.size() <= second) {
+    seconds_.resize(second + 1);
+  }
+  return seconds_[second];
+}
+
+Duration Callers::LongestWriteGap(const std::string& service, common::Instant from,
+                                  common::Instant to) const {
+  Duration longest{0};
+  common::Instant last = from;
+  const auto found = writes_.find(service);
+  if (found != writes_.end()) {
+    for (const common::Instant write : found->second) {
+      if (write < from || write > to) {
+        continue;
+      }
+      longest = std::max(longest, write - last);
+      last = write;
+    }
+  }
+  return std::max(longest, to - last);
+}
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/cluster.cc
@@ -0,0 +1,161 @@
+#include "proxysim/cluster.h"
+
+#include <utility>
+
+namespace valvekeel::proxysim {
+namespace {
+
+using model::Collection;
+
+constexpr const char* kPlatform = "platform";
+constexpr common::Duration kPromotionTimeout{450'000};
+constexpr common::Duration kUnlistAfter{3'600'000};  // three heartbeats of silence
+constexpr std::uint16_t kPeerPort = 7440;
+constexpr common::Duration kWriteTimeLimit{800'000};
+constexpr common::Duration kReadTimeLimit{2'000'000};
+constexpr common::Duration kTargetLatency{250'000};
+
+model::Route MakeRoute(const std::string& service, const std::string& suffix,
+                       model::Consistency consistency, common::Duration timeout,
+                       common::Duration staleness) {
+  model::Route route;
+  route.database = service + suffix;
+  route.service = service;
+  route.consistency = consistency;
+  route.timeout = timeout;
+  route.target_latency = kTargetLatency;
+  route.max_staleness = staleness;
+  return route;
+}
+
+}  // namespace
+
+std::string ZoneName(std::size_t number) { return std::string("zone-") + std::to_string(number); }
+
+Cluster::Cluster(std::uint64_t seed, const ClusterShape& shape)
+    : world_(seed), history_(world_), store_(world_), shape_(shape) {
+  configuration_.version = 1;
+  configuration_.transaction_idle = std::chrono::seconds(3);
+  for (std::size_t number = 0; number < shape_.groups; ++number) {
+    const std::string service = std::string("group") + std::to_string(number);
+    auto group = std::make_unique<DatabaseGroup>(world_, history_, service, shape_.group);
+    DatabaseGroup* made = group.get();
+    group->on_change = [this, made] { AnnounceAll(*made); };
+    groups_.emplace(service, std::move(group));
+    configuration_.services[service] = {service,
+                                        static_cast<std::uint32_t>(shape_.group.most_connections),
+                                        shape_.group.sync_replicas};
+    for (const model::Route& route :
+         {MakeRoute(service, ".primary", model::Consistency::kPrimary, kWriteTimeLimit,
+                    common::Duration(0)),
+          MakeRoute(service, ".bounded", model::Consistency::kBoundedStaleness, kReadTimeLimit,
+                    std::chrono::milliseconds(1500)),
+          MakeRoute(service, ".own", model::Consistency::kReadYourWrites, kWriteTimeLimit,
+                    std::chrono::milliseconds(2500))}) {
+      configuration_.routes[route.database] = route;
+    }
+    AnnounceAll(*made);
+  }
+  WriteConfiguration();
+  for (std::size_t number = 0; number < shape_.daemons; ++number) {
+    const std::string name = std::string("daemon-") + std::to_string(number);
+    const common::Endpoint address{"10.0.0." + std::to_string(number + 1), kPeerPort};
+    daemons_.push_back(
+        std::make_unique<DaemonHost>(*this, name, ZoneName(number % shape_.zones), address));
+    daemons_.back()->Start();
+  }
+}
+
+void Cluster::WriteConfiguration() {
+  store_.Put(Collection::kConfiguration, "main", configuration_);
+}
+
+void Cluster::ChangeConfiguration() {
+  ++configuration_.version;
+  WriteConfiguration();
+}
+
+DatabaseGroup* Cluster::GroupOfInstance(const std::string& instance) {
+  for (auto& [service, group] : groups_) {
+    if (group->Instances().contains(instance)) {
+      return group.get();
+    }
+  }
+  return nullptr;
+}
+
+DaemonHost* Cluster::DaemonAt(const common::Endpoint& address) {
+  for (const auto& daemon : daemons_) {
+    if (daemon->Address() == address) {
+      return daemon.get();
+    }
+  }
+  return nullptr;
+}
+
+void Cluster::Announce(const DatabaseGroup& group, const SimulatedInstance& instance) {
+  model::InstanceEntry entry;
+  entry.id = instance.id;
+  entry.service = group.Service();
+  entry.address = {"10.128.0.1", 8080};
+  entry.zone = ZoneName(std::hash<std::string>()(instance.id) % shape_.zones);
+  entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
+  entry.draining = instance.draining;
+  entry.primary = instance.primary;
+  store_.Put(Collection::kInstances, instance.id, entry);
+}
+
+void Cluster::AnnounceAll(DatabaseGroup& group) {
+  for (const auto& [id, instance] : group.Instances()) {
+    const std::string state = std::string(instance.alive ? "alive" : "dead") +
+                              (instance.primary ? "+primary" : "") +
+                              (instance.draining ? "+draining" : "");
+    if (std::exchange(announced_[id], state) == state) {
+      continue;
+    }
+    if (instance.alive) {
+      Announce(group, instance);
+      continue;
+    }
+    const std::string gone = id;
+    world_.After(kUnlistAfter, [this, gone] {
+      if (announced_[gone].starts_with("dead")) {
+        store_.Delete(Collection::kInstances, gone);
+      }
+    });
+  }
+}
+
+void Cluster::Promote(const std::string& daemon, const proxy::Promote& promotion,
+                      const std::function<void(failover::PromotionStatus)>& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](failover::PromotionStatus status) {
+    if (!std::exchange(*ended, true)) {
+      handler(status);
+    }
+  };
+  world_.After(kPromotionTimeout, [finish] { finish(failover::PromotionStatus::kNoAnswer); });
+  if (!world_.Reaches(daemon, kPlatform)) {
+    return;
+  }
+  world_.After(world_.Delay(), [this, daemon, promotion, finish] {
+    if (promotion.token < highest_token_) {
+      world_.Report("ONE", "token " + std::to_string(promotion.token) + " after " +
+                               std::to_string(highest_token_));
+    }
+    highest_token_ = std::max(highest_token_, promotion.token);
+    const auto [holder, added] = token_holders_.emplace(promotion.token, promotion.holder);
+    if (!added && holder->second != promotion.holder) {
+      world_.Report("ONE", "two holders of token " + std::to_string(promotion.token));
+    }
+    const bool taken = groups_.at(promotion.service)->Promote(promotion.instance);
+    if (world_.Reaches(kPlatform, daemon)) {
+      world_.After(world_.Delay(), [finish, taken] {
+        finish(taken ? failover::PromotionStatus::kAccepted
+                     : failover::PromotionStatus::kNotRunning);
+      });
+    }
+  });
+}
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/daemon_host.cc
@@ -0,0 +1,375 @@
+#include "proxysim/daemon_host.h"
+
+#include <utility>
+
+#include "proxysim/cluster.h"
+
+namespace valvekeel::proxysim {
+namespace {
+
+constexpr common::Duration kHandshake{12'000};
+constexpr common::Duration kConnectTimeout{500'000};
+constexpr common::Duration kFetchTimeout{500'000};
+constexpr common::Duration kStartTime{50'000};
+
+}  // namespace
+
+DaemonHost::DaemonHost(Cluster& cluster, std::string name, std::string zone,
+                       common::Endpoint address)
+    : cluster_(cluster),
+      name_(std::move(name)),
+      zone_(std::move(zone)),
+      address_(std::move(address)) {}
+
+void DaemonHost::Start() {
+  const std::uint64_t life = ++life_;
+  cluster_.Surroundings().After(kStartTime, [this, life] {
+    if (life != life_ || proxy_) {
+      return;
+    }
+    proxy::ProxySettings settings;
+    settings.name = name_;
+    settings.zone = zone_;
+    settings.incarnation = life;
+    settings.peer = address_;
+    settings.seed_peers = {{"10.0.0.1", address_.port}, {"10.0.0.2", address_.port}};
+    settings.seed_catalogs = settings.seed_peers;
+    proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
+    Tick(life);
+  });
+}
+
+void DaemonHost::Kill() {
+  frozen_ = false;
+  ready_ = false;
+  held_.clear();
+  for (const auto& [number, instance] : std::exchange(connections_, {})) {
+    if (DatabaseGroup* group = cluster_.GroupOfInstance(instance)) {
+      group->Disconnect(instance, KeyOf(number));
+    }
+  }
+  ++life_;
+  const auto callers = std::exchange(callers_, {});
+  // The decision code may be running: it ends with the event that killed it.
+  std::shared_ptr<proxy::Proxy> ending = std::move(proxy_);
+  cluster_.Surroundings().After(common::Duration(0), [ending] {});
+  for (const auto& [number, port] : callers) {
+    port.closed();
+  }
+}
+
+void DaemonHost::Stop() {
+  if (proxy_) {
+    proxy_->Stop(cluster_.Surroundings().Now());
+    Drain();
+  }
+}
+
+std::uint64_t DaemonHost::KeyOf(proxy::ConnectionNumber number) const {
+  constexpr unsigned kLifeShift = 32;
+  constexpr unsigned kDaemonShift = 48;
+  const std::uint64_t daemon = std::hash<std::string>()(name_) & 0xffffU;
+  return daemon << kDaemonShift | life_ << kLifeShift | number;
+}
+
+void DaemonHost::Freeze() { frozen_ = true; }
+
+void DaemonHost::Thaw() {
+  frozen_ = false;
+  for (auto& event : std::exchange(held_, {})) {
+    event();
+  }
+}
+
+void DaemonHost::Deliver(std::uint64_t life, std::function<void()> event) {
+  if (life != life_ || !proxy_) {
+    return;
+  }
+  if (frozen_) {
+    held_.push_back([this, life, event = std::move(event)] { Deliver(life, event); });
+    return;
+  }
+  event();
+  Drain();
+}
+
+void DaemonHost::Tick(std::uint64_t life) {
+  if (life != life_) {
+    return;
+  }
+  Deliver(life, [this] { proxy_->Tick(cluster_.Surroundings().Now()); });
+  cluster_.Surroundings().After(proxy::kTick, [this, life] { Tick(life); });
+}
+
+void DaemonHost::OpenSession(proxy::SessionNumber number, const std::string& database,
+                             CallerPort port) {
+  callers_[number] = std::move(port);
+  Deliver(life_, [this, number, database] {
+    proxy_->SessionStarted(number, database, "caller", cluster_.Surroundings().Now());
+  });
+}
+
+void DaemonHost::Command(proxy::SessionNumber number, const proxy::CallerCommand& command) {
+  Deliver(life_, [this, number, command] {
+    proxy_->CommandReceived(number, command, cluster_.Surroundings().Now());
+  });
+}
+
+void DaemonHost::CloseSession(proxy::SessionNumber number) {
+  callers_.erase(number);
+  Deliver(life_, [this, number] { proxy_->SessionClosed(number, cluster_.Surroundings().Now()); });
+}
+
+void DaemonHost::Drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  while (proxy_) {
+    const std::vector<proxy::Action> actions = proxy_->TakeActions();
+    if (actions.empty()) {
+      break;
+    }
+    for (const proxy::Action& action : actions) {
+      std::visit([this](const auto& each) { Do(each); }, action);
+    }
+  }
+  draining_ = false;
+}
+
+void DaemonHost::Do(const proxy::OpenConnection& action) {
+  World& world = cluster_.Surroundings();
+  const std::uint64_t life = life_;
+  const proxy::ConnectionNumber number = action.connection;
+  connections_[number] = action.instance;
+  const auto fail = [this, life, number](proxy::OpenFailure failure, model::ErrorCode error) {
+    Deliver(life, [this, number, failure, error] {
+      if (connections_.erase(number) > 0) {
+        proxy_->ConnectionFailed(number, failure, error, cluster_.Surroundings().Now());
+      }
+    });
+  };
+  DatabaseGroup* group = cluster_.GroupOfInstance(action.instance);
+  const bool there = group != nullptr && group->Instances().at(action.instance).alive;
+  const bool way = world.Reaches(name_, action.instance) && world.Reaches(action.instance, name_);
+  if (!way) {
+    world.After(kConnectTimeout,
+                [fail] { fail(proxy::OpenFailure::kSilent, model::ErrorCode::kFailed); });
+    return;
+  }
+  if (!there) {
+    world.After(world.Delay() * 2,
+                [fail] { fail(proxy::OpenFailure::kRefused, model::ErrorCode::kFailed); });
+    return;
+  }
+  world.After(world.Delay() * 2 + kHandshake, [this, life, number, action, fail] {
+    DatabaseGroup* owner = cluster_.GroupOfInstance(action.instance);
+    if (life != life_ || owner == nullptr || !connections_.contains(number)) {
+      fail(proxy::OpenFailure::kRefused, model::ErrorCode::kFailed);
+      return;
+    }
+    ServerConnection connection;
+    connection.daemon = name_;
+    connection.answer = [this, life, number,
+                         instance = action.instance](const model::Reply& reply) {
+      World& surroundings = cluster_.Surroundings();
+      if (!surroundings.Reaches(instance, name_)) {
+        return;
+      }
+      surroundings.After(surroundings.Delay(), [this, life, number, reply] {
+        Deliver(life, [this, number, reply] {
+          if (connections_.contains(number)) {
+            proxy_->Answered(number, reply, cluster_.Surroundings().Now());
+          }
+        });
+      });
+    };
+    connection.reset = [this, life, number] {
+      World& surroundings = cluster_.Surroundings();
+      surroundings.After(surroundings.Delay(), [this, life, number] {
+        Deliver(life, [this, number] {
+          if (connections_.erase(number) > 0) {
+            proxy_->ConnectionClosed(number, cluster_.Surroundings().Now());
+          }
+        });
+      });
+    };
+    const auto refused = owner->Connect(action.instance, KeyOf(number), std::move(connection));
+    if (refused) {
+      fail(proxy::OpenFailure::kRejected, *refused);
+      return;
+    }
+    Deliver(life,
+            [this, number] { proxy_->ConnectionOpened(number, cluster_.Surroundings().Now()); });
+  });
+}
+
+void DaemonHost::Do(const proxy::SendRequests& action) {
+  const auto found = connections_.find(action.connection);
+  if (found == connections_.end() || !cluster_.Surroundings().Reaches(name_, found->second)) {
+    return;
+  }
+  World& world = cluster_.Surroundings();
+  const std::string instance = found->second;
+  // One delay for all, so that they arrive in order.
+  const std::uint64_t key = KeyOf(action.connection);
+  world.After(world.Delay(), [this, instance, action, key] {
+    for (const model::InstanceRequest& request : action.requests) {
+      if (DatabaseGroup* group = cluster_.GroupOfInstance(instance)) {
+        group->Request(instance, key, request);
+      }
+    }
+  });
+}
+
+void DaemonHost::Do(const proxy::CloseConnection& action) {
+  const auto found = connections_.find(action.connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const std::string instance = found->second;
+  const std::uint64_t number = KeyOf(action.connection);
+  connections_.erase(found);
+  World& world = cluster_.Surroundings();
+  world.After(world.Delay(), [this, instance, number] {
+    if (DatabaseGroup* group = cluster_.GroupOfInstance(instance)) {
+      group->Disconnect(instance, number);
+    }
+  });
+}
+
+void DaemonHost::Do(const proxy::AcceptSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.accepted();
+  }
+}
+
+void DaemonHost::Do(const proxy::AnswerCaller& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    const auto answer = found->second.answer;
+    answer(action.reply);
+  }
+}
+
+void DaemonHost::Do(const proxy::CloseSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    const auto closed = found->second.closed;
+    callers_.erase(found);
+    closed();
+  }
+}
+
+void DaemonHost::Do(const proxy::ReadCatalog& action) {
+  const std::uint64_t life = life_;
+  cluster_.Store().Read(name_, action.read,
+                        [this, life, call = action.call](const metadata::ReadResult& result) {
+                          Deliver(life, [this, call, result] {
+                            proxy_->CatalogRead(call, result, cluster_.Surroundings().Now());
+                          });
+                        });
+}
+
+void DaemonHost::Do(const proxy::ReadLeadership& action) {
+  const std::uint64_t life = life_;
+  cluster_.Store().ReadLeadership(
+      name_, [this, life, call = action.call](const failover::WriteResult& result) {
+        Deliver(life, [this, call, result] {
+          const bool answered = result.status == failover::WriteStatus::kWritten;
+          const auto record =
+              answered ? std::optional<model::LeadershipRecord>(result.record) : std::nullopt;
+          proxy_->LeadershipRead(call, record, result.revision, cluster_.Surroundings().Now());
+        });
+      });
+}
+
+void DaemonHost::Do(const proxy::WriteLeadership& action) {
+  const std::uint64_t life = life_;
+  cluster_.Store().WriteLeadership(
+      name_, action.write, [this, life, call = action.call](const failover::WriteResult& result) {
+        Deliver(life, [this, call, result] {
+          proxy_->LeadershipWritten(call, result, cluster_.Surroundings().Now());
+        });
+      });
+}
+
+void DaemonHost::Do(const proxy::WriteDaemon& action) {
+  const std::uint64_t life = life_;
+  cluster_.Store().WriteDaemon(name_, action.entry, [this, life, call = action.call](bool written) {
+    Deliver(life, [this, call, written] {
+      proxy_->DaemonWritten(call, written, cluster_.Surroundings().Now());
+    });
+  });
+}
+
+void DaemonHost::Do(const proxy::Promote& action) {
+  const std::uint64_t life = life_;
+  cluster_.Promote(name_, action,
+                   [this, life, call = action.call](failover::PromotionStatus status) {
+                     Deliver(life, [this, call, status] {
+                       proxy_->Promoted(call, status, cluster_.Surroundings().Now());
+                     });
+                   });
+}
+
+void DaemonHost::Do(const proxy::SendPeer& action) {
+  DaemonHost* peer = cluster_.DaemonAt(action.address);
+  World& world = cluster_.Surroundings();
+  if (peer == nullptr || !world.Reaches(name_, peer->Name())) {
+    return;
+  }
+  world.After(world.Delay(), [this, peer, action] {
+    const common::Endpoint from = address_;
+    peer->Deliver(peer->Life(), [this, peer, from, action] {
+      peer->Decisions()->PeerHeard(from, action.message, cluster_.Surroundings().Now());
+    });
+  });
+}
+
+void DaemonHost::Do(const proxy::FetchCatalog& action) {
+  const std::uint64_t life = life_;
+  World& world = cluster_.Surroundings();
+  DaemonHost* peer = cluster_.DaemonAt(action.address);
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [this, life, ended,
+                       call = action.call](const std::optional<proxy::CatalogCopy>& copy) {
+    if (std::exchange(*ended, true)) {
+      return;
+    }
+    Deliver(life, [this, call, copy] {
+      proxy_->CatalogFetched(call, copy, cluster_.Surroundings().Now());
+    });
+  };
+  world.After(kFetchTimeout, [finish] { finish(std::nullopt); });
+  const bool reachable = peer != nullptr && peer->Alive() && world.Reaches(name_, peer->Name()) &&
+                         world.Reaches(peer->Name(), name_);
+  if (reachable) {
+    world.After(world.Delay() * 2, [peer, finish] {
+      if (peer->Alive()) {
+        finish(peer->Decisions()->Catalog());
+      }
+    });
+  }
+}
+
+void DaemonHost::Do(const proxy::SetReady& action) { ready_ = action.ready; }
+
+void DaemonHost::Do(const proxy::Exit& action) {
+  static_cast<void>(action);
+  cluster_.Surroundings().After(common::Duration(0), [this, life = life_] {
+    if (life == life_) {
+      Kill();
+      Start();
+    }
+  });
+}
+
+void DaemonHost::Do(const proxy::LogEvent& action) {
+  if (cluster_.on_log) {
+    cluster_.on_log(name_, action);
+  }
+}
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/daemon_host.h
@@ -0,0 +1,91 @@
+// Hosts one daemon's decision code in the simulation.
+//
+// Owns: the Proxy of the daemon's present life. Invariant: answers meant for an earlier life are
+// dropped; while frozen, events wait and are delivered after the thaw. Thread: one.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "proxy/proxy.h"
+#include "proxysim/database_group.h"
+#include "proxysim/store.h"
+#include "proxysim/world.h"
+
+namespace valvekeel::proxysim {
+
+class Cluster;
+
+/// Takes what a daemon sends to a caller.
+struct CallerPort {
+  std::function<void(const model::Reply&)> answer;
+  std::function<void()> accepted;
+  std::function<void()> closed;
+};
+
+class DaemonHost {
+ public:
+  DaemonHost(Cluster& cluster, std::string name, std::string zone, common::Endpoint address);
+
+  void Start();
+  void Kill();
+  void Stop();
+  void Freeze();
+  void Thaw();
+
+  bool Alive() const { return proxy_ != nullptr; }
+  bool Ready() const { return Alive() && ready_; }
+  const std::string& Name() const { return name_; }
+  const common::Endpoint& Address() const { return address_; }
+  proxy::Proxy* Decisions() { return proxy_.get(); }
+
+  // Callers.
+  void OpenSession(proxy::SessionNumber number, const std::string& database, CallerPort port);
+  void Command(proxy::SessionNumber number, const proxy::CallerCommand& command);
+  void CloseSession(proxy::SessionNumber number);
+
+  /// Delivers an event to this life, now or after a thaw.
+  void Deliver(std::uint64_t life, std::function<void()> event);
+  std::uint64_t Life() const { return life_; }
+
+ private:
+  /// @return the connection's number at the instances, unlike that of any other daemon or life.
+  std::uint64_t KeyOf(proxy::ConnectionNumber number) const;
+  void Tick(std::uint64_t life);
+  void Drain();
+  void Do(const proxy::OpenConnection& action);
+  void Do(const proxy::SendRequests& action);
+  void Do(const proxy::CloseConnection& action);
+  void Do(const proxy::AcceptSession& action);
+  void Do(const proxy::AnswerCaller& action);
+  void Do(const proxy::CloseSession& action);
+  void Do(const proxy::ReadCatalog& action);
+  void Do(const proxy::ReadLeadership& action);
+  void Do(const proxy::WriteLeadership& action);
+  void Do(const proxy::WriteDaemon& action);
+  void Do(const proxy::Promote& action);
+  void Do(const proxy::SendPeer& action);
+  void Do(const proxy::FetchCatalog& action);
+  void Do(const proxy::SetReady& action);
+  void Do(const proxy::Exit& action);
+  void Do(const proxy::LogEvent& action);
+
+  Cluster& cluster_;
+  std::string name_;
+  std::string zone_;
+  common::Endpoint address_;
+  std::unique_ptr<proxy::Proxy> proxy_;
+  std::uint64_t life_ = 0;
+  bool frozen_ = false;
+  bool ready_ = false;
+  bool draining_ = false;
+  std::deque<std::function<void()>> held_;  // while frozen
+  std::map<proxy::SessionNumber, CallerPort> callers_;
+  std::map<proxy::ConnectionNumber, std::string> connections_;  // instance by connection
+};
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/database_group.h
@@ -0,0 +1,139 @@
+// A simulated group of instances with a replicated log, fences, demotion and promotion.
+//
+// Owns: the instances, their logs and their connections. Invariant: positions of a log grow by one;
+// two logs with the same entry at a position agree on all before it. Thread: one.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/position.h"
+#include "model/reply.h"
+#include "model/request.h"
+#include "proxysim/history.h"
+#include "proxysim/world.h"
+
+namespace valvekeel::proxysim {
+
+/// A commit in a log.
+struct LogEntry {
+  common::Term term = 0;
+  std::string id;  // of the caller's attempt
+};
+
+/// One connection as its instance sees it.
+struct ServerConnection {
+  std::string daemon;
+  std::function<void(const model::Reply&)> answer;  // carries a reply back to the daemon
+  std::function<void()> reset;                      // tells the daemon that it is gone
+  std::map<std::string, std::string> values;
+  std::map<std::string, model::PreparedStatement> prepared;
+  model::TransactionState state = model::TransactionState::kIdle;
+  bool read_only = false;
+  bool began_as_primary = false;
+  std::uint64_t session = 0;  // of the transaction
+  std::string writer;         // attempt that wrote in the transaction, empty if none
+  std::deque<model::InstanceRequest> queue;
+  bool busy = false;
+};
+
+struct SimulatedInstance {
+  std::string id;
+  bool alive = true;
+  bool primary = false;
+  bool draining = false;
+  common::Term term = 1;
+  common::Term fenced_term = 0;
+  std::vector<LogEntry> log;
+  std::size_t applied = 0;  // entries that reads see
+  common::Duration lag{8'000};
+  bool deaf = false;  // receives nothing
+  std::map<std::uint64_t, ServerConnection> connections;
+  std::size_t running = 0;
+};
+
+/// Limits of a simulated group.
+struct GroupShape {
+  std::size_t instances = 3;
+  std::size_t slots = 3;
+  std::size_t queue = 24;
+  std::size_t most_connections = 34;
+  std::uint32_t sync_replicas = 1;
+  common::Duration promote_time{300'000};
+};
+
+class DatabaseGroup {
+ public:
+  DatabaseGroup(World& world, History& history, std::string service, GroupShape shape);
+
+  const std::string& Service() const { return service_; }
+  const GroupShape& Shape() const { return shape_; }
+  std::map<std::string, SimulatedInstance>& Instances() { return instances_; }
+  SimulatedInstance* Primary();
+
+  /// Opens a connection. @return the reason if it is not taken.
+  std::optional<model::ErrorCode> Connect(const std::string& instance, std::uint64_t number,
+                                          ServerConnection connection);
+  void Disconnect(const std::string& instance, std::uint64_t number);
+  void Request(const std::string& instance, std::uint64_t number,
+               const model::InstanceRequest& request);
+
+  /// Makes the instance lead the next term after a while. @return false if it does not run.
+  bool Promote(const std::string& instance);
+
+  void Crash(const std::string& instance, bool silent);
+  void Restart(const std::string& instance);
+  void AddReplica(const std::string& id);
+  void RemoveInstance(const std::string& id);
+
+  /// Part of the answers of the primary that are lost from now on.
+  void SetLostAnswers(double share) { lost_answers_ = share; }
+
+  /// Told when the list of instances or what they say of themselves changes.
+  std::function<void()> on_change;
+
+ private:
+  struct PendingCommit {
+    std::size_t index = 0;
+    std::set<std::string> held_by;
+    std::function<void()> done;
+    std::string instance;
+  };
+
+  void RunNext(SimulatedInstance& instance, std::uint64_t number);
+  void Execute(const std::string& instance, std::uint64_t number,
+               const model::InstanceRequest& request);
+  void Finish(const std::string& instance, std::uint64_t number, model::Reply reply);
+  model::Reply Control(SimulatedInstance& instance, ServerConnection& connection,
+                       const model::ControlRequest& request);
+  model::Reply Session(SimulatedInstance& instance, ServerConnection& connection,
+                       const model::SessionRequest& request);
+  void CheckConnection(const SimulatedInstance& instance, const ServerConnection& connection,
+                       const CallerAttempt& attempt);
+  void CheckRead(const SimulatedInstance& instance, const CallerAttempt& attempt);
+  void Commit(SimulatedInstance& instance, std::uint64_t number, const std::string& id);
+  void Replicate(const std::string& from);
+  void Receive(const std::string& from, const std::string& to);
+  void Lead(const std::string& id);
+  void TruncateTo(SimulatedInstance& instance, const SimulatedInstance& leader);
+  bool Holds(const SimulatedInstance& instance, const AcknowledgedCommit& commit,
+             std::size_t entries) const;
+  model::Reply Error(const ServerConnection& connection, model::ErrorCode code) const;
+  common::Position PositionOf(const SimulatedInstance& instance, std::size_t entries) const;
+  model::InstanceStatus StatusOf(const SimulatedInstance& instance) const;
+
+  World& world_;
+  History& history_;
+  std::string service_;
+  GroupShape shape_;
+  std::map<std::string, SimulatedInstance> instances_;
+  std::vector<PendingCommit> pending_;
+  double lost_answers_ = 0;
+};
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/history.h
@@ -0,0 +1,74 @@
+// What callers were told, held against what the instances hold: the checkers of the simulator.
+//
+// Owns: the attempts of all callers and the acknowledged commits. Invariant: an attempt is answered
+// once. Thread: one.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/position.h"
+#include "model/catalog.h"
+#include "model/reply.h"
+#include "proxysim/world.h"
+
+namespace valvekeel::proxysim {
+
+/// One try of a caller's operation, named by its request id.
+struct CallerAttempt {
+  std::string id;
+  std::uint64_t session = 0;
+  std::string service;
+  model::Consistency consistency = model::Consistency::kPrimary;
+  common::Duration max_staleness{0};
+  common::Instant began{0};
+  bool in_transaction = false;
+  std::map<std::string, std::string> values;  // acknowledged to the session
+  bool committed = false;                     // some instance committed it
+  bool refused = false;                       // the caller was promised that nothing is kept
+  bool acknowledged = false;
+};
+
+/// A commit that its caller knows of.
+struct AcknowledgedCommit {
+  common::Instant at{0};
+  common::Position position;
+  std::string id;
+  std::uint64_t session = 0;
+};
+
+class History {
+ public:
+  explicit History(World& world) : world_(world) {}
+
+  CallerAttempt& Begin(CallerAttempt attempt);
+  CallerAttempt* Find(const std::string& id);
+
+  /// An instance has committed the attempt. @return false if that happened before (TWICE).
+  bool Committed(const std::string& id);
+
+  /// A commit was taken back by a promotion.
+  void RolledBack(const std::string& id);
+
+  void Acknowledged(const std::string& id, const common::Position& position);
+  void Refused(const std::string& id);
+
+  /// @return the highest acknowledged commits that a read must see.
+  std::vector<AcknowledgedCommit> Required(const CallerAttempt& reader) const;
+
+  const std::vector<AcknowledgedCommit>& AcknowledgedOf(const std::string& service) const;
+  std::size_t Attempts() const { return attempts_.size(); }
+  std::size_t Succeeded() const { return succeeded_; }
+  void NoteSuccess() { ++succeeded_; }
+
+ private:
+  World& world_;
+  std::map<std::string, CallerAttempt> attempts_;
+  std::map<std::string, std::vector<AcknowledgedCommit>> acknowledged_;  // by service, in time
+  std::size_t succeeded_ = 0;
+};
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/scenario.cc
@@ -0,0 +1,373 @@
+#include "proxysim/scenario.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <utility>
+
+#include "proxysim/callers.h"
+
+namespace valvekeel::proxysim {
+namespace {
+
+using common::Duration;
+using common::Instant;
+
+constexpr Duration kShortest{1'500'000};
+constexpr Duration kLongest{7'000'000};
+constexpr Duration kReplacementStart{1'500'000};
+constexpr Duration kDrainTime{8'000'000};
+constexpr Duration kLastSeconds{3'000'000};
+constexpr double kServedAtEnd = 0.9;
+const std::string kStore = "store";
+const std::string kPlatform = "platform";
+
+/// Draws and carries out the faults of one day.
+class FaultInjector {
+ public:
+  FaultInjector(Cluster& cluster, std::vector<std::string>& told)
+      : cluster_(cluster), world_(cluster.Surroundings()), told_(told) {}
+
+  /// Begins one fault now; it ends by itself.
+  void Begin() {
+    static constexpr std::size_t kKinds = 16;
+    using Fault = void (FaultInjector::*)();
+    static const std::array<Fault, kKinds> kFaults = {
+        &FaultInjector::KillDaemon,      &FaultInjector::KillMany,
+        &FaultInjector::FreezeDaemon,    &FaultInjector::StopDaemon,
+        &FaultInjector::CutFromStore,    &FaultInjector::CutFromDaemons,
+        &FaultInjector::CutFromInstance, &FaultInjector::CrashPrimary,
+        &FaultInjector::DarkPrimary,     &FaultInjector::CrashReplica,
+        &FaultInjector::CutPrimary,      &FaultInjector::LagReplicas,
+        &FaultInjector::DeafReplica,     &FaultInjector::StoreTrouble,
+        &FaultInjector::ReplacePrimary,  &FaultInjector::LoseAnswers};
+    (this->*kFaults[world_.Below(kKinds)])();
+  }
+
+ private:
+  Duration Length() { return world_.Between(kShortest, kLongest); }
+
+  DaemonHost& AnyDaemon() { return *cluster_.Daemons()[world_.Below(cluster_.Daemons().size())]; }
+
+  DatabaseGroup& AnyGroup() {
+    auto group = cluster_.Groups().begin();
+    std::advance(group, world_.Below(cluster_.Groups().size()));
+    return *group->second;
+  }
+
+  std::string AnyReplica(DatabaseGroup& group) {
+    std::vector<std::string> replicas;
+    for (const auto& [id, instance] : group.Instances()) {
+      if (!instance.primary && instance.alive) {
+        replicas.push_back(id);
+      }
+    }
+    return replicas.empty() ? "" : replicas[world_.Below(replicas.size())];
+  }
+
+  void Tell(const std::string& what) {
+    told_.push_back(std::to_string(world_.Now().count() / 1000) + " ms: " + what);
+  }
+
+  void KillDaemon() {
+    DaemonHost& daemon = AnyDaemon();
+    Tell("kill " + daemon.Name());
+    daemon.Kill();
+    world_.After(Length(), [&daemon] { daemon.Start(); });
+  }
+
+  void KillMany() {
+    Tell("kill most daemons");
+    for (const auto& daemon : cluster_.Daemons()) {
+      if (world_.Chance(0.7)) {
+        DaemonHost* killed = daemon.get();
+        killed->Kill();
+        world_.After(kShortest, [killed] { killed->Start(); });
+      }
+    }
+  }
+
+  void FreezeDaemon() {
+    DaemonHost& daemon = AnyDaemon();
+    Tell("freeze " + daemon.Name());
+    daemon.Freeze();
+    world_.After(Length(), [&daemon] { daemon.Thaw(); });
+  }
+
+  void StopDaemon() {
+    DaemonHost& daemon = AnyDaemon();
+    Tell("stop " + daemon.Name());
+    daemon.Stop();
+  }
+
+  void CutPair(const std::string& a, const std::string& b, bool one_way) {
+    world_.Cut(a, b);
+    if (!one_way) {
+      world_.Cut(b, a);
+    }
+    world_.After(Length(), [this, a, b] { world_.HealBoth(a, b); });
+  }
+
+  void CutFromStore() {
+    DaemonHost& daemon = AnyDaemon();
+    const bool one_way = world_.Chance(0.3);
+    Tell("cut " + daemon.Name() + " from the store");
+    CutPair(daemon.Name(), kStore, one_way);
+    CutPair(daemon.Name(), kPlatform, one_way);
+  }
+
+  void CutFromDaemons() {
+    DaemonHost& daemon = AnyDaemon();
+    const bool one_way = world_.Chance(0.3);
+    Tell("cut " + daemon.Name() + " from the other daemons");
+    for (const auto& other : cluster_.Daemons()) {
+      if (other->Name() != daemon.Name()) {
+        CutPair(daemon.Name(), other->Name(), one_way);
+      }
+    }
+  }
+
+  void CutFromInstance() {
+    DaemonHost& daemon = AnyDaemon();
+    DatabaseGroup& group = AnyGroup();
+    for (const auto& [id, instance] : group.Instances()) {
+      if (world_.Chance(0.6)) {
+        Tell("cut " + daemon.Name() + " from " + id);
+        CutPair(daemon.Name(), id, world_.Chance(0.3));
+      }
+    }
+  }
+
+  void Crash(DatabaseGroup& group, const std::string& id, bool silent) {
+    if (id.empty() || !group.Instances().at(id).alive) {
+      return;
+    }
+    Tell(std::string(silent ? "darken " : "crash ") + id);
+    if (silent) {
+      for (const auto& daemon : cluster_.Daemons()) {
+        world_.CutBoth(daemon->Name(), id);
+      }
+    }
+    group.Crash(id, silent);
+    world_.After(Length(), [this, &group, id] {
+      for (const auto& daemon : cluster_.Daemons()) {
+        world_.HealBoth(daemon->Name(), id);
+      }
+      group.Restart(id);
+    });
+  }
+
+  void CrashPrimary() {
+    DatabaseGroup& group = AnyGroup();
+    Crash(group, group.Primary() == nullptr ? "" : group.Primary()->id, false);
+  }
+
+  void DarkPrimary() {
+    DatabaseGroup& group = AnyGroup();
+    Crash(group, group.Primary() == nullptr ? "" : group.Primary()->id, true);
+  }
+
+  void CrashReplica() {
+    DatabaseGroup& group = AnyGroup();
+    Crash(group, AnyReplica(group), world_.Chance(0.5));
+  }
+
+  void CutPrimary() {
+    DatabaseGroup& group = AnyGroup();
+    if (group.Primary() == nullptr) {
+      return;
+    }
+    const std::string primary = group.Primary()->id;
+    if (world_.Chance(0.5)) {
+      Tell("cut " + primary + " from its replicas");
+      for (const auto& [id, instance] : group.Instances()) {
+        if (id != primary) {
+          CutPair(primary, id, false);
+        }
+      }
+      return;
+    }
+    Tell("cut " + primary + " from half of the daemons");
+    for (const auto& daemon : cluster_.Daemons()) {
+      if (world_.Chance(0.5)) {
+        CutPair(daemon->Name(), primary, world_.Chance(0.3));
+      }
+    }
+  }
+
+  void LagReplicas() {
+    DatabaseGroup& group = AnyGroup();
+    Tell("replicas of " + group.Service() + " lag");
+    for (auto& [id, instance] : group.Instances()) {
+      const std::string lagging = id;
+      const Duration before = instance.lag;
+      instance.lag = world_.Between(std::chrono::milliseconds(300), std::chrono::seconds(5));
+      world_.After(Length(), [&group, lagging, before] {
+        const auto found = group.Instances().find(lagging);
+        if (found != group.Instances().end()) {
+          found->second.lag = before;
+        }
+      });
+    }
+  }
+
+  void DeafReplica() {
+    DatabaseGroup& group = AnyGroup();
+    const std::string id = AnyReplica(group);
+    if (id.empty()) {
+      return;
+    }
+    Tell(id + " receives nothing");
+    group.Instances().at(id).deaf = true;
+    world_.After(Length(), [&group, id] {
+      const auto found = group.Instances().find(id);
+      if (found != group.Instances().end()) {
+        found->second.deaf = false;
+      }
+    });
+  }
+
+  void StoreTrouble() {
+    StoreFaults& faults = cluster_.Store().faults;
+    switch (world_.Below(5)) {
+      case 0:
+        Tell("the store refuses");
+        faults.down = true;
+        break;
+      case 1:
+        Tell("the store is silent");
+        faults.silent = true;
+        break;
+      case 2:
+        Tell("the store is slow");
+        faults.extra = std::chrono::milliseconds(300);
+        break;
+      case 3:
+        Tell("the store loses answers");
+        faults.lost = 0.5;
+        faults.late = world_.Chance(0.5);
+        break;
+      default:
+        Tell("the store forgets its history");
+        cluster_.ChangeConfiguration();
+        cluster_.Store().Compact();
+        return;
+    }
+    world_.After(Length(), [this] { cluster_.Store().faults = StoreFaults{}; });
+  }
+
+  void ReplacePrimary() {
+    DatabaseGroup& group = AnyGroup();
+    SimulatedInstance* primary = group.Primary();
+    if (primary == nullptr || primary->draining) {
+      return;
+    }
+    const std::string leaving = primary->id;
+    const std::string coming = group.Service() + "-n" + std::to_string(++replacements_);
+    Tell("replace " + leaving + " by " + coming);
+    group.AddReplica(coming);
+    world_.After(kReplacementStart, [this, &group, leaving] {
+      const auto found = group.Instances().find(leaving);
+      if (found != group.Instances().end()) {
+        found->second.draining = true;
+        cluster_.Announce(group, found->second);
+      }
+    });
+    world_.After(kReplacementStart + kDrainTime, [this, &group, leaving] {
+      group.RemoveInstance(leaving);
+      cluster_.Store().Delete(model::Collection::kInstances, leaving);
+    });
+  }
+
+  void LoseAnswers() {
+    DatabaseGroup& group = AnyGroup();
+    Tell("answers of " + group.Service() + " are lost");
+    group.SetLostAnswers(0.1);
+    world_.After(Length(), [&group] { group.SetLostAnswers(0); });
+  }
+
+  Cluster& cluster_;
+  World& world_;
+  std::vector<std::string>& told_;
+  std::uint64_t replacements_ = 0;
+};
+
+ClusterShape ShapeOf(const ScenarioOptions& options) {
+  ClusterShape shape;
+  if (!options.draw_shape) {
+    return shape;
+  }
+  World draw(options.seed * 7919);
+  shape.daemons = 3 + draw.Below(10);
+  shape.zones = 1 + draw.Below(5);
+  shape.groups = 1 + draw.Below(3);
+  shape.group.instances = 2 + draw.Below(4);
+  shape.group.sync_replicas =
+      static_cast<std::uint32_t>(draw.Below(std::min<std::uint64_t>(3, shape.group.instances)));
+  shape.group.slots = 2 + draw.Below(3);
+  shape.group.most_connections = 30 + draw.Below(40);
+  return shape;
+}
+
+double ServedAtEnd(const Callers& callers, Instant end) {
+  const auto last =
+      static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(end).count());
+  const auto span = static_cast<std::size_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(kLastSeconds).count());
+  std::size_t begun = 0;
+  std::size_t succeeded = 0;
+  for (std::size_t second = last - span; second < last && second < callers.Seconds().size();
+       ++second) {
+    begun += callers.Seconds()[second].begun;
+    succeeded += callers.Seconds()[second].succeeded;
+  }
+  return begun == 0 ? 0 : static_cast<double>(succeeded) / static_cast<double>(begun);
+}
+
+void PrintLine(const World& world, const std::string& daemon, const proxy::LogEvent& event) {
+  std::cout << world.Now().count() / 1000 << " ms " << daemon << " " << event.event;
+  for (const auto& [name, value] : event.fields) {
+    std::cout << " " << name << "=" << value;
+  }
+  std::cout << "\n";
+}
+
+}  // namespace
+
+ScenarioResult RunScenario(const ScenarioOptions& options) {
+  ScenarioResult result;
+  Cluster cluster(options.seed, ShapeOf(options));
+  World& world = cluster.Surroundings();
+  if (options.print_log) {
+    cluster.on_log = [&world](const std::string& daemon, const proxy::LogEvent& event) {
+      PrintLine(world, daemon, event);
+    };
+  }
+  world.RunUntil(std::chrono::seconds(2));
+  Callers callers(cluster, options.sessions);
+  FaultInjector injector(cluster, result.faults);
+  for (std::size_t fault = 0; fault < options.faults; ++fault) {
+    const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
+    world.After(at, [&injector] { injector.Begin(); });
+  }
+  const Instant end =
+      world.Now() + options.calm_before + options.troubled + kLongest + options.calm_after;
+  callers.StopAt(end);
+  world.RunUntil(end + kLastSeconds);
+  result.served_at_end = ServedAtEnd(callers, end);
+  if (result.served_at_end < kServedAtEnd) {
+    world.Report("RECOVER", "served at the end: " + std::to_string(result.served_at_end));
+  }
+  result.violations = world.Violations();
+  result.attempts = cluster.Record().Attempts();
+  result.succeeded = cluster.Record().Succeeded();
+  for (const auto& [service, group] : cluster.Groups()) {
+    const SimulatedInstance* primary = group->Primary();
+    result.promotions += primary == nullptr ? 0 : primary->term - 1;
+  }
+  return result;
+}
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/scenario.h
@@ -0,0 +1,39 @@
+// Random days: a deployment, callers, and faults drawn from a seed.
+//
+// Owns: nothing between runs. Invariant: the same seed and options give the same result. Thread:
+// one.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "proxysim/cluster.h"
+
+namespace valvekeel::proxysim {
+
+/// What a day is made of.
+struct ScenarioOptions {
+  std::uint64_t seed = 1;
+  common::Duration calm_before{8'000'000};  // until the faults begin
+  common::Duration troubled{24'000'000};
+  common::Duration calm_after{14'000'000};  // everything must serve again by its end
+  std::size_t faults = 6;
+  std::size_t sessions = 40;
+  bool draw_shape = false;  // draws numbers of daemons, zones, instances, replicas
+  bool print_log = false;   // prints the daemons' log lines
+};
+
+struct ScenarioResult {
+  std::vector<Violation> violations;
+  std::vector<std::string> faults;  // what was done, in order
+  std::size_t attempts = 0;
+  std::size_t succeeded = 0;
+  std::size_t promotions = 0;
+  double served_at_end = 0;  // share of the operations of the last seconds
+};
+
+ScenarioResult RunScenario(const ScenarioOptions& options);
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/store.cc
@@ -0,0 +1,230 @@
+#include "proxysim/store.h"
+
+#include <memory>
+#include <utility>
+
+namespace valvekeel::proxysim {
+namespace {
+
+using metadata::ReadStatus;
+using model::Collection;
+
+constexpr const char* kStore = "store";
+constexpr const char* kLeader = "leader";
+constexpr common::Duration kService{4'000};
+constexpr common::Duration kRefusalDelay{3'000};
+constexpr common::Duration kWriteTimeout{900'000};
+constexpr common::Duration kLateLeast{1'000'000};
+constexpr common::Duration kLateMost{6'000'000};
+
+}  // namespace
+
+void SimulatedStore::Put(Collection collection, const std::string& name,
+                         model::CatalogPayload payload) {
+  Object& object = objects_[collection][name];
+  object.revision = ++revision_;
+  object.payload = std::move(payload);
+  events_.push_back({revision_, collection, {name, revision_, false, object.payload}});
+  WakeWatches(collection);
+}
+
+void SimulatedStore::Delete(Collection collection, const std::string& name) {
+  if (objects_[collection].erase(name) > 0) {
+    events_.push_back({++revision_, collection, {name, revision_, true, std::monostate()}});
+    WakeWatches(collection);
+  }
+}
+
+void SimulatedStore::Exchange(const std::string& daemon, std::function<void()> work) {
+  const bool arrives = world_.Reaches(daemon, kStore) && !faults.silent;
+  if (arrives) {
+    world_.After(world_.Delay() + kService + faults.extra, std::move(work));
+  }
+}
+
+void SimulatedStore::Reply(const std::string& daemon, std::function<void()> answer) {
+  if (world_.Reaches(kStore, daemon) && !faults.silent) {
+    world_.After(world_.Delay(), std::move(answer));
+  }
+}
+
+metadata::ReadResult SimulatedStore::List(Collection collection) const {
+  metadata::ReadResult result;
+  result.status = ReadStatus::kOk;
+  result.revision = revision_;
+  const auto found = objects_.find(collection);
+  if (found != objects_.end()) {
+    for (const auto& [name, object] : found->second) {
+      result.objects.push_back({name, object.revision, false, object.payload});
+    }
+  }
+  return result;
+}
+
+metadata::ReadResult SimulatedStore::EventsAfter(const metadata::ReadCall& call) const {
+  metadata::ReadResult result;
+  result.revision = revision_;
+  if (*call.after_revision < oldest_kept_) {
+    result.status = ReadStatus::kHistoryGone;
+    return result;
+  }
+  result.status = ReadStatus::kOk;
+  for (const Event& event : events_) {
+    if (event.revision > *call.after_revision && event.collection == call.collection) {
+      result.objects.push_back(event.object);
+    }
+  }
+  return result;
+}
+
+void SimulatedStore::Read(const std::string& daemon, const metadata::ReadCall& call,
+                          const ReadHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const metadata::ReadResult& result) {
+    if (!std::exchange(*ended, true)) {
+      handler(result);
+    }
+  };
+  world_.After(call.timeout, [finish] { finish({}); });
+  Exchange(daemon, [this, daemon, call, finish] {
+    if (faults.down) {
+      Reply(daemon, [finish] { finish({ReadStatus::kRefused, 0, {}}); });
+      return;
+    }
+    if (!call.after_revision) {
+      const metadata::ReadResult result = List(call.collection);
+      Reply(daemon, [finish, result] { finish(result); });
+      return;
+    }
+    const metadata::ReadResult events = EventsAfter(call);
+    if (events.status != ReadStatus::kOk || !events.objects.empty()) {
+      Reply(daemon, [finish, events] { finish(events); });
+      return;
+    }
+    auto watch = std::make_shared<Watch>(Watch{daemon, call, finish, false});
+    watches_.push_back(watch);
+    world_.After(call.wait, [this, watch] {
+      if (!std::exchange(watch->done, true)) {
+        const metadata::ReadResult result = EventsAfter(watch->call);
+        Reply(watch->daemon, [watch, result] { watch->handler(result); });
+      }
+    });
+  });
+}
+
+void SimulatedStore::WakeWatches(Collection collection) {
+  const auto watches = std::exchange(watches_, {});
+  for (const auto& watch : watches) {
+    if (watch->done) {
+      continue;
+    }
+    if (watch->call.collection != collection) {
+      watches_.push_back(watch);
+      continue;
+    }
+    watch->done = true;
+    const metadata::ReadResult result = EventsAfter(watch->call);
+    Reply(watch->daemon, [watch, result] { watch->handler(result); });
+  }
+}
+
+failover::WriteResult SimulatedStore::TryWrite(const failover::RecordWrite& write) {
+  failover::WriteResult result;
+  auto& records = objects_[Collection::kLeadership];
+  const auto found = records.find(kLeader);
+  const std::uint64_t current = found == records.end() ? 0 : found->second.revision;
+  if (current != write.revision) {
+    result.status = failover::WriteStatus::kConflict;
+    result.revision = current;
+    if (found != records.end()) {
+      result.record = std::get<model::LeadershipRecord>(found->second.payload);
+    }
+    return result;
+  }
+  Put(Collection::kLeadership, kLeader, write.record);
+  result.status = failover::WriteStatus::kWritten;
+  result.revision = revision_;
+  result.record = write.record;
+  return result;
+}
+
+void SimulatedStore::WriteLeadership(const std::string& daemon, const failover::RecordWrite& write,
+                                     const WriteHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const failover::WriteResult& result) {
+    if (!std::exchange(*ended, true)) {
+      handler(result);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish({}); });
+  Exchange(daemon, [this, daemon, write, finish] {
+    if (faults.down) {
+      Reply(daemon, [finish] { finish({failover::WriteStatus::kRefused, 0, {}}); });
+      return;
+    }
+    if (world_.Chance(faults.lost)) {
+      if (faults.late) {
+        world_.After(world_.Between(kLateLeast, kLateMost), [this, write] { TryWrite(write); });
+      } else {
+        TryWrite(write);
+      }
+      return;
+    }
+    const failover::WriteResult result = TryWrite(write);
+    Reply(daemon, [finish, result] { finish(result); });
+  });
+}
+
+void SimulatedStore::ReadLeadership(const std::string& daemon, const WriteHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const failover::WriteResult& result) {
+    if (!std::exchange(*ended, true)) {
+      handler(result);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish({}); });
+  Exchange(daemon, [this, daemon, finish] {
+    failover::WriteResult result;
+    if (!faults.down) {
+      const auto& records = objects_[Collection::kLeadership];
+      const auto found = records.find(kLeader);
+      result.status = failover::WriteStatus::kWritten;
+      if (found != records.end()) {
+        result.record = std::get<model::LeadershipRecord>(found->second.payload);
+        result.revision = found->second.revision;
+      }
+    }
+    Reply(daemon, [finish, result] { finish(result); });
+  });
+}
+
+void SimulatedStore::WriteDaemon(const std::string& daemon, const model::DaemonEntry& entry,
+                                 const std::function<void(bool)>& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](bool written) {
+    if (!std::exchange(*ended, true)) {
+      handler(written);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish(false); });
+  Exchange(daemon, [this, daemon, entry, finish] {
+    if (!faults.down) {
+      Put(Collection::kDaemons, entry.name, entry);
+    }
+    const bool written = !faults.down;
+    Reply(daemon, [finish, written] { finish(written); });
+  });
+}
+
+void SimulatedStore::Compact() {
+  oldest_kept_ = revision_;
+  events_.clear();
+  const auto watches = std::exchange(watches_, {});
+  for (const auto& watch : watches) {
+    if (!std::exchange(watch->done, true)) {
+      Reply(watch->daemon, [watch] { watch->handler({ReadStatus::kHistoryGone, 0, {}}); });
+    }
+  }
+}
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/store.h
@@ -0,0 +1,88 @@
+// The simulated metadata store and promotion service.
+//
+// Owns: the objects with their revisions. Invariant: a revision counter rises with every change;
+// writes are done only under their condition, also when they are done late. Thread: one.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "failover/leadership.h"
+#include "metadata/collection_follower.h"
+#include "model/catalog.h"
+#include "proxysim/world.h"
+
+namespace valvekeel::proxysim {
+
+/// How the store behaves for now.
+struct StoreFaults {
+  bool down = false;          // refuses every call
+  bool silent = false;        // answers nothing, does nothing
+  double lost = 0;            // share of the writes that are done and not answered
+  bool late = false;          // lost writes are done seconds later
+  common::Duration extra{0};  // time added to every answer
+};
+
+class SimulatedStore {
+ public:
+  using ReadHandler = std::function<void(const metadata::ReadResult&)>;
+  using WriteHandler = std::function<void(const failover::WriteResult&)>;
+
+  explicit SimulatedStore(World& world) : world_(world) {}
+
+  void Put(model::Collection collection, const std::string& name, model::CatalogPayload payload);
+  void Delete(model::Collection collection, const std::string& name);
+
+  void Read(const std::string& daemon, const metadata::ReadCall& call, const ReadHandler& handler);
+  void WriteLeadership(const std::string& daemon, const failover::RecordWrite& write,
+                       const WriteHandler& handler);
+
+  /// Reads the leadership record. @param handler gets it as of kWritten; kNoAnswer if unanswered.
+  void ReadLeadership(const std::string& daemon, const WriteHandler& handler);
+
+  /// Registers a daemon. @param handler told whether it was written.
+  void WriteDaemon(const std::string& daemon, const model::DaemonEntry& entry,
+                   const std::function<void(bool)>& handler);
+
+  /// Forgets the history: watches end, and later ones from earlier revisions are refused.
+  void Compact();
+
+  StoreFaults faults;
+
+ private:
+  struct Object {
+    std::uint64_t revision = 0;
+    model::CatalogPayload payload;
+  };
+  struct Event {
+    std::uint64_t revision = 0;
+    model::Collection collection = model::Collection::kConfiguration;
+    model::CatalogObject object;
+  };
+  struct Watch {
+    std::string daemon;
+    metadata::ReadCall call;
+    ReadHandler handler;
+    bool done = false;
+  };
+
+  /// Carries a question to the store and an answer back, as far as the ways are open.
+  void Exchange(const std::string& daemon, std::function<void()> work);
+  void Reply(const std::string& daemon, std::function<void()> answer);
+  metadata::ReadResult List(model::Collection collection) const;
+  metadata::ReadResult EventsAfter(const metadata::ReadCall& call) const;
+  void WakeWatches(model::Collection collection);
+  failover::WriteResult TryWrite(const failover::RecordWrite& write);
+
+  World& world_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t oldest_kept_ = 0;
+  std::map<model::Collection, std::map<std::string, Object>> objects_;
+  std::vector<Event> events_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+};
+
+}  // namespace valvekeel::proxysim
--- /dev/null
+++ b/src/proxysim/world.h
@@ -0,0 +1,79 @@
+// The simulated surroundings: time, random numbers, who reaches whom, what was found wrong.
+//
+// Owns: the event queue, the partitions and the violations. Invariant: the same seed gives the same
+// run. Thread: one.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/time.h"
+#include "sim/event_queue.h"
+
+namespace valvekeel::proxysim {
+
+/// Something that must never happen, and did.
+struct Violation {
+  std::string rule;
+  std::string detail;
+  common::Instant at{0};
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {}
+
+  common::Instant Now() const { return queue_.Now(); }
+  void After(common::Duration delay, sim::EventQueue::Action action) {
+    queue_.After(delay, std::move(action));
+  }
+  void RunUntil(common::Instant time) { queue_.RunUntil(time); }
+
+  /// @return a whole number from 0 to below the limit.
+  std::uint64_t Below(std::uint64_t limit) { return limit == 0 ? 0 : random_() % limit; }
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+  common::Duration Between(common::Duration least, common::Duration most) {
+    const auto span = static_cast<std::uint64_t>((most - least).count() + 1);
+    return least + common::Duration(static_cast<std::int64_t>(Below(span)));
+  }
+
+  /// @return the one-way delay of a message between two parties.
+  common::Duration Delay() { return Between(kLeastDelay, kMostDelay); }
+
+  /// Cuts or restores the way from one party to another; a cut is silent.
+  void Cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+  void Heal(const std::string& from, const std::string& to) { cuts_.erase({from, to}); }
+  void CutBoth(const std::string& a, const std::string& b) {
+    Cut(a, b);
+    Cut(b, a);
+  }
+  void HealBoth(const std::string& a, const std::string& b) {
+    Heal(a, b);
+    Heal(b, a);
+  }
+  bool Reaches(const std::string& from, const std::string& to) const {
+    return !cuts_.contains({from, to});
+  }
+
+  void Report(std::string rule, std::string detail) {
+    violations_.push_back({std::move(rule), std::move(detail), Now()});
+  }
+  const std::vector<Violation>& Violations() const { return violations_; }
+
+ private:
+  static constexpr common::Duration kLeastDelay{150};
+  static constexpr common::Duration kMostDelay{1'500};
+
+  sim::EventQueue queue_;
+  std::mt19937_64 random_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<Violation> violations_;
+};
+
+}  // namespace valvekeel::proxysim
