Smaller heartbeats, fewer watches, local primaries before remote replicas, a lag estimate that fades

Prices: reports of groups go out only from the daemon that reads the record, or where a group is in trouble; the daemons' and the leadership's watches wait 15 s.

--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -1,6 +1,7 @@
 #include "proxy/backend.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace valvekeel::proxy {
 namespace {
@@ -16,7 +17,7 @@
 constexpr common::Duration kLongestBusyPause{64'000};
 constexpr common::Duration kShortestLaggingPause{20'000};
 constexpr common::Duration kLongestLaggingPause{160'000};
-constexpr common::Duration kLagStep{2'000};  // by which the estimate falls with each success
+constexpr common::Duration kLagHalfLife{200'000};
 
 }  // namespace
 
@@ -122,24 +123,34 @@
   avoid_until_ = now + busy_pause_;
 }
 
+common::Duration Backend::LagEstimate(common::Instant now) const {
+  // What was true a while ago is tried again: the estimate halves with time.
+  const auto halvings = static_cast<double>((now - lag_refused_at_).count()) /
+                        static_cast<double>(kLagHalfLife.count());
+  return common::Duration(
+      static_cast<std::int64_t>(static_cast<double>(lag_refused_.count()) * std::exp2(-halvings)));
+}
+
 void Backend::NoteLagging(common::Duration age, bool bound_missed, common::Instant now) {
-  lag_estimate_ = std::max(lag_estimate_, age);
+  lag_refused_ = std::max(LagEstimate(now), age);
+  lag_refused_at_ = now;
   if (bound_missed && now >= lagging_until_) {
     lagging_pause_ = std::clamp(lagging_pause_ * 2, kShortestLaggingPause, kLongestLaggingPause);
     lagging_until_ = now + lagging_pause_;
   }
 }
 
-void Backend::NoteFresh(common::Duration age) {
+void Backend::NoteFresh(common::Duration age, common::Instant now) {
   lagging_pause_ = common::Duration(0);
   lagging_until_ = common::Instant(0);
-  if (age < lag_estimate_) {
-    lag_estimate_ = std::max(age, lag_estimate_ - kLagStep);
+  if (age < LagEstimate(now)) {
+    lag_refused_ = age;
+    lag_refused_at_ = now;
   }
 }
 
 bool Backend::ExpectedFresh(common::Duration age, common::Instant now) const {
-  return now >= lagging_until_ && age >= lag_estimate_;
+  return now >= lagging_until_ && age >= LagEstimate(now);
 }
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -111,7 +111,7 @@
   /// A read with this age of its requirement was refused as lagging.
   void NoteLagging(common::Duration age, bool bound_missed, common::Instant now);
   /// A read with this age of its requirement was served.
-  void NoteFresh(common::Duration age);
+  void NoteFresh(common::Duration age, common::Instant now);
   /// @return true if a requirement of this age is expected to be met.
   bool ExpectedFresh(common::Duration age, common::Instant now) const;
 
@@ -131,8 +131,11 @@
   double in_flight_limit_;
   common::Instant avoid_until_{0};  // after it refused for want of capacity
   common::Duration busy_pause_{0};
-  common::Duration lag_estimate_{0};  // requirements younger than this were refused
-  common::Instant lagging_until_{0};  // after it lacked even what the bound asks for
+  common::Duration LagEstimate(common::Instant now) const;
+
+  common::Duration lag_refused_{0};    // highest age of a requirement refused lately
+  common::Instant lag_refused_at_{0};  // when that was
+  common::Instant lagging_until_{0};   // after it lacked even what the bound asks for
   common::Duration lagging_pause_{0};
 };
 
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -24,10 +24,15 @@
 }  // namespace
 
 CatalogState::CatalogState(const ProxySettings& settings, Outbox& outbox) : outbox_(outbox) {
-  for (const Collection collection : {Collection::kConfiguration, Collection::kInstances,
-                                      Collection::kDaemons, Collection::kLeadership}) {
+  for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
     followers_.emplace(collection, metadata::CollectionFollower(collection, settings.watch_wait));
   }
+  // Nothing is late if these are: a promoter's write meets a newer record by its condition, and a
+  // daemon that is not known yet makes itself heard.
+  for (const Collection collection : {Collection::kDaemons, Collection::kLeadership}) {
+    followers_.emplace(collection,
+                       metadata::CollectionFollower(collection, settings.slow_watch_wait));
+  }
 }
 
 void CatalogState::Tick(common::Instant now) {
@@ -90,8 +95,8 @@
 
 void CatalogState::NoteConnection(common::Instant now) {
   static_cast<void>(now);
-  const bool connected = std::all_of(followers_.begin(), followers_.end(),
-                                     [](const auto& entry) { return entry.second.Connected(); });
+  const bool connected = followers_.at(Collection::kConfiguration).Connected() &&
+                         followers_.at(Collection::kInstances).Connected();
   if (connected != connected_) {
     connected_ = connected;
     outbox_.Log(connected ? "store_regained" : "store_lost", {},
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -296,7 +296,7 @@
   Operation& operation = *session.operation;
   backend.NoteSuccess(now - operation.sent);
   if (operation.required) {
-    backend.NoteFresh(operation.required_age);
+    backend.NoteFresh(operation.required_age, now);
   }
   const bool commits = MayHaveCommitted(session);
   if (commits) {
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -178,9 +178,15 @@
   return waiting || (state.writes_stalled && state.write_sent);
 }
 
-std::vector<GroupReport> GroupSet::Reports(common::Instant now) const {
+std::vector<GroupReport> GroupSet::Reports(bool all, common::Instant now) const {
   std::vector<GroupReport> reports;
   for (const auto& [service, state] : groups_) {
+    const bool released = state.lease.ReleasedTerm() >= state.lease.Newest().term;
+    const bool troubled = state.lost || released || state.fence_below > 0 || state.floor.lsn > 0 ||
+                          !state.lease.Holds(now);
+    if (!all && !troubled) {
+      continue;
+    }
     GroupReport report;
     report.service = service;
     const group::Confirmation& newest = state.lease.Newest();
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -53,6 +53,7 @@
   GroupState& Get(const std::string& service, common::Instant now);
   GroupState* Find(const std::string& service);
   std::map<std::string, GroupState>& All() { return groups_; }
+  const std::map<std::string, GroupState>& All() const { return groups_; }
 
   /// @return ids of the group's instances.
   std::vector<std::string> Members(const std::string& service) const;
@@ -100,8 +101,8 @@
   /// @return true if writes stay unanswered at the primary, so that no more should go there.
   bool WritesStalled(const std::string& service, common::Instant now) const;
 
-  /// @return what is told to the other daemons.
-  std::vector<GroupReport> Reports(common::Instant now) const;
+  /// @return what is told to the other daemons: of all groups, or only of those in trouble.
+  std::vector<GroupReport> Reports(bool all, common::Instant now) const;
 
   /// Lets go of all terms below. @return true if that was news.
   bool ReleaseBelow(GroupState& state, common::Term term);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -209,7 +209,7 @@
       message.store_connected = catalog_.Connected();
       message.stopping = stopping_since_.has_value();
       message.configuration_version = catalog_.Configuration().version;
-      message.groups = groups_.Reports(now);
+      message.groups = groups_.Reports(TellsAll(now), now);
       filled = true;
     }
     peer.next_heartbeat = now + (alive ? settings_.heartbeat_interval : kDeadPeerPause);
@@ -218,6 +218,18 @@
   }
 }
 
+bool Proxy::TellsAll(common::Instant now) const {
+  if (store_lease_.IsReader(now)) {
+    return true;
+  }
+  for (const auto& [service, group] : groups_.All()) {
+    if (groups_.IsProber(service, now) && !catalog_.Connected()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void Proxy::AdvanceHeartbeats(common::Instant now) {
   // A heartbeat that is due soon carries more if it follows the confirmation at once.
   for (auto& [address, peer] : peers_.All()) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -83,6 +83,8 @@
   void Register(common::Instant now);
   void Bootstrap(common::Instant now);
   void SendHeartbeats(bool urgent, common::Instant now);
+  /// @return true if others rely on this daemon for the state of all groups.
+  bool TellsAll(common::Instant now) const;
   void AdvanceHeartbeats(common::Instant now);
   void JudgeReadiness(common::Instant now);
   void AdvanceStop(common::Instant now);
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -14,15 +14,16 @@
 namespace valvekeel::proxy {
 
 struct ProxySettings {
-  std::string name;                             // of this daemon
-  std::string zone;                             // in which it runs
-  std::uint64_t incarnation = 0;                // of this life, chosen by the host
-  common::Endpoint peer;                        // own address for other daemons
-  std::vector<common::Endpoint> seed_peers;     // daemons that may be there, for heartbeats
-  std::vector<common::Endpoint> seed_catalogs;  // the same daemons, for FetchCatalog
-  common::Duration stop_grace{6'000'000};       // from the stop signal to the kill
-  common::Duration drain_limit{7'000'000};      // longest use of an instance that is leaving
-  common::Duration watch_wait{2'000'000};       // longest wait of a watch of the store
+  std::string name;                              // of this daemon
+  std::string zone;                              // in which it runs
+  std::uint64_t incarnation = 0;                 // of this life, chosen by the host
+  common::Endpoint peer;                         // own address for other daemons
+  std::vector<common::Endpoint> seed_peers;      // daemons that may be there, for heartbeats
+  std::vector<common::Endpoint> seed_catalogs;   // the same daemons, for FetchCatalog
+  common::Duration stop_grace{6'000'000};        // from the stop signal to the kill
+  common::Duration drain_limit{7'000'000};       // longest use of an instance that is leaving
+  common::Duration watch_wait{3'000'000};        // longest wait of a watch of the store
+  common::Duration slow_watch_wait{15'000'000};  // the same for what may be late
   common::Duration heartbeat_interval{250'000};
   common::Duration lease_round_interval{400'000};
   /// Share of a statement's time for which it may wait for an instance before it is refused.
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -8,7 +8,7 @@
 /// Added to the bound, for the time between the caller's first byte and its arrival here.
 constexpr common::Duration kStalenessMargin{30'000};
 constexpr double kOtherZoneUs = 12'000;   // time of the way and price of the bytes
-constexpr double kPrimaryUs = 15'000;     // the primary is left to writes
+constexpr double kPrimaryUs = 8'000;      // the primary is left to writes
 constexpr double kLaggingUs = 1'000'000;  // tried only if nothing else is left
 constexpr double kCrowdedUs = 30'000;
 
--- a/src/proxy/store_lease.h
+++ b/src/proxy/store_lease.h
@@ -24,6 +24,9 @@
              Outbox& outbox)
       : settings_(settings), groups_(groups), peers_(peers), outbox_(outbox) {}
 
+  /// @return true if this daemon reads the record for all.
+  bool IsReader(common::Instant now) const;
+
   /// Reads the record if it is due.
   void Tick(bool store_connected, common::Instant now);
 
@@ -31,8 +34,6 @@
   bool Read(CallNumber call, const std::optional<model::LeadershipRecord>& record);
 
  private:
-  bool IsReader(common::Instant now) const;
-
   const ProxySettings& settings_;
   GroupSet& groups_;
   const PeerTable& peers_;
