--- a/apps/valvekeel.cc
+++ b/apps/valvekeel.cc
@@ -3,6 +3,7 @@
 //   valvekeel check HISTORY     holds a history against what must always hold
 //   valvekeel report HISTORY    prints the figures of a history
 //   valvekeel status HOST:PORT  prints the state of a daemon
+//   valvekeel explain REQUEST LOG...  accounts for one request from the daemons' logs
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -27,7 +28,9 @@
     "  check HISTORY      hold a history against what must always hold;\n"
     "                     exit 1 on a violation, 2 if it cannot be read\n"
     "  report HISTORY     print the figures of a history\n"
-    "  status HOST:PORT   print the state of a daemon\n";
+    "  status HOST:PORT   print the state of a daemon\n"
+    "  explain REQUEST LOG...  account for one request from the daemons' logs, - for\n"
+    "                     standard input; exit 1 if no line names it\n";
 
 }  // namespace
 
@@ -47,6 +50,11 @@
       {"report", valvekeel::operator_tools::RunReport},
       {"status", valvekeel::operator_tools::RunStatus},
   };
+  constexpr std::size_t kLeastExplainWords = 4;
+  if (words.size() >= kLeastExplainWords && std::string(words[1]) == "explain") {
+    return valvekeel::operator_tools::RunExplain(words[2], {words.begin() + 3, words.end()},
+                                                 format);
+  }
   constexpr std::size_t kWords = 3;
   const auto command = words.size() == kWords ? commands.find(words[1]) : commands.end();
   if (command == commands.end()) {
--- /dev/null
+++ b/src/explain/explain.cc
@@ -0,0 +1,187 @@
+#include "explain/explain.h"
+
+#include <algorithm>
+#include <sstream>
+#include <tuple>
+
+namespace valvekeel::explain {
+namespace {
+
+using nlohmann::json;
+
+/// How long before the request's end something counts as context.
+constexpr std::int64_t kContextMs = 3000;
+
+std::string Field(const LogLine& line, const std::string& name) {
+  const auto found = line.fields.find(name);
+  return found != line.fields.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+bool Concerns(const LogLine& line, const std::string& service, const std::string& instance) {
+  const bool of_service = !service.empty() && Field(line, "service") == service;
+  const bool of_instance = !instance.empty() && Field(line, "instance") == instance;
+  const bool of_store = line.event == "store_lost" || line.event == "thawed";
+  return (of_service || of_instance || of_store) && Field(line, "request").empty();
+}
+
+/// @return what an error means, in a few words.
+std::string Meaning(const std::string& error) {
+  if (error == "busy") {
+    return "refused, nothing ran; the caller was told when to come back";
+  }
+  if (error == "in_doubt") {
+    return "sent and perhaps committed once; it was not sent again";
+  }
+  if (error == "aborted") {
+    return "its transaction was rolled back, nothing is kept";
+  }
+  if (error == "timeout") {
+    return "a read ran out of its statement's time";
+  }
+  return "answered with " + error;
+}
+
+std::string CauseOf(const Account& account) {
+  const LogLine& last = account.own.back();
+  if (last.event != "request_failed") {
+    return "it was " + last.event + " at " + Field(last, "instance") +
+           "; no failure of it is on record, so it succeeded or its caller left";
+  }
+  std::string cause = Meaning(Field(last, "error")) + ": " + Field(last, "reason");
+  const std::string instance = Field(last, "instance");
+  if (!instance.empty()) {
+    cause += " (last instance " + instance + ")";
+  }
+  for (auto line = account.context.rbegin(); line != account.context.rend(); ++line) {
+    const bool tells = line->event == "primary_lost" || line->event == "instance_lost" ||
+                       line->event == "failover_started" || line->event == "store_lost" ||
+                       line->event == "instance_draining" || line->event == "thawed";
+    if (tells) {
+      cause += "; before that " + line->event;
+      const std::string reason = Field(*line, "reason");
+      cause += reason.empty() ? "" : " (" + reason + ")";
+      break;
+    }
+  }
+  return cause;
+}
+
+json ToJson(const LogLine& line) { return line.fields; }
+
+std::string ToText(const LogLine& line) {
+  std::string text = line.process + " #" + std::to_string(line.sequence) + " " +
+                     std::to_string(line.monotonic_ms) + " ms " + line.event;
+  for (const auto& [name, value] : line.fields.items()) {
+    static const std::vector<std::string> kShown = {"seq",  "time_ms", "mono_ms", "process",
+                                                    "life", "event",   "level"};
+    if (std::find(kShown.begin(), kShown.end(), name) == kShown.end()) {
+      text += " ";
+      text += name;
+      text += "=";
+      text += value.is_string() ? value.get<std::string>() : value.dump();
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+void ReadLog(const std::string& text, LogSet& logs) {
+  std::istringstream stream(text);
+  for (std::string raw; std::getline(stream, raw);) {
+    const std::size_t brace = raw.find('{');
+    if (brace == std::string::npos) {
+      logs.unreadable += raw.empty() ? 0 : 1;
+      continue;
+    }
+    const json parsed = json::parse(raw.substr(brace), nullptr, false);
+    const bool complete = parsed.is_object() && parsed.contains("process") &&
+                          parsed.contains("seq") && parsed.contains("event");
+    if (!complete) {
+      ++logs.unreadable;
+      continue;
+    }
+    LogLine line;
+    line.process = parsed.at("process").get<std::string>();
+    line.life = parsed.value("life", std::uint64_t{0});
+    line.sequence = parsed.at("seq").get<std::uint64_t>();
+    line.monotonic_ms = parsed.value("mono_ms", std::int64_t{0});
+    line.event = parsed.at("event").get<std::string>();
+    line.fields = parsed;
+    logs.lines.push_back(std::move(line));
+  }
+}
+
+Account Explain(const LogSet& logs, const std::string& request) {
+  Account account;
+  account.request = request;
+  for (const LogLine& line : logs.lines) {
+    if (Field(line, "request") == request) {
+      account.own.push_back(line);
+    }
+  }
+  const auto order = [](const LogLine& a, const LogLine& b) {
+    return std::tie(a.process, a.life, a.sequence) < std::tie(b.process, b.life, b.sequence);
+  };
+  std::sort(account.own.begin(), account.own.end(), order);
+  if (account.own.empty()) {
+    return account;
+  }
+  const LogLine& last = account.own.back();
+  for (const LogLine& line : logs.lines) {
+    const bool before = line.process == last.process && line.life == last.life &&
+                        line.sequence < last.sequence &&
+                        line.monotonic_ms >= last.monotonic_ms - kContextMs;
+    if (before && Concerns(line, Field(last, "service"), Field(last, "instance"))) {
+      account.context.push_back(line);
+    }
+  }
+  std::sort(account.context.begin(), account.context.end(), order);
+  account.cause = CauseOf(account);
+  return account;
+}
+
+std::string FormatText(const Account& account, std::size_t unreadable) {
+  std::string text = "request " + account.request + "\n";
+  if (account.own.empty()) {
+    text +=
+        "no line names it: it succeeded at its first instance, or its line was over the limit\n";
+  }
+  if (!account.context.empty()) {
+    text += "what its daemon had learned:\n";
+    for (const LogLine& line : account.context) {
+      text += "  ";
+      text += ToText(line) + "\n";
+    }
+  }
+  if (!account.own.empty()) {
+    text += "the request:\n";
+    for (const LogLine& line : account.own) {
+      text += "  ";
+      text += ToText(line) + "\n";
+    }
+    text += "cause: ";
+    text += account.cause + "\n";
+  }
+  text += "lines not read: " + std::to_string(unreadable) + "\n";
+  return text;
+}
+
+std::string FormatJson(const Account& account, std::size_t unreadable) {
+  json own = json::array();
+  for (const LogLine& line : account.own) {
+    own.push_back(ToJson(line));
+  }
+  json context = json::array();
+  for (const LogLine& line : account.context) {
+    context.push_back(ToJson(line));
+  }
+  return json{{"request", account.request},
+              {"lines", std::move(own)},
+              {"context", std::move(context)},
+              {"cause", account.cause},
+              {"lines_not_read", unreadable}}
+      .dump(2);
+}
+
+}  // namespace valvekeel::explain
--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -45,7 +45,7 @@
 }
 
 Attempt::Attempt(std::string service, Leadership& leadership, common::Instant now)
-    : service_(std::move(service)), leadership_(leadership), started_(now), entered_(now) {}
+    : service_(std::move(service)), leadership_(leadership), entered_(now) {}
 
 std::vector<AttemptAction> Attempt::Advance(const GroupView& view, common::Instant now) {
   Actions actions;
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -160,7 +160,6 @@
   std::string service_;
   Leadership& leadership_;
   Step step_ = Step::kClaim;
-  common::Instant started_{0};
   common::Instant entered_{0};
   common::Term old_term_ = 0;
   common::Term fence_term_ = 0;
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -30,7 +30,7 @@
       settings_(std::move(settings)),
       adapter_(adapter),
       proxy_(settings_.proxy, std::random_device{}()),
-      log_(STDOUT_FILENO, settings_.proxy.name, settings_.log),
+      log_(STDOUT_FILENO, settings_.proxy.name, settings_.proxy.incarnation, settings_.log),
       acceptor_(loop),
       peers_(loop),
       tick_(loop) {}
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -11,17 +11,27 @@
 constexpr unsigned kUserTimeoutMs = 3000;
 
 std::string RequestBytes(const HttpRequest& request, const common::Endpoint& server) {
-  std::string bytes = request.method + " " + request.target +
-                      " HTTP/1.1\r\nHost: " + common::FormatEndpoint(server) + "\r\n";
+  std::string bytes = request.method;
+  const auto add = [&bytes](std::string_view part) { bytes.append(part); };
+  add(" ");
+  add(request.target);
+  add(" HTTP/1.1\r\nHost: ");
+  add(common::FormatEndpoint(server));
+  add("\r\n");
   for (const auto& [name, value] : request.headers) {
-    bytes += name + ": " + value + "\r\n";
+    add(name);
+    add(": ");
+    add(value);
+    add("\r\n");
   }
   if (!request.body.empty() || request.method != "GET") {
-    bytes +=
-        "Content-Type: application/json\r\nContent-Length: " + std::to_string(request.body.size()) +
-        "\r\n";
+    add("Content-Type: application/json\r\nContent-Length: ");
+    add(std::to_string(request.body.size()));
+    add("\r\n");
   }
-  return bytes + "\r\n" + request.body;
+  add("\r\n");
+  add(request.body);
+  return bytes;
 }
 
 const char* ReasonPhrase(int status) {
@@ -83,20 +93,22 @@
   idle_->clear();
 }
 
-// By value: the caller's pointer may be the one that is reset here.
-void HttpClient::Finish(std::shared_ptr<Exchange> exchange, const HttpResult& result) {
+void HttpClient::Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result) {
   if (exchange->finished) {
     return;
   }
   exchange->finished = true;
   exchange->timer.cancel();
-  if (exchange->connection) {
-    exchange->connection->exchange.reset();
+  const HttpHandler handler = std::move(exchange->handler);
+  const std::shared_ptr<Connection> connection = std::move(exchange->connection);
+  if (connection) {
     if (!common::IsOk(result)) {
-      exchange->connection->stream->Close();
+      connection->stream->Close();
     }
+    // The parameter may be this very pointer: it is not used from here on.
+    connection->exchange.reset();
   }
-  exchange->handler(result);
+  handler(result);
 }
 
 void HttpClient::Call(const HttpRequest& request, std::chrono::microseconds timeout,
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -54,7 +54,7 @@
   struct Exchange;
 
   void Send(const std::shared_ptr<Exchange>& exchange);
-  static void Finish(std::shared_ptr<Exchange> exchange, const HttpResult& result);
+  static void Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result);
 
   asio::io_context& loop_;
   common::Endpoint server_;
--- a/src/net/http_parser.cc
+++ b/src/net/http_parser.cc
@@ -77,7 +77,7 @@
   }
 
   static const http_parser_settings& Settings() {
-    static const http_parser_settings settings = [] {
+    static const http_parser_settings kSettings = [] {
       http_parser_settings made;
       http_parser_settings_init(&made);
       made.on_message_begin = Begin;
@@ -88,7 +88,7 @@
       made.on_message_complete = Complete;
       return made;
     }();
-    return settings;
+    return kSettings;
   }
 };
 
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -35,7 +35,7 @@
 }
 
 void Stream::Connect(const common::Endpoint& address, std::chrono::microseconds timeout,
-                     ConnectedHandler connected, ConnectFailedHandler failed) {
+                     ConnectedHandler connected, const ConnectFailedHandler& failed) {
   asio::error_code error;
   const auto host = asio::ip::make_address(address.host, error);
   if (!error) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -35,7 +35,7 @@
 
   /// Opens the connection. @param timeout longest time to wait.
   void Connect(const common::Endpoint& address, std::chrono::microseconds timeout,
-               ConnectedHandler connected, ConnectFailedHandler failed);
+               ConnectedHandler connected, const ConnectFailedHandler& failed);
 
   /// Starts to read. @param closed called once if the other side or an error ends the connection.
   void Start(BytesHandler bytes, ClosedHandler closed);
--- a/src/operator/commands.cc
+++ b/src/operator/commands.cc
@@ -4,13 +4,16 @@
 #include <absl/strings/str_split.h>
 #include <httplib.h>
 
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
 #include "check/history_check.h"
 #include "check/summary.h"
+#include "explain/explain.h"
 #include "history/event.h"
 
 namespace valvekeel::operator_tools {
@@ -178,4 +181,25 @@
   return 0;
 }
 
+int RunExplain(const std::string& request, const std::vector<std::string>& paths,
+               OutputFormat format) {
+  explain::LogSet logs;
+  for (const std::string& path : paths) {
+    std::ifstream file;
+    if (path != "-") {
+      file.open(path);
+      if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return kUnreadable;
+      }
+    }
+    std::istream& input = path == "-" ? std::cin : file;
+    explain::ReadLog(std::string(std::istreambuf_iterator<char>(input), {}), logs);
+  }
+  const explain::Account account = explain::Explain(logs, request);
+  std::cout << (format == OutputFormat::kJson ? explain::FormatJson(account, logs.unreadable) + "\n"
+                                              : explain::FormatText(account, logs.unreadable));
+  return account.own.empty() ? kFinding : 0;
+}
+
 }  // namespace valvekeel::operator_tools
--- a/src/operator/commands.h
+++ b/src/operator/commands.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace valvekeel::operator_tools {
 
@@ -19,4 +20,9 @@
 /// Prints the state of the daemon whose HTTP port is given as host:port.
 int RunStatus(const std::string& address, OutputFormat format);
 
+/// Accounts for one request from the logs of the daemons.
+/// @param paths of log files; "-" is standard input.
+int RunExplain(const std::string& request, const std::vector<std::string>& paths,
+               OutputFormat format);
+
 }  // namespace valvekeel::operator_tools
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -26,6 +26,19 @@
 
 }  // namespace
 
+namespace {
+
+/// @return a number that orders the daemons differently for each service.
+std::size_t ProberRank(const std::string& service, const std::string& daemon) {
+  const std::hash<std::string> hash;
+  std::string key = service;
+  key += '/';
+  key += daemon;
+  return hash(key);
+}
+
+}  // namespace
+
 GroupState& GroupSet::Get(const std::string& service, common::Instant now) {
   const auto [found, added] = groups_.try_emplace(service);
   if (added) {
@@ -220,10 +233,9 @@
 }
 
 bool GroupSet::IsProber(const std::string& service, common::Instant now) const {
-  const std::hash<std::string> hash;
-  const std::size_t own = hash(service + "/" + settings_.name);
+  const std::size_t own = ProberRank(service, settings_.name);
   for (const std::string& name : peers_.LiveNames(now)) {
-    if (hash(service + "/" + name) < own) {
+    if (ProberRank(service, name) < own) {
       return false;
     }
   }
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -181,7 +181,7 @@
   const bool alone = command.kind == CommandKind::kWrite && !attempt->in_transaction;
   caller->commit_sent = caller->commit_sent || command.kind == CommandKind::kCommit || alone;
   const std::string id = caller->attempt;
-  world.After(kWay, [this, caller, epoch, command, id] {
+  world.After(kWay, [caller, epoch, command, id] {
     if (epoch == caller->epoch) {
       caller->daemon->Command(caller->session, {id, command});
     }
--- a/src/proxysim/store.cc
+++ b/src/proxysim/store.cc
@@ -12,7 +12,6 @@
 constexpr const char* kStore = "store";
 constexpr const char* kLeader = "leader";
 constexpr common::Duration kService{4'000};
-constexpr common::Duration kRefusalDelay{3'000};
 constexpr common::Duration kWriteTimeout{900'000};
 constexpr common::Duration kLateLeast{1'000'000};
 constexpr common::Duration kLateMost{6'000'000};
--- a/src/runtime/bounded_log.cc
+++ b/src/runtime/bounded_log.cc
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-BoundedLog::BoundedLog(int descriptor, std::string process, LogLimits limits)
-    : descriptor_(descriptor), process_(std::move(process)), limits_(limits) {}
+BoundedLog::BoundedLog(int descriptor, std::string process, std::uint64_t life, LogLimits limits)
+    : descriptor_(descriptor), process_(std::move(process)), life_(life), limits_(limits) {}
 
 void BoundedLog::Write(std::string_view level, const char* event, const Fields& fields,
                        common::Instant now) {
@@ -44,6 +44,7 @@
   line["mono_ms"] = now.count() / 1000;
   line["level"] = level;
   line["process"] = process_;
+  line["life"] = life_;
   line["event"] = event;
   for (const auto& [name, value] : fields) {
     line[name] = value;
--- a/src/runtime/bounded_log.h
+++ b/src/runtime/bounded_log.h
@@ -26,8 +26,9 @@
  public:
   using Fields = std::vector<std::pair<const char*, std::string>>;
 
-  /// @param descriptor to write to. @param process name written into each line.
-  BoundedLog(int descriptor, std::string process, LogLimits limits);
+  /// @param descriptor to write to. @param process, life written into each line: the name and a
+  /// number that tells this life of the process from its others.
+  BoundedLog(int descriptor, std::string process, std::uint64_t life, LogLimits limits);
 
   /// Adds a line: a JSON object with time, level, process, event and the fields.
   void Write(std::string_view level, const char* event, const Fields& fields, common::Instant now);
@@ -47,6 +48,7 @@
 
   int descriptor_;
   std::string process_;
+  std::uint64_t life_;
   LogLimits limits_;
   std::map<std::string, Rate> rates_;  // by event
   std::string buffer_;
--- /dev/null
+++ b/tests/explain/explain_test.cc
@@ -0,0 +1,56 @@
+#include "explain/explain.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::explain {
+namespace {
+
+const char* const kLog =
+    "  5.1 d1 {\"seq\":7,\"mono_ms\":100,\"process\":\"d1\",\"event\":\"primary_lost\","
+    "\"service\":\"g\",\"reason\":\"unreachable\"}\n"
+    "{\"seq\":9,\"mono_ms\":460,\"process\":\"d1\",\"event\":\"request_failed\",\"request\":\"r1\","
+    "\"error\":\"busy\",\"reason\":\"retry_after_ms=250 no usable primary\",\"service\":\"g\"}\n"
+    "{\"seq\":8,\"mono_ms\":300,\"process\":\"d1\",\"event\":\"request_retried\",\"request\":"
+    "\"r1\","
+    "\"error\":\"connection lost\",\"instance\":\"i-1\"}\n"
+    "{\"seq\":10,\"mono_ms\":470,\"process\":\"d1\",\"event\":\"primary_regained\",\"service\":"
+    "\"g\"}\n"
+    "{\"seq\":11,\"mono_ms\":4\n"
+    "not a line\n";
+
+}  // namespace
+
+TEST_CASE("A refused request leads to the loss of its primary", "[explain]") {
+  LogSet logs;
+  ReadLog(kLog, logs);
+  CHECK(logs.unreadable == 2);
+  const Account account = Explain(logs, "r1");
+  REQUIRE(account.own.size() == 2);
+  CHECK(account.own[0].event == "request_retried");  // by sequence, not by place in the file
+  REQUIRE(account.context.size() == 1);
+  CHECK(account.cause.find("no usable primary") != std::string::npos);
+  CHECK(account.cause.find("primary_lost (unreachable)") != std::string::npos);
+  CHECK(FormatText(account, logs.unreadable).find("lines not read: 2") != std::string::npos);
+  CHECK(nlohmann::json::parse(FormatJson(account, 2)).at("lines").size() == 2);
+}
+
+TEST_CASE("Lines of an earlier life of the process are no context", "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":1,\"seq\":5,\"mono_ms\":90,\"process\":\"d1\",\"event\":\"primary_lost\","
+      "\"service\":\"g\"}\n"
+      "{\"life\":2,\"seq\":9,\"mono_ms\":99,\"process\":\"d1\",\"event\":\"request_failed\","
+      "\"request\":\"r1\",\"error\":\"busy\",\"reason\":\"x\",\"service\":\"g\"}\n",
+      logs);
+  CHECK(Explain(logs, "r1").context.empty());
+}
+
+TEST_CASE("A request that no line names has no invented cause", "[explain]") {
+  LogSet logs;
+  ReadLog(kLog, logs);
+  const Account account = Explain(logs, "r2");
+  CHECK(account.own.empty());
+  CHECK(account.cause.empty());
+}
+
+}  // namespace valvekeel::explain
--- a/tests/runtime/bounded_log_test.cc
+++ b/tests/runtime/bounded_log_test.cc
@@ -42,7 +42,7 @@
 
 TEST_CASE("A line is one JSON object with the event's fields", "[runtime]") {
   const Pipe pipe;
-  BoundedLog log(pipe.Writer(), "d1", {});
+  BoundedLog log(pipe.Writer(), "d1", 1, {});
   log.Write("info", "started", {{"zone", "a\"b"}}, Instant(5'000));
   REQUIRE(log.Flush());
   const auto line = nlohmann::json::parse(pipe.Read());
@@ -55,7 +55,7 @@
   const Pipe pipe;
   LogLimits limits;
   limits.lines_per_event = 2;
-  BoundedLog log(pipe.Writer(), "d1", limits);
+  BoundedLog log(pipe.Writer(), "d1", 1, limits);
   for (int i = 0; i < 5; ++i) {
     log.Write("info", "often", {}, Instant(1));
   }
@@ -73,7 +73,7 @@
   LogLimits limits;
   limits.lines_per_event = 1'000'000;
   limits.buffered_bytes = 10'000;
-  BoundedLog log(pipe.Writer(), "d1", limits);
+  BoundedLog log(pipe.Writer(), "d1", 1, limits);
   for (int i = 0; i < 20'000; ++i) {
     log.Write("info", "often", {{"number", std::to_string(i)}}, Instant(1));
     log.Flush();
