Majorities count instances that have not ended; waiting bounded by the target latency; fences of the next term

Ended instances (unlisted and unreachable for 1.5 s) no longer count for the lease. Cause 2: statements waited 45% of their time for an instance, longer than half of what a caller's second try had left; now a quarter of the target latency. A fence names exactly the next term, so that replicas let go of it when they hear of the new primary.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -51,7 +51,8 @@
   Actions actions;
   if (fence_term_ == 0) {
     old_term_ = std::max<common::Term>(1, view.term);
-    fence_term_ = std::max(old_term_, view.highest_term) + 1;
+    // The promoted instance leads exactly this term: its replicas then let go by themselves.
+    fence_term_ = old_term_ + 1;
   }
   const bool replaced_by_another =
       (view.term > old_term_ || another_leads_) && step_ != Step::kVerify && !Ended();
@@ -392,21 +393,15 @@
     // A later primary is known there: it is that one which is replaced, and the record must tell
     // so before anything is fenced.
     old_term_ = status.term;
-    fence_term_ = std::max(fence_term_, status.fenced_term) + 1;
+    fence_term_ = old_term_ + 1;
     fenced_.clear();
     fenced_at_ = common::Instant(0);
     Enter(Step::kClaim, now);
     return;
   }
-  if (status.fenced_term == fence_term_ && request.term == fence_term_) {
+  // A fence that an earlier attempt has left holds as well.
+  if (status.fenced_term >= fence_term_ && request.term == fence_term_) {
     fenced_[instance] = {status.received};
-    return;
-  }
-  if (status.fenced_term > fence_term_) {
-    fence_term_ = status.fenced_term + 1;
-    fenced_.clear();
-    fenced_at_ = common::Instant(0);
-    asked_.clear();
   }
 }
 
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -48,7 +48,6 @@
   std::vector<MemberView> members;
   std::size_t known_replicas = 0;    // as other daemons count them
   common::Position floor;            // that the candidate must hold, for replicas that ended
-  common::Term highest_term = 0;     // seen anywhere, fences included
   std::set<std::string> unreleased;  // daemons that may still read at the old primary
 };
 
--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -66,8 +66,9 @@
   Time(schema, "groups.lease_round_ms", "time between rounds that renew the read lease", 10,
        &out.proxy.lease_round_interval);
   schema.Real("requests.hold_fraction", "",
-              "share of a statement's time for which it may wait for an instance", 0.0, 1.0,
-              out.proxy.hold_fraction, [&out](double value) { out.proxy.hold_fraction = value; });
+              "share of the target latency for which a statement may wait for an instance", 0.0,
+              10.0, out.proxy.hold_fraction,
+              [&out](double value) { out.proxy.hold_fraction = value; });
   schema.Integer("requests.most_sessions", "sessions", "callers' sessions at once", 1, 1'000'000,
                  static_cast<std::int64_t>(out.most_sessions), [&out](std::int64_t value) {
                    out.most_sessions = static_cast<std::size_t>(value);
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -234,7 +234,7 @@
   operation.deadline = now + route->timeout;
   operation.hold_until =
       now + common::Duration(static_cast<std::int64_t>(
-                settings_.hold_fraction * static_cast<double>(route->timeout.count())));
+                settings_.hold_fraction * static_cast<double>(route->target_latency.count())));
   session.operation = std::move(operation);
   if (!TryStart(session, now)) {
     waiting_.insert(session.number);
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -153,7 +153,6 @@
   view.term = group.lease.Newest().term;
   view.primary = groups_.PrimaryHint(group);
   view.sync_replicas = service.sync_replicas;
-  view.highest_term = group.highest_term;
   const std::vector<std::string> replicas = groups_.Replicas(group.service, now);
   for (const std::string& id : groups_.Members(group.service)) {
     const Backend& backend = backends_.All().at(id);
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -84,6 +84,20 @@
   }
 }
 
+bool GroupSet::HasEnded(const Backend& backend, common::Instant now) {
+  return backend.gone_since && backend.Unreachable() && now >= *backend.gone_since + kDepartedLimit;
+}
+
+std::vector<std::string> GroupSet::Present(const std::string& service, common::Instant now) const {
+  std::vector<std::string> present;
+  for (const std::string& id : Members(service)) {
+    if (!HasEnded(backends_.All().at(id), now)) {
+      present.push_back(id);
+    }
+  }
+  return present;
+}
+
 std::vector<std::string> GroupSet::Replicas(const std::string& service, common::Instant now) const {
   std::vector<std::string> replicas;
   const auto group = groups_.find(service);
@@ -91,8 +105,7 @@
     const Backend& backend = backends_.All().at(id);
     // A replica whose end is not covered yet may hold a commit that nobody else has.
     const bool covered = group != groups_.end() && group->second.departed.contains(id);
-    const bool departed = covered && backend.gone_since && backend.Unreachable() &&
-                          now >= *backend.gone_since + kDepartedLimit;
+    const bool departed = covered && HasEnded(backend, now);
     const bool leads = group != groups_.end() && id == PrimaryHint(group->second);
     if (!departed && !leads) {
       replicas.push_back(id);
@@ -127,7 +140,6 @@
     if (state == nullptr) {
       continue;
     }
-    state->highest_term = std::max(state->highest_term, report.term);
     state->floor = std::max(state->floor, report.floor);
     state->observed_fence = std::max(state->observed_fence, report.fence_below);
     released = ReleaseBelow(*state, report.fence_below) || released;
@@ -243,7 +255,7 @@
 }
 
 std::vector<std::string> GroupSet::RoundTargets(GroupState& state, bool all, common::Instant now) {
-  const std::vector<std::string> members = Members(state.service);
+  const std::vector<std::string> members = Present(state.service, now);
   if (all || state.lease.Newest().term == 0) {
     return members;
   }
@@ -272,7 +284,7 @@
   state.round_at = now;
   const bool old = now >= state.lease.Newest().started + kAskAllAge;
   const std::vector<std::string> targets = RoundTargets(state, old, now);
-  const group::RoundNumber round = state.lease.StartRound(Members(state.service).size(), now);
+  const group::RoundNumber round = state.lease.StartRound(Present(state.service, now).size(), now);
   const std::string service = state.service;
   for (const std::string& id : targets) {
     const auto answered = [this, service, id, round, now](
@@ -281,8 +293,6 @@
       if (group == nullptr || !status) {
         return;
       }
-      const common::Term seen = std::max(status->term, status->fenced_term);
-      group->highest_term = std::max(group->highest_term, seen);
       const group::Confirmation before = group->lease.Newest();
       if (group->lease.Answer(round, id, *status)) {
         confirmed_ = true;
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -27,7 +27,6 @@
   std::string service;
   group::ReadLease lease;
   group::PositionHistory history;
-  common::Term highest_term = 0;                  // seen anywhere, fences included
   common::Term fence_below = 0;                   // announced by this daemon's attempt
   common::Term observed_fence = 0;                // announced by any daemon
   common::Instant known_since{0};                 // when the group was first seen here
@@ -65,6 +64,10 @@
   void NotePosition(const std::string& service, const std::string& instance,
                     const common::Position& position, common::Instant sent);
 
+  /// @return ids of the group's instances but for those that have ended: a majority is counted over
+  /// these.
+  std::vector<std::string> Present(const std::string& service, common::Instant now) const;
+
   /// @return ids of the group's replicas that may hold the only copy of a commit: all but those
   /// that are no longer listed and have not been reached for a while.
   std::vector<std::string> Replicas(const std::string& service, common::Instant now) const;
@@ -121,6 +124,7 @@
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void NoteDepartures(GroupState& state, common::Instant now);
   void Judge(GroupState& state, common::Instant now);
+  static bool HasEnded(const Backend& backend, common::Instant now);
   std::string Suspicion(const GroupState& state, common::Instant now) const;
 
   const ProxySettings& settings_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -26,8 +26,9 @@
   common::Duration slow_watch_wait{15'000'000};  // the same for what may be late
   common::Duration heartbeat_interval{250'000};
   common::Duration lease_round_interval{400'000};
-  /// Share of a statement's time for which it may wait for an instance before it is refused.
-  double hold_fraction = 0.45;
+  /// Share of the target latency for which a statement may wait for an instance before it is
+  /// refused.
+  double hold_fraction = 0.25;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -511,6 +511,19 @@
   on_change();
 }
 
+void DatabaseGroup::RestartAs(const std::string& instance, const std::string& id) {
+  auto node = instances_.extract(instance);
+  if (node.empty()) {
+    return;
+  }
+  node.key() = id;
+  node.mapped().id = id;
+  // Who led under the old id leads no more: nobody knows the new one.
+  node.mapped().primary = false;
+  instances_.insert(std::move(node));
+  Restart(id);
+}
+
 void DatabaseGroup::AddReplica(const std::string& id) {
   SimulatedInstance instance;
   instance.id = id;
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -88,6 +88,9 @@
 
   void Crash(const std::string& instance, bool silent);
   void Restart(const std::string& instance);
+
+  /// A crashed instance comes back with its log under another id.
+  void RestartAs(const std::string& instance, const std::string& id);
   void AddReplica(const std::string& id);
   void RemoveInstance(const std::string& id);
 
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -20,6 +20,7 @@
 constexpr Duration kReplacementStart{1'500'000};
 constexpr Duration kDrainTime{8'000'000};
 constexpr Duration kLastSeconds{3'000'000};
+constexpr double kReturnsRenamed = 0.5;
 constexpr double kServedAtEnd = 0.9;
 const std::string kStore = "store";
 const std::string kPlatform = "platform";
@@ -155,7 +156,13 @@
       for (const auto& daemon : cluster_.Daemons()) {
         world_.HealBoth(daemon->Name(), id);
       }
-      group.Restart(id);
+      if (world_.Chance(kReturnsRenamed) && group.Instances().contains(id) &&
+          !group.Instances().at(id).alive) {
+        group.RestartAs(id, id + "r");
+        cluster_.Store().Delete(model::Collection::kInstances, id);
+      } else {
+        group.Restart(id);
+      }
     });
   }
 
--- /dev/null
+++ b/tests/proxy/group_set_test.cc
@@ -0,0 +1,101 @@
+#include "proxy/group_set.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::proxy {
+namespace {
+
+using common::Duration;
+using common::Instant;
+using common::Position;
+
+constexpr Instant kStart{100'000'000};
+constexpr Duration kLongAgo{5'000'000};
+
+/// A group of instances "p", "a", "b" of which "p" leads term 1.
+struct GroupFixture {
+  GroupFixture() {
+    for (const std::string id : {"p", "a", "b"}) {
+      model::InstanceEntry entry;
+      entry.id = id;
+      entry.service = "group";
+      backends.SetEntry(entry, kStart);
+    }
+    groups.Get("group", kStart);
+    groups.SetRegistered(true);
+    groups.Get("group", kStart).lease.Renew({1, "p", kStart});
+  }
+
+  /// Lets an instance end: unlisted and unreachable.
+  void End(const std::string& id, Instant at) {
+    backends.EntryGone(id, at);
+    backends.Find(id)->OpenFailed(at, true);
+  }
+
+  ProxySettings settings;
+  Outbox outbox;
+  PeerTable peers{"me", 1};
+  BackendSet backends{outbox};
+  GroupSet groups{settings, backends, peers, outbox};
+};
+
+model::LeadershipRecord Begun(common::Term replaced_term) {
+  model::LeadershipRecord record;
+  record.attempts["group"] = {replaced_term, "a"};
+  return record;
+}
+
+}  // namespace
+
+TEST_CASE("An instance that has ended is no part of a majority", "[proxy]") {
+  // Found by our day crash-while-store-down: after two crashes the two live instances of a group
+  // were no majority of the four that had ever been there, and the new primary was never believed.
+  GroupFixture fixture;
+  fixture.End("b", kStart);
+  CHECK(fixture.groups.Present("group", kStart).size() == 3);
+  CHECK(fixture.groups.Present("group", kStart + kLongAgo).size() == 2);
+}
+
+TEST_CASE("A replica that ended counts until a position of the primary covers it", "[proxy]") {
+  GroupFixture fixture;
+  fixture.End("b", kStart);
+  fixture.groups.Tick(kStart);
+  CHECK(fixture.groups.Replicas("group", kStart + kLongAgo).size() == 2);
+  fixture.groups.NotePosition("group", "p", Position{1, 40}, kStart + Duration(1));
+  fixture.groups.Tick(kStart + Duration(2));
+  CHECK(fixture.groups.Replicas("group", kStart + kLongAgo).size() == 1);
+  CHECK(fixture.groups.Find("group")->floor == Position{1, 40});
+}
+
+TEST_CASE("The record renews the lease unless it names this term or a later one", "[proxy]") {
+  GroupFixture fixture;
+  const Instant later = kStart + Duration(900'000);
+  fixture.groups.RenewFromRecord(Begun(1), later);
+  CHECK(fixture.groups.UsablePrimary("group", later + Duration(200'000)).empty());
+  fixture.groups.RenewFromRecord(Begun(0), later);
+  CHECK(fixture.groups.UsablePrimary("group", later + Duration(200'000)) == "p");
+}
+
+TEST_CASE("A daemon that is not registered reads at no primary", "[proxy]") {
+  GroupFixture fixture;
+  CHECK(fixture.groups.UsablePrimary("group", kStart) == "p");
+  fixture.groups.SetRegistered(false);
+  CHECK(fixture.groups.UsablePrimary("group", kStart).empty());
+}
+
+TEST_CASE("A peer's fence ends the lease for good", "[proxy]") {
+  GroupFixture fixture;
+  PeerMessage message;
+  message.name = "other";
+  GroupReport report;
+  report.service = "group";
+  report.fence_below = 2;
+  message.groups.push_back(report);
+  CHECK(fixture.groups.TakeReports(message, std::nullopt));
+  CHECK(fixture.groups.UsablePrimary("group", kStart).empty());
+  CHECK_FALSE(fixture.groups.TakeReports(message, std::nullopt));
+  fixture.groups.RenewFromRecord({}, kStart);
+  CHECK(fixture.groups.UsablePrimary("group", kStart).empty());
+}
+
+}  // namespace valvekeel::proxy
