--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -34,6 +34,7 @@
     backends_.emplace(entry.id, Backend(entry));
     outbox_.Log("instance_listed", {{"instance", entry.id},
                                     {"service", entry.service},
+                                    {"address", common::FormatEndpoint(entry.address)},
                                     {"zone", entry.zone},
                                     {"draining", entry.draining ? "true" : "false"}});
   }
@@ -61,6 +62,18 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
+bool BackendSet::IsSucceeded(const Backend& backend) const {
+  if (!backend.gone_since) {
+    return false;
+  }
+  const model::InstanceEntry& entry = backend.Entry();
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& other) {
+    const model::InstanceEntry& successor = other.second.Entry();
+    return successor.id != entry.id && successor.service == entry.service &&
+           successor.address == entry.address && !other.second.gone_since;
+  });
+}
+
 void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit) {
   limits_[service] = limit;
 }
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -55,6 +55,10 @@
   void EntryGone(const std::string& id, common::Instant now);
 
   Backend* Find(const std::string& id);
+
+  /// @return true if the instance is gone and another of its service has its address: that one
+  /// carries its log on.
+  bool IsSucceeded(const Backend& backend) const;
   std::map<std::string, Backend>& All() { return backends_; }
   const std::map<std::string, Backend>& All() const { return backends_; }
 
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -57,7 +57,7 @@
 std::vector<std::string> GroupSet::Members(const std::string& service) const {
   std::vector<std::string> members;
   for (const auto& [id, backend] : backends_.All()) {
-    if (backend.Entry().service == service) {
+    if (backend.Entry().service == service && !backends_.IsSucceeded(backend)) {
       members.push_back(id);
     }
   }
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -60,6 +60,8 @@
   const std::uint64_t epoch = ++caller->epoch;
   caller->session = next_session_++;
   caller->values.clear();
+  caller->commands.clear();
+  caller->active = false;
   auto& daemons = cluster_.Daemons();
   caller->daemon = daemons[world.Below(daemons.size())].get();
   const auto configuration = cluster_.CurrentConfiguration();
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -28,6 +28,14 @@
   return route;
 }
 
+/// @return a port that an instance shares only with those that carry on its log.
+std::uint16_t AddressPort(const std::string& id) {
+  constexpr std::size_t kFirst = 10'000;
+  constexpr std::size_t kPorts = 50'000;
+  const std::string original = id.substr(0, id.find_last_not_of('r') + 1);
+  return static_cast<std::uint16_t>(kFirst + std::hash<std::string>()(original) % kPorts);
+}
+
 }  // namespace
 
 std::string ZoneName(std::size_t number) { return std::string("zone-") + std::to_string(number); }
@@ -97,7 +105,7 @@
   model::InstanceEntry entry;
   entry.id = instance.id;
   entry.service = group.Service();
-  entry.address = {"10.128.0.1", 8080};
+  entry.address = {"10.128.0.1", AddressPort(instance.id)};
   entry.zone = ZoneName(std::hash<std::string>()(instance.id) % shape_.zones);
   entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
   entry.draining = instance.draining;
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -518,8 +518,6 @@
   }
   node.key() = id;
   node.mapped().id = id;
-  // Who led under the old id leads no more: nobody knows the new one.
-  node.mapped().primary = false;
   instances_.insert(std::move(node));
   Restart(id);
 }
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -19,6 +19,7 @@
       model::InstanceEntry entry;
       entry.id = id;
       entry.service = "group";
+      entry.address = {"10.0.0.1", static_cast<std::uint16_t>(id[0])};
       backends.SetEntry(entry, kStart);
     }
     groups.Get("group", kStart);
@@ -67,6 +68,17 @@
   CHECK(fixture.groups.Find("group")->floor == Position{1, 40});
 }
 
+TEST_CASE("An instance whose address another of its service has taken counts no more", "[proxy]") {
+  // On the users' machines a crashed instance comes back with its log under a new id.
+  GroupFixture fixture;
+  fixture.End("b", kStart);
+  model::InstanceEntry successor = fixture.backends.Find("b")->Entry();
+  successor.id = "b2";
+  fixture.backends.SetEntry(successor, kStart);
+  CHECK(fixture.groups.Members("group") == std::vector<std::string>{"a", "b2", "p"});
+  CHECK(fixture.groups.Replicas("group", kStart).size() == 2);
+}
+
 TEST_CASE("The record renews the lease unless it names this term or a later one", "[proxy]") {
   GroupFixture fixture;
   const Instant later = kStart + Duration(900'000);
