--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 soak: build
 	scripts/check-open-transaction
 	scripts/soak
+	scripts/soak-simulator 1000
 
 format: setup
 	scripts/check-format
--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -153,6 +153,9 @@
 }
 
 std::size_t Attempt::FencesNeeded(const GroupView& view) {
+  if (view.one_fence_is_enough) {
+    return 1;
+  }
   // A commit is acknowledged once `sync_replicas` of the replicas hold it: with all but one less of
   // them fenced, none can be. Every majority must hold a fenced instance too.
   // A primary that is not known, or no longer listed, counts all the same.
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -46,6 +46,7 @@
   std::string primary;    // empty if none is known
   std::uint32_t sync_replicas = 0;
   std::vector<MemberView> members;
+  bool one_fence_is_enough = false;  // for tests of the checkers only
   std::size_t known_replicas = 0;    // as other daemons count them
   common::Position floor;            // that the candidate must hold, for replicas that ended
   std::set<std::string> unreleased;  // daemons that may still read at the old primary
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -35,7 +35,8 @@
 }
 
 bool Dispatcher::MayHaveCommitted(const Session& session) const {
-  return session.operation->phase == OperationPhase::kRunning && WouldCommit(session);
+  return settings_.mechanisms.unknown_outcomes &&
+         session.operation->phase == OperationPhase::kRunning && WouldCommit(session);
 }
 
 bool Dispatcher::NeedsPrimary(const Session& session) const {
@@ -163,7 +164,7 @@
   const bool surplus =
       std::any_of(connection.values.begin(), connection.values.end(),
                   [&](const auto& value) { return !session.values.contains(value.first); });
-  if (surplus) {
+  if (surplus && settings_.mechanisms.session_reset) {
     requests.emplace_back(model::ControlRequest{model::ControlKind::kResetSession, 0});
     connection.values.clear();
     connection.prepared.clear();
@@ -205,9 +206,11 @@
                                  const std::optional<common::Position>& required,
                                  common::Instant now) {
   Operation& operation = *session.operation;
-  operation.required = session.transaction.open ? std::nullopt : required;
+  const std::optional<common::Position> checked =
+      settings_.mechanisms.required_positions ? required : std::nullopt;
+  operation.required = session.transaction.open ? std::nullopt : checked;
   operation.sent = now;
-  std::vector<model::InstanceRequest> requests = Preparation(session, connection, required);
+  std::vector<model::InstanceRequest> requests = Preparation(session, connection, checked);
   if (requests.empty()) {
     SendStatement(session, backend, connection, now);
     return;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -21,7 +21,8 @@
 bool Dispatcher::ResendDue(const Session& session, const Backend& backend,
                            common::Instant now) const {
   const Operation& operation = *session.operation;
-  const bool single_read = !session.transaction.open && !IsWrite(session);
+  const bool reads = !IsWrite(session) || !settings_.mechanisms.unknown_outcomes;
+  const bool single_read = !session.transaction.open && reads;
   const bool first_of_transaction = session.transaction.open && !session.transaction.ran &&
                                     operation.caller.command.kind != model::CommandKind::kCommit;
   if ((!single_read && !first_of_transaction) || operation.resends >= kMostResends) {
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -162,6 +162,7 @@
                             !backend.Unreachable() && !backend.Silent(now), !counted,
                             backend.gone_since.has_value()});
   }
+  view.one_fence_is_enough = !settings_.mechanisms.enough_fences;
   view.floor = group.floor;
   view.known_replicas = KnownReplicas(group.service, now);
   std::set<std::string> daemons = registered;
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -66,6 +66,10 @@
 
 std::string GroupSet::UsablePrimary(const std::string& service, common::Instant now) {
   const GroupState* state = Find(service);
+  const bool unchecked = state != nullptr && !settings_.mechanisms.read_lease;
+  if (unchecked) {
+    return state->lease.Newest().primary;
+  }
   if (state == nullptr || !registered_ || !state->lease.Holds(now)) {
     return "";
   }
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -13,6 +13,16 @@
 
 namespace valvekeel::proxy {
 
+/// Mechanisms that tests switch off to see that the simulator's checkers notice. No setting of the
+/// daemon reaches them.
+struct Mechanisms {
+  bool read_lease = true;          // reads at a primary need a lease
+  bool required_positions = true;  // replicas must hold what a read needs
+  bool enough_fences = true;       // more than one replica is fenced before a promotion
+  bool session_reset = true;       // a connection's values are those of its session
+  bool unknown_outcomes = true;    // a write whose answer is lost is not sent again
+};
+
 struct ProxySettings {
   std::string name;                              // of this daemon
   std::string zone;                              // in which it runs
@@ -29,6 +39,7 @@
   /// Share of the target latency for which a statement may wait for an instance before it is
   /// refused.
   double hold_fraction = 0.25;
+  Mechanisms mechanisms;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -23,6 +23,7 @@
   std::size_t zones = 3;
   std::size_t groups = 3;
   GroupShape group;
+  proxy::Mechanisms mechanisms;
 };
 
 class Cluster {
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -30,6 +30,7 @@
     proxy::ProxySettings settings;
     settings.name = name_;
     settings.zone = zone_;
+    settings.mechanisms = cluster_.Shape().mechanisms;
     settings.incarnation = life;
     settings.peer = address_;
     settings.seed_peers = {{"10.0.0.1", address_.port}, {"10.0.0.2", address_.port}};
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -303,6 +303,7 @@
 
 ClusterShape ShapeOf(const ScenarioOptions& options) {
   ClusterShape shape;
+  shape.mechanisms = options.mechanisms;
   if (!options.draw_shape) {
     return shape;
   }
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -22,7 +22,8 @@
   std::size_t faults = 6;
   std::size_t sessions = 40;
   bool draw_shape = false;  // draws numbers of daemons, zones, instances, replicas
-  bool print_log = false;   // prints the daemons' log lines
+  proxy::Mechanisms mechanisms;
+  bool print_log = false;  // prints the daemons' log lines
 };
 
 struct ScenarioResult {
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -15,6 +15,23 @@
 }
 
 constexpr std::uint64_t kSeeds = 24;
+constexpr std::uint64_t kSeedsWithout = 40;
+
+/// @return the first seed whose day breaks the rule without the mechanism, 0 if there is none.
+std::uint64_t FirstBroken(const std::string& rule, const proxy::Mechanisms& mechanisms) {
+  for (std::uint64_t seed = 1; seed <= kSeedsWithout; ++seed) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.faults = 12;
+    options.mechanisms = mechanisms;
+    for (const Violation& violation : RunScenario(options).violations) {
+      if (violation.rule == rule) {
+        return seed;
+      }
+    }
+  }
+  return 0;
+}
 
 }  // namespace
 
@@ -48,6 +65,24 @@
   }
 }
 
+TEST_CASE("Without a mechanism its checker fails", "[proxysim]") {
+  proxy::Mechanisms no_lease;
+  no_lease.read_lease = false;
+  CHECK(FirstBroken("STALE", no_lease) != 0);
+  proxy::Mechanisms no_positions;
+  no_positions.required_positions = false;
+  CHECK(FirstBroken("STALE", no_positions) != 0);
+  proxy::Mechanisms one_fence;
+  one_fence.enough_fences = false;
+  CHECK(FirstBroken("LOST", one_fence) != 0);
+  proxy::Mechanisms no_reset;
+  no_reset.session_reset = false;
+  CHECK(FirstBroken("PINNED", no_reset) != 0);
+  proxy::Mechanisms sent_again;
+  sent_again.unknown_outcomes = false;
+  CHECK(FirstBroken("TWICE", sent_again) != 0);
+}
+
 TEST_CASE("The same seed gives the same day", "[proxysim]") {
   ScenarioOptions options;
   options.seed = 5;
