--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -16,7 +16,7 @@
       backends_(backends),
       groups_(groups),
       outbox_(outbox),
-      placement_(settings.zone, backends) {}
+      placement_(settings, backends) {}
 
 void Dispatcher::SetConfiguration(const model::Configuration* configuration, common::Instant now) {
   configuration_ = configuration;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -56,7 +56,7 @@
   const std::string primary = groups_.UsablePrimary(service, now);
   const Backend* leader = backends_.Find(primary);
   if (NeedsPrimary(session)) {
-    if (leader == nullptr || !ReadPlacement::TakesWork(*leader, now)) {
+    if (leader == nullptr || !placement_.TakesWork(*leader, now)) {
       return {};
     }
     Placement at_primary;
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -7,6 +7,8 @@
 
 /// Added to the bound, for the time between the caller's first byte and its arrival here.
 constexpr common::Duration kStalenessMargin{30'000};
+/// Left of the drain limit, for statements on their way when it is reached.
+constexpr common::Duration kDrainMargin{1'500'000};
 constexpr double kOtherZoneUs = 12'000;   // time of the way and price of the bytes
 constexpr double kPrimaryUs = 8'000;      // the primary is left to writes
 constexpr double kLaggingUs = 1'000'000;  // tried only if nothing else is left
@@ -39,8 +41,13 @@
   return Requirement{own, now - need.own_commit_at, true};
 }
 
-bool ReadPlacement::TakesWork(const Backend& backend, common::Instant now) {
-  return !backend.Unreachable() && !backend.Silent(now);
+bool ReadPlacement::TakesWork(const Backend& backend, common::Instant now) const {
+  const common::Duration usable = drain_limit_ - std::min(kDrainMargin, drain_limit_);
+  const bool leaves = backend.draining_since || backend.gone_since;
+  const common::Instant since =
+      std::min(backend.draining_since.value_or(now), backend.gone_since.value_or(now));
+  const bool left = leaves && now >= since + usable;
+  return !left && !backend.Unreachable() && !backend.Silent(now);
 }
 
 double ReadPlacement::Cost(const Backend& backend, common::Instant now) const {
--- a/src/proxy/read_placement.h
+++ b/src/proxy/read_placement.h
@@ -12,6 +12,7 @@
 #include "proxy/backend_set.h"
 #include "proxy/caller_session.h"
 #include "proxy/group_set.h"
+#include "proxy/proxy_settings.h"
 
 namespace valvekeel::proxy {
 
@@ -34,8 +35,8 @@
 
 class ReadPlacement {
  public:
-  ReadPlacement(const std::string& zone, const BackendSet& backends)
-      : zone_(zone), backends_(backends) {}
+  ReadPlacement(const ProxySettings& settings, const BackendSet& backends)
+      : zone_(settings.zone), drain_limit_(settings.drain_limit), backends_(backends) {}
 
   /// @param usable_primary empty if there is none now. @return places in order of cost.
   std::vector<Placement> Candidates(const GroupState& group, const std::string& usable_primary,
@@ -54,12 +55,13 @@
                                              common::Instant now);
 
   /// @return true if the instance takes new work.
-  static bool TakesWork(const Backend& backend, common::Instant now);
+  bool TakesWork(const Backend& backend, common::Instant now) const;
 
  private:
   double Cost(const Backend& backend, common::Instant now) const;
 
   const std::string& zone_;
+  common::Duration drain_limit_;
   const BackendSet& backends_;
 };
 
--- /dev/null
+++ b/tests/proxy/read_placement_test.cc
@@ -0,0 +1,111 @@
+#include "proxy/read_placement.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::proxy {
+namespace {
+
+using common::Duration;
+using common::Instant;
+using common::Position;
+using model::Consistency;
+
+constexpr Instant kStart{100'000'000};
+
+/// Instances "p" (primary), "a" in the daemon's zone, "b" in another.
+struct PlacementFixture {
+  PlacementFixture() {
+    settings.zone = "near";
+    Add("p", "far");
+    Add("a", "near");
+    Add("b", "far");
+  }
+
+  void Add(const std::string& id, const std::string& zone) {
+    model::InstanceEntry entry;
+    entry.id = id;
+    entry.service = "group";
+    entry.zone = zone;
+    entry.address = {"10.0.0.1", static_cast<std::uint16_t>(id[0])};
+    backends.SetEntry(entry, kStart);
+  }
+
+  std::vector<Placement> Candidates(const ReadNeed& need, Instant now) const {
+    return placement.Candidates(group, "p", {"a", "b", "p"}, need, now);
+  }
+
+  ProxySettings settings;
+  Outbox outbox;
+  BackendSet backends{outbox};
+  GroupState group;
+  ReadPlacement placement{settings, backends};
+};
+
+ReadNeed Bounded(Instant arrived) {
+  return {Consistency::kBoundedStaleness, Duration(1'500'000), arrived, {}, Instant(0)};
+}
+
+}  // namespace
+
+TEST_CASE("A replica of the own zone comes first, with the position it must hold", "[proxy]") {
+  PlacementFixture fixture;
+  fixture.group.history.Add({kStart, Position{1, 40}});
+  const auto places = fixture.Candidates(Bounded(kStart + Duration(100'000)), kStart);
+  REQUIRE(places.size() == 3);
+  CHECK(places[0].instance == "a");
+  CHECK(places[0].required == Position{1, 40});
+}
+
+TEST_CASE("Without a known position only the primary serves", "[proxy]") {
+  const PlacementFixture fixture;
+  const auto places = fixture.Candidates(Bounded(kStart), kStart);
+  REQUIRE(places.size() == 1);
+  CHECK(places[0].instance == "p");
+  CHECK_FALSE(places[0].required);
+}
+
+TEST_CASE("The session's own commit is required beyond the bound", "[proxy]") {
+  PlacementFixture fixture;
+  fixture.group.history.Add({kStart, Position{1, 40}});
+  ReadNeed need = Bounded(kStart + Duration(10'000));
+  need.consistency = Consistency::kReadYourWrites;
+  need.own_commit = Position{1, 45};
+  need.own_commit_at = kStart + Duration(5'000);
+  const auto own = ReadPlacement::Required(fixture.group, need, kStart + Duration(10'000));
+  REQUIRE(own);
+  CHECK(own->position == Position{1, 45});
+  CHECK(own->own);
+  // A later sample covers the commit, also if its own position was rolled back in between.
+  fixture.group.history.Add({kStart + Duration(6'000), Position{1, 43}});
+  const auto covered = ReadPlacement::Required(fixture.group, need, kStart + Duration(10'000));
+  REQUIRE(covered);
+  CHECK(covered->position == Position{1, 43});
+}
+
+TEST_CASE("A replica that refused as lagging is left for later, until the memory fades",
+          "[proxy]") {
+  PlacementFixture fixture;
+  fixture.group.history.Add({kStart, Position{1, 40}});
+  fixture.backends.Find("a")->NoteLagging(Duration(1'400'000), true, kStart);
+  const auto places = fixture.Candidates(Bounded(kStart), kStart + Duration(1'000));
+  REQUIRE(places.size() == 3);
+  CHECK(places.back().instance == "a");
+  const Instant later = kStart + Duration(2'000'000);
+  CHECK(fixture.backends.Find("a")->ExpectedFresh(Duration(100'000), later));
+}
+
+TEST_CASE("An instance that leaves serves only if no other can, and not past its limit",
+          "[proxy]") {
+  PlacementFixture fixture;
+  fixture.group.history.Add({kStart, Position{1, 40}});
+  fixture.backends.EntryGone("a", kStart);
+  const auto places = fixture.Candidates(Bounded(kStart), kStart);
+  CHECK(places.size() == 2);
+  for (const std::string id : {"b", "p"}) {
+    fixture.backends.EntryGone(id, kStart);
+  }
+  CHECK(fixture.Candidates(Bounded(kStart), kStart).size() == 3);
+  CHECK(fixture.Candidates(Bounded(kStart), kStart + fixture.settings.drain_limit).empty());
+}
+
+}  // namespace valvekeel::proxy
