--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -170,13 +170,15 @@
 
 void Attempt::Fence(const GroupView& view, common::Instant now, Actions& actions) {
   const model::ControlRequest pause{model::ControlKind::kPauseReplication, fence_term_};
+  const model::ControlRequest demote{model::ControlKind::kDemote, fence_term_};
   const std::size_t replicas = ReplicasOf(view);
   for (const MemberView& member : view.members) {
     if (member.id == view.primary) {
       continue;
     }
     if (!fenced_.contains(member.id)) {
-      Ask(member.id, pause, kRepeatPause, now, actions);
+      Ask(member.id, lead_old_term_.contains(member.id) ? demote : pause, kRepeatPause, now,
+          actions);
     }
   }
   const std::size_t fenced = CountedFences(view);
@@ -374,6 +376,9 @@
   }
   if (request.kind == model::ControlKind::kDemote) {
     former_demoted_ = !status->primary;
+    if (former_demoted_) {
+      lead_old_term_.erase(instance);
+    }
     return;
   }
   if (request.kind == model::ControlKind::kPauseReplication && step_ == Step::kFence) {
@@ -390,6 +395,9 @@
                         const model::InstanceStatus& status, common::Instant now) {
   if (status.primary) {
     another_leads_ = status.term > old_term_;
+    if (status.term == old_term_) {
+      lead_old_term_.insert(instance);
+    }
     return;
   }
   if (status.term > old_term_) {
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -22,6 +22,9 @@
       address_(std::move(address)) {}
 
 void DaemonHost::Start() {
+  if (proxy_) {
+    return;  // another fault has started it already
+  }
   const std::uint64_t life = ++life_;
   cluster_.Surroundings().After(kStartTime, [this, life] {
     if (life != life_ || proxy_) {
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -72,6 +72,10 @@
       return;  // silent
     }
     model::InstanceStatus status = found->second;
+    if (control.request.kind == model::ControlKind::kDemote) {
+      status.primary = false;
+      found->second.primary = false;
+    }
     if (control.request.kind == model::ControlKind::kPauseReplication && !status.primary) {
       const bool kept = keep_higher_fence && status.fenced_term > control.request.term;
       status.fenced_term = kept ? status.fenced_term : control.request.term;
@@ -249,6 +253,19 @@
   }));
 }
 
+TEST_CASE("The old primary, back under an unknown id, is demoted and may lead again",
+          "[failover]") {
+  // Found by the simulator, seed 360: all daemons had let go of its term, and it can't be fenced.
+  AttemptFixture fixture;
+  model::InstanceStatus returned = AttemptFixture::Replica({1, 99});
+  returned.primary = true;
+  fixture.answers = {{"a", returned}, {"b", AttemptFixture::Replica({1, 38})}};
+  fixture.RunFor(Duration(2'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kFinished);
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "a");
+}
+
 TEST_CASE("A former primary that answers is demoted after the replicas are fenced", "[failover]") {
   AttemptFixture fixture;
   fixture.view.members[0].reachable = true;
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -65,6 +65,18 @@
   }
 }
 
+TEST_CASE("Drawn seeds that broke a rule once keep it now", "[proxysim]") {
+  // 360: a primary came back under another id after all daemons had let go of its term (RECOVER).
+  for (const std::uint64_t seed : {360}) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.faults = 8;
+    options.draw_shape = true;
+    INFO("seed " << seed);
+    CHECK(Violations(options).empty());
+  }
+}
+
 TEST_CASE("Without a mechanism its checker fails", "[proxysim]") {
   proxy::Mechanisms no_lease;
   no_lease.read_lease = false;
