--- a/src/cluster/node.cc
+++ b/src/cluster/node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/stable_hash.h"
+
 namespace valvekeel::cluster {
 namespace {
 
@@ -28,7 +30,7 @@
   std::vector<HashedMember> ordered;
   ordered.reserve(members.size());
   for (const Member& member : members) {
-    ordered.push_back({replicated::StableHash(seed, member.id), member.id});
+    ordered.push_back({common::StableHash(seed, member.id), member.id});
   }
   std::sort(ordered.begin(), ordered.end());
   return ordered;
--- a/src/cluster/placement.cc
+++ b/src/cluster/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/stable_hash.h"
+
 namespace valvekeel::cluster {
 
 std::vector<MemberId> RankOwners(std::string_view object, const std::vector<Member>& members,
@@ -10,7 +12,7 @@
   std::vector<std::pair<std::uint64_t, const Member*>> ranked;
   ranked.reserve(members.size());
   for (const Member& member : members) {
-    ranked.emplace_back(replicated::StableHash(object, member.id), &member);
+    ranked.emplace_back(common::StableHash(object, member.id), &member);
   }
   const std::size_t kept = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -23,6 +23,14 @@
                  [target](std::int64_t value) { *target = std::chrono::milliseconds(value); });
 }
 
+/// Adds a whole number from 1 on.
+template <typename Whole>
+void Count(Schema& schema, const std::string& key, const std::string& unit,
+           const std::string& meaning, Whole* target) {
+  schema.Integer(key, unit, meaning, 1, 100'000, static_cast<std::int64_t>(*target),
+                 [target](std::int64_t value) { *target = static_cast<Whole>(value); });
+}
+
 /// Addresses as texts, before they are checked.
 struct AddressTexts {
   std::string callers;
@@ -63,6 +71,29 @@
   Time(schema, "store.watch_wait_ms", "longest wait of a watch", 100, &out.proxy.watch_wait);
   Time(schema, "peers.heartbeat_ms", "time between heartbeats to a live daemon", 10,
        &out.proxy.heartbeat_interval);
+  Time(schema, "peers.coordinator_heartbeat_ms",
+       "large deployments: time between heartbeats from and to coordinators", 10,
+       &out.proxy.coordinator_heartbeat_interval);
+  Time(schema, "peers.zone_heartbeat_ms",
+       "large deployments: time between heartbeats within a zone", 10,
+       &out.proxy.zone_heartbeat_interval);
+  Time(schema, "peers.far_heartbeat_ms", "large deployments: time between all other heartbeats", 10,
+       &out.proxy.far_heartbeat_interval);
+  Count(schema, "relay.most_meshed_daemons", "daemons",
+        "up to so many, all coordinate and send heartbeats at full pace",
+        &out.proxy.roles.most_meshed_daemons);
+  Count(schema, "relay.coordinators", "daemons",
+        "large deployments: daemons that watch every group and replace primaries",
+        &out.proxy.roles.coordinators);
+  Count(schema, "relay.owners_per_zone", "daemons",
+        "daemons of a zone that hold connections to a service's instances",
+        &out.proxy.roles.owners_per_zone);
+  Count(schema, "relay.least_direct_connections", "connections",
+        "share of an instance's connections below which a service gets owners",
+        &out.proxy.roles.least_direct_connections);
+  Count(schema, "relay.reserved_connections", "connections",
+        "connections of an instance that no daemon's share contains",
+        &out.proxy.roles.reserved_connections);
   Time(schema, "groups.lease_round_ms", "time between rounds that renew the read lease", 10,
        &out.proxy.lease_round_interval);
   schema.Real("requests.hold_fraction", "",
@@ -115,6 +146,7 @@
   check.Take("listen.callers", texts.callers, &out.callers);
   check.Take("listen.health", texts.health, &out.health);
   check.Take("listen.admin", texts.admin, &out.admin);
+  out.proxy.admin_port = out.admin.port;
   check.Take("listen.peer", texts.peer, &out.proxy.peer);
   check.Take("store.address", texts.store, &out.store);
   check.Take("promotion.address", texts.promotion, &out.promotion);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "host/catalog_copy_json.h"
+#include "relay/handover.h"
 
 namespace valvekeel::host {
 namespace {
@@ -17,6 +18,8 @@
 constexpr const char* kCatalogPath = "/catalog";
 constexpr const char* kMetricsPath = "/metrics";
 constexpr common::Duration kFetchTimeout{500'000};
+/// Bytes of a caller kept for an owner until its session is accepted.
+constexpr std::size_t kMostUnaccepted = std::size_t{64} << 10U;
 constexpr common::Duration kFlushBeforeExit{150'000};
 
 const char* LevelName(proxy::LogLevel level) {
@@ -25,13 +28,53 @@
 
 }  // namespace
 
+/// Brings what an owner sends to the session's caller and to the decision code.
+class ProxyHost::OwnerEvents : public relay_link::owner_events {
+ public:
+  OwnerEvents(ProxyHost& host, proxy::SessionNumber session) : host_(host), session_(session) {}
+
+  void on_accepted() override {
+    const auto found = host_.callers_.find(session_);
+    if (found != host_.callers_.end()) {
+      found->second.accepted = true;
+      found->second.unaccepted.clear();
+    }
+    host_.proxy_.RelayAccepted(session_);
+    host_.Drain();
+  }
+
+  void on_answer(const model::Reply& reply) override {
+    host_.proxy_.RelayAnswered(session_, reply.state, common::SteadyNow());
+    host_.Drain();
+  }
+
+  void on_bytes(std::string_view bytes) override {
+    const auto found = host_.callers_.find(session_);
+    if (found != host_.callers_.end()) {
+      found->second.stream->Send(std::string(bytes));
+    }
+  }
+
+  void on_ended() override {
+    host_.proxy_.RelayEnded(session_, common::SteadyNow());
+    host_.Drain();
+  }
+
+ private:
+  ProxyHost& host_;
+  proxy::SessionNumber session_;
+};
+
 ProxyHost::ProxyHost(asio::io_context& loop, HostSettings settings, Adapter& adapter)
     : loop_(loop),
       settings_(std::move(settings)),
       adapter_(adapter),
       proxy_(settings_.proxy, std::random_device{}()),
       log_(STDOUT_FILENO, settings_.proxy.name, settings_.proxy.incarnation, settings_.log),
-      acceptor_(loop),
+      callers_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); }),
+      handover_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddHandedOver(std::move(socket)); }),
       peers_(loop),
       tick_(loop) {}
 
@@ -41,10 +84,10 @@
 }
 
 std::optional<StartError> ProxyHost::Start() {
-  if (!ListenForCallers()) {
+  if (!callers_listener_.Listen(settings_.callers)) {
     return StartError{"callers' address cannot be bound"};
   }
-  if (!ListenForPeers()) {
+  if (!handover_listener_.Listen(settings_.proxy.peer) || !ListenForPeers()) {
     return StartError{"peers' address cannot be bound"};
   }
   for (const common::Endpoint& address : {settings_.health, settings_.admin}) {
@@ -67,24 +110,6 @@
   Drain();
 }
 
-bool ProxyHost::ListenForCallers() {
-  asio::error_code error;
-  const auto host = asio::ip::make_address(settings_.callers.host, error);
-  const asio::ip::tcp::endpoint endpoint(host, settings_.callers.port);
-  acceptor_.open(endpoint.protocol(), error);
-  acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
-  if (error) {
-    return false;
-  }
-  acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return false;
-  }
-  AcceptCaller();
-  return true;
-}
-
 bool ProxyHost::ListenForPeers() {
   asio::error_code error;
   const auto host = asio::ip::make_address(settings_.proxy.peer.host, error);
@@ -112,33 +137,71 @@
   });
 }
 
-void ProxyHost::AcceptCaller() {
-  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
-      return;
-    }
-    if (!error) {
-      AddCaller(std::move(socket));
-    }
-    AcceptCaller();
-  });
-}
-
 void ProxyHost::AddCaller(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
+  const proxy::SessionNumber number = AddSession(stream, {});
+  if (number != 0) {
+    stream->Start([this, number](std::string_view bytes) { CallerBytes(number, bytes); },
+                  [this, number] { CallerGone(number); });
+  }
+}
+
+proxy::SessionNumber ProxyHost::AddSession(const std::shared_ptr<net::Stream>& stream,
+                                           const proxy::SessionOrigin& origin) {
   auto codec = adapter_.NewCallerCodec();
   if (callers_.size() >= settings_.most_sessions) {
     stream->Send(
         codec->EncodeFault(model::ErrorCode::kBusy, "retry_after_ms=1000 too many sessions"));
     stream->CloseAfterFlush();
-    return;
+    return 0;
   }
   const proxy::SessionNumber number = next_session_++;
   Caller& caller = callers_[number];
   caller.stream = stream;
   caller.codec = std::move(codec);
-  stream->Start([this, number](std::string_view bytes) { CallerBytes(number, bytes); },
-                [this, number] { CallerGone(number); });
+  caller.origin = origin;
+  return number;
+}
+
+void ProxyHost::AddHandedOver(asio::ip::tcp::socket socket) {
+  asio::error_code error;
+  const std::string daemon = socket.remote_endpoint(error).address().to_string();
+  auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
+  struct Arrival {
+    std::string line;
+    proxy::SessionNumber number = 0;
+  };
+  const auto arrival = std::make_shared<Arrival>();
+  const std::weak_ptr<net::Stream> weak = stream;
+  const auto take = [this, weak, arrival, daemon](std::string_view bytes) {
+    if (arrival->number != 0) {
+      CallerBytes(arrival->number, bytes);
+      return;
+    }
+    arrival->line += bytes;
+    const auto stream_now = weak.lock();
+    const std::size_t end = arrival->line.find('\n');
+    const auto handover = relay::decode(std::string_view(arrival->line).substr(0, end));
+    if (end == std::string::npos && arrival->line.size() < relay::LONGEST_HANDOVER) {
+      return;
+    }
+    if (end == std::string::npos || !handover) {
+      Log("handover_unreadable", {{"from", daemon}});
+      stream_now->Close();
+      return;
+    }
+    const std::string rest = arrival->line.substr(end + 1);
+    arrival->number =
+        AddSession(stream_now, {true, {daemon, 0}, handover->least_configuration});
+    if (arrival->number != 0 && !rest.empty()) {
+      CallerBytes(arrival->number, rest);
+    }
+  };
+  stream->Start(take, [this, arrival] {
+    if (arrival->number != 0) {
+      CallerGone(arrival->number);
+    }
+  });
 }
 
 void ProxyHost::CallerBytes(proxy::SessionNumber number, std::string_view bytes) {
@@ -146,28 +209,46 @@
   if (found == callers_.end()) {
     return;
   }
-  const std::vector<CallerMessage> messages = found->second.codec->Decode(bytes);
+  Caller& caller = found->second;
+  if (caller.link) {
+    caller.link->send(bytes);
+  } else if (caller.unaccepted.size() < kMostUnaccepted && !caller.accepted) {
+    caller.unaccepted += bytes;
+  }
+  const std::vector<CallerMessage> messages = caller.codec->Decode(bytes);
   const common::Instant now = common::SteadyNow();
   for (const CallerMessage& message : messages) {
-    if (const auto* start = std::get_if<CallerStart>(&message)) {
-      found->second.started = true;
-      proxy_.SessionStarted(number, start->database, start->user, now);
-    } else if (const auto* command = std::get_if<proxy::CallerCommand>(&message)) {
-      proxy_.CommandReceived(number, *command, now);
-    } else if (const auto* fault = std::get_if<CallerFault>(&message)) {
-      found->second.stream->Send(found->second.codec->EncodeFault(fault->error, fault->reason));
-      found->second.stream->CloseAfterFlush();
-      CallerGone(number);
-      return;
-    } else {
-      found->second.stream->CloseAfterFlush();
-      CallerGone(number);
+    if (!TakeCallerMessage(number, message, now)) {
       return;
     }
   }
   Drain();
 }
 
+bool ProxyHost::TakeCallerMessage(proxy::SessionNumber number, const CallerMessage& message,
+                                  common::Instant now) {
+  const auto found = callers_.find(number);
+  if (found == callers_.end()) {
+    return false;
+  }
+  Caller& caller = found->second;
+  if (const auto* start = std::get_if<CallerStart>(&message)) {
+    caller.started = true;
+    proxy_.SessionStarted(number, start->database, start->user, caller.origin, now);
+    return true;
+  }
+  if (const auto* command = std::get_if<proxy::CallerCommand>(&message)) {
+    proxy_.CommandReceived(number, *command, now);
+    return true;
+  }
+  if (const auto* fault = std::get_if<CallerFault>(&message)) {
+    caller.stream->Send(caller.codec->EncodeFault(fault->error, fault->reason));
+  }
+  caller.stream->CloseAfterFlush();
+  CallerGone(number);
+  return false;
+}
+
 void ProxyHost::CallerGone(proxy::SessionNumber number) {
   callers_.erase(number);
   proxy_.SessionClosed(number, common::SteadyNow());
@@ -335,6 +416,8 @@
 void ProxyHost::Do(const proxy::AcceptSession& action) {
   const auto found = callers_.find(action.session);
   if (found != callers_.end()) {
+    found->second.accepted = true;
+    found->second.unaccepted.clear();
     found->second.stream->Send(found->second.codec->EncodeAccept());
   }
 }
@@ -362,6 +445,25 @@
   stream->CloseAfterFlush();
 }
 
+void ProxyHost::Do(const proxy::RelaySession& action) {
+  const auto found = callers_.find(action.session);
+  if (found == callers_.end()) {
+    return;
+  }
+  Caller& caller = found->second;
+  caller.link = std::make_unique<relay_link::owner_link>(
+      loop_, adapter_.NewInstanceCodec(), std::make_unique<OwnerEvents>(*this, action.session));
+  caller.link->open(action.owner, settings_.connect_timeout,
+                    relay::encode({action.least_configuration}) + caller.unaccepted);
+}
+
+void ProxyHost::Do(const proxy::CloseRelay& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.link.reset();
+  }
+}
+
 void ProxyHost::Do(const proxy::ReadCatalog& action) {
   const proxy::CallNumber call = action.call;
   adapter_.Store().Read(action.read, [this, call](const metadata::ReadResult& result) {
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -21,8 +21,10 @@
 #include "host/host_settings.h"
 #include "host/metrics.h"
 #include "net/http.h"
+#include "net/listener.h"
 #include "net/stream.h"
 #include "proxy/proxy.h"
+#include "relay_link/owner_link.h"
 #include "runtime/bounded_log.h"
 
 namespace valvekeel::host {
@@ -51,6 +53,10 @@
     std::shared_ptr<net::Stream> stream;
     std::unique_ptr<CallerCodec> codec;
     bool started = false;
+    bool accepted = false;
+    proxy::SessionOrigin origin;
+    std::string unaccepted;  // all bytes until the session is accepted, for an owner
+    std::unique_ptr<relay_link::owner_link> link;  // to the owner that serves the session
   };
   struct InstanceConnection {
     std::shared_ptr<net::Stream> stream;
@@ -58,10 +64,17 @@
     bool accepted = false;
   };
 
-  bool ListenForCallers();
+  class OwnerEvents;
+
   bool ListenForPeers();
-  void AcceptCaller();
   void AddCaller(asio::ip::tcp::socket socket);
+  /// Adds a caller unless there are too many. @return its number, 0 if it was turned away.
+  proxy::SessionNumber AddSession(const std::shared_ptr<net::Stream>& stream,
+                                  const proxy::SessionOrigin& origin);
+  /// Takes a session that another daemon hands over.
+  void AddHandedOver(asio::ip::tcp::socket socket);
+  bool TakeCallerMessage(proxy::SessionNumber number, const CallerMessage& message,
+                         common::Instant now);
   void CallerBytes(proxy::SessionNumber number, std::string_view bytes);
   void CallerGone(proxy::SessionNumber number);
   void InstanceBytes(proxy::ConnectionNumber number, std::string_view bytes);
@@ -82,6 +95,8 @@
   void Do(const proxy::AcceptSession& action);
   void Do(const proxy::AnswerCaller& action);
   void Do(const proxy::CloseSession& action);
+  void Do(const proxy::RelaySession& action);
+  void Do(const proxy::CloseRelay& action);
   void Do(const proxy::ReadCatalog& action);
   void Do(const proxy::ReadLeadership& action);
   void Do(const proxy::WriteLeadership& action);
@@ -99,7 +114,8 @@
   proxy::Proxy proxy_;
   runtime::BoundedLog log_;
   Metrics metrics_;
-  asio::ip::tcp::acceptor acceptor_;
+  net::Listener callers_listener_;
+  net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
   asio::ip::udp::endpoint peer_sender_;
   std::array<char, 65536> peer_input_{};
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -199,50 +199,13 @@
 }
 
 HttpServer::HttpServer(asio::io_context& loop, Handler handler)
-    : loop_(loop), handler_(std::move(handler)), acceptor_(loop) {}
-
-HttpServer::~HttpServer() {
-  asio::error_code ignored;
-  acceptor_.close(ignored);
-}
-
-bool HttpServer::Listen(const common::Endpoint& address) {
-  asio::error_code error;
-  const auto host = asio::ip::make_address(address.host, error);
-  if (error) {
-    return false;
-  }
-  const asio::ip::tcp::endpoint endpoint(host, address.port);
-  acceptor_.open(endpoint.protocol(), error);
-  acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
-  if (error) {
-    return false;
-  }
-  acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return false;
-  }
-  Accept();
-  return true;
-}
+    : loop_(loop),
+      handler_(std::move(handler)),
+      listener_(loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); }) {}
 
-std::uint16_t HttpServer::Port() const {
-  asio::error_code error;
-  return acceptor_.local_endpoint(error).port();
-}
+bool HttpServer::Listen(const common::Endpoint& address) { return listener_.Listen(address); }
 
-void HttpServer::Accept() {
-  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
-      return;
-    }
-    if (!error) {
-      Serve(std::move(socket));
-    }
-    Accept();
-  });
-}
+std::uint16_t HttpServer::Port() const { return listener_.Port(); }
 
 void HttpServer::Serve(asio::ip::tcp::socket socket) {
   if (*connections_ >= kMostServed) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -19,6 +19,7 @@
 #include "common/endpoint.h"
 #include "common/result.h"
 #include "net/http_parser.h"
+#include "net/listener.h"
 #include "net/stream.h"
 
 namespace valvekeel::net {
@@ -67,7 +68,6 @@
   using Handler = std::function<HttpResponse(const HttpMessage& request)>;
 
   HttpServer(asio::io_context& loop, Handler handler);
-  ~HttpServer();
 
   /// @return false if the address cannot be bound.
   bool Listen(const common::Endpoint& address);
@@ -75,12 +75,11 @@
   std::uint16_t Port() const;
 
  private:
-  void Accept();
   void Serve(asio::ip::tcp::socket socket);
 
   asio::io_context& loop_;
   Handler handler_;
-  asio::ip::tcp::acceptor acceptor_;
+  Listener listener_;
   std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
 };
 
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -75,6 +75,19 @@
   std::string error_text;
 };
 
+/// Hands a caller's session to another daemon: what the caller has sent so far goes there, and all
+/// that follows both ways.
+struct RelaySession {
+  SessionNumber session = 0;
+  common::Endpoint owner;                // where it takes relayed sessions
+  std::uint64_t least_configuration = 0;  // version that must be in force there
+};
+
+/// Closes the link of a relayed session, if there still is one.
+struct CloseRelay {
+  SessionNumber session = 0;
+};
+
 struct ReadCatalog {
   CallNumber call = 0;
   metadata::ReadCall read;
@@ -133,7 +146,7 @@
 
 using Action =
     std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession, AnswerCaller,
-                 CloseSession, ReadCatalog, ReadLeadership, WriteLeadership, WriteDaemon, Promote,
+                 CloseSession, RelaySession, CloseRelay, ReadCatalog, ReadLeadership, WriteLeadership, WriteDaemon, Promote,
                  SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -292,7 +292,7 @@
   }
   // Find out at once whether the instance still listens.
   if (backend->Connections().empty()) {
-    Open(*backend, now);
+    Open(*backend, now);  // the limit of an instance that isn't watched is 0
   }
 }
 
@@ -332,8 +332,9 @@
         },
         now);
   }
+  const bool watched = ConnectionLimit(backend.Entry().service) > 0;
   const bool wanted = backend.Unreachable() || backend.Connections().empty();
-  if (wanted && backend.Opening() == 0) {
+  if (watched && wanted && backend.Opening() == 0) {
     Open(backend, now, kExtraForControl);
   }
 }
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -58,6 +58,9 @@
   void StartClosing() { closing_ = true; }
 
   std::size_t SessionCount() const { return sessions_.size(); }
+
+  /// @return the services of the sessions served here.
+  std::set<std::string> ServicesInUse() const;
   std::size_t WaitingCount() const { return waiting_.size(); }
   const DispatchCounters& Counters() const { return counters_; }
 
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -150,6 +150,16 @@
   Pump(now);
 }
 
+std::set<std::string> Dispatcher::ServicesInUse() const {
+  std::set<std::string> services;
+  for (const auto& [number, session] : sessions_) {
+    if (const model::Route* route = RouteOf(session)) {
+      services.insert(route->service);
+    }
+  }
+  return services;
+}
+
 void Dispatcher::CloseResting(bool all, common::Instant now) {
   std::vector<SessionNumber> resting;
   for (const auto& [number, session] : sessions_) {
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -34,11 +34,13 @@
 }  // namespace
 
 FailoverDriver::FailoverDriver(const ProxySettings& settings, BackendSet& backends,
-                               GroupSet& groups, const PeerTable& peers, Outbox& outbox)
+                               GroupSet& groups, const PeerTable& peers,
+                               const relay::role_map& roles, Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
       peers_(peers),
+      roles_(roles),
       outbox_(outbox),
       leadership_(HolderName(settings)) {}
 
@@ -90,10 +92,11 @@
 }
 
 bool FailoverDriver::LostToMany(const GroupState& group, common::Instant now) const {
-  std::size_t live = 1;
+  std::size_t live = group.watched ? 1 : 0;
   std::size_t lost = group.lost ? 1 : 0;
   for (const auto& [address, peer] : peers_.All()) {
-    if (!peers_.Alive(peer, now) || peer.last.stopping) {
+    const bool judges = roles_.watches(group.service, peer.name);
+    if (!judges || !peers_.Alive(peer, now) || peer.last.stopping) {
       continue;
     }
     ++live;
@@ -128,10 +131,13 @@
 }
 
 bool FailoverDriver::IsTurn(const Wish& wish, common::Instant now) const {
+  if (!roles_.coordinates()) {
+    return false;
+  }
   std::vector<std::string> able = {settings_.name};
   for (const std::string& name : peers_.LiveNames(now)) {
     const Peer* peer = peers_.ByName(name);
-    if (peer != nullptr && peer->last.store_connected) {
+    if (peer != nullptr && peer->last.store_connected && roles_.coordinates(name)) {
       able.push_back(name);
     }
   }
@@ -247,7 +253,7 @@
   // act on the entry any more: the replacement never came about.
   const bool certain =
       stale && group.lease.Holds(now) && leadership_.Settled(now) && store_connected_;
-  if (certain && leadership_.MayWrite(now) && groups_.IsProber(group.service, now)) {
+  if (certain && leadership_.MayWrite(now) && groups_.IsProber(group.service)) {
     outbox_.Log("failover_entry_dropped", {{"service", group.service}});
     Do(group, failover::WriteRecord{leadership_.Prepare(group.service, {}, now)}, now);
   }
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -18,13 +18,14 @@
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "relay/role_map.h"
 
 namespace valvekeel::proxy {
 
 class FailoverDriver {
  public:
   FailoverDriver(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-                 const PeerTable& peers, Outbox& outbox);
+                 const PeerTable& peers, const relay::role_map& roles, Outbox& outbox);
 
   /// Takes the leadership record as the store has it. @param revision 0 if there is none.
   void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
@@ -73,6 +74,7 @@
   BackendSet& backends_;
   GroupSet& groups_;
   const PeerTable& peers_;
+  const relay::role_map& roles_;
   Outbox& outbox_;
   failover::Leadership leadership_;
   std::map<std::string, std::unique_ptr<failover::Attempt>> attempts_;  // by service
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -1,7 +1,8 @@
 #include "proxy/group_set.h"
 
 #include <algorithm>
-#include <functional>
+
+#include "common/stable_hash.h"
 
 namespace valvekeel::proxy {
 namespace {
@@ -26,19 +27,6 @@
 
 }  // namespace
 
-namespace {
-
-/// @return a number that orders the daemons differently for each service.
-std::size_t ProberRank(const std::string& service, const std::string& daemon) {
-  const std::hash<std::string> hash;
-  std::string key = service;
-  key += '/';
-  key += daemon;
-  return hash(key);
-}
-
-}  // namespace
-
 GroupState& GroupSet::Get(const std::string& service, common::Instant now) {
   const auto [found, added] = groups_.try_emplace(service);
   if (added) {
@@ -183,7 +171,7 @@
 common::Duration GroupSet::OldestConfirmation(common::Instant now) const {
   common::Duration oldest{0};
   for (const auto& [service, state] : groups_) {
-    if (state.lease.Newest().term != 0) {
+    if (state.watched && state.lease.Newest().term != 0) {
       oldest = std::max(oldest, now - state.lease.Newest().started);
     }
   }
@@ -248,14 +236,13 @@
   return true;
 }
 
-bool GroupSet::IsProber(const std::string& service, common::Instant now) const {
-  const std::size_t own = ProberRank(service, settings_.name);
-  for (const std::string& name : peers_.LiveNames(now)) {
-    if (ProberRank(service, name) < own) {
-      return false;
-    }
-  }
-  return true;
+bool GroupSet::IsProber(const std::string& service) const {
+  const std::vector<std::string>& coordinators = roles_.coordinators();
+  const auto first = std::min_element(
+      coordinators.begin(), coordinators.end(), [&](const std::string& a, const std::string& b) {
+        return common::StableHash(service, a) < common::StableHash(service, b);
+      });
+  return first != coordinators.end() && *first == settings_.name;
 }
 
 std::vector<std::string> GroupSet::RoundTargets(GroupState& state, bool all, common::Instant now) {
@@ -371,6 +358,7 @@
     return;
   }
   state.lost = lost;
+  opinion_changed_ = true;
   if (lost) {
     outbox_.Log("primary_lost",
                 {{"service", state.service},
@@ -394,12 +382,30 @@
   }
 }
 
+void GroupSet::Watch(GroupState& state, common::Instant now) {
+  const bool watched = backends_.ConnectionLimit(state.service) > 0;
+  if (watched == std::exchange(state.watched, watched)) {
+    return;
+  }
+  // An opinion needs a while of looking.
+  state.lost = false;
+  state.known_since = now;
+  state.lease_held_at = now;
+  state.writes_stalled.reset();
+  outbox_.Log("group_watched",
+              {{"service", state.service}, {"watched", watched ? "true" : "false"}});
+}
+
 void GroupSet::Tick(common::Instant now) {
   for (auto& [service, state] : groups_) {
+    Watch(state, now);
+    if (!state.watched) {
+      continue;
+    }
     const common::Duration age = now - state.lease.Newest().started;
     const bool as_prober = age >= kProberRoundAge &&
                            now >= state.round_at + settings_.lease_round_interval &&
-                           IsProber(service, now);
+                           IsProber(service);
     const bool by_itself = age >= kOwnRoundAge && now >= state.round_at + kOwnRoundPause;
     if (as_prober || by_itself) {
       StartRound(state, now);
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -18,8 +18,8 @@
 #include "proxy/backend_set.h"
 #include "proxy/outbox.h"
 #include "proxy/peer_message.h"
-#include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "relay/role_map.h"
 
 namespace valvekeel::proxy {
 
@@ -40,14 +40,15 @@
   std::map<std::string, common::Instant> departures;
   std::set<std::string> departed;  // whose departure is covered by `floor`
   common::Position floor;          // a promoted replica must hold at least this
+  bool watched = true;             // this daemon connects to the instances
   bool lost = false;               // this daemon's opinion
 };
 
 class GroupSet {
  public:
-  GroupSet(const ProxySettings& settings, BackendSet& backends, const PeerTable& peers,
+  GroupSet(const ProxySettings& settings, BackendSet& backends, const relay::role_map& roles,
            Outbox& outbox)
-      : settings_(settings), backends_(backends), peers_(peers), outbox_(outbox) {}
+      : settings_(settings), backends_(backends), roles_(roles), outbox_(outbox) {}
 
   GroupState& Get(const std::string& service, common::Instant now);
   GroupState* Find(const std::string& service);
@@ -81,6 +82,9 @@
   /// @return true if a round of this daemon's was confirmed since the last call.
   bool TakeConfirmed() { return std::exchange(confirmed_, false); }
 
+  /// @return true if an opinion about a primary changed since the last call.
+  bool TakeOpinionChanged() { return std::exchange(opinion_changed_, false); }
+
   /// Asks all members now, not only when a round is due.
   void AskNow(const std::string& service, common::Instant now);
 
@@ -92,7 +96,7 @@
   /// beyond their primary's term have their leases renewed from that instant.
   void RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked);
 
-  /// @return the longest time since a known group's lease was renewed.
+  /// @return the longest time since a watched group's lease was renewed.
   common::Duration OldestConfirmation(common::Instant now) const;
 
   /// Leases are held only by registered daemons: a promoter waits for those alone.
@@ -114,12 +118,13 @@
   void Thawed(common::Instant now);
 
   /// @return true if this daemon asks the group's instances for all others.
-  bool IsProber(const std::string& service, common::Instant now) const;
+  bool IsProber(const std::string& service) const;
 
   /// Asks for the lease where it is due, forms opinions.
   void Tick(common::Instant now);
 
  private:
+  void Watch(GroupState& state, common::Instant now);
   void StartRound(GroupState& state, common::Instant now);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void NoteDepartures(GroupState& state, common::Instant now);
@@ -129,11 +134,12 @@
 
   const ProxySettings& settings_;
   BackendSet& backends_;
-  const PeerTable& peers_;
+  const relay::role_map& roles_;
   Outbox& outbox_;
   std::map<std::string, GroupState> groups_;
   bool news_ = false;
   bool confirmed_ = false;
+  bool opinion_changed_ = false;
   bool registered_ = false;
 };
 
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -57,7 +57,8 @@
   }
   const json whole =
       json::array({message.name, message.zone, message.incarnation, message.sequence,
-                   message.echoed, message.echoed_incarnation, message.store_connected,
+                   message.echoed, message.echoed_incarnation, message.interval.count(),
+                   message.store_connected,
                    message.stopping, message.configuration_version, std::move(groups)});
   std::string bytes;
   json::to_cbor(whole, bytes);
@@ -76,6 +77,7 @@
     message.sequence = next().get<std::uint64_t>();
     message.echoed = next().get<std::uint64_t>();
     message.echoed_incarnation = next().get<std::uint64_t>();
+    message.interval = common::Duration(next().get<std::int64_t>());
     message.store_connected = next().get<bool>();
     message.stopping = next().get<bool>();
     message.configuration_version = next().get<std::uint64_t>();
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -39,6 +39,7 @@
   std::uint64_t sequence = 0;     // counts the sender's messages to the receiver
   std::uint64_t echoed = 0;       // highest sequence that the sender got from the receiver
   std::uint64_t echoed_incarnation = 0;
+  common::Duration interval{0};  // until the next message to the receiver, at the latest
   bool store_connected = false;
   bool stopping = false;
   std::uint64_t configuration_version = 0;
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -7,6 +7,8 @@
 
 /// Own messages remembered for each peer.
 constexpr std::size_t kSentKept = 64;
+/// Intervals of a peer without a message after which it does not count as alive.
+constexpr int kMissedIntervals = 3;
 
 }  // namespace
 
@@ -59,7 +61,8 @@
 }
 
 bool PeerTable::Alive(const Peer& peer, common::Instant now) const {
-  return peer.heard && now < *peer.heard + kPeerSilence;
+  return peer.heard &&
+         now < *peer.heard + std::max(kPeerSilence, kMissedIntervals * peer.last.interval);
 }
 
 std::vector<std::string> PeerTable::LiveNames(common::Instant now) const {
--- a/src/proxy/peer_table.h
+++ b/src/proxy/peer_table.h
@@ -18,7 +18,7 @@
 
 namespace valvekeel::proxy {
 
-/// Silence after which a peer does not count as alive.
+/// Silence after which a peer does not count as alive, unless it said that it sends less often.
 inline constexpr common::Duration kPeerSilence{900'000};
 
 struct Peer {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -21,20 +21,26 @@
 constexpr common::Duration kExitReserve{900'000};
 /// Time between two ticks after which this daemon takes itself to have stood still.
 constexpr common::Duration kStandstill{300'000};
-/// Connections of an instance that no daemon's share contains.
-constexpr std::uint32_t kReservedConnections = 3;
+/// How often the roles are worked out again.
+constexpr common::Duration kRolesInterval{100'000};
+/// After the start, time in which a daemon that is listed counts as live although it was not heard.
+constexpr common::Duration kGreetingTime{2'000'000};
+/// Time for the store to tell of a configuration that another daemon has in force already.
+constexpr common::Duration kAheadPause{120'000};
 
 }  // namespace
 
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
       peers_(settings_.name, settings_.incarnation),
+      roles_(settings_.name, settings_.roles),
       backends_(outbox_),
-      groups_(settings_, backends_, peers_, outbox_),
+      groups_(settings_, backends_, roles_, outbox_),
       catalog_(settings_, outbox_),
-      failover_(settings_, backends_, groups_, peers_, outbox_),
-      store_lease_(settings_, groups_, peers_, outbox_),
+      failover_(settings_, backends_, groups_, peers_, roles_, outbox_),
+      store_lease_(settings_, groups_, roles_, outbox_),
       dispatcher_(settings_, backends_, groups_, outbox_),
+      relay_(settings_, roles_, peers_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
@@ -47,16 +53,36 @@
 double Proxy::Jitter() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
 void Proxy::SessionStarted(SessionNumber session, const std::string& database,
-                           const std::string& user, common::Instant now) {
-  dispatcher_.SessionStarted(session, database, user, now);
+                           const std::string& user, const SessionOrigin& origin,
+                           common::Instant now) {
+  if (origin.handed_over) {
+    NoteConfigurationAhead(origin.daemon, origin.least_configuration, now);
+  }
+  relay_.SessionStarted(session, database, user, origin, now);
 }
 
 void Proxy::CommandReceived(SessionNumber session, const CallerCommand& command,
                             common::Instant now) {
+  if (relay_.Relays(session)) {
+    relay_.Sessions().command_sent(session);
+    return;
+  }
   dispatcher_.CommandReceived(session, command, now);
 }
 
+void Proxy::RelayAccepted(SessionNumber session) { relay_.Sessions().accepted(session); }
+
+void Proxy::RelayAnswered(SessionNumber session, model::TransactionState state,
+                          common::Instant now) {
+  relay_.Sessions().answered(session, state, now);
+}
+
+void Proxy::RelayEnded(SessionNumber session, common::Instant now) {
+  relay_.Sessions().link_ended(session, now);
+}
+
 void Proxy::SessionClosed(SessionNumber session, common::Instant now) {
+  relay_.SessionClosed(session);
   dispatcher_.SessionClosed(session, now);
 }
 
@@ -115,9 +141,13 @@
 void Proxy::PeerHeard(const common::Endpoint& from, const PeerMessage& message,
                       common::Instant now) {
   const auto counted_from = peers_.Receive(from, message, now);
-  if (groups_.TakeReports(message, counted_from)) {
-    SendHeartbeats(true, now);
+  const auto peer = peers_.All().find(from);
+  if (groups_.TakeReports(message, counted_from) && peer != peers_.All().end()) {
+    // Who announced the fence waits for the word that the lease was let go.
+    PeerMessage answer = MakeHeartbeat(TellsAll(), now);
+    SendHeartbeat(peer->second, answer, now);
   }
+  NoteConfigurationAhead(from, message.configuration_version, now);
 }
 
 void Proxy::CatalogFetched(CallNumber call, const std::optional<CatalogCopy>& copy,
@@ -160,20 +190,51 @@
   for (const auto& [name, service] : catalog_.Configuration().services) {
     groups_.Get(name, now);
   }
-  SetConnectionLimits(now);
+  UpdateRoles(now);
   dispatcher_.SetConfiguration(&catalog_.Configuration(), now);
+  relay_.SetConfiguration(&catalog_.Configuration(), now);
 }
 
-void Proxy::SetConnectionLimits(common::Instant now) {
+std::size_t Proxy::SharingDaemons(common::Instant now) const {
   const std::size_t heard = peers_.HeardWithin(kSharingAge, now) + 1;
-  const std::size_t daemons =
-      std::max(heard, started_ && now < *started_ + kSharingAge ? catalog_.Daemons().size()
-                                                                : std::size_t{1});
+  const bool new_here = started_ && now < *started_ + kSharingAge;
+  return std::max(heard, new_here ? catalog_.Daemons().size() : std::size_t{1});
+}
+
+std::vector<relay::member> Proxy::LiveMembers(common::Instant now) const {
+  std::vector<relay::member> members;
+  if (!stopping_since_) {
+    members.push_back({settings_.name, settings_.zone, catalog_.Connected()});
+  }
+  std::set<std::string> heard;
+  for (const auto& [address, peer] : peers_.All()) {
+    if (peer.heard) {
+      heard.insert(peer.name);
+    }
+    if (peers_.Alive(peer, now) && !peer.last.stopping) {
+      members.push_back({peer.name, peer.last.zone, peer.last.store_connected});
+    }
+  }
+  const bool greeting = started_ && now < *started_ + kGreetingTime;
+  for (const auto& [name, daemon] : catalog_.Daemons()) {
+    if (greeting && name != settings_.name && !heard.contains(name)) {
+      members.push_back({name, daemon.zone, false});
+    }
+  }
+  return members;
+}
+
+void Proxy::UpdateRoles(common::Instant now) {
+  roles_due_ = now + kRolesInterval;
+  std::map<std::string, std::uint32_t> connections;
   for (const auto& [name, service] : catalog_.Configuration().services) {
-    const std::uint32_t shared = service.max_connections > kReservedConnections
-                                     ? service.max_connections - kReservedConnections
-                                     : 1;
-    backends_.SetConnectionLimit(name, std::max<std::size_t>(1, shared / daemons));
+    connections[name] = service.max_connections;
+  }
+  roles_.update(LiveMembers(now), SharingDaemons(now), connections);
+  const std::set<std::string> in_use =
+      roles_.meshed() ? std::set<std::string>() : dispatcher_.ServicesInUse();
+  for (const auto& [name, most] : connections) {
+    backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)));
   }
 }
 
@@ -196,34 +257,78 @@
   outbox_.Emit(FetchCatalog{*fetching_, settings_.seed_catalogs[index]});
 }
 
-void Proxy::SendHeartbeats(bool urgent, common::Instant now) {
+void Proxy::NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
+                                   common::Instant now) {
+  const std::uint64_t own = catalog_.Configuration().version;
+  if (own > 0 && version > own && !ahead_) {
+    ahead_ = ConfigurationAhead{peer, version, now};
+  }
+}
+
+void Proxy::FetchConfigurationAhead(common::Instant now) {
+  if (ahead_ && catalog_.Configuration().version >= ahead_->version) {
+    ahead_.reset();
+  }
+  if (!ahead_ || fetching_ || now < ahead_->noted + kAheadPause || now < fetch_not_before_) {
+    return;
+  }
+  const common::Endpoint peer = ahead_->peer;
+  ahead_.reset();
+  fetching_ = outbox_.NextNumber();
+  outbox_.Emit(FetchCatalog{*fetching_, {peer.host, settings_.admin_port}});
+}
+
+common::Duration Proxy::HeartbeatInterval(const Peer& peer, common::Instant now) const {
+  static_cast<void>(now);
+  const std::vector<std::string>& coordinators = roles_.coordinators();
+  const std::string reader = coordinators.empty() ? "" : coordinators.front();
+  if (roles_.meshed() || reader == settings_.name || reader == peer.name) {
+    return settings_.heartbeat_interval;
+  }
+  if (roles_.coordinates() || roles_.coordinates(peer.name)) {
+    return settings_.coordinator_heartbeat_interval;
+  }
+  return peer.last.zone == settings_.zone ? settings_.zone_heartbeat_interval
+                                          : settings_.far_heartbeat_interval;
+}
+
+PeerMessage Proxy::MakeHeartbeat(bool all_groups, common::Instant now) const {
   PeerMessage message;
-  bool filled = false;
+  message.zone = settings_.zone;
+  message.store_connected = catalog_.Connected();
+  message.stopping = stopping_since_.has_value();
+  message.configuration_version = catalog_.Configuration().version;
+  message.groups = groups_.Reports(all_groups, now);
+  return message;
+}
+
+void Proxy::SendHeartbeat(Peer& peer, PeerMessage& message, common::Instant now) {
+  const bool alive = peers_.Alive(peer, now);
+  message.interval = alive ? HeartbeatInterval(peer, now) : kDeadPeerPause;
+  peer.next_heartbeat = now + message.interval;
+  peers_.Stamp(peer, message, now);
+  outbox_.Emit(SendPeer{peer.address, message});
+}
+
+void Proxy::SendHeartbeats(bool urgent, bool all_groups, common::Instant now) {
+  std::optional<PeerMessage> message;
   for (auto& [address, peer] : peers_.All()) {
-    const bool alive = peers_.Alive(peer, now);
-    if (now < peer.next_heartbeat && !(urgent && alive)) {
+    if (now < peer.next_heartbeat && !(urgent && peers_.Alive(peer, now))) {
       continue;
     }
-    if (!filled) {
-      message.zone = settings_.zone;
-      message.store_connected = catalog_.Connected();
-      message.stopping = stopping_since_.has_value();
-      message.configuration_version = catalog_.Configuration().version;
-      message.groups = groups_.Reports(TellsAll(now), now);
-      filled = true;
+    if (!message) {
+      message = MakeHeartbeat(all_groups, now);
     }
-    peer.next_heartbeat = now + (alive ? settings_.heartbeat_interval : kDeadPeerPause);
-    peers_.Stamp(peer, message, now);
-    outbox_.Emit(SendPeer{address, message});
+    SendHeartbeat(peer, *message, now);
   }
 }
 
-bool Proxy::TellsAll(common::Instant now) const {
-  if (store_lease_.IsReader(now)) {
+bool Proxy::TellsAll() const {
+  if (store_lease_.IsReader()) {
     return true;
   }
   for (const auto& [service, group] : groups_.All()) {
-    if (groups_.IsProber(service, now) && !catalog_.Connected()) {
+    if (groups_.IsProber(service) && !catalog_.Connected()) {
       return true;
     }
   }
@@ -233,7 +338,7 @@
 void Proxy::AdvanceHeartbeats(common::Instant now) {
   // A heartbeat that is due soon carries more if it follows the confirmation at once.
   for (auto& [address, peer] : peers_.All()) {
-    const bool due_soon = now + settings_.heartbeat_interval / 2 >= peer.next_heartbeat;
+    const bool due_soon = now + HeartbeatInterval(peer, now) / 2 >= peer.next_heartbeat;
     if (due_soon && peers_.Alive(peer, now)) {
       peer.next_heartbeat = now;
     }
@@ -263,7 +368,7 @@
   stopping_since_ = now;
   outbox_.Log("stopping", {{"sessions", std::to_string(dispatcher_.SessionCount())}});
   JudgeReadiness(now);
-  SendHeartbeats(true, now);
+  SendHeartbeats(true, TellsAll(), now);
 }
 
 void Proxy::AdvanceStop(common::Instant now) {
@@ -278,11 +383,16 @@
   if (now >= notice_until) {
     dispatcher_.StartClosing();
     dispatcher_.CloseResting(now >= transactions_until, now);
+    relay_.Sessions().start_closing();
+    if (now >= transactions_until) {
+      relay_.Sessions().close_idle();
+    }
   }
-  const bool done = now >= transactions_until && dispatcher_.SessionCount() == 0;
+  const std::size_t sessions = dispatcher_.SessionCount() + relay_.SessionCount();
+  const bool done = now >= transactions_until && sessions == 0;
   if (done || now >= exit_at) {
     exited_ = true;
-    outbox_.Log("stopped", {{"sessions_left", std::to_string(dispatcher_.SessionCount())}});
+    outbox_.Log("stopped", {{"sessions_left", std::to_string(sessions)}});
     outbox_.Emit(Exit{});
   }
 }
@@ -300,19 +410,25 @@
   catalog_.Tick(now);
   Bootstrap(now);
   Register(now);
-  SetConnectionLimits(now);
+  FetchConfigurationAhead(now);
+  if (now >= roles_due_) {
+    UpdateRoles(now);
+  }
   backends_.Tick(now);
   store_lease_.Tick(catalog_.Connected(), now);
   groups_.Tick(now);
   failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
+  relay_.Tick(now);
   JudgeReadiness(now);
   const bool fence = failover_.TakeUrgent();
   const bool news = groups_.TakeNews();
   if (groups_.TakeConfirmed()) {
     AdvanceHeartbeats(now);
   }
-  SendHeartbeats(fence || news, now);
+  // In a large deployment most daemons know of a group only what its watchers tell.
+  const bool opinion = groups_.TakeOpinionChanged() && !roles_.meshed();
+  SendHeartbeats(fence || news || opinion, TellsAll() || (news && !roles_.meshed()), now);
   AdvanceStop(now);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -23,7 +23,9 @@
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "proxy/session_relay.h"
 #include "proxy/store_lease.h"
+#include "relay/role_map.h"
 
 namespace valvekeel::proxy {
 
@@ -36,10 +38,18 @@
 
   // Callers.
   void SessionStarted(SessionNumber session, const std::string& database, const std::string& user,
-                      common::Instant now);
+                      const SessionOrigin& origin, common::Instant now);
   void CommandReceived(SessionNumber session, const CallerCommand& command, common::Instant now);
   void SessionClosed(SessionNumber session, common::Instant now);
 
+  // Sessions handed to another daemon.
+  void RelayAccepted(SessionNumber session);
+  void RelayAnswered(SessionNumber session, model::TransactionState state, common::Instant now);
+  void RelayEnded(SessionNumber session, common::Instant now);
+
+  /// @return true if another daemon serves the session.
+  bool Relays(SessionNumber session) const { return relay_.Relays(session); }
+
   // Connections to instances.
   void ConnectionOpened(ConnectionNumber connection, common::Instant now);
   void ConnectionFailed(ConnectionNumber connection, OpenFailure failure, model::ErrorCode error,
@@ -75,16 +85,29 @@
   GroupSet& Groups() { return groups_; }
   const CatalogState& CatalogView() const { return catalog_; }
   const PeerTable& Peers() const { return peers_; }
+  const relay::role_map& Roles() const { return roles_; }
+  const SessionRelay& Relay() const { return relay_; }
 
  private:
   void Apply(const CatalogUpdate& update, common::Instant now);
   void ApplyConfiguration(common::Instant now);
-  void SetConnectionLimits(common::Instant now);
+  void UpdateRoles(common::Instant now);
+  std::size_t SharingDaemons(common::Instant now) const;
+  std::vector<relay::member> LiveMembers(common::Instant now) const;
   void Register(common::Instant now);
   void Bootstrap(common::Instant now);
-  void SendHeartbeats(bool urgent, common::Instant now);
+  /// Sends the heartbeats that are due; urgent ones to all live peers. @param all_groups tells the
+  /// state of all groups, not only of those in trouble.
+  void SendHeartbeats(bool urgent, bool all_groups, common::Instant now);
+  PeerMessage MakeHeartbeat(bool all_groups, common::Instant now) const;
+  void SendHeartbeat(Peer& peer, PeerMessage& message, common::Instant now);
+  common::Duration HeartbeatInterval(const Peer& peer, common::Instant now) const;
+  /// Notes that a daemon has a newer configuration in force.
+  void NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
+                              common::Instant now);
+  void FetchConfigurationAhead(common::Instant now);
   /// @return true if others rely on this daemon for the state of all groups.
-  bool TellsAll(common::Instant now) const;
+  bool TellsAll() const;
   void AdvanceHeartbeats(common::Instant now);
   void JudgeReadiness(common::Instant now);
   void AdvanceStop(common::Instant now);
@@ -93,12 +116,14 @@
   ProxySettings settings_;
   Outbox outbox_;
   PeerTable peers_;
+  relay::role_map roles_;
   BackendSet backends_;
   GroupSet groups_;
   CatalogState catalog_;
   FailoverDriver failover_;
   StoreLease store_lease_;
   Dispatcher dispatcher_;
+  SessionRelay relay_;
   std::mt19937_64 random_;
   bool ready_ = false;
   bool told_ready_ = false;
@@ -112,6 +137,14 @@
   std::optional<CallNumber> fetching_;
   common::Instant fetch_not_before_{0};
   std::size_t next_fetch_ = 0;
+  common::Instant roles_due_{0};
+  /// A daemon that has a newer configuration in force.
+  struct ConfigurationAhead {
+    common::Endpoint peer;
+    std::uint64_t version = 0;
+    common::Instant noted{0};
+  };
+  std::optional<ConfigurationAhead> ahead_;
 };
 
 /// How often Tick is to be called.
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -10,6 +10,7 @@
 
 #include "common/endpoint.h"
 #include "common/time.h"
+#include "relay/role_map.h"
 
 namespace valvekeel::proxy {
 
@@ -28,6 +29,7 @@
   std::string zone;                              // in which it runs
   std::uint64_t incarnation = 0;                 // of this life, chosen by the host
   common::Endpoint peer;                         // own address for other daemons
+  std::uint16_t admin_port = 0;                  // for FetchCatalog, alike on all daemons
   std::vector<common::Endpoint> seed_peers;      // daemons that may be there, for heartbeats
   std::vector<common::Endpoint> seed_catalogs;   // the same daemons, for FetchCatalog
   common::Duration stop_grace{6'000'000};        // from the stop signal to the kill
@@ -35,6 +37,11 @@
   common::Duration watch_wait{3'000'000};        // longest wait of a watch of the store
   common::Duration slow_watch_wait{15'000'000};  // the same for what may be late
   common::Duration heartbeat_interval{250'000};
+  /// In a large deployment: between other coordinators and all, in a zone, between others.
+  common::Duration coordinator_heartbeat_interval{500'000};
+  common::Duration zone_heartbeat_interval{300'000};
+  common::Duration far_heartbeat_interval{1'500'000};
+  relay::role_policy roles;
   common::Duration lease_round_interval{400'000};
   /// Share of the target latency for which a statement may wait for an instance before it is
   /// refused.
--- /dev/null
+++ b/src/proxy/session_relay.cc
@@ -0,0 +1,129 @@
+#include "proxy/session_relay.h"
+
+#include <utility>
+#include <vector>
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Longest wait of a session for the configuration that its other daemon has in force.
+constexpr common::Duration kConfigurationLimit{350'000};
+
+}  // namespace
+
+SessionRelay::SessionRelay(const ProxySettings& settings, const relay::role_map& roles,
+                           const PeerTable& peers, Dispatcher& dispatcher, Outbox& outbox)
+    : roles_(roles),
+      peers_(peers),
+      dispatcher_(dispatcher),
+      outbox_(outbox),
+      sessions_(settings.zone, roles, *this) {}
+
+std::string SessionRelay::ServiceOf(const std::string& database) const {
+  if (configuration_ == nullptr) {
+    return "";
+  }
+  const auto route = configuration_->routes.find(database);
+  return route == configuration_->routes.end() ? "" : route->second.service;
+}
+
+bool SessionRelay::BelongsElsewhere(const std::string& database) const {
+  const std::string service = ServiceOf(database);
+  return !service.empty() && !roles_.owns(service);
+}
+
+void SessionRelay::SessionStarted(SessionNumber session, const std::string& database,
+                                  const std::string& user, const SessionOrigin& origin,
+                                  common::Instant now) {
+  const std::uint64_t version = configuration_ == nullptr ? 0 : configuration_->version;
+  if (origin.handed_over && version < origin.least_configuration) {
+    started_[session] = {database, user, origin.least_configuration, now};
+    return;
+  }
+  if (!origin.handed_over && BelongsElsewhere(database)) {
+    relayed_[session] = {database, user, 0, now};
+    sessions_.start(session, ServiceOf(database), now);
+    return;
+  }
+  dispatcher_.SessionStarted(session, database, user, now);
+}
+
+void SessionRelay::SessionClosed(SessionNumber session) {
+  started_.erase(session);
+  relayed_.erase(session);
+  sessions_.caller_closed(session);
+}
+
+void SessionRelay::SetConfiguration(const model::Configuration* configuration,
+                                    common::Instant now) {
+  configuration_ = configuration;
+  std::vector<SessionNumber> ready;
+  for (const auto& [session, start] : started_) {
+    if (configuration_->version >= start.least_configuration) {
+      ready.push_back(session);
+    }
+  }
+  for (const SessionNumber session : ready) {
+    const Start start = started_.at(session);
+    started_.erase(session);
+    dispatcher_.SessionStarted(session, start.database, start.user, now);
+  }
+}
+
+void SessionRelay::Tick(common::Instant now) {
+  sessions_.tick(now);
+  std::vector<SessionNumber> late;
+  for (const auto& [session, start] : started_) {
+    if (now >= start.arrived + kConfigurationLimit) {
+      late.push_back(session);
+    }
+  }
+  for (const SessionNumber session : late) {
+    outbox_.Log("relayed_session_declined",
+                {{"session", std::to_string(session)},
+                 {"needed_version", std::to_string(started_.at(session).least_configuration)}},
+                LogLevel::kWarning);
+    started_.erase(session);
+    outbox_.Emit(CloseSession{session});
+  }
+}
+
+bool SessionRelay::alive(const std::string& daemon, common::Instant now) const {
+  const Peer* peer = peers_.ByName(daemon);
+  return peer != nullptr && peers_.Alive(*peer, now);
+}
+
+bool SessionRelay::stays(const std::string& daemon, common::Instant now) const {
+  const Peer* peer = peers_.ByName(daemon);
+  return peer != nullptr && peers_.Alive(*peer, now) && !peer->last.stopping;
+}
+
+void SessionRelay::open_link(relay::session_number session, const std::string& owner) {
+  const std::uint64_t version = configuration_ == nullptr ? 0 : configuration_->version;
+  outbox_.Emit(RelaySession{session, peers_.ByName(owner)->address, version});
+}
+
+void SessionRelay::close_link(relay::session_number session) {
+  outbox_.Emit(CloseRelay{session});
+}
+
+void SessionRelay::serve_here(relay::session_number session, common::Instant now) {
+  const Start start = relayed_.at(session);
+  relayed_.erase(session);
+  dispatcher_.SessionStarted(session, start.database, start.user, now);
+}
+
+void SessionRelay::end_caller(relay::session_number session) {
+  relayed_.erase(session);
+  outbox_.Emit(CloseSession{session});
+}
+
+void SessionRelay::note(const char* event, relay::session_number session,
+                        const std::string& service, const std::string& owner) {
+  outbox_.Log(
+      event,
+      {{"session", std::to_string(session)}, {"service", service}, {"owner", owner}},
+      LogLevel::kWarning);
+}
+
+}  // namespace valvekeel::proxy
--- /dev/null
+++ b/src/proxy/session_relay.h
@@ -0,0 +1,80 @@
+// Which sessions are served here and which are handed to another daemon.
+//
+// Carries relay::relayed_sessions out by actions, and holds sessions that another daemon handed
+// over until the configuration they need is in force here.
+//
+// Owns: the relayed sessions, and those handed over that wait. Invariant: a session that was handed
+// over is never handed on. Pure. Thread: its host's.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "proxy/dispatcher.h"
+#include "proxy/outbox.h"
+#include "proxy/peer_table.h"
+#include "proxy/proxy_settings.h"
+#include "relay/relayed_sessions.h"
+#include "relay/role_map.h"
+
+namespace valvekeel::proxy {
+
+/// Where a session comes from.
+struct SessionOrigin {
+  bool handed_over = false;               // by another daemon
+  common::Endpoint daemon;                // which
+  std::uint64_t least_configuration = 0;  // version that must be in force
+};
+
+class SessionRelay : public relay::relay_port {
+ public:
+  SessionRelay(const ProxySettings& settings, const relay::role_map& roles, const PeerTable& peers,
+               Dispatcher& dispatcher, Outbox& outbox);
+
+  void SetConfiguration(const model::Configuration* configuration, common::Instant now);
+
+  void SessionStarted(SessionNumber session, const std::string& database, const std::string& user,
+                      const SessionOrigin& origin, common::Instant now);
+  void SessionClosed(SessionNumber session);
+
+  /// @return true if another daemon serves the session.
+  bool Relays(SessionNumber session) const { return sessions_.contains(session); }
+
+  relay::relayed_sessions& Sessions() { return sessions_; }
+  const relay::relayed_sessions& Sessions() const { return sessions_; }
+  std::size_t SessionCount() const { return sessions_.size() + started_.size(); }
+
+  void Tick(common::Instant now);
+
+  bool alive(const std::string& daemon, common::Instant now) const override;
+  bool stays(const std::string& daemon, common::Instant now) const override;
+  void open_link(relay::session_number session, const std::string& owner) override;
+  void close_link(relay::session_number session) override;
+  void serve_here(relay::session_number session, common::Instant now) override;
+  void end_caller(relay::session_number session) override;
+  void note(const char* event, relay::session_number session, const std::string& service,
+            const std::string& owner) override;
+
+ private:
+  /// A session's first message.
+  struct Start {
+    std::string database;
+    std::string user;
+    std::uint64_t least_configuration = 0;  // waits for this version
+    common::Instant arrived{0};
+  };
+
+  bool BelongsElsewhere(const std::string& database) const;
+  std::string ServiceOf(const std::string& database) const;
+
+  const relay::role_map& roles_;
+  const PeerTable& peers_;
+  Dispatcher& dispatcher_;
+  Outbox& outbox_;
+  const model::Configuration* configuration_ = nullptr;
+  relay::relayed_sessions sessions_;
+  std::map<SessionNumber, Start> relayed_;  // first messages of relayed sessions
+  std::map<SessionNumber, Start> started_;  // handed over, waiting for their configuration
+};
+
+}  // namespace valvekeel::proxy
--- a/src/proxy/store_lease.cc
+++ b/src/proxy/store_lease.cc
@@ -1,7 +1,5 @@
 #include "proxy/store_lease.h"
 
-#include <functional>
-
 namespace valvekeel::proxy {
 namespace {
 
@@ -11,23 +9,15 @@
 
 }  // namespace
 
-bool StoreLease::IsReader(common::Instant now) const {
-  const std::hash<std::string> hash;
-  const std::size_t own = hash(settings_.name);
-  for (const std::string& name : peers_.LiveNames(now)) {
-    const Peer* peer = peers_.ByName(name);
-    if (peer != nullptr && peer->last.store_connected && hash(name) < own) {
-      return false;
-    }
-  }
-  return true;
+bool StoreLease::IsReader() const {
+  return roles_.coordinators().empty() || roles_.coordinators().front() == settings_.name;
 }
 
 void StoreLease::Tick(bool store_connected, common::Instant now) {
   if (call_ || !store_connected) {
     return;
   }
-  const bool as_reader = now >= asked_at_ + settings_.lease_round_interval && IsReader(now);
+  const bool as_reader = now >= asked_at_ + settings_.lease_round_interval && IsReader();
   const bool by_itself =
       now >= asked_at_ + kOwnReadPause && groups_.OldestConfirmation(now) >= kOwnReadAge;
   if (!as_reader && !by_itself) {
--- a/src/proxy/store_lease.h
+++ b/src/proxy/store_lease.h
@@ -13,19 +13,19 @@
 
 #include "proxy/group_set.h"
 #include "proxy/outbox.h"
-#include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "relay/role_map.h"
 
 namespace valvekeel::proxy {
 
 class StoreLease {
  public:
-  StoreLease(const ProxySettings& settings, GroupSet& groups, const PeerTable& peers,
+  StoreLease(const ProxySettings& settings, GroupSet& groups, const relay::role_map& roles,
              Outbox& outbox)
-      : settings_(settings), groups_(groups), peers_(peers), outbox_(outbox) {}
+      : settings_(settings), groups_(groups), roles_(roles), outbox_(outbox) {}
 
   /// @return true if this daemon reads the record for all.
-  bool IsReader(common::Instant now) const;
+  bool IsReader() const;
 
   /// Reads the record if it is due.
   void Tick(bool store_connected, common::Instant now);
@@ -36,7 +36,7 @@
  private:
   const ProxySettings& settings_;
   GroupSet& groups_;
-  const PeerTable& peers_;
+  const relay::role_map& roles_;
   Outbox& outbox_;
   std::optional<CallNumber> call_;
   common::Instant asked_at_{0};
--- /dev/null
+++ b/src/relay_link/owner_link.cc
@@ -0,0 +1,94 @@
+#include "relay_link/owner_link.h"
+
+#include <utility>
+#include <vector>
+
+namespace valvekeel::relay_link {
+namespace {
+
+/** Longest time that bytes stay unacknowledged before the owner counts as lost. */
+constexpr unsigned USER_TIMEOUT_MS = 2000;
+
+}  // namespace
+
+/** Outlives the link while a handler runs. */
+struct owner_link::shared_state : std::enable_shared_from_this<shared_state> {
+  std::shared_ptr<net::Stream> stream;
+  std::unique_ptr<host::InstanceCodec> codec;
+  std::unique_ptr<owner_events> events;
+  std::string unsent;
+  bool connected = false;
+  bool closed = false;
+
+  void take(std::string_view bytes) {
+    const auto self = this->shared_from_this();
+    this->events->on_bytes(bytes);
+    for (const host::InstanceMessage& message : this->codec->Decode(bytes)) {
+      if (this->closed) {
+        return;
+      }
+      if (std::holds_alternative<host::InstanceAccepted>(message)) {
+        this->events->on_accepted();
+      } else if (const auto* reply = std::get_if<model::Reply>(&message)) {
+        this->events->on_answer(*reply);
+      }
+      // An error in place of the acceptance goes to the caller as it is; the owner closes then.
+    }
+  }
+
+  void end() {
+    const auto self = this->shared_from_this();
+    if (!std::exchange(this->closed, true)) {
+      this->stream->Close();
+      this->events->on_ended();
+    }
+  }
+};
+
+owner_link::owner_link(asio::io_context& loop, std::unique_ptr<host::InstanceCodec> codec,
+                       std::unique_ptr<owner_events> events)
+    : state(std::make_shared<shared_state>()) {
+  this->state->stream = std::make_shared<net::Stream>(loop);
+  this->state->stream->SetUserTimeout(USER_TIMEOUT_MS);
+  this->state->codec = std::move(codec);
+  this->state->events = std::move(events);
+}
+
+owner_link::~owner_link() { this->close(); }
+
+void owner_link::open(const common::Endpoint& owner, std::chrono::microseconds timeout,
+                      std::string first) {
+  this->state->unsent = std::move(first);
+  const auto kept = this->state;
+  kept->stream->Connect(
+      owner, timeout,
+      [kept] {
+        if (kept->closed) {
+          return;
+        }
+        kept->connected = true;
+        kept->stream->Start([kept](std::string_view bytes) { kept->take(bytes); },
+                            [kept] { kept->end(); });
+        kept->stream->Send(std::exchange(kept->unsent, {}));
+      },
+      [kept](net::ConnectFault) { kept->end(); });
+}
+
+void owner_link::send(std::string_view bytes) {
+  if (this->state->closed) {
+    return;
+  }
+  if (!this->state->connected) {
+    this->state->unsent += bytes;
+    return;
+  }
+  this->state->stream->Send(std::string(bytes));
+}
+
+void owner_link::close() {
+  if (!std::exchange(this->state->closed, true)) {
+    this->state->stream->Close();
+  }
+}
+
+}  // namespace valvekeel::relay_link
--- a/src/replicated/replicated_table.cc
+++ b/src/replicated/replicated_table.cc
@@ -1,42 +1,26 @@
 #include "replicated/replicated_table.h"
 
+#include "common/stable_hash.h"
+
 namespace valvekeel::replicated {
 namespace {
 
-// FNV-1a and the finalizer of splitmix64, both public domain. Abseil's hash is seeded per process,
-// so it cannot be compared between daemons.
-constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325ULL;
-constexpr std::uint64_t kFnvPrime = 0x100000001b3ULL;
-
-std::uint64_t Accumulate(std::uint64_t hash, std::string_view text) {
-  for (const char byte : text) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * kFnvPrime;
-  }
-  return hash;
-}
-
-std::uint64_t Mix(std::uint64_t value) {
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
-}
+using common::AccumulateHash;
+using common::kHashStart;
+using common::MixHash;
 
 std::uint64_t IdHash(const EntryId& id) {
-  const std::uint64_t seed = Mix(kFnvOffset + static_cast<std::uint64_t>(id.kind));
-  return Mix(Accumulate(seed, id.name));
+  const std::uint64_t seed = MixHash(kHashStart + static_cast<std::uint64_t>(id.kind));
+  return MixHash(AccumulateHash(seed, id.name));
 }
 
 std::uint64_t SummaryHash(const Entry& entry) {
-  const std::uint64_t version = Mix(entry.version.major) ^ Mix(~entry.version.minor);
-  return Mix(IdHash(entry.id) + version);
+  const std::uint64_t version = MixHash(entry.version.major) ^ MixHash(~entry.version.minor);
+  return MixHash(IdHash(entry.id) + version);
 }
 
 }  // namespace
 
-std::uint64_t StableHash(std::string_view first, std::string_view second) {
-  return Mix(Accumulate(Mix(Accumulate(kFnvOffset, first)), second));
-}
-
 std::size_t ReplicatedTable::BucketOf(const EntryId& id) { return IdHash(id) % kBuckets; }
 
 void ReplicatedTable::Toggle(const Entry& entry) {
--- a/src/replicated/replicated_table.h
+++ b/src/replicated/replicated_table.h
@@ -95,7 +95,4 @@
   std::uint64_t root_ = 0;
 };
 
-/// @return a hash that is the same on every daemon, for any seed text.
-std::uint64_t StableHash(std::string_view first, std::string_view second);
-
 }  // namespace valvekeel::replicated
--- a/src/routing/read_write_split.cc
+++ b/src/routing/read_write_split.cc
@@ -6,7 +6,7 @@
 #include <tuple>
 #include <utility>
 
-#include "replicated/replicated_table.h"
+#include "common/stable_hash.h"
 
 namespace valvekeel::routing {
 namespace {
@@ -21,7 +21,7 @@
   const std::uint64_t behind = fresh ? 0 : ~instance.replayed.lsn;
   const bool other = instance.id != needs.preferred;
   const bool far = instance.zone != needs.zone;
-  const std::uint64_t spread = replicated::StableHash(absl::StrCat(needs.session), instance.id);
+  const std::uint64_t spread = common::StableHash(absl::StrCat(needs.session), instance.id);
   return {avoided, !fresh, behind, other, far, spread};
 }
 
