Guests of a service end; watches are rare in large deployments; lease news goes to watchers only

A daemon that starts for the first time shared connections out before it had heard the others. Store calls: four watches a daemon, woken by every registration. Ruled out: connections of daemons that went dark (instances drop them after 3 s; the rejections went on for 12 s). Change: sessions of a service that a daemon does not own end as they rest; unwatched instances get connections only on demand; at the very first start daemons greet each other for 2 s; all but coordinators watch for 20 s at a time, catch up when a heartbeat names a later revision, and leave the leadership alone; an owner counts as lost for its relayed sessions after 650 ms of silence.

--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -64,11 +64,18 @@
   Address(schema, "promotion.address", "the promotion service", &texts.promotion);
   schema.TextList("daemon.seeds", "admin addresses of daemons that may be running",
                   [&texts](const std::vector<std::string>& value) { texts.seeds = value; });
+  schema.Choice("daemon.first_start",
+                "whether all daemons start for the first time: they greet each other first",
+                {"true", "false", ""}, "false",
+                [&out](const std::string& value) { out.proxy.first_start = value == "true"; });
   Time(schema, "daemon.stop_grace_ms", "time from the stop signal until the process is killed", 1,
        &out.proxy.stop_grace);
   Time(schema, "daemon.drain_limit_ms", "longest use of an instance that leaves", 1,
        &out.proxy.drain_limit);
   Time(schema, "store.watch_wait_ms", "longest wait of a watch", 100, &out.proxy.watch_wait);
+  Time(schema, "store.relaxed_watch_wait_ms",
+       "large deployments: longest wait of a watch, but for coordinators", 100,
+       &out.proxy.relaxed_watch_wait);
   Time(schema, "peers.heartbeat_ms", "time between heartbeats to a live daemon", 10,
        &out.proxy.heartbeat_interval);
   Time(schema, "peers.coordinator_heartbeat_ms",
--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -13,14 +13,14 @@
 }  // namespace
 
 std::optional<ReadCall> CollectionFollower::Next(common::Instant now) {
-  if (calling_ || now < not_before_) {
+  if (calling_ || now < not_before_ || !pace_.followed) {
     return std::nullopt;
   }
   calling_ = true;
   if (!revision_) {
     return ReadCall{collection_, std::nullopt, common::Duration(0), kListTimeout};
   }
-  return ReadCall{collection_, revision_, watch_wait_, watch_wait_ + kWatchSlack};
+  return ReadCall{collection_, revision_, pace_.watch_wait, pace_.watch_wait + kWatchSlack};
 }
 
 std::vector<CatalogChange> CollectionFollower::Answer(const ReadResult& result, common::Instant now,
@@ -36,6 +36,7 @@
     return {};
   }
   failures_ = 0;
+  not_before_ = now + pace_.pause;
   const bool was_list = !revision_;
   revision_ = result.revision;
   return was_list ? ApplyList(result) : ApplyEvents(result);
--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -42,11 +42,26 @@
   model::CatalogObject object;
 };
 
+/// How closely a collection is followed.
+struct FollowPace {
+  common::Duration watch_wait{0};  // longest wait of a watch
+  common::Duration pause{0};       // after each answer, so that changes gather
+  bool followed = true;            // false: no calls for now
+
+  bool operator==(const FollowPace&) const = default;
+};
+
 class CollectionFollower {
  public:
   /// @param collection to follow. @param watch_wait longest time that a watch waits.
   CollectionFollower(model::Collection collection, common::Duration watch_wait)
-      : collection_(collection), watch_wait_(watch_wait) {}
+      : collection_(collection), pace_{watch_wait} {}
+
+  /// Changes the pace, from the next call on.
+  void SetPace(const FollowPace& pace) { pace_ = pace; }
+
+  /// Gives the call in progress up: its answer must not be brought any more.
+  void Abandon() { calling_ = false; }
 
   /// @return the call to make now, if any.
   std::optional<ReadCall> Next(common::Instant now);
@@ -68,7 +83,7 @@
   std::vector<CatalogChange> ApplyEvents(const ReadResult& result);
 
   model::Collection collection_;
-  common::Duration watch_wait_;
+  FollowPace pace_;
   std::map<std::string, std::uint64_t> known_;  // revisions by name
   std::optional<std::uint64_t> revision_;       // to watch from; nothing: list first
   bool calling_ = false;
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,6 +12,8 @@
 constexpr common::Duration kCrowdedPause{400'000};     // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
+/// Time after which a connection to an instance that is not watched is given up.
+constexpr common::Duration kGuestIdle{100'000};
 
 const char* OpenFailureName(OpenFailure failure) {
   switch (failure) {
@@ -73,8 +75,13 @@
   });
 }
 
-void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit) {
+void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit, bool watched) {
   limits_[service] = limit;
+  if (watched) {
+    watched_.insert(service);
+  } else {
+    watched_.erase(service);
+  }
 }
 
 std::size_t BackendSet::ConnectionLimit(const std::string& service) const {
@@ -290,8 +297,8 @@
     observer_->OnLost(*backend, lost, now);
   }
   // Find out at once whether the instance still listens.
-  if (backend->Connections().empty()) {
-    Open(*backend, now);  // the limit of an instance that isn't watched is 0
+  if (backend->Connections().empty() && Watched(backend->Entry().service)) {
+    Open(*backend, now);
   }
 }
 
@@ -331,7 +338,7 @@
         },
         now);
   }
-  const bool watched = ConnectionLimit(backend.Entry().service) > 0;
+  const bool watched = Watched(backend.Entry().service);
   const bool wanted = backend.Unreachable() || backend.Connections().empty();
   if (watched && wanted && backend.Opening() == 0) {
     Open(backend, now, kExtraForControl);
@@ -341,6 +348,7 @@
 void BackendSet::TrimConnections(Backend& backend, common::Instant now) {
   std::vector<ConnectionNumber> closing;
   const std::size_t limit = ConnectionLimit(backend.Entry().service);
+  const bool watched = Watched(backend.Entry().service);
   std::size_t total = backend.Connections().size();
   std::vector<ConnectionNumber> unopened;
   for (auto& [number, connection] : backend.Connections()) {
@@ -348,7 +356,8 @@
       unopened.push_back(number);
     }
     const bool idle = connection.open && connection.outstanding.empty() && !connection.session;
-    const bool surplus = idle && total > limit;
+    const bool unused = !watched && now >= connection.last_used + kGuestIdle;
+    const bool surplus = idle && (total > limit || unused);
     const bool abandoned = !connection.session && !connection.outstanding.empty() &&
                            now >= connection.outstanding.front().sent + kAbandonedLimit;
     if (surplus || abandoned) {
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "proxy/backend.h"
@@ -62,8 +63,12 @@
   std::map<std::string, Backend>& All() { return backends_; }
   const std::map<std::string, Backend>& All() const { return backends_; }
 
-  /// Sets how many connections this daemon may have to an instance.
-  void SetConnectionLimit(const std::string& service, std::size_t limit);
+  /// Sets how many connections this daemon may have to an instance. @param watched keeps one open
+  /// all the time, to see that the instance is there.
+  void SetConnectionLimit(const std::string& service, std::size_t limit, bool watched = true);
+
+  /// @return true if this daemon keeps an eye on the service's instances.
+  bool Watched(const std::string& service) const { return watched_.contains(service); }
   /// @return that number; 0 until it is set.
   std::size_t ConnectionLimit(const std::string& service) const;
 
@@ -113,6 +118,7 @@
   std::map<ConnectionNumber, std::string> owners_;
   std::map<ControlNumber, PendingControl> controls_;
   std::map<std::string, std::size_t> limits_;  // by service
+  std::set<std::string> watched_;              // services
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -7,6 +7,11 @@
 
 using model::Collection;
 
+/// Time for a watch to bring what another daemon knows already.
+constexpr common::Duration kBehindLimit{500'000};
+/// Time between two attempts to catch up.
+constexpr common::Duration kChasePause{3'000'000};
+
 const char* CollectionName(Collection collection) {
   switch (collection) {
     case Collection::kConfiguration:
@@ -23,7 +28,8 @@
 
 }  // namespace
 
-CatalogState::CatalogState(const ProxySettings& settings, Outbox& outbox) : outbox_(outbox) {
+CatalogState::CatalogState(const ProxySettings& settings, Outbox& outbox)
+    : settings_(settings), outbox_(outbox) {
   for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
     followers_.emplace(collection, metadata::CollectionFollower(collection, settings.watch_wait));
   }
@@ -35,6 +41,40 @@
   }
 }
 
+void CatalogState::SetRelaxed(bool relaxed, bool coordinates) {
+  const metadata::FollowPace close{settings_.watch_wait};
+  const metadata::FollowPace slow{settings_.slow_watch_wait};
+  const metadata::FollowPace rare{settings_.relaxed_watch_wait};
+  const metadata::FollowPace gathered{settings_.relaxed_watch_wait, settings_.relaxed_pause};
+  const bool leadership = !relaxed || coordinates;
+  followers_.at(Collection::kConfiguration).SetPace(leadership ? close : rare);
+  followers_.at(Collection::kInstances).SetPace(leadership ? close : rare);
+  followers_.at(Collection::kDaemons).SetPace(relaxed ? gathered : slow);
+  followers_.at(Collection::kLeadership)
+      .SetPace({settings_.slow_watch_wait, common::Duration(0), leadership});
+}
+
+void CatalogState::NoteRevision(std::uint64_t revision, common::Instant now) {
+  known_elsewhere_ = std::max(known_elsewhere_, revision);
+  if (revision_ >= known_elsewhere_) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  if (now < *behind_since_ + kBehindLimit || now < chase_not_before_) {
+    return;
+  }
+  chase_not_before_ = now + kChasePause;
+  outbox_.Log("watch_overdue", {{"revision", std::to_string(revision_)},
+                                {"known_elsewhere", std::to_string(known_elsewhere_)}});
+  for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
+    std::erase_if(calls_, [&](const auto& call) { return call.second == collection; });
+    followers_.at(collection).Abandon();
+  }
+}
+
 void CatalogState::Tick(common::Instant now) {
   for (auto& [collection, follower] : followers_) {
     const auto call = follower.Next(now);
@@ -107,6 +147,12 @@
 
 void CatalogState::Apply(const model::CatalogObject& object, Collection collection,
                          CatalogUpdate& update) {
+  // What a list no longer holds comes with the list's revision, which others need not know.
+  const bool counts =
+      collection == Collection::kConfiguration || collection == Collection::kInstances;
+  if (counts && !object.gone) {
+    revision_ = std::max(revision_, object.revision);
+  }
   if (object.gone) {
     if (collection == Collection::kInstances && instances_.erase(object.name) > 0) {
       std::erase_if(update.instances, [&](const auto& each) { return each.id == object.name; });
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -37,6 +37,18 @@
  public:
   CatalogState(const ProxySettings& settings, Outbox& outbox);
 
+  /// Follows the store less closely: by rare calls, and the leadership only if asked for. What is
+  /// missed so long, NoteRevision brings up.
+  /// @param coordinates  this daemon needs the leadership record
+  void SetRelaxed(bool relaxed, bool coordinates);
+
+  /// @return the revision of the newest configuration or instance entry known.
+  std::uint64_t Revision() const { return revision_; }
+
+  /// Another daemon knows this revision of the store: a watch that has not brought it for a while
+  /// is asked anew.
+  void NoteRevision(std::uint64_t revision, common::Instant now);
+
   /// Makes the calls that are due.
   void Tick(common::Instant now);
 
@@ -69,12 +81,17 @@
   bool TakeConfiguration(const model::Configuration& configuration, const char* source);
   void NoteConnection(common::Instant now);
 
+  const ProxySettings& settings_;
   Outbox& outbox_;
   std::map<model::Collection, metadata::CollectionFollower> followers_;
   std::map<CallNumber, model::Collection> calls_;
   model::Configuration configuration_;
   std::map<std::string, model::InstanceEntry> instances_;
   std::map<std::string, model::DaemonEntry> daemons_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t known_elsewhere_ = 0;  // highest revision that others told of
+  std::optional<common::Instant> behind_since_;
+  common::Instant chase_not_before_{0};
   bool connected_ = false;
   bool daemons_known_ = false;
 };
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -6,6 +6,7 @@
 // Thread: its host's.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,6 +55,9 @@
   /// Ends sessions that rest; with `all`, also those in a transaction.
   void CloseResting(bool all, common::Instant now);
 
+  /// Ends the sessions of a service that rest.
+  void EndResting(const std::string& service, common::Instant now);
+
   /// From now on each session ends as soon as it rests.
   void StartClosing() { closing_ = true; }
 
@@ -118,6 +122,8 @@
   void Abandon(Session& session, common::Instant now);
 
   // Time.
+  /// Ends those without an operation that are chosen.
+  void EndSessions(const std::function<bool(const Session&)>& chosen, common::Instant now);
   void CheckOperation(Session& session, common::Instant now);
   void CheckTransaction(Session& session, common::Instant now);
   bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -161,13 +161,27 @@
 }
 
 void Dispatcher::CloseResting(bool all, common::Instant now) {
-  std::vector<SessionNumber> resting;
+  EndSessions([all](const Session& session) { return all || !session.transaction.open; }, now);
+}
+
+void Dispatcher::EndResting(const std::string& service, common::Instant now) {
+  EndSessions(
+      [&](const Session& session) {
+        const model::Route* route = RouteOf(session);
+        return !session.transaction.open && route != nullptr && route->service == service;
+      },
+      now);
+}
+
+void Dispatcher::EndSessions(const std::function<bool(const Session&)>& chosen,
+                             common::Instant now) {
+  std::vector<SessionNumber> ending;
   for (const auto& [number, session] : sessions_) {
-    if (!session.operation && (all || !session.transaction.open)) {
-      resting.push_back(number);
+    if (!session.operation && chosen(session)) {
+      ending.push_back(number);
     }
   }
-  for (const SessionNumber number : resting) {
+  for (const SessionNumber number : ending) {
     outbox_.Emit(CloseSession{number});
     SessionClosed(number, now);
   }
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -220,6 +220,7 @@
     report.floor = state.floor;
     report.replicas = Replicas(service, now).size();
     report.primary_lost = state.lost;
+    report.troubled = troubled;
     report.fence_below = state.fence_below;
     report.released_below = state.lease.ReleasedTerm() + 1;
     reports.push_back(std::move(report));
@@ -383,7 +384,7 @@
 }
 
 void GroupSet::Watch(GroupState& state, common::Instant now) {
-  const bool watched = backends_.ConnectionLimit(state.service) > 0;
+  const bool watched = backends_.Watched(state.service);
   if (watched == std::exchange(state.watched, watched)) {
     return;
   }
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -55,10 +55,11 @@
   for (const GroupReport& group : message.groups) {
     groups.push_back(GroupToJson(group));
   }
-  const json whole = json::array(
-      {message.name, message.zone, message.incarnation, message.sequence, message.echoed,
-       message.echoed_incarnation, message.interval.count(), message.store_connected,
-       message.stopping, message.configuration_version, std::move(groups)});
+  const json whole =
+      json::array({message.name, message.zone, message.incarnation, message.sequence,
+                   message.echoed, message.echoed_incarnation, message.interval.count(),
+                   message.store_connected, message.stopping, message.configuration_version,
+                   message.catalog_revision, std::move(groups)});
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -80,6 +81,7 @@
     message.store_connected = next().get<bool>();
     message.stopping = next().get<bool>();
     message.configuration_version = next().get<std::uint64_t>();
+    message.catalog_revision = next().get<std::uint64_t>();
     for (const json& group : next()) {
       message.groups.push_back(GroupFromJson(group));
     }
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -28,6 +28,7 @@
   common::Position floor;                            // that a promoted replica must hold
   std::size_t replicas = 0;                          // that the sender counts
   bool primary_lost = false;
+  bool troubled = false;            // all should hear of it; not sent
   common::Term fence_below = 0;     // all are asked to let go of terms below
   common::Term released_below = 0;  // the sender has let go of terms below
 };
@@ -43,6 +44,7 @@
   bool store_connected = false;
   bool stopping = false;
   std::uint64_t configuration_version = 0;
+  std::uint64_t catalog_revision = 0;  // see CatalogState::Revision
   std::vector<GroupReport> groups;
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -27,6 +27,9 @@
 constexpr common::Duration kGreetingTime{2'000'000};
 /// Time for the store to tell of a configuration that another daemon has in force already.
 constexpr common::Duration kAheadPause{120'000};
+/// Time after which sessions of a service that this daemon doesn't own end as they rest: their
+/// callers come back, and are handed to an owner.
+constexpr common::Duration kGuestTime{1'000'000};
 
 }  // namespace
 
@@ -144,10 +147,10 @@
   const auto peer = peers_.All().find(from);
   if (groups_.TakeReports(message, counted_from) && peer != peers_.All().end()) {
     // Who announced the fence waits for the word that the lease was let go.
-    PeerMessage answer = MakeHeartbeat(TellsAll(), now);
-    SendHeartbeat(peer->second, answer, now);
+    SendHeartbeat(peer->second, MakeHeartbeat(TellsAll(), now), now);
   }
   NoteConfigurationAhead(from, message.configuration_version, now);
+  catalog_.NoteRevision(message.catalog_revision, now);
 }
 
 void Proxy::CatalogFetched(CallNumber call, const std::optional<CatalogCopy>& copy,
@@ -231,7 +234,8 @@
     connections[name] = service.max_connections;
   }
   // Without a word of the others this daemon would take all connections for its own.
-  const bool others_known = catalog_.DaemonsKnown() || now >= *started_ + kGreetingTime;
+  const bool greeted = now >= *started_ + kGreetingTime;
+  const bool others_known = greeted || (catalog_.DaemonsKnown() && !settings_.first_start);
   if (!others_known) {
     return;
   }
@@ -239,7 +243,26 @@
   const std::set<std::string> in_use =
       roles_.meshed() ? std::set<std::string>() : dispatcher_.ServicesInUse();
   for (const auto& [name, most] : connections) {
-    backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)));
+    backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
+                                 roles_.watches(name, settings_.name));
+  }
+  catalog_.SetRelaxed(!roles_.meshed(), roles_.coordinates());
+  EndGuests(in_use, now);
+}
+
+void Proxy::EndGuests(const std::set<std::string>& in_use, common::Instant now) {
+  std::set<std::string> foreign;
+  for (const std::string& service : in_use) {
+    if (!roles_.owns(service)) {
+      foreign.insert(service);
+    }
+  }
+  std::erase_if(guests_since_, [&](const auto& each) { return !foreign.contains(each.first); });
+  for (const std::string& service : foreign) {
+    const auto since = guests_since_.try_emplace(service, now).first;
+    if (now >= since->second + kGuestTime) {
+      dispatcher_.EndResting(service, now);
+    }
   }
 }
 
@@ -285,9 +308,14 @@
 
 common::Duration Proxy::HeartbeatInterval(const Peer& peer, common::Instant now) const {
   static_cast<void>(now);
+  if (roles_.meshed()) {
+    return settings_.heartbeat_interval;
+  }
   const std::vector<std::string>& coordinators = roles_.coordinators();
   const std::string reader = coordinators.empty() ? "" : coordinators.front();
-  if (roles_.meshed() || reader == settings_.name || reader == peer.name) {
+  const bool to_reader = reader == peer.name && roles_.watches_any(settings_.name);
+  const bool from_reader = reader == settings_.name && roles_.watches_any(peer.name);
+  if (to_reader || from_reader) {
     return settings_.heartbeat_interval;
   }
   if (roles_.coordinates() || roles_.coordinates(peer.name)) {
@@ -303,16 +331,21 @@
   message.store_connected = catalog_.Connected();
   message.stopping = stopping_since_.has_value();
   message.configuration_version = catalog_.Configuration().version;
+  message.catalog_revision = catalog_.Revision();
   message.groups = groups_.Reports(all_groups, now);
   return message;
 }
 
-void Proxy::SendHeartbeat(Peer& peer, PeerMessage& message, common::Instant now) {
+void Proxy::SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now) {
   const bool alive = peers_.Alive(peer, now);
+  PeerMessage message = whole;
+  std::erase_if(message.groups, [&](const GroupReport& report) {
+    return !report.troubled && !roles_.watches(report.service, peer.name);
+  });
   message.interval = alive ? HeartbeatInterval(peer, now) : kDeadPeerPause;
   peer.next_heartbeat = now + message.interval;
   peers_.Stamp(peer, message, now);
-  outbox_.Emit(SendPeer{peer.address, message});
+  outbox_.Emit(SendPeer{peer.address, std::move(message)});
 }
 
 void Proxy::SendHeartbeats(bool urgent, bool all_groups, common::Instant now) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,8 @@
   void Apply(const CatalogUpdate& update, common::Instant now);
   void ApplyConfiguration(common::Instant now);
   void UpdateRoles(common::Instant now);
+  /// Ends sessions of services that this daemon has not owned for a while.
+  void EndGuests(const std::set<std::string>& in_use, common::Instant now);
   std::size_t SharingDaemons(common::Instant now) const;
   std::vector<relay::member> LiveMembers(common::Instant now) const;
   void Register(common::Instant now);
@@ -100,7 +103,8 @@
   /// state of all groups, not only of those in trouble.
   void SendHeartbeats(bool urgent, bool all_groups, common::Instant now);
   PeerMessage MakeHeartbeat(bool all_groups, common::Instant now) const;
-  void SendHeartbeat(Peer& peer, PeerMessage& message, common::Instant now);
+  /// Sends what concerns the peer: groups in trouble, and those that it watches.
+  void SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now);
   common::Duration HeartbeatInterval(const Peer& peer, common::Instant now) const;
   /// Notes that a daemon has a newer configuration in force.
   void NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
@@ -138,6 +142,7 @@
   common::Instant fetch_not_before_{0};
   std::size_t next_fetch_ = 0;
   common::Instant roles_due_{0};
+  std::map<std::string, common::Instant> guests_since_;  // by service
   /// A daemon that has a newer configuration in force.
   struct ConfigurationAhead {
     common::Endpoint peer;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -25,22 +25,27 @@
 };
 
 struct ProxySettings {
-  std::string name;                              // of this daemon
-  std::string zone;                              // in which it runs
-  std::uint64_t incarnation = 0;                 // of this life, chosen by the host
-  common::Endpoint peer;                         // own address for other daemons
-  std::uint16_t admin_port = 0;                  // for FetchCatalog, alike on all daemons
-  std::vector<common::Endpoint> seed_peers;      // daemons that may be there, for heartbeats
-  std::vector<common::Endpoint> seed_catalogs;   // the same daemons, for FetchCatalog
-  common::Duration stop_grace{6'000'000};        // from the stop signal to the kill
-  common::Duration drain_limit{7'000'000};       // longest use of an instance that is leaving
-  common::Duration watch_wait{3'000'000};        // longest wait of a watch of the store
+  std::string name;                             // of this daemon
+  std::string zone;                             // in which it runs
+  std::uint64_t incarnation = 0;                // of this life, chosen by the host
+  common::Endpoint peer;                        // own address for other daemons
+  std::uint16_t admin_port = 0;                 // for FetchCatalog, alike on all daemons
+  std::vector<common::Endpoint> seed_peers;     // daemons that may be there, for heartbeats
+  std::vector<common::Endpoint> seed_catalogs;  // the same daemons, for FetchCatalog
+  bool first_start = false;                     // all daemons start for the first time, and at once
+  common::Duration stop_grace{6'000'000};       // from the stop signal to the kill
+  common::Duration drain_limit{7'000'000};      // longest use of an instance that is leaving
+  common::Duration watch_wait{3'000'000};       // longest wait of a watch of the store
   common::Duration slow_watch_wait{15'000'000};  // the same for what may be late
+  /// In a large deployment, for all but coordinators: longest wait of a watch, and the pause
+  /// between watches of what may be late.
+  common::Duration relaxed_watch_wait{20'000'000};
+  common::Duration relaxed_pause{2'000'000};
   common::Duration heartbeat_interval{250'000};
   /// In a large deployment: between other coordinators and all, in a zone, between others.
   common::Duration coordinator_heartbeat_interval{500'000};
-  common::Duration zone_heartbeat_interval{300'000};
-  common::Duration far_heartbeat_interval{1'500'000};
+  common::Duration zone_heartbeat_interval{200'000};
+  common::Duration far_heartbeat_interval{2'500'000};
   relay::role_policy roles;
   common::Duration lease_round_interval{400'000};
   /// Share of the target latency for which a statement may wait for an instance before it is
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -1,5 +1,6 @@
 #include "proxy/session_relay.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -9,6 +10,10 @@
 /// Longest wait of a session for the configuration that its other daemon has in force.
 constexpr common::Duration kConfigurationLimit{350'000};
 
+/// Silence after which an owner counts as lost: callers wait for it, their time is short.
+constexpr common::Duration kOwnerSilence{650'000};
+constexpr int kMissedHeartbeats = 3;
+
 }  // namespace
 
 SessionRelay::SessionRelay(const ProxySettings& settings, const relay::role_map& roles,
@@ -90,12 +95,15 @@
 
 bool SessionRelay::alive(const std::string& daemon, common::Instant now) const {
   const Peer* peer = peers_.ByName(daemon);
-  return peer != nullptr && peers_.Alive(*peer, now);
+  if (peer == nullptr || !peer->heard) {
+    return false;
+  }
+  const common::Duration limit = std::max(kOwnerSilence, kMissedHeartbeats * peer->last.interval);
+  return now < *peer->heard + limit;
 }
 
 bool SessionRelay::stays(const std::string& daemon, common::Instant now) const {
-  const Peer* peer = peers_.ByName(daemon);
-  return peer != nullptr && peers_.Alive(*peer, now) && !peer->last.stopping;
+  return alive(daemon, now) && !peers_.ByName(daemon)->last.stopping;
 }
 
 void SessionRelay::open_link(relay::session_number session, const std::string& owner) {
--- a/src/relay/role_map.cc
+++ b/src/relay/role_map.cc
@@ -100,6 +100,12 @@
   return this->coordinates(daemon) || this->owns(service, daemon);
 }
 
+bool role_map::watches_any(const std::string& daemon) const {
+  return this->coordinates(daemon) ||
+         std::any_of(this->services.begin(), this->services.end(),
+                     [&](const auto& service) { return this->owns(service.first, daemon); });
+}
+
 std::vector<std::string> role_map::owners_in(const std::string& service,
                                              const std::string& zone) const {
   const auto found = this->services.find(service);
--- a/src/relay/role_map.h
+++ b/src/relay/role_map.h
@@ -76,6 +76,9 @@
   /** @return the owners of all zones. */
   std::vector<std::string> owners(const std::string& service) const;
 
+  /** @return true if the daemon owns some service, or coordinates. */
+  bool watches_any(const std::string& daemon) const;
+
   /**
    * @param serves_guests  sessions of the service run here although this daemon doesn't own it
    * @return how many connections to an instance of the service this daemon may hold
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -42,9 +42,9 @@
           this->stream->Start([this](std::string_view bytes) { this->take(bytes); }, [] {});
         }) {
     REQUIRE(this->listener.Listen({"127.0.0.1", 0}));
-    this->link = std::make_unique<owner_link>(
-        this->loop, std::make_unique<platform::LineInstanceCodec>(),
-        std::make_unique<recording_events>(this->seen));
+    this->link =
+        std::make_unique<owner_link>(this->loop, std::make_unique<platform::LineInstanceCodec>(),
+                                     std::make_unique<recording_events>(this->seen));
   }
 
   void take(std::string_view bytes) {
