--- a/tests/metadata/collection_follower_test.cc
+++ b/tests/metadata/collection_follower_test.cc
@@ -78,4 +78,29 @@
   CHECK(follower.Next(now));
 }
 
+TEST_CASE("A pause after each answer lets changes gather", "[metadata]") {
+  CollectionFollower follower = Listed();
+  follower.SetPace({kWait, Duration(1'000)});
+  REQUIRE(follower.Next(Instant(3)));
+  follower.Answer({ReadStatus::kOk, 11, {Object("a", 11)}}, Instant(4), 0);
+  CHECK_FALSE(follower.Next(Instant(1'003)));
+  CHECK(follower.Next(Instant(1'004)));
+}
+
+TEST_CASE("A collection that is not followed makes no calls", "[metadata]") {
+  CollectionFollower follower = Listed();
+  follower.SetPace({kWait, Duration(0), false});
+  CHECK_FALSE(follower.Next(Instant(3)));
+  follower.SetPace({kWait});
+  CHECK(follower.Next(Instant(3)));
+}
+
+TEST_CASE("An abandoned call is followed by another", "[metadata]") {
+  CollectionFollower follower = Listed();
+  REQUIRE(follower.Next(Instant(3)));
+  CHECK_FALSE(follower.Next(Instant(4)));
+  follower.Abandon();
+  CHECK(follower.Next(Instant(4)));
+}
+
 }  // namespace valvekeel::metadata
--- a/tests/proxy/catalog_state_test.cc
+++ b/tests/proxy/catalog_state_test.cc
@@ -95,4 +95,43 @@
   CHECK(update.leadership->second == 0);
 }
 
+TEST_CASE("A watch that misses what another daemon knows is asked anew", "[proxy]") {
+  CatalogFixture fixture;
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 5, {Instance("i-1", 4)}});
+  fixture.catalog.Tick(fixture.now);
+  fixture.outbox.Take();
+  const common::Duration limit{500'000};
+  fixture.catalog.NoteRevision(4, fixture.now + limit);
+  fixture.catalog.NoteRevision(7, fixture.now + limit);
+  fixture.catalog.Tick(fixture.now + limit);
+  CHECK(fixture.outbox.Take().empty());
+  fixture.catalog.NoteRevision(7, fixture.now + 2 * limit);
+  fixture.catalog.Tick(fixture.now + 2 * limit);
+  std::size_t watches = 0;
+  for (const Action& action : fixture.outbox.Take()) {
+    watches += std::holds_alternative<ReadCatalog>(action) ? 1 : 0;
+  }
+  CHECK(watches == 2);
+  // One that stays behind is not asked again at once.
+  fixture.catalog.NoteRevision(8, fixture.now + 4 * limit);
+  fixture.catalog.Tick(fixture.now + 4 * limit);
+  CHECK(fixture.outbox.Take().empty());
+}
+
+TEST_CASE("A relaxed daemon leaves the leadership alone", "[proxy]") {
+  CatalogFixture fixture;
+  fixture.catalog.SetRelaxed(true, false);
+  fixture.catalog.Tick(fixture.now);
+  std::size_t reads = 0;
+  for (const Action& action : fixture.outbox.Take()) {
+    const auto* read = std::get_if<ReadCatalog>(&action);
+    reads += read == nullptr ? 0 : 1;
+    CHECK_FALSE((read != nullptr && read->read.collection == Collection::kLeadership));
+  }
+  CHECK(reads == 3);
+  fixture.catalog.SetRelaxed(true, true);
+  fixture.catalog.Tick(fixture.now);
+  CHECK(fixture.outbox.Take().size() == 1);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/peer_table_test.cc
+++ b/tests/proxy/peer_table_test.cc
@@ -96,4 +96,15 @@
   CHECK(table.LiveNames(kStart).empty());
 }
 
+TEST_CASE("A peer that sends rarely is given time accordingly", "[proxy]") {
+  PeerTable table("a", 1);
+  PeerMessage message = From("b", 9, 1);
+  message.interval = Duration(2'000'000);
+  table.Receive(kOther, message, kStart);
+  CHECK(table.Alive(table.All().at(kOther), kStart + Duration(5'900'000)));
+  CHECK_FALSE(table.Alive(table.All().at(kOther), kStart + Duration(6'100'000)));
+  CHECK(common::ValueOf(DecodePeerMessage(EncodePeerMessage(message))).interval ==
+        message.interval);
+}
+
 }  // namespace valvekeel::proxy
--- /dev/null
+++ b/tests/proxy/session_relay_test.cc
@@ -0,0 +1,153 @@
+#include "proxy/session_relay.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::proxy {
+namespace {
+
+using common::Duration;
+using common::Instant;
+
+constexpr Instant kStart{10'000'000};
+constexpr Duration kLong{1'000'000};
+constexpr SessionNumber kSession = 3;
+
+model::Configuration ConfigurationOf(std::uint64_t version) {
+  model::Configuration configuration;
+  configuration.version = version;
+  configuration.services["group"] = {"group", 8, 1};
+  model::Route route;
+  route.database = "ledger";
+  route.service = "group";
+  configuration.routes["ledger"] = route;
+  return configuration;
+}
+
+/// A daemon of six in one zone, of which one owns the service.
+struct RelayFixture {
+  explicit RelayFixture(const std::string& self) : roles(self, Policy()) {
+    std::vector<relay::member> members;
+    for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+      members.push_back({name, "zone", true});
+      PeerMessage message;
+      message.name = name;
+      message.zone = "zone";
+      message.incarnation = 1;
+      message.sequence = 1;
+      peers.Receive({name, 7440}, message, kStart);
+    }
+    roles.update(members, members.size(), {{"group", 8}});
+    settings.zone = "zone";
+    relay = std::make_unique<SessionRelay>(settings, roles, peers, dispatcher, outbox);
+  }
+
+  static relay::role_policy Policy() {
+    relay::role_policy policy;
+    policy.most_meshed_daemons = 1;
+    policy.owners_per_zone = 1;
+    return policy;
+  }
+
+  static std::string Owner() { return RelayFixture("").roles.owners("group").front(); }
+  static std::string Other() { return Owner() == "a" ? "b" : "a"; }
+
+  /// @return the first action of a kind since the last call.
+  template <typename Kind>
+  std::optional<Kind> Taken() {
+    std::optional<Kind> first;
+    for (const Action& action : outbox.Take()) {
+      const auto* kind = std::get_if<Kind>(&action);
+      if (kind != nullptr && !first) {
+        first = *kind;
+      }
+    }
+    return first;
+  }
+
+  void Configure(const model::Configuration& configuration) {
+    dispatcher.SetConfiguration(&configuration, kStart);
+    relay->SetConfiguration(&configuration, kStart);
+  }
+
+  ProxySettings settings;
+  Outbox outbox;
+  PeerTable peers{"", 1};
+  relay::role_map roles;
+  BackendSet backends{outbox};
+  GroupSet groups{settings, backends, roles, outbox};
+  Dispatcher dispatcher{settings, backends, groups, outbox};
+  std::unique_ptr<SessionRelay> relay;
+};
+
+}  // namespace
+
+TEST_CASE("A session goes to the owner with the version in force", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart);
+  const auto relayed = fixture.Taken<RelaySession>();
+  REQUIRE(relayed);
+  CHECK(relayed->owner.host == RelayFixture::Owner());
+  CHECK(relayed->least_configuration == 5);
+  CHECK(fixture.relay->Relays(kSession));
+}
+
+TEST_CASE("The owner serves its sessions itself", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart);
+  CHECK(fixture.Taken<AcceptSession>());
+}
+
+TEST_CASE("A session that was handed over is never handed on", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  CHECK(fixture.Taken<AcceptSession>());
+  CHECK_FALSE(fixture.relay->Relays(kSession));
+}
+
+TEST_CASE("A session handed over waits for the version that it needs", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration older = ConfigurationOf(4);
+  fixture.Configure(older);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  CHECK_FALSE(fixture.Taken<AcceptSession>());
+  const model::Configuration newer = ConfigurationOf(5);
+  fixture.Configure(newer);
+  CHECK(fixture.Taken<AcceptSession>());
+}
+
+TEST_CASE("A session whose version does not come is declined without a word", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration older = ConfigurationOf(4);
+  fixture.Configure(older);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  fixture.relay->Tick(kStart + kLong);
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed);
+  CHECK_FALSE(closed->with_error);
+}
+
+TEST_CASE("Without an owner that is heard the session is served here", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart + kLong);
+  CHECK(fixture.Taken<AcceptSession>());
+}
+
+TEST_CASE("An unknown database is refused where the caller is", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "other", "user", {}, kStart);
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed);
+  CHECK(closed->error == model::ErrorCode::kUnknownDatabase);
+}
+
+}  // namespace valvekeel::proxy
