--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -59,7 +59,8 @@
               false, [&out](const std::string& value) { out.health_path = value; });
   Address(schema, "listen.admin", "metrics, status and the catalog for other daemons",
           &texts.admin);
-  Address(schema, "listen.peer", "heartbeats of other daemons (UDP)", &texts.peer);
+  Address(schema, "listen.peer",
+          "heartbeats of other daemons (UDP) and sessions that they hand over (TCP)", &texts.peer);
   Address(schema, "store.address", "the metadata store", &texts.store);
   Address(schema, "promotion.address", "the promotion service", &texts.promotion);
   schema.TextList("daemon.seeds", "admin addresses of daemons that may be running",
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -73,6 +73,19 @@
         static_cast<double>(proxy.Dispatch().SessionCount()));
   Gauge("valvekeel_waiting", "Statements waiting for an instance", {},
         static_cast<double>(proxy.Dispatch().WaitingCount()));
+  const relay::relay_counters& relayed = proxy.Relay().Sessions().counters();
+  Gauge("valvekeel_relayed_sessions", "Sessions that another daemon serves", {},
+        static_cast<double>(proxy.Relay().Sessions().size()));
+  Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner", {{"outcome", "started"}},
+        static_cast<double>(relayed.started));
+  Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner", {{"outcome", "retried"}},
+        static_cast<double>(relayed.retried));
+  Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner",
+        {{"outcome", "served_here"}}, static_cast<double>(relayed.served_here));
+  Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner", {{"outcome", "lost"}},
+        static_cast<double>(relayed.lost));
+  Gauge("valvekeel_coordinates", "1 if this daemon may replace primaries", {},
+        proxy.Roles().coordinates() ? 1 : 0);
   Gauge("valvekeel_configuration_version", "Version in force", {},
         static_cast<double>(proxy.CatalogView().Configuration().version));
   Gauge("valvekeel_store_connected", "1 if the metadata store answers", {},
