Connections beyond the first are given up after 4 s without use

Ruled out: a wrong share (31 of 34 connections for 6 daemons). Change: a daemon holds what it uses. Test first: backend_set_test.

--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,6 +12,9 @@
 constexpr common::Duration kCrowdedPause{400'000};     // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
+/// Time after which a connection beyond the first is given up: what a daemon holds when it loses
+/// power, its instances hold against everybody for seconds.
+constexpr common::Duration kIdleKept{4'000'000};
 /// Time after which a connection to an instance that is not watched is given up.
 constexpr common::Duration kGuestIdle{100'000};
 
@@ -356,7 +359,9 @@
       unopened.push_back(number);
     }
     const bool idle = connection.open && connection.outstanding.empty() && !connection.session;
-    const bool unused = !watched && now >= connection.last_used + kGuestIdle;
+    const common::Duration idle_limit = watched ? kIdleKept : kGuestIdle;
+    const std::size_t kept = watched ? 1 : 0;
+    const bool unused = total > kept && now >= connection.last_used + idle_limit;
     const bool surplus = idle && (total > limit || unused);
     const bool abandoned = !connection.session && !connection.outstanding.empty() &&
                            now >= connection.outstanding.front().sent + kAbandonedLimit;
