--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 soak: build
 	scripts/check-open-transaction
 	scripts/soak
+	scripts/edge-soak 60
 	scripts/soak-simulator 1000
 
 format: setup
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -34,6 +34,9 @@
   std::string reason;
 };
 
+/// Where a daemon hands its copy of the catalog to others.
+inline constexpr const char* kCatalogPath = "/catalog";
+
 class ProxyHost {
  public:
   /// @param adapter outlives the host.
--- /dev/null
+++ b/src/host/proxy_host_actions.cc
@@ -0,0 +1,235 @@
+// Carries out what the decision code asks for.
+
+#include <utility>
+
+#include "host/catalog_copy_json.h"
+#include "host/proxy_host.h"
+#include "relay/handover.h"
+
+namespace valvekeel::host {
+namespace {
+
+constexpr unsigned kInstanceUserTimeoutMs = 4000;
+constexpr common::Duration kFetchTimeout{500'000};
+constexpr common::Duration kFlushBeforeExit{150'000};
+
+const char* LevelName(proxy::LogLevel level) {
+  return level == proxy::LogLevel::kWarning ? "warning" : "info";
+}
+
+}  // namespace
+
+/// Brings what an owner sends to the session's caller and to the decision code.
+class ProxyHost::OwnerEvents : public relay_link::owner_events {
+ public:
+  OwnerEvents(ProxyHost& host, proxy::SessionNumber session) : host_(host), session_(session) {}
+
+  void on_accepted() override {
+    const auto found = host_.callers_.find(session_);
+    if (found != host_.callers_.end()) {
+      found->second.accepted = true;
+      found->second.unaccepted.clear();
+    }
+    host_.proxy_.RelayAccepted(session_);
+    host_.Drain();
+  }
+
+  void on_answer(const model::Reply& reply) override {
+    host_.proxy_.RelayAnswered(session_, reply.state, common::SteadyNow());
+    host_.Drain();
+  }
+
+  void on_bytes(std::string_view bytes) override {
+    const auto found = host_.callers_.find(session_);
+    if (found != host_.callers_.end()) {
+      found->second.stream->Send(std::string(bytes));
+    }
+  }
+
+  void on_ended() override {
+    host_.proxy_.RelayEnded(session_, common::SteadyNow());
+    host_.Drain();
+  }
+
+ private:
+  ProxyHost& host_;
+  proxy::SessionNumber session_;
+};
+
+void ProxyHost::Do(const proxy::OpenConnection& action) {
+  const proxy::ConnectionNumber number = action.connection;
+  InstanceConnection& connection = instances_[number];
+  connection.stream = std::make_shared<net::Stream>(loop_);
+  connection.stream->SetUserTimeout(kInstanceUserTimeoutMs);
+  connection.codec = adapter_.NewInstanceCodec();
+  connection.stream->Connect(
+      action.address, settings_.connect_timeout,
+      [this, number, action] { InstanceConnected(number, action); },
+      [this, number](net::ConnectFault fault) {
+        FailConnection(number,
+                       fault == net::ConnectFault::kRefused ? proxy::OpenFailure::kRefused
+                                                            : proxy::OpenFailure::kSilent,
+                       model::ErrorCode::kFailed);
+      });
+}
+
+void ProxyHost::Do(const proxy::SendRequests& action) {
+  const auto found = instances_.find(action.connection);
+  if (found == instances_.end()) {
+    return;
+  }
+  std::string bytes;
+  for (const model::InstanceRequest& request : action.requests) {
+    bytes += found->second.codec->EncodeRequest(request);
+  }
+  found->second.stream->Send(std::move(bytes));
+}
+
+void ProxyHost::Do(const proxy::CloseConnection& action) {
+  const auto found = instances_.find(action.connection);
+  if (found == instances_.end()) {
+    return;
+  }
+  const auto stream = found->second.stream;
+  instances_.erase(found);
+  stream->Close();
+}
+
+void ProxyHost::Do(const proxy::AcceptSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.accepted = true;
+    found->second.unaccepted.clear();
+    found->second.stream->Send(found->second.codec->EncodeAccept());
+  }
+}
+
+void ProxyHost::Do(const proxy::AnswerCaller& action) {
+  if (action.times) {
+    metrics_.Observe(*action.times);
+  }
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.stream->Send(found->second.codec->EncodeReply(action.reply));
+  }
+}
+
+void ProxyHost::Do(const proxy::CloseSession& action) {
+  const auto found = callers_.find(action.session);
+  if (found == callers_.end()) {
+    return;
+  }
+  const auto stream = found->second.stream;
+  if (action.with_error) {
+    stream->Send(found->second.codec->EncodeFault(action.error, action.error_text));
+  }
+  callers_.erase(found);
+  stream->CloseAfterFlush();
+}
+
+void ProxyHost::Do(const proxy::RelaySession& action) {
+  const auto found = callers_.find(action.session);
+  if (found == callers_.end()) {
+    return;
+  }
+  Caller& caller = found->second;
+  caller.link = std::make_unique<relay_link::owner_link>(
+      loop_, adapter_.NewInstanceCodec(), std::make_unique<OwnerEvents>(*this, action.session));
+  caller.link->open(action.owner, settings_.connect_timeout,
+                    relay::encode({action.least_configuration}) + caller.unaccepted);
+}
+
+void ProxyHost::Do(const proxy::CloseRelay& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.link.reset();
+  }
+}
+
+void ProxyHost::Do(const proxy::ReadCatalog& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().Read(action.read, [this, call](const metadata::ReadResult& result) {
+    proxy_.CatalogRead(call, result, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::ReadLeadership& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().ReadLeadership([this, call](const auto& read) {
+    const common::Instant now = common::SteadyNow();
+    if (read) {
+      proxy_.LeadershipRead(call, read->first, read->second, now);
+    } else {
+      proxy_.LeadershipRead(call, std::nullopt, 0, now);
+    }
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::WriteLeadership& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().WriteLeadership(action.write, [this, call](const failover::WriteResult& result) {
+    proxy_.LeadershipWritten(call, result, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::WriteDaemon& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().WriteDaemon(action.entry, [this, call](bool written) {
+    proxy_.DaemonWritten(call, written, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::Promote& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Promotions().Promote(action, [this, call](failover::PromotionStatus status) {
+    proxy_.Promoted(call, status, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::SendPeer& action) {
+  asio::error_code error;
+  const auto host = asio::ip::make_address(action.address.host, error);
+  if (!error) {
+    // A heartbeat that the system does not take is lost like any other datagram.
+    peers_.send_to(asio::buffer(proxy::EncodePeerMessage(action.message)),
+                   asio::ip::udp::endpoint(host, action.address.port), 0, error);
+  }
+}
+
+void ProxyHost::Do(const proxy::FetchCatalog& action) {
+  const proxy::CallNumber call = action.call;
+  auto client = std::make_shared<net::HttpClient>(loop_, action.address);
+  net::HttpRequest request;
+  request.target = kCatalogPath;
+  client->Call(request, kFetchTimeout, [this, call, client](const net::HttpResult& result) {
+    std::optional<proxy::CatalogCopy> copy;
+    if (common::IsOk(result)) {
+      copy = DecodeCatalogCopy(common::ValueOf(result).body);
+    }
+    proxy_.CatalogFetched(call, copy, common::SteadyNow());
+    Drain();
+  });
+}
+
+void ProxyHost::Do(const proxy::SetReady& action) { ready_ = action.ready; }
+
+void ProxyHost::Do(const proxy::Exit& action) {
+  static_cast<void>(action);
+  log_.Flush();
+  const auto timer = std::make_shared<asio::steady_timer>(loop_, kFlushBeforeExit);
+  timer->async_wait([this, timer](const asio::error_code&) {
+    log_.Flush();
+    loop_.stop();
+  });
+}
+
+void ProxyHost::Do(const proxy::LogEvent& action) {
+  log_.Write(LevelName(action.level), action.event, action.fields, common::SteadyNow());
+}
+
+}  // namespace valvekeel::host
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -105,7 +105,7 @@
   PeerMessage MakeHeartbeat(bool all_groups, common::Instant now) const;
   /// Sends what concerns the peer: groups in trouble, and those that it watches.
   void SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now);
-  common::Duration HeartbeatInterval(const Peer& peer, common::Instant now) const;
+  common::Duration HeartbeatInterval(const Peer& peer) const;
   /// Notes that a daemon has a newer configuration in force.
   void NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
                               common::Instant now);
