After a loss of all, less is held by earlier lives and who returns is answered at once

Change: connections beyond the first are given up after 0.7 s without use; an instance that took no more is tried again after 80 ms; a daemon that has just come is answered at once.

--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -9,12 +9,12 @@
 constexpr common::Duration kProbePause{250'000};
 constexpr common::Duration kAbandonedLimit{500'000};   // for an answer that nobody waits for
 constexpr common::Duration kOpenLimit{800'000};        // for a connection to be accepted
-constexpr common::Duration kCrowdedPause{400'000};     // after an instance had no connection left
+constexpr common::Duration kCrowdedPause{80'000};      // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
 /// Time after which a connection beyond the first is given up: what a daemon holds when it loses
 /// power, its instances hold against everybody for seconds.
-constexpr common::Duration kIdleKept{4'000'000};
+constexpr common::Duration kIdleKept{700'000};
 /// Time after which a connection to an instance that is not watched is given up.
 constexpr common::Duration kGuestIdle{100'000};
 
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -65,6 +65,13 @@
          now < *peer.heard + std::max(kPeerSilence, kMissedIntervals * peer.last.interval);
 }
 
+bool PeerTable::AliveInLife(const common::Endpoint& address, std::uint64_t incarnation,
+                            common::Instant now) const {
+  const auto peer = peers_.find(address);
+  return peer != peers_.end() && peer->second.incarnation == incarnation &&
+         Alive(peer->second, now);
+}
+
 std::vector<std::string> PeerTable::LiveNames(common::Instant now) const {
   std::vector<std::string> names;
   for (const auto& [address, peer] : peers_) {
--- a/src/proxy/peer_table.h
+++ b/src/proxy/peer_table.h
@@ -56,6 +56,10 @@
 
   bool Alive(const Peer& peer, common::Instant now) const;
 
+  /// @return true if the daemon at the address is alive and still in this life.
+  bool AliveInLife(const common::Endpoint& address, std::uint64_t incarnation,
+                   common::Instant now) const;
+
   /// @return names of the live peers that are not stopping.
   std::vector<std::string> LiveNames(common::Instant now) const;
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -140,8 +140,14 @@
 
 void Proxy::PeerHeard(const common::Endpoint& from, const PeerMessage& message,
                       common::Instant now) {
+  const bool was_alive = peers_.AliveInLife(from, message.incarnation, now);
   const auto counted_from = peers_.Receive(from, message, now);
   const auto peer = peers_.All().find(from);
+  const bool has_news = roles_.meshed() || roles_.watches_any(settings_.name);
+  if (!was_alive && has_news && peer != peers_.All().end()) {
+    // A daemon that has just come learns at once what it can't know by itself yet.
+    SendHeartbeat(peer->second, MakeHeartbeat(true, now), now);
+  }
   if (groups_.TakeReports(message, counted_from) && peer != peers_.All().end()) {
     // Who announced the fence waits for the word that the lease was let go.
     SendHeartbeat(peer->second, MakeHeartbeat(TellsAll(), now), now);
