At a congested instance impatient operations go first, and the queue is kept at the daemons

Ruled out by trials: ranking by measured work of routes, shedding without congestion, shorter waits, faster resends. Change: waiting operations are ordered by priority, target latency, arrival; a congested instance (answers three times slower than usual) gets one statement in flight a daemon and is left to operations with clearly less time while these are crowded out.

--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ratio>
 
 namespace valvekeel::proxy {
 namespace {
@@ -9,10 +10,17 @@
 constexpr common::Duration kSilence{250'000};
 constexpr common::Duration kReopenPause{100'000};
 constexpr double kLatencyWeight = 0.1;  // of the newest value
+/// Weights of the newest value in the usual latency: it rises slowly, so that a queue is not usual.
+constexpr double kFallWeight = 0.05;
+constexpr double kRiseWeight = 0.0005;
+constexpr double kCongestedRatio = 3;
 constexpr double kInFlightPerSlot = 2;  // at the start and at most
-constexpr double kLeastInFlight = 1;
-constexpr double kBusyFactor = 0.8;    // of the limit after a refusal
-constexpr double kSuccessStep = 0.05;  // added to the limit by an answer
+constexpr double kBusyFactor = 0.8;     // of the limit after a refusal
+constexpr double kSuccessStep = 0.05;   // added to the limit by an answer
+/// Time for which an instance is left to impatient operations after one of them was crowded out.
+constexpr common::Duration kCrowdedTime{100'000};
+/// Ratio of target latencies from which on an operation counts as clearly more patient.
+constexpr std::ratio<5, 4> kPatientRatio;
 constexpr common::Duration kShortestBusyPause{4'000};
 constexpr common::Duration kLongestBusyPause{64'000};
 constexpr common::Duration kShortestLaggingPause{20'000};
@@ -109,6 +117,8 @@
 void Backend::NoteSuccess(common::Duration latency) {
   const auto microseconds = static_cast<double>(latency.count());
   latency_us_ += kLatencyWeight * (microseconds - latency_us_);
+  usual_latency_us_ += (latency_us_ < usual_latency_us_ ? kFallWeight : kRiseWeight) *
+                       (latency_us_ - usual_latency_us_);
   in_flight_limit_ =
       std::min(kInFlightPerSlot * std::max(1U, entry_.slots), in_flight_limit_ + kSuccessStep);
   busy_pause_ = common::Duration(0);
@@ -123,6 +133,23 @@
   avoid_until_ = now + busy_pause_;
 }
 
+bool Backend::Congested() const { return latency_us_ > kCongestedRatio * usual_latency_us_; }
+
+void Backend::NoteCrowdedOut(const Urgency& urgency, common::Instant now) {
+  const bool tighter = urgency.target_latency < crowded_out_.target_latency;
+  if (now >= crowded_until_ || tighter) {
+    crowded_out_ = urgency;
+  }
+  crowded_until_ = now + kCrowdedTime;
+}
+
+bool Backend::LeftToImpatient(const Urgency& urgency, common::Instant now) const {
+  const bool crowded = now < crowded_until_ && urgency.priority == crowded_out_.priority;
+  const bool patient =
+      urgency.target_latency * kPatientRatio.den > crowded_out_.target_latency * kPatientRatio.num;
+  return crowded && patient && Congested();
+}
+
 common::Duration Backend::LagEstimate(common::Instant now) const {
   // What was true a while ago is tried again: the estimate halves with time.
   const auto halvings = static_cast<double>((now - lag_refused_at_).count()) /
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -63,6 +63,15 @@
 /// Taken for the latency of an instance until one was measured.
 inline constexpr double kInitialLatencyUs = 10'000;
 
+/// Statements that may always be in flight.
+inline constexpr double kLeastInFlight = 1;
+
+/// How an operation's route ranks it among those that wait.
+struct Urgency {
+  std::uint32_t priority = 0;          // 0 goes first
+  common::Duration target_latency{0};  // within a priority, who has less time goes first
+};
+
 class Backend {
  public:
   explicit Backend(model::InstanceEntry entry);
@@ -82,8 +91,11 @@
   std::size_t Opening() const;
   std::size_t Busy() const;  // connections that work for somebody
 
-  /// @return true if one more statement may be sent. The limit adapts to the instance's refusals.
-  bool HasRoom() const { return static_cast<double>(Busy()) < in_flight_limit_; }
+  /// @return true if one more statement may be sent. The limit adapts to the instance's refusals,
+  /// and a congested instance gets one at a time: the queue is kept here, where it has an order.
+  bool HasRoom() const {
+    return static_cast<double>(Busy()) < (Congested() ? kLeastInFlight : in_flight_limit_);
+  }
 
   // Health.
   void Heard(common::Instant now);
@@ -104,9 +116,17 @@
   void NoteSuccess(common::Duration latency);
   void NoteBusy(common::Instant now);
   double LatencyUs() const { return latency_us_; }
+  /// @return true if its answers take much longer than usual.
+  bool Congested() const;
   double InFlightLimit() const { return in_flight_limit_; }
   common::Instant AvoidUntil() const { return avoid_until_; }
 
+  /// An operation of this urgency has found no room for a while.
+  void NoteCrowdedOut(const Urgency& urgency, common::Instant now);
+  /// @return true if this operation should leave the instance to those of its priority that have
+  /// clearly less time: some were crowded out a moment ago, and the instance is congested.
+  bool LeftToImpatient(const Urgency& urgency, common::Instant now) const;
+
   // Replication lag, as far as reads show it.
   /// A read with this age of its requirement was refused as lagging.
   void NoteLagging(common::Duration age, bool bound_missed, common::Instant now);
@@ -128,9 +148,12 @@
   std::optional<common::Instant> unreachable_since_;
   common::Instant open_not_before_{0};
   double latency_us_ = kInitialLatencyUs;
+  double usual_latency_us_ = kInitialLatencyUs;
   double in_flight_limit_;
   common::Instant avoid_until_{0};  // after it refused for want of capacity
   common::Duration busy_pause_{0};
+  Urgency crowded_out_;  // of an operation that found no room lately
+  common::Instant crowded_until_{0};
   common::Duration LagEstimate(common::Instant now) const;
 
   common::Duration lag_refused_{0};    // highest age of a requirement refused lately
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -11,6 +11,11 @@
 constexpr common::Duration kReadOnlyPause{20'000};  // until a new primary may be known
 constexpr common::Duration kRetryPause{2'000};      // before an operation is placed again
 constexpr std::uint32_t kMostAttempts = 30;
+/// Part of its longest wait after which an operation counts as crowded out: four fifths.
+constexpr int kCrowdedOutAfter = 4;
+constexpr int kCrowdedOutOf = 5;
+
+Urgency UrgencyOf(const model::Route& route) { return {route.priority, route.target_latency}; }
 
 }  // namespace
 
@@ -86,7 +91,8 @@
     std::sort(order.begin(), order.end(), [](const Session* a, const Session* b) {
       const auto rank = [](const Session* session) {
         const Operation& operation = *session->operation;
-        return std::tuple(operation.route.priority, operation.arrived, session->number);
+        return std::tuple(operation.route.priority, operation.route.target_latency,
+                          operation.arrived, session->number);
       };
       return rank(a) < rank(b);
     });
@@ -131,12 +137,19 @@
     }
   }
   operation.last_refusal = "no free connection";
+  const common::Duration longest_wait = operation.hold_until - operation.arrived;
+  if (now >= operation.arrived + longest_wait * kCrowdedOutAfter / kCrowdedOutOf) {
+    for (const Placement& place : places) {
+      backends_.Find(place.instance)->NoteCrowdedOut(UrgencyOf(operation.route), now);
+    }
+  }
   return false;
 }
 
 bool Dispatcher::StartOn(Session& session, const Placement& place, common::Instant now) {
   Backend& backend = *backends_.Find(place.instance);
-  if (!backend.HasRoom() || now < backend.AvoidUntil()) {
+  if (!backend.HasRoom() || now < backend.AvoidUntil() ||
+      backend.LeftToImpatient(UrgencyOf(session.operation->route), now)) {
     return false;
   }
   Connection* connection = backend.PickFree(session.values);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -152,7 +152,4 @@
   std::optional<ConfigurationAhead> ahead_;
 };
 
-/// How often Tick is to be called.
-inline constexpr common::Duration kTick{10'000};
-
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -14,6 +14,9 @@
 
 namespace valvekeel::proxy {
 
+/// How often Proxy::Tick is to be called.
+inline constexpr common::Duration kTick{10'000};
+
 /// Mechanisms that tests switch off to see that the simulator's checkers notice. No setting of the
 /// daemon reaches them.
 struct Mechanisms {
