--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -28,7 +28,9 @@
   if (ahead_ && catalog_.Configuration().version >= ahead_->version) {
     ahead_.reset();
   }
-  const common::Duration pause = roles_.meshed() ? kAheadPause : kDistantAheadPause;
+  // A session that another daemon handed over waits only for a moment.
+  const bool soon = roles_.meshed() || relay_.AwaitsConfiguration();
+  const common::Duration pause = soon ? kAheadPause : kDistantAheadPause;
   if (!ahead_ || fetching_ || now < ahead_->noted + pause || now < fetch_not_before_) {
     return;
   }
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -44,6 +44,9 @@
   const relay::relayed_sessions& Sessions() const { return sessions_; }
   std::size_t SessionCount() const { return sessions_.size() + started_.size(); }
 
+  /// @return true if a session that was handed over waits for a later configuration.
+  bool AwaitsConfiguration() const { return !started_.empty(); }
+
   void Tick(common::Instant now);
 
   bool alive(const std::string& daemon, common::Instant now) const override;
--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -116,9 +116,11 @@
   fixture.Configure(older);
   fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
   CHECK_FALSE(fixture.Taken<AcceptSession>());
+  CHECK(fixture.relay->AwaitsConfiguration());
   const model::Configuration newer = ConfigurationOf(5);
   fixture.Configure(newer);
   CHECK(fixture.Taken<AcceptSession>());
+  CHECK_FALSE(fixture.relay->AwaitsConfiguration());
 }
 
 TEST_CASE("A session whose version does not come is declined without a word", "[proxy]") {
