--- a/apps/valvekeel.cc
+++ b/apps/valvekeel.cc
@@ -4,11 +4,13 @@
 //   valvekeel report HISTORY    prints the figures of a history
 //   valvekeel status HOST:PORT  prints the state of a daemon
 //   valvekeel explain REQUEST LOG...  accounts for one request from the daemons' logs
+//   valvekeel --summary explain LOG... sums up the daemons' logs
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <chrono>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -18,6 +20,8 @@
 #include "operator/commands.h"
 
 ABSL_FLAG(std::string, output, "table", "table or json");
+ABSL_FLAG(bool, summary, false, "explain: sum up whole logs in place of one request");
+ABSL_FLAG(int, window_s, 2, "explain --summary: seconds of a time window, at least 1");
 
 namespace {
 
@@ -30,7 +34,9 @@
     "  report HISTORY     print the figures of a history\n"
     "  status HOST:PORT   print the state of a daemon\n"
     "  explain REQUEST LOG...  account for one request from the daemons' logs, - for\n"
-    "                     standard input; exit 1 if no line names it\n";
+    "                     standard input; exit 1 if no line names it\n"
+    "  explain --summary LOG...  refusals by reason, service, daemon and window of\n"
+    "                     --window_s seconds, replacements of primaries with their steps\n";
 
 }  // namespace
 
@@ -50,6 +56,16 @@
       {"report", valvekeel::operator_tools::RunReport},
       {"status", valvekeel::operator_tools::RunStatus},
   };
+  const bool explains = words.size() > 2 && std::string(words[1]) == "explain";
+  if (explains && absl::GetFlag(FLAGS_summary)) {
+    const int window = absl::GetFlag(FLAGS_window_s);
+    if (window < 1) {
+      std::cerr << "--window_s is at least 1\n";
+      return kUsageError;
+    }
+    return valvekeel::operator_tools::RunSummary({words.begin() + 2, words.end()},
+                                                 std::chrono::seconds(window), format);
+  }
   constexpr std::size_t kLeastExplainWords = 4;
   if (words.size() >= kLeastExplainWords && std::string(words[1]) == "explain") {
     return valvekeel::operator_tools::RunExplain(words[2], {words.begin() + 3, words.end()},
--- a/src/operator/commands.cc
+++ b/src/operator/commands.cc
@@ -14,6 +14,7 @@
 #include "check/history_check.h"
 #include "check/summary.h"
 #include "explain/explain.h"
+#include "explain/summary.h"
 #include "history/event.h"
 
 namespace valvekeel::operator_tools {
@@ -38,6 +39,23 @@
   return std::nullopt;
 }
 
+std::optional<explain::LogSet> LoadLogs(const std::vector<std::string>& paths) {
+  explain::LogSet logs;
+  for (const std::string& path : paths) {
+    std::ifstream file;
+    if (path != "-") {
+      file.open(path);
+      if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+      }
+    }
+    std::istream& input = path == "-" ? std::cin : file;
+    explain::ReadLog(std::string(std::istreambuf_iterator<char>(input), {}), logs);
+  }
+  return logs;
+}
+
 json ReportJson(const check::InvariantReport& report) {
   json violations = json::array();
   for (const check::Violation& violation : report.violations) {
@@ -183,23 +201,27 @@
 
 int RunExplain(const std::string& request, const std::vector<std::string>& paths,
                OutputFormat format) {
-  explain::LogSet logs;
-  for (const std::string& path : paths) {
-    std::ifstream file;
-    if (path != "-") {
-      file.open(path);
-      if (!file) {
-        std::cerr << path << ": cannot be read\n";
-        return kUnreadable;
-      }
-    }
-    std::istream& input = path == "-" ? std::cin : file;
-    explain::ReadLog(std::string(std::istreambuf_iterator<char>(input), {}), logs);
+  const auto logs = LoadLogs(paths);
+  if (!logs) {
+    return kUnreadable;
   }
-  const explain::Account account = explain::Explain(logs, request);
-  std::cout << (format == OutputFormat::kJson ? explain::FormatJson(account, logs.unreadable) + "\n"
-                                              : explain::FormatText(account, logs.unreadable));
+  const explain::Account account = explain::Explain(*logs, request);
+  std::cout << (format == OutputFormat::kJson
+                    ? explain::FormatJson(account, logs->unreadable) + "\n"
+                    : explain::FormatText(account, logs->unreadable));
   return account.own.empty() ? kFinding : 0;
 }
 
+int RunSummary(const std::vector<std::string>& paths, std::chrono::seconds window,
+               OutputFormat format) {
+  const auto logs = LoadLogs(paths);
+  if (!logs) {
+    return kUnreadable;
+  }
+  const explain::LogSummary summary = explain::Summarize(*logs, window);
+  std::cout << (format == OutputFormat::kJson ? explain::FormatJson(summary) + "\n"
+                                              : explain::FormatText(summary));
+  return summary.lines == 0 ? kUnreadable : 0;
+}
+
 }  // namespace valvekeel::operator_tools
--- a/src/operator/commands.h
+++ b/src/operator/commands.h
@@ -4,6 +4,7 @@
 // read. Thread: main.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -25,4 +26,9 @@
 int RunExplain(const std::string& request, const std::vector<std::string>& paths,
                OutputFormat format);
 
+/// Sums up the logs of the daemons.
+/// @param window length of the time windows in which failures are counted.
+int RunSummary(const std::vector<std::string>& paths, std::chrono::seconds window,
+               OutputFormat format);
+
 }  // namespace valvekeel::operator_tools
