Coordinators of large deployments notice a silent store in time for those who rely on them

Cause: seen on reading the change of who asks the store: a coordinator's watch of 3 s plus its slack, a heartbeat and a list leave 0.6 s of the 5 s in which a configuration must be in force. Change: their watches wait 1.8 s; a test. Small deployments are not touched (all daemons follow everything as before).

--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -54,7 +54,8 @@
 
 void CatalogState::SetInterest(const Interest& interest) {
   using metadata::FollowPace;
-  const FollowPace close{settings_.watch_wait};
+  const FollowPace close{interest.everything ? settings_.watch_wait
+                                             : settings_.coordinator_watch_wait};
   const FollowPace slow{settings_.slow_watch_wait};
   const FollowPace rare{settings_.relaxed_watch_wait};
   const FollowPace gathered{settings_.relaxed_watch_wait, settings_.relaxed_pause};
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -44,6 +44,9 @@
   /// between watches of what may be late.
   common::Duration relaxed_watch_wait{20'000'000};
   common::Duration relaxed_pause{2'000'000};
+  /// In a large deployment, for coordinators: longest wait of a watch. Short, since the others rely
+  /// on them until they notice that the store is silent.
+  common::Duration coordinator_watch_wait{1'800'000};
   /// For a daemon that hears from others what is new: between two lists, and the time after which
   /// it lists the other daemons again.
   common::Duration news_pause{500'000};
--- a/tests/proxy/catalog_state_test.cc
+++ b/tests/proxy/catalog_state_test.cc
@@ -135,6 +135,25 @@
   CHECK(fixture.outbox.Take().size() == 1);
 }
 
+TEST_CASE("A coordinator notices a silent store well before a configuration must be in force",
+          "[proxy]") {
+  // Seen on reading: all others rely on its word, and with watches of 3 s they would begin to ask
+  // by themselves 4.4 s after a silent cut, of the 5 s that a configuration may take.
+  CatalogFixture fixture;
+  fixture.catalog.SetInterest({false, true, true, true});
+  fixture.Answer(Collection::kConfiguration, {ReadStatus::kOk, 5, {Version(3)}});
+  fixture.catalog.Tick(fixture.now);
+  common::Duration wait{0};
+  for (const Action& action : fixture.outbox.Take()) {
+    const auto* read = std::get_if<ReadCatalog>(&action);
+    if (read != nullptr && read->read.collection == Collection::kConfiguration) {
+      wait = read->read.timeout;
+    }
+  }
+  CHECK(wait > common::Duration(0));
+  CHECK(wait <= common::Duration(2'500'000));
+}
+
 TEST_CASE("Before the roles are known nobody follows the leadership record", "[proxy]") {
   // Found on the grown site: each of 90 daemons listed and watched it at its start.
   CatalogFixture fixture;
