--- a/src/host/catalog_copy_json.cc
+++ b/src/host/catalog_copy_json.cc
@@ -90,7 +90,7 @@
   }
   json daemons = json::array();
   for (const model::DaemonEntry& entry : copy.daemons) {
-    daemons.push_back(json::array({entry.name, entry.zone, ToJson(entry.peer)}));
+    daemons.push_back(json::array({entry.name, entry.zone, ToJson(entry.peer), entry.capacity}));
   }
   const json whole = {{"configuration", ToJson(copy.configuration)},
                       {"instances", std::move(instances)},
@@ -107,8 +107,8 @@
       copy.instances.push_back(InstanceFrom(each));
     }
     for (const json& each : whole.at("daemons")) {
-      copy.daemons.push_back(
-          {each.at(0).get<std::string>(), each.at(1).get<std::string>(), EndpointFrom(each.at(2))});
+      copy.daemons.push_back({each.at(0).get<std::string>(), each.at(1).get<std::string>(),
+                              EndpointFrom(each.at(2)), each.at(3).get<std::uint32_t>()});
     }
     return copy;
   } catch (const json::exception&) {
--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -1,6 +1,7 @@
 #include "host/host_settings.h"
 
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -12,6 +13,8 @@
 using settings::SettingError;
 
 constexpr std::int64_t kLongestMs = 3'600'000;
+constexpr double kMostCores = 1'024;
+constexpr double kThousandths = 1'000;
 
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -53,6 +56,11 @@
               [&out](const std::string& value) { out.proxy.name = value; });
   schema.Text("daemon.zone", "zone in which this daemon runs", "", true,
               [&out](const std::string& value) { out.proxy.zone = value; });
+  schema.Real("daemon.processor_share", "cores",
+              "this machine's share of a processor core, 0 if unknown: larger ones get more work",
+              0.0, kMostCores, 0.0, [&out](double value) {
+                out.proxy.capacity = static_cast<std::uint32_t>(std::lround(value * kThousandths));
+              });
   Address(schema, "listen.callers", "where callers connect", &texts.callers);
   Address(schema, "listen.health", "where readiness is asked for", &texts.health);
   schema.Text("listen.health_path", "path that answers 200 if ready, else 503", out.health_path,
@@ -80,13 +88,20 @@
   Time(schema, "peers.heartbeat_ms", "time between heartbeats to a live daemon", 10,
        &out.proxy.heartbeat_interval);
   Time(schema, "peers.coordinator_heartbeat_ms",
-       "large deployments: time between heartbeats from and to coordinators", 10,
+       "large deployments: time between heartbeats among coordinators", 10,
        &out.proxy.coordinator_heartbeat_interval);
-  Time(schema, "peers.zone_heartbeat_ms",
-       "large deployments: time between heartbeats within a zone", 10,
-       &out.proxy.zone_heartbeat_interval);
-  Time(schema, "peers.far_heartbeat_ms", "large deployments: time between all other heartbeats", 10,
-       &out.proxy.far_heartbeat_interval);
+  Time(schema, "peers.standby_heartbeat_ms",
+       "large deployments: time between heartbeats of an owner and a coordinator that doesn't act",
+       10, &out.proxy.standby_heartbeat_interval);
+  Time(schema, "peers.owner_heartbeat_ms",
+       "large deployments: time between heartbeats of an owner to its hubs", 10,
+       &out.proxy.owner_heartbeat_interval);
+  Time(schema, "peers.hub_heartbeat_ms",
+       "large deployments: time between heartbeats of other daemons and hubs, and among hubs", 10,
+       &out.proxy.view.hub_interval);
+  Count(schema, "peers.hubs_per_zone", "daemons",
+        "large deployments: daemons of a zone that hear all others of it",
+        &out.proxy.view.hubs_per_zone);
   Count(schema, "relay.most_meshed_daemons", "daemons",
         "up to so many, all coordinate and send heartbeats at full pace",
         &out.proxy.roles.most_meshed_daemons);
@@ -96,6 +111,12 @@
   Count(schema, "relay.owners_per_zone", "daemons",
         "daemons of a zone that hold connections to a service's instances",
         &out.proxy.roles.owners_per_zone);
+  Count(schema, "relay.owner_pool", "daemons",
+        "daemons of a zone, the largest first, among whom the owners of all services are chosen",
+        &out.proxy.roles.owner_pool);
+  Count(schema, "relay.direct_again_connections", "connections",
+        "large deployments: share from which on a service with owners does without them",
+        &out.proxy.roles.direct_again_connections);
   Count(schema, "relay.least_direct_connections", "connections",
         "share of an instance's connections below which a service gets owners",
         &out.proxy.roles.least_direct_connections);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -80,7 +80,7 @@
 }
 
 void ProxyHost::ScheduleTick() {
-  tick_.expires_after(proxy::kTick);
+  tick_.expires_after(proxy_.TickPause());
   tick_.async_wait([this](const asio::error_code& cancelled) {
     if (cancelled) {
       return;
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,59 @@
+/**
+ * @file What daemons tell each other about who lives.
+ *
+ * Owns: the typed values. Invariant: equal lists have equal digests on every daemon. Thread: any
+ * (values only).
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/endpoint.h"
+
+namespace valvekeel::membership {
+
+/** A daemon that is taken to be alive. */
+struct member {
+  std::string name;
+  std::string zone;
+  common::Endpoint address;      // for messages of other daemons
+  std::uint32_t capacity = 0;    // thousandths of a processor core; 0 if it was never told
+  bool store_connected = false;  // it has just been answered, or follows the store closely
+  bool stopping = false;         // takes no further work
+
+  bool operator==(const member&) const = default;
+};
+
+/** The live daemons of one zone. */
+struct zone_list {
+  std::string zone;
+  std::uint64_t digest = 0;
+  std::vector<member> members;  // by name
+};
+
+/** Names a list without its contents. */
+struct list_digest {
+  std::string zone;
+  std::uint64_t digest = 0;
+
+  bool operator==(const list_digest&) const = default;
+};
+
+/** The part of a heartbeat that is about who lives. */
+struct view_message {
+  bool asks = false;               // the receiver shall act as the sender's hub
+  bool from_hub = false;           // the sender acts as a hub
+  bool whole = false;              // its lists are about all zones, else only about its own
+  bool large = false;              // the deployment is too large for all to hear each other
+  bool seeks = false;              // the sender does not know its hubs: introduce them
+  std::vector<member> introduced;  // the first hubs of all zones, as far as the sender knows
+  std::vector<list_digest> held;   // lists of the receiver's that the sender holds
+  std::vector<zone_list> lists;    // what the receiver lacks
+};
+
+/** @return the digest of a list: changes with any field of any member. */
+std::uint64_t digest_of(const std::vector<member>& members);
+
+}  // namespace valvekeel::membership
--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -9,6 +9,8 @@
 constexpr common::Duration kWatchSlack{700'000};  // a watch's answer may come this much later
 /// Lists that may be answered from an old state before one must not be.
 constexpr std::uint32_t kMostOldAnswers = 3;
+/// Longest wait of the first watch after a failure: whether the store is back shows soon.
+constexpr common::Duration kFirstWatchWait{500'000};
 constexpr common::Duration kOldAnswerPause{300'000};
 constexpr common::Duration kShortestBackoff{100'000};
 constexpr std::uint32_t kMostDoublings = 3;
@@ -16,7 +18,7 @@
 }  // namespace
 
 std::optional<ReadCall> CollectionFollower::Next(common::Instant now) {
-  if (calling_ || now < not_before_ || !pace_.followed) {
+  if (calling_ || now < not_before_ || !Followed()) {
     return std::nullopt;
   }
   if (!revision_ || pace_.on_news) {
@@ -24,7 +26,14 @@
   }
   calling_ = true;
   listing_ = false;
-  return ReadCall{collection_, revision_, pace_.watch_wait, pace_.watch_wait + kWatchSlack};
+  const common::Duration wait =
+      connected_ ? pace_.watch_wait : std::min(pace_.watch_wait, kFirstWatchWait);
+  return ReadCall{collection_, revision_, wait, wait + kWatchSlack};
+}
+
+void CollectionFollower::Disconnect() {
+  calling_ = false;
+  connected_ = false;
 }
 
 std::optional<ReadCall> CollectionFollower::NextList(common::Instant now) {
@@ -36,7 +45,7 @@
   calling_ = true;
   listing_ = true;
   ReadCall call{collection_, std::nullopt, common::Duration(0), kListTimeout};
-  call.may_be_old = revision_ && old_answers_ < kMostOldAnswers;
+  call.may_be_old = revision_ ? old_answers_ < kMostOldAnswers : old_first_list_;
   return call;
 }
 
--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -68,6 +68,23 @@
   /// The store is known to have reached this revision with something that may concern us.
   void NoteNews(std::uint64_t revision) { wanted_ = std::max(wanted_, revision); }
 
+  /// Makes no call before an instant.
+  void NotBefore(common::Instant instant) { not_before_ = instant; }
+
+  /// @return true if calls are made.
+  bool Followed() const { return pace_.followed && !paused_; }
+
+  /// Lets the first list be answered from an old state, at a tenth of the price: what is newer
+  /// comes by the watch that follows, or by news.
+  void AllowOldFirstList() { old_first_list_ = true; }
+
+  /// Makes no calls, and takes them up again.
+  void SetPaused(bool paused) { paused_ = paused; }
+
+  /// The way to the store was broken, or may have been: nothing is heard of the call in progress
+  /// any more, and the next one finds out soon. The call's answer must not be brought.
+  void Disconnect();
+
   /// Gives the call in progress up: its answer must not be brought any more.
   void Abandon() { calling_ = false; }
 
@@ -101,6 +118,8 @@
   common::Instant answered_at_{0};
   bool calling_ = false;
   bool listing_ = false;  // the call in progress is a list
+  bool old_first_list_ = false;
+  bool paused_ = false;
   bool listed_ = false;
   bool connected_ = false;
   common::Instant not_before_{0};
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -65,7 +65,8 @@
 struct DaemonEntry {
   std::string name;
   std::string zone;
-  common::Endpoint peer;  // for messages of other daemons
+  common::Endpoint peer;       // for messages of other daemons
+  std::uint32_t capacity = 0;  // thousandths of a processor core; 0 if unknown
 };
 
 /// A replacement of a group's primary, begun or done.
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -72,6 +72,10 @@
   /// @return that number; 0 until it is set.
   std::size_t ConnectionLimit(const std::string& service) const;
 
+  /// Sets how many connections to an instance may be opening at once.
+  void SetMostOpening(std::size_t most) { most_opening_ = most; }
+  std::size_t MostOpening() const { return most_opening_; }
+
   /// Opens a connection if the limit allows it. @param extra connections beyond the limit.
   bool Open(Backend& backend, common::Instant now, std::size_t extra = 0);
 
@@ -119,6 +123,7 @@
   std::map<ControlNumber, PendingControl> controls_;
   std::map<std::string, std::size_t> limits_;  // by service
   std::set<std::string> watched_;              // services
+  std::size_t most_opening_ = 1'000;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -1,6 +1,8 @@
 #include "proxy/catalog_state.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace valvekeel::proxy {
 namespace {
@@ -11,6 +13,13 @@
 constexpr common::Duration kBehindLimit{500'000};
 /// Time between two attempts to catch up.
 constexpr common::Duration kChasePause{3'000'000};
+/// Reads of the leadership record that fail in a row before the store counts as lost: one answer
+/// may just be lost.
+constexpr std::uint32_t kLostProbes = 2;
+/// At a first start: time for all daemons to register (they start within 0.3 s), so that one list
+/// shows them all, and time for the configuration to be written.
+constexpr common::Duration kFirstDaemonsDelay{1'300'000};
+constexpr common::Duration kFirstConfigurationDelay{1'500'000};
 
 const char* CollectionName(Collection collection) {
   switch (collection) {
@@ -39,31 +48,53 @@
     followers_.emplace(collection,
                        metadata::CollectionFollower(collection, settings.slow_watch_wait));
   }
+  for (const Collection collection :
+       {Collection::kConfiguration, Collection::kInstances, Collection::kDaemons}) {
+    followers_.at(collection).AllowOldFirstList();
+  }
   // Only who replaces primaries needs the record; the roles are not known yet.
   followers_.at(Collection::kLeadership)
       .SetPace({settings.slow_watch_wait, common::Duration(0), false});
   // At a first start everything is written at once: each change would end every watch.
   if (settings.first_start) {
     const metadata::FollowPace gathered{settings.slow_watch_wait, settings.relaxed_pause};
-    for (const Collection collection :
-         {Collection::kConfiguration, Collection::kInstances, Collection::kDaemons}) {
+    for (const Collection collection : {Collection::kConfiguration, Collection::kDaemons}) {
       followers_.at(collection).SetPace(gathered);
     }
+    // Most daemons of a large deployment need no instances: the roles tell.
+    followers_.at(Collection::kInstances)
+        .SetPace({settings.slow_watch_wait, settings.relaxed_pause, false});
+  }
+}
+
+void CatalogState::DelayFirstCalls(common::Instant now) {
+  if (std::exchange(started_, true) || !settings_.first_start) {
+    return;
   }
+  followers_.at(Collection::kDaemons).NotBefore(now + kFirstDaemonsDelay);
+  followers_.at(Collection::kConfiguration).NotBefore(now + kFirstConfigurationDelay);
 }
 
 void CatalogState::SetInterest(const Interest& interest) {
   using metadata::FollowPace;
-  const FollowPace close{interest.everything ? settings_.watch_wait
-                                             : settings_.coordinator_watch_wait};
+  const common::Duration coordinator_wait =
+      interest.reader ? settings_.coordinator_watch_wait : settings_.relaxed_watch_wait;
+  const FollowPace close{interest.everything ? settings_.watch_wait : coordinator_wait};
   const FollowPace slow{settings_.slow_watch_wait};
   const FollowPace rare{settings_.relaxed_watch_wait};
   const FollowPace gathered{settings_.relaxed_watch_wait, settings_.relaxed_pause};
   const FollowPace on_news{settings_.relaxed_watch_wait, settings_.news_pause, true, true};
+  const FollowPace seldom_news{settings_.seldom_wait, settings_.news_pause, true, true};
   const FollowPace seldom{settings_.seldom_wait, settings_.relaxed_pause, true, true};
   const bool closely = interest.everything || interest.leadership;
-  const FollowPace& distant = interest.informed ? on_news : rare;
-  const FollowPace& of_instances = interest.instances ? gathered : distant;
+  if (!interest.reader) {
+    ForgetProbes();
+  }
+  const FollowPace& distant = interest.informed ? seldom_news : rare;
+  const FollowPace none{settings_.relaxed_watch_wait, settings_.news_pause, false};
+  const FollowPace& unneeded = interest.informed ? none : rare;
+  const FollowPace& needed = interest.informed ? on_news : gathered;
+  const FollowPace& of_instances = interest.instances ? needed : unneeded;
   followers_.at(Collection::kConfiguration).SetPace(closely ? close : distant);
   followers_.at(Collection::kInstances).SetPace(closely ? close : of_instances);
   const FollowPace& of_daemons = interest.leadership ? gathered : seldom;
@@ -72,12 +103,63 @@
       .SetPace({settings_.slow_watch_wait, common::Duration(0), closely});
 }
 
-void CatalogState::NoteRevision(std::uint64_t revision, common::Instant now) {
-  known_elsewhere_ = std::max(known_elsewhere_, revision);
+void CatalogState::SetDiscovering(bool discovering) {
+  followers_.at(Collection::kDaemons).SetPaused(!discovering);
+}
+
+void CatalogState::DisconnectFollowers() {
   for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
-    followers_.at(collection).NoteNews(revision);
+    std::erase_if(calls_, [&](const auto& call) { return call.second == collection; });
+    followers_.at(collection).Disconnect();
+  }
+}
+
+void CatalogState::NoteProbe(bool answered) {
+  if (answered) {
+    // A watch that was under way meanwhile may never be answered.
+    if (std::exchange(failed_probes_, 0) > 0) {
+      DisconnectFollowers();
+    }
+    return;
+  }
+  if (++failed_probes_ == kLostProbes) {
+    DisconnectFollowers();
+    NoteConnection();
+  }
+}
+
+void CatalogState::NoteSeen(Collection collection, const metadata::ReadResult& result) {
+  if (result.status != metadata::ReadStatus::kOk) {
+    return;
   }
-  if (revision_ >= known_elsewhere_) {
+  const bool removed = std::any_of(result.objects.begin(), result.objects.end(),
+                                   [](const model::CatalogObject& object) { return object.gone; });
+  if (collection == Collection::kConfiguration) {
+    seen_.configuration = std::max(seen_.configuration, result.revision);
+  } else if (collection == Collection::kInstances) {
+    seen_.instances = std::max(seen_.instances, result.revision);
+    // What was removed has no revision of its own that a list would show.
+    known_.instances = removed ? std::max(known_.instances, result.revision) : known_.instances;
+  }
+}
+
+CatalogRevisions CatalogState::Revisions() const {
+  return {std::max(known_.configuration, elsewhere_.configuration),
+          std::max(known_.instances, elsewhere_.instances)};
+}
+
+bool CatalogState::Behind() const {
+  const bool instances = followers_.at(Collection::kInstances).Followed();
+  return std::max(known_.configuration, seen_.configuration) < elsewhere_.configuration ||
+         (instances && std::max(known_.instances, seen_.instances) < elsewhere_.instances);
+}
+
+void CatalogState::NoteRevisions(const CatalogRevisions& revisions, common::Instant now) {
+  elsewhere_.configuration = std::max(elsewhere_.configuration, revisions.configuration);
+  elsewhere_.instances = std::max(elsewhere_.instances, revisions.instances);
+  followers_.at(Collection::kConfiguration).NoteNews(elsewhere_.configuration);
+  followers_.at(Collection::kInstances).NoteNews(elsewhere_.instances);
+  if (!Behind()) {
     behind_since_.reset();
     return;
   }
@@ -88,15 +170,21 @@
     return;
   }
   chase_not_before_ = now + kChasePause;
-  outbox_.Log("watch_overdue", {{"revision", std::to_string(revision_)},
-                                {"known_elsewhere", std::to_string(known_elsewhere_)}});
+  outbox_.Log("watch_overdue",
+              {{"configuration", std::to_string(known_.configuration)},
+               {"instances", std::to_string(known_.instances)},
+               {"configuration_elsewhere", std::to_string(elsewhere_.configuration)},
+               {"instances_elsewhere", std::to_string(elsewhere_.instances)}});
   for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
     std::erase_if(calls_, [&](const auto& call) { return call.second == collection; });
     followers_.at(collection).Abandon();
   }
 }
 
+bool CatalogState::DaemonsListed() const { return followers_.at(Collection::kDaemons).Listed(); }
+
 void CatalogState::Tick(common::Instant now) {
+  DelayFirstCalls(now);
   for (auto& [collection, follower] : followers_) {
     const auto call = follower.Next(now);
     if (!call) {
@@ -129,14 +217,20 @@
   if (first_list && collection == Collection::kInstances) {
     DropUnlisted(result, update);
   }
+  const bool answered = result.status == metadata::ReadStatus::kOk ||
+                        result.status == metadata::ReadStatus::kHistoryGone;
+  if (answered) {
+    answered_at_ = now;
+  }
   if (result.status != metadata::ReadStatus::kOk) {
     outbox_.Log("store_call_failed",
                 {{"collection", CollectionName(collection)},
                  {"status", std::to_string(static_cast<int>(result.status))}},
                 LogLevel::kWarning);
   }
+  NoteSeen(collection, result);
   daemons_known_ = daemons_known_ || followers_.at(Collection::kDaemons).Listed();
-  NoteConnection(now);
+  NoteConnection();
   return update;
 }
 
@@ -155,10 +249,11 @@
   }
 }
 
-void CatalogState::NoteConnection(common::Instant now) {
-  static_cast<void>(now);
+void CatalogState::NoteConnection() {
+  const metadata::CollectionFollower& instances = followers_.at(Collection::kInstances);
   const bool connected = followers_.at(Collection::kConfiguration).Connected() &&
-                         followers_.at(Collection::kInstances).Connected();
+                         (instances.Connected() || !instances.Followed()) &&
+                         failed_probes_ < kLostProbes;
   if (connected != connected_) {
     connected_ = connected;
     outbox_.Log(connected ? "store_regained" : "store_lost", {},
@@ -169,10 +264,11 @@
 void CatalogState::Apply(const model::CatalogObject& object, Collection collection,
                          CatalogUpdate& update) {
   // What a list no longer holds comes with the list's revision, which others need not know.
-  const bool counts =
-      collection == Collection::kConfiguration || collection == Collection::kInstances;
-  if (counts && !object.gone) {
-    revision_ = std::max(revision_, object.revision);
+  if (collection == Collection::kConfiguration && !object.gone) {
+    known_.configuration = std::max(known_.configuration, object.revision);
+  }
+  if (collection == Collection::kInstances && !object.gone) {
+    known_.instances = std::max(known_.instances, object.revision);
   }
   if (object.gone) {
     if (collection == Collection::kInstances && instances_.erase(object.name) > 0) {
@@ -235,14 +331,6 @@
   return update;
 }
 
-std::set<std::string> CatalogState::DaemonNames() const {
-  std::set<std::string> names;
-  for (const auto& [name, daemon] : daemons_) {
-    names.insert(name);
-  }
-  return names;
-}
-
 CatalogCopy CatalogState::Copy() const {
   CatalogCopy copy;
   copy.configuration = configuration_;
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +23,12 @@
   std::vector<model::DaemonEntry> daemons;
 };
 
+/// Newest revisions of the store at which something is known to have changed.
+struct CatalogRevisions {
+  std::uint64_t configuration = 0;
+  std::uint64_t instances = 0;
+};
+
 /// What an answer changed. An instance stands in one of its lists at most, as it was last.
 struct CatalogUpdate {
   bool configuration = false;
@@ -41,20 +46,31 @@
   struct Interest {
     bool everything = true;  // all collections, without delay
     bool leadership = true;  // the leadership record
-    bool instances = true;   // it connects to instances: must see each that leaves
+    bool reader = false;     // it reads the record for all, and so finds a silent store out
+    bool instances = true;   // it connects to instances: must see each that leaves. Who doesn't,
+                             // and is informed, asks for none
     bool informed = false;   // daemons that follow the store closely are heard
   };
 
   /// Follows the store as closely as is needed. Who is informed makes calls only after
-  /// NoteRevision, and rarely besides.
+  /// NoteRevisions, and rarely besides.
   void SetInterest(const Interest& interest);
 
-  /// @return the revision of the newest configuration or instance entry known.
-  std::uint64_t Revision() const { return revision_; }
+  /// Lists the other daemons, or leaves it to those that tell who lives.
+  void SetDiscovering(bool discovering);
+
+  /// A read of the leadership record was answered, or was not.
+  void NoteProbe(bool answered);
+
+  /// This daemon reads the record no more: what its reads showed last says nothing by now.
+  void ForgetProbes() { failed_probes_ = 0; }
 
-  /// Another daemon knows this revision of the store: a watch that has not brought it for a while
-  /// is asked anew.
-  void NoteRevision(std::uint64_t revision, common::Instant now);
+  /// @return the newest revisions that this daemon knows or has heard of.
+  CatalogRevisions Revisions() const;
+
+  /// Another daemon knows these revisions of the store: a watch that has not brought them for a
+  /// while is asked anew.
+  void NoteRevisions(const CatalogRevisions& revisions, common::Instant now);
 
   /// Makes the calls that are due.
   void Tick(common::Instant now);
@@ -70,14 +86,21 @@
   const model::Configuration& Configuration() const { return configuration_; }
   const std::map<std::string, model::DaemonEntry>& Daemons() const { return daemons_; }
   const std::map<std::string, model::InstanceEntry>& Instances() const { return instances_; }
-  std::set<std::string> DaemonNames() const;
 
   /// @return true once the other daemons are known: from the store or from one of them.
   bool DaemonsKnown() const { return daemons_known_; }
 
+  /// @return true once the store itself has told of them.
+  bool DaemonsListed() const;
+
   /// @return true if the store answers.
   bool Connected() const { return connected_; }
 
+  /// @return true if it answers, and did so within this time.
+  bool AnsweredWithin(common::Duration age, common::Instant now) const {
+    return connected_ && now < answered_at_ + age;
+  }
+
   CatalogCopy Copy() const;
 
  private:
@@ -86,7 +109,12 @@
   /// Drops what another daemon's copy held and the first list does not.
   void DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update);
   bool TakeConfiguration(const model::Configuration& configuration, const char* source);
-  void NoteConnection(common::Instant now);
+  void NoteConnection();
+  void NoteSeen(model::Collection collection, const metadata::ReadResult& result);
+  void DisconnectFollowers();
+  void DelayFirstCalls(common::Instant now);
+  /// @return true if something is known elsewhere that this daemon follows and lacks.
+  bool Behind() const;
 
   const ProxySettings& settings_;
   Outbox& outbox_;
@@ -95,11 +123,15 @@
   model::Configuration configuration_;
   std::map<std::string, model::InstanceEntry> instances_;
   std::map<std::string, model::DaemonEntry> daemons_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t known_elsewhere_ = 0;  // highest revision that others told of
+  CatalogRevisions known_;           // of the newest objects
+  CatalogRevisions elsewhere_;       // highest that others told of
+  CatalogRevisions seen_;            // of the store's newest answers
+  std::uint32_t failed_probes_ = 0;  // in a row
   std::optional<common::Instant> behind_since_;
+  bool started_ = false;
   common::Instant chase_not_before_{0};
   bool connected_ = false;
+  common::Instant answered_at_{0};
   bool daemons_known_ = false;
 };
 
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -154,7 +154,8 @@
   }
   Connection* connection = backend.PickFree(session.values);
   if (connection == nullptr) {
-    if (backend.Opening() <= waiting_.size()) {
+    const std::size_t opening = backend.Opening();
+    if (opening <= waiting_.size() && opening < backends_.MostOpening()) {
       backends_.Open(backend, now);
     }
     return false;
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -35,11 +35,13 @@
 
 FailoverDriver::FailoverDriver(const ProxySettings& settings, BackendSet& backends,
                                GroupSet& groups, const PeerTable& peers,
-                               const relay::role_map& roles, Outbox& outbox)
+                               const membership::live_view& view, const relay::role_map& roles,
+                               Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
       peers_(peers),
+      view_(view),
       roles_(roles),
       outbox_(outbox),
       leadership_(HolderName(settings)) {}
@@ -92,6 +94,9 @@
 }
 
 bool FailoverDriver::LostToMany(const GroupState& group, common::Instant now) const {
+  if (!group.lost && !peers_.AnyPrimaryLost(now)) {
+    return false;
+  }
   std::size_t live = group.watched ? 1 : 0;
   std::size_t lost = group.lost ? 1 : 0;
   for (const auto& [address, peer] : peers_.All()) {
@@ -152,7 +157,7 @@
 }
 
 failover::GroupView FailoverDriver::ViewOf(const GroupState& group, const model::Service& service,
-                                           const std::set<std::string>& registered,
+                                           const RegisteredDaemons& registered,
                                            common::Term new_term, common::Instant now) const {
   failover::GroupView view;
   view.service = group.service;
@@ -171,25 +176,36 @@
   view.one_fence_is_enough = !settings_.mechanisms.enough_fences;
   view.floor = group.floor;
   view.known_replicas = KnownReplicas(group.service, now);
-  std::set<std::string> daemons = registered;
+  view.unreleased = Unreleased(group.service, registered, new_term, now);
+  return view;
+}
+
+std::set<std::string> FailoverDriver::Unreleased(const std::string& service,
+                                                 const RegisteredDaemons& registered,
+                                                 common::Term new_term, common::Instant now) const {
+  std::set<std::string> daemons;
+  for (const auto& [name, daemon] : registered) {
+    daemons.insert(name);
+  }
+  // Those that have registered a moment ago may not be read yet.
   for (const std::string& name : peers_.LiveNames(now)) {
     daemons.insert(name);
   }
+  for (const membership::member& each : view_.live()) {
+    daemons.insert(each.name);
+  }
   daemons.erase(settings_.name);
-  for (const std::string& name : daemons) {
+  std::erase_if(daemons, [&](const std::string& name) {
     const Peer* peer = peers_.ByName(name);
-    bool released = false;
-    if (peer != nullptr && peers_.Alive(*peer, now)) {
-      for (const GroupReport& report : peer->last.groups) {
-        released =
-            released || (report.service == group.service && report.released_below >= new_term);
-      }
-    }
-    if (!released) {
-      view.unreleased.insert(name);
+    if (peer == nullptr || !peers_.Alive(*peer, now)) {
+      return false;
     }
-  }
-  return view;
+    const std::vector<GroupReport>& groups = peer->last.groups;
+    return std::any_of(groups.begin(), groups.end(), [&](const GroupReport& report) {
+      return report.service == service && report.released_below >= new_term;
+    });
+  });
+  return daemons;
 }
 
 std::size_t FailoverDriver::KnownReplicas(const std::string& service, common::Instant now) const {
@@ -206,9 +222,13 @@
 }
 
 void FailoverDriver::Tick(const model::Configuration& configuration,
-                          const std::set<std::string>& registered, bool store_connected,
+                          const RegisteredDaemons& registered, bool store_connected,
                           common::Instant now) {
   store_connected_ = store_connected;
+  if (!roles_.coordinates() && attempts_.empty()) {
+    wishes_.clear();
+    return;
+  }
   for (const auto& [name, service] : configuration.services) {
     GroupState* group = groups_.Find(name);
     if (group == nullptr) {
@@ -261,7 +281,7 @@
 
 void FailoverDriver::AdvanceAttempt(const std::string& service,
                                     const model::Configuration& configuration,
-                                    const std::set<std::string>& registered, common::Instant now) {
+                                    const RegisteredDaemons& registered, common::Instant now) {
   failover::Attempt& attempt = *attempts_.at(service);
   GroupState& group = *groups_.Find(service);
   const failover::GroupView view = ViewOf(group, configuration.services.at(service), registered,
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -22,10 +22,14 @@
 
 namespace valvekeel::proxy {
 
+/// The daemons in the store, by name.
+using RegisteredDaemons = std::map<std::string, model::DaemonEntry>;
+
 class FailoverDriver {
  public:
   FailoverDriver(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-                 const PeerTable& peers, const relay::role_map& roles, Outbox& outbox);
+                 const PeerTable& peers, const membership::live_view& view,
+                 const relay::role_map& roles, Outbox& outbox);
 
   /// Takes the leadership record as the store has it. @param revision 0 if there is none.
   void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
@@ -34,8 +38,8 @@
   void RecordWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
   void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
 
-  /// @param configuration in force. @param registered names of all daemons in the store.
-  void Tick(const model::Configuration& configuration, const std::set<std::string>& registered,
+  /// @param configuration in force. @param registered all daemons in the store.
+  void Tick(const model::Configuration& configuration, const RegisteredDaemons& registered,
             bool store_connected, common::Instant now);
 
   /// @return true if an attempt is in progress here.
@@ -55,8 +59,11 @@
   bool LostToMany(const GroupState& group, common::Instant now) const;
   bool IsTurn(const Wish& wish, common::Instant now) const;
   failover::GroupView ViewOf(const GroupState& group, const model::Service& service,
-                             const std::set<std::string>& registered, common::Term new_term,
+                             const RegisteredDaemons& registered, common::Term new_term,
                              common::Instant now) const;
+  /// @return the daemons that may hold a lease of a term below, and have not said that they let go.
+  std::set<std::string> Unreleased(const std::string& service, const RegisteredDaemons& registered,
+                                   common::Term new_term, common::Instant now) const;
   std::size_t KnownReplicas(const std::string& service, common::Instant now) const;
   void Perform(GroupState& group, const std::vector<failover::AttemptAction>& actions,
                common::Instant now);
@@ -68,12 +75,13 @@
   /// Takes a replacement that never came about out of the leadership record.
   void DropStaleEntry(GroupState& group, common::Instant now);
   void AdvanceAttempt(const std::string& service, const model::Configuration& configuration,
-                      const std::set<std::string>& registered, common::Instant now);
+                      const RegisteredDaemons& registered, common::Instant now);
 
   const ProxySettings& settings_;
   BackendSet& backends_;
   GroupSet& groups_;
   const PeerTable& peers_;
+  const membership::live_view& view_;
   const relay::role_map& roles_;
   Outbox& outbox_;
   failover::Leadership leadership_;
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -48,6 +48,82 @@
   return group;
 }
 
+json ToJson(const std::vector<membership::list_digest>& digests) {
+  json all = json::array();
+  for (const membership::list_digest& each : digests) {
+    all.push_back(json::array({each.zone, each.digest}));
+  }
+  return all;
+}
+
+json ToJson(const membership::member& each) {
+  return json::array({each.name, each.address.host, each.address.port, each.capacity,
+                      each.store_connected, each.stopping});
+}
+
+json ToJson(const membership::zone_list& list) {
+  json members = json::array();
+  for (const membership::member& each : list.members) {
+    members.push_back(ToJson(each));
+  }
+  return json::array({list.zone, std::move(members)});
+}
+
+json ToJson(const membership::view_message& view) {
+  json lists = json::array();
+  for (const membership::zone_list& list : view.lists) {
+    lists.push_back(ToJson(list));
+  }
+  json introduced = json::array();
+  for (const membership::member& each : view.introduced) {
+    introduced.push_back(json::array({each.zone, ToJson(each)}));
+  }
+  return json::array({view.asks, view.from_hub, view.whole, view.large, view.seeks,
+                      std::move(introduced), ToJson(view.held), std::move(lists)});
+}
+
+membership::member MemberFrom(const std::string& zone, const json& value) {
+  membership::member member;
+  member.zone = zone;
+  member.name = value.at(0).get<std::string>();
+  member.address = {value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()};
+  member.capacity = value.at(3).get<std::uint32_t>();
+  member.store_connected = value.at(4).get<bool>();
+  member.stopping = value.at(5).get<bool>();
+  return member;
+}
+
+membership::zone_list ZoneListFrom(const json& value) {
+  membership::zone_list list;
+  list.zone = value.at(0).get<std::string>();
+  for (const json& each : value.at(1)) {
+    list.members.push_back(MemberFrom(list.zone, each));
+  }
+  list.digest = membership::digest_of(list.members);
+  return list;
+}
+
+membership::view_message ViewFrom(const json& value) {
+  membership::view_message view;
+  std::size_t field = 0;
+  const auto next = [&]() -> const json& { return value.at(field++); };
+  view.asks = next().get<bool>();
+  view.from_hub = next().get<bool>();
+  view.whole = next().get<bool>();
+  view.large = next().get<bool>();
+  view.seeks = next().get<bool>();
+  for (const json& each : next()) {
+    view.introduced.push_back(MemberFrom(each.at(0).get<std::string>(), each.at(1)));
+  }
+  for (const json& each : next()) {
+    view.held.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint64_t>()});
+  }
+  for (const json& each : next()) {
+    view.lists.push_back(ZoneListFrom(each));
+  }
+  return view;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -55,11 +131,11 @@
   for (const GroupReport& group : message.groups) {
     groups.push_back(GroupToJson(group));
   }
-  const json whole =
-      json::array({message.name, message.zone, message.incarnation, message.sequence,
-                   message.echoed, message.echoed_incarnation, message.interval.count(),
-                   message.store_connected, message.stopping, message.configuration_version,
-                   message.catalog_revision, std::move(groups)});
+  const json whole = json::array(
+      {message.name, message.zone, message.incarnation, message.sequence, message.echoed,
+       message.echoed_incarnation, message.interval.count(), message.store_connected,
+       message.stopping, message.configuration_version, message.configuration_revision,
+       message.instances_revision, message.capacity, ToJson(message.view), std::move(groups)});
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -81,7 +157,10 @@
     message.store_connected = next().get<bool>();
     message.stopping = next().get<bool>();
     message.configuration_version = next().get<std::uint64_t>();
-    message.catalog_revision = next().get<std::uint64_t>();
+    message.configuration_revision = next().get<std::uint64_t>();
+    message.instances_revision = next().get<std::uint64_t>();
+    message.capacity = next().get<std::uint32_t>();
+    message.view = ViewFrom(next());
     for (const json& group : next()) {
       message.groups.push_back(GroupFromJson(group));
     }
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -14,6 +14,7 @@
 #include "common/position.h"
 #include "common/result.h"
 #include "common/time.h"
+#include "membership/member.h"
 
 namespace valvekeel::proxy {
 
@@ -44,7 +45,10 @@
   bool store_connected = false;
   bool stopping = false;
   std::uint64_t configuration_version = 0;
-  std::uint64_t catalog_revision = 0;  // see CatalogState::Revision
+  std::uint64_t configuration_revision = 0;  // of the store: newest that the sender has heard of
+  std::uint64_t instances_revision = 0;      // the same of the list of instances
+  std::uint32_t capacity = 0;                // of the sender's machine, thousandths of a core
+  membership::view_message view;             // in a large deployment
   std::vector<GroupReport> groups;
 };
 
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -12,9 +12,14 @@
 
 }  // namespace
 
-void PeerTable::Add(const common::Endpoint& address) {
+Peer& PeerTable::Add(const common::Endpoint& address, const std::string& name) {
   Peer& peer = peers_[address];
   peer.address = address;
+  if (peer.name.empty() && !name.empty()) {
+    peer.name = name;
+    by_name_.emplace(name, &peer);
+  }
+  return peer;
 }
 
 void PeerTable::Stamp(Peer& peer, PeerMessage& message, common::Instant now) const {
@@ -49,6 +54,11 @@
   peer.highest_sequence = message.sequence;
   peer.heard = now;
   peer.last = message;
+  peer.wants_introduction = membership::live_view::wants_introduction(message.view);
+  peer.last.view = {};  // taken by the membership
+  peer.reports_loss = std::any_of(message.groups.begin(), message.groups.end(),
+                                  [](const GroupReport& report) { return report.primary_lost; });
+  by_name_[message.name] = &peer;
   if (message.echoed_incarnation != incarnation_) {
     return std::nullopt;
   }
@@ -90,12 +100,14 @@
 }
 
 const Peer* PeerTable::ByName(const std::string& name) const {
-  for (const auto& [address, peer] : peers_) {
-    if (peer.name == name) {
-      return &peer;
-    }
-  }
-  return nullptr;
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : found->second;
+}
+
+bool PeerTable::AnyPrimaryLost(common::Instant now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.reports_loss && Alive(entry.second, now);
+  });
 }
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/peer_table.h
+++ b/src/proxy/peer_table.h
@@ -10,10 +10,12 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "common/endpoint.h"
 #include "common/time.h"
+#include "membership/live_view.h"
 #include "proxy/peer_message.h"
 
 namespace valvekeel::proxy {
@@ -23,14 +25,18 @@
 
 struct Peer {
   common::Endpoint address;
-  std::string name;  // empty until it was heard
+  std::string name;  // empty until it is known
   std::optional<common::Instant> heard;
   std::uint64_t incarnation = 0;
   std::uint64_t highest_sequence = 0;  // heard of this incarnation
   std::uint64_t next_sequence = 1;     // of our messages to it
   std::deque<std::pair<std::uint64_t, common::Instant>> sent;
   common::Instant next_heartbeat{0};
+  common::Duration pace{0};  // between heartbeats in a large deployment; 0 if there are none
   PeerMessage last;
+  common::Instant introduced_at{0};  // when it was last told who the hubs are
+  bool wants_introduction = false;   // it does not know who lives
+  bool reports_loss = false;         // its last message takes some primary for lost
 };
 
 class PeerTable {
@@ -39,11 +45,8 @@
   PeerTable(std::string self, std::uint64_t incarnation)
       : self_(std::move(self)), incarnation_(incarnation) {}
 
-  /// Adds an address to send to, unless it is known.
-  void Add(const common::Endpoint& address);
-
-  /// Forgets an address.
-  void Remove(const common::Endpoint& address) { peers_.erase(address); }
+  /// Adds an address to send to, unless it is known. @param name of the daemon there, if known.
+  Peer& Add(const common::Endpoint& address, const std::string& name = "");
 
   /// Completes a message for the peer: sequence, echo.
   void Stamp(Peer& peer, PeerMessage& message, common::Instant now) const;
@@ -68,12 +71,17 @@
 
   std::map<common::Endpoint, Peer>& All() { return peers_; }
   const std::map<common::Endpoint, Peer>& All() const { return peers_; }
+  /// @return the peer that was heard last under the name, or one that is only known to be there.
   const Peer* ByName(const std::string& name) const;
 
+  /// @return true if some live peer takes a primary for lost.
+  bool AnyPrimaryLost(common::Instant now) const;
+
  private:
   std::string self_;
   std::uint64_t incarnation_;
   std::map<common::Endpoint, Peer> peers_;
+  std::unordered_map<std::string, Peer*> by_name_;  // entries of a map stay where they are
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -10,6 +10,22 @@
 constexpr common::Duration kFetchPause{300'000};
 /// Time for the store to answer before another daemon is asked for the catalog.
 constexpr common::Duration kFetchAfter{400'000};
+/// The same at a first start, when no daemon has anything yet.
+constexpr common::Duration kFirstFetchAfter{3'000'000};
+/// Time without a daemon that reaches the store after which each asks by itself. The coordinators
+/// and their deputies look all the while, so this is for a store that turns just these away; calls
+/// of all in an outage of 7 s cost a fifth of the prices of a day.
+constexpr common::Duration kUninformedLimit{10'000'000};
+/// In a large deployment, time from the start until a service may do without owners: by then all
+/// others are known, of whom only some are at first.
+constexpr common::Duration kDirectAfter{10'000'000};
+/// At a first start, time after which it is known whether the deployment is large: all daemons
+/// start within 0.3 s and write to the seeds at once.
+constexpr common::Duration kSizeKnown{800'000};
+/// Time between ticks of a daemon that serves no session, connects to no instance and heads
+/// nothing. What it does then, relaying sessions and telling of itself, has limits of 400 ms and
+/// more.
+constexpr common::Duration kQuietTick{40'000};
 /// Peers heard within this time share an instance's connections.
 constexpr common::Duration kSharingAge{8'000'000};
 /// After the stop signal, time until callers are sent here no more.
@@ -24,6 +40,11 @@
 constexpr common::Duration kRolesInterval{100'000};
 /// After the start, time in which a daemon that is listed counts as live although it was not heard.
 constexpr common::Duration kGreetingTime{2'000'000};
+/// Connections to an instance that may be opening at once. A handshake holds a slot for 12 to 32
+/// ms: where many daemons share an instance, statements that wait must not make each open all that
+/// it may. Seen on the large site: 55,000 connections over the limit, and nothing served for 4 s.
+constexpr std::size_t kOpeningMeshed = 1'000;
+constexpr std::size_t kOpeningOwner = 1;
 /// Time after which sessions of a service that this daemon doesn't own end as they rest: their
 /// callers come back, and are handed to an owner.
 constexpr common::Duration kGuestTime{1'000'000};
@@ -33,14 +54,15 @@
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
       peers_(settings_.name, settings_.incarnation),
+      view_({settings_.name, settings_.zone, settings_.peer, settings_.capacity}, settings_.view),
       roles_(settings_.name, settings_.roles),
       backends_(outbox_),
       groups_(settings_, backends_, roles_, outbox_),
       catalog_(settings_, outbox_),
-      failover_(settings_, backends_, groups_, peers_, roles_, outbox_),
+      failover_(settings_, backends_, groups_, peers_, view_, roles_, outbox_),
       store_lease_(settings_, groups_, roles_, outbox_),
       dispatcher_(settings_, backends_, groups_, outbox_),
-      relay_(settings_, roles_, peers_, dispatcher_, outbox_),
+      relay_(settings_, roles_, peers_, view_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
@@ -111,6 +133,9 @@
 void Proxy::LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
                            std::uint64_t revision, common::Instant now) {
   store_lease_.Read(call, record);
+  if (large_) {
+    catalog_.NoteProbe(record.has_value());
+  }
   if (record) {
     failover_.RecordSeen(*record, revision, now);
   }
@@ -119,12 +144,12 @@
 void Proxy::LeadershipWritten(CallNumber call, const failover::WriteResult& result,
                               common::Instant now) {
   failover_.RecordWritten(call, result, now);
-  failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
+  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
 }
 
 void Proxy::Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now) {
   failover_.Promoted(call, status, now);
-  failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
+  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
 }
 
 void Proxy::DaemonWritten(CallNumber call, bool written, common::Instant now) {
@@ -143,17 +168,23 @@
   const bool was_alive = peers_.AliveInLife(from, message.incarnation, now);
   const auto counted_from = peers_.Receive(from, message, now);
   const auto peer = peers_.All().find(from);
-  const bool has_news = roles_.meshed() || roles_.watches_any(settings_.name);
-  if (!was_alive && has_news && peer != peers_.All().end()) {
+  if (peer == peers_.All().end()) {
+    return;  // our own
+  }
+  TakeView(from, message, now);
+  const bool has_news =
+      large_ ? view_.is_hub() || roles_.coordinates() : roles_.meshed() || roles_.watches_any();
+  const bool introduces = large_ && OwesIntroduction(peer->second, now);
+  if ((!was_alive && has_news) || introduces) {
     // A daemon that has just come learns at once what it can't know by itself yet.
     SendHeartbeat(peer->second, MakeHeartbeat(true, now), now);
   }
-  if (groups_.TakeReports(message, counted_from) && peer != peers_.All().end()) {
+  if (groups_.TakeReports(message, counted_from)) {
     // Who announced the fence waits for the word that the lease was let go.
     SendHeartbeat(peer->second, MakeHeartbeat(TellsAll(), now), now);
   }
   NoteConfigurationAhead(from, message.configuration_version, now);
-  catalog_.NoteRevision(message.catalog_revision, now);
+  catalog_.NoteRevisions({message.configuration_revision, message.instances_revision}, now);
 }
 
 void Proxy::CatalogFetched(CallNumber call, const std::optional<CatalogCopy>& copy,
@@ -181,7 +212,7 @@
       groups_.SetRegistered(true);
     }
     if (daemon.name != settings_.name) {
-      peers_.Add(daemon.peer);
+      peers_.Add(daemon.peer, daemon.name);
     }
   }
   if (update.leadership) {
@@ -202,15 +233,29 @@
 }
 
 std::size_t Proxy::SharingDaemons(common::Instant now) const {
-  const std::size_t heard = peers_.HeardWithin(kSharingAge, now) + 1;
+  const std::size_t heard =
+      large_ ? view_.live_within(kSharingAge, now) : peers_.HeardWithin(kSharingAge, now) + 1;
   const bool new_here = started_ && now < *started_ + kSharingAge;
   return std::max(heard, new_here ? catalog_.Daemons().size() : std::size_t{1});
 }
 
 std::vector<relay::member> Proxy::LiveMembers(common::Instant now) const {
+  if (!large_) {
+    return MembersHeard(now);
+  }
+  std::vector<relay::member> members;
+  for (const membership::member& each : view_.live()) {
+    if (!each.stopping) {
+      members.push_back({each.name, each.zone, each.store_connected, each.capacity});
+    }
+  }
+  return members;
+}
+
+std::vector<relay::member> Proxy::MembersHeard(common::Instant now) const {
   std::vector<relay::member> members;
   if (!stopping_since_) {
-    members.push_back({settings_.name, settings_.zone, catalog_.Connected()});
+    members.push_back({settings_.name, settings_.zone, catalog_.Connected(), settings_.capacity});
   }
   std::set<std::string> heard;
   for (const auto& [address, peer] : peers_.All()) {
@@ -218,13 +263,13 @@
       heard.insert(peer.name);
     }
     if (peers_.Alive(peer, now) && !peer.last.stopping) {
-      members.push_back({peer.name, peer.last.zone, peer.last.store_connected});
+      members.push_back({peer.name, peer.last.zone, peer.last.store_connected, peer.last.capacity});
     }
   }
   const bool greeting = started_ && now < *started_ + kGreetingTime;
   for (const auto& [name, daemon] : catalog_.Daemons()) {
     if (greeting && name != settings_.name && !heard.contains(name)) {
-      members.push_back({name, daemon.zone, false});
+      members.push_back({name, daemon.zone, false, daemon.capacity});
     }
   }
   return members;
@@ -232,6 +277,7 @@
 
 void Proxy::UpdateRoles(common::Instant now) {
   roles_due_ = now + kRolesInterval;
+  UpdateView(now);
   std::map<std::string, std::uint32_t> connections;
   for (const auto& [name, service] : catalog_.Configuration().services) {
     connections[name] = service.max_connections;
@@ -239,24 +285,50 @@
   // Without a word of the others this daemon would take all connections for its own.
   const bool greeted = now >= *started_ + kGreetingTime;
   const bool others_known = greeted || (catalog_.DaemonsKnown() && !settings_.first_start);
-  if (!others_known) {
-    return;
+  if (others_known) {
+    const bool may_be_direct = !large_ || now >= *started_ + kDirectAfter;
+    roles_.update(LiveMembers(now), SharingDaemons(now), connections, may_be_direct);
+    const std::set<std::string> in_use =
+        roles_.meshed() ? std::set<std::string>() : dispatcher_.ServicesInUse();
+    SetInterest(!in_use.empty(), now);
+    backends_.SetMostOpening(roles_.meshed() ? kOpeningMeshed : kOpeningOwner);
+    for (const auto& [name, most] : connections) {
+      backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
+                                   roles_.coordinates() || roles_.owns(name));
+    }
+    EndGuests(in_use, now);
+  }
+  if (large_) {
+    ChoosePartners(now);
+  }
+}
+
+void Proxy::SetInterest(bool serves_guests, common::Instant now) {
+  serves_guests_ = serves_guests;
+  const bool connects = roles_.watches_any() || serves_guests;
+  catalog_.SetInterest(
+      {roles_.meshed(), roles_.coordinates(), store_lease_.IsReader(), connects, IsInformed(now)});
+}
+
+bool Proxy::IsInformed(common::Instant now) {
+  if (HearsFollower(now)) {
+    uninformed_since_.reset();
+    return true;
   }
-  roles_.update(LiveMembers(now), SharingDaemons(now), connections);
-  const std::set<std::string> in_use =
-      roles_.meshed() ? std::set<std::string>() : dispatcher_.ServicesInUse();
-  const bool connects = roles_.watches_any(settings_.name) || !in_use.empty();
-  catalog_.SetInterest({roles_.meshed(), roles_.coordinates(), connects, IsInformed(now)});
-  for (const auto& [name, most] : connections) {
-    backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
-                                 roles_.watches(name, settings_.name));
+  if (!uninformed_since_) {
+    uninformed_since_ = now;
   }
-  EndGuests(in_use, now);
+  // While the store is away, calls of all daemons would be refused, and are paid for.
+  return large_ && !roles_.is_deputy() && now < *uninformed_since_ + kUninformedLimit;
 }
 
-bool Proxy::IsInformed(common::Instant now) const {
+bool Proxy::HearsFollower(common::Instant now) const {
   const std::vector<std::string>& coordinators = roles_.coordinators();
   return std::any_of(coordinators.begin(), coordinators.end(), [&](const std::string& name) {
+    if (large_) {
+      const membership::member* member = view_.find(name);
+      return member != nullptr && member->store_connected && name != settings_.name;
+    }
     const Peer* peer = peers_.ByName(name);
     return peer != nullptr && peers_.Alive(*peer, now) && peer->last.store_connected;
   });
@@ -279,16 +351,42 @@
 }
 
 void Proxy::Register(common::Instant now) {
-  if (registered_ || registering_ || now < register_not_before_ || !catalog_.Connected()) {
+  if (registered_ || registering_ || now < register_not_before_) {
+    return;
+  }
+  if (IsListed()) {
+    registered_ = true;  // in an earlier life
+    return;
+  }
+  if (!NeedsEntry(now) || !(catalog_.Connected() || settings_.first_start)) {
     return;
   }
   registering_ = outbox_.NextNumber();
-  outbox_.Emit(WriteDaemon{*registering_, {settings_.name, settings_.zone, settings_.peer}});
+  outbox_.Emit(WriteDaemon{*registering_,
+                           {settings_.name, settings_.zone, settings_.peer, settings_.capacity}});
+}
+
+bool Proxy::NeedsEntry(common::Instant now) const {
+  if (!large_) {
+    // At a first start the others wait for this entry; it shows soon whether they are many.
+    return settings_.first_start ? now >= *started_ + kSizeKnown : catalog_.DaemonsListed();
+  }
+  // Only who may hold a lease must be known to those who replace primaries.
+  return roles_.known() && (roles_.watches_any() || roles_.next_to_own() || serves_guests_);
+}
+
+bool Proxy::IsListed() const {
+  const auto own = catalog_.Daemons().find(settings_.name);
+  return catalog_.DaemonsListed() && own != catalog_.Daemons().end() &&
+         own->second.peer == settings_.peer && own->second.zone == settings_.zone &&
+         own->second.capacity == settings_.capacity;
 }
 
 void Proxy::Bootstrap(common::Instant now) {
-  const bool needed = catalog_.Configuration().version == 0 || catalog_.Instances().empty();
-  const bool waiting = fetching_ || now < fetch_not_before_ || now < *started_ + kFetchAfter;
+  const bool without_instances = catalog_.Instances().empty() && !large_;
+  const bool needed = catalog_.Configuration().version == 0 || without_instances;
+  const common::Duration patience = settings_.first_start ? kFirstFetchAfter : kFetchAfter;
+  const bool waiting = fetching_ || now < fetch_not_before_ || now < *started_ + patience;
   if (!needed || waiting || settings_.seed_catalogs.empty()) {
     return;
   }
@@ -297,10 +395,23 @@
   outbox_.Emit(FetchCatalog{*fetching_, settings_.seed_catalogs[index]});
 }
 
+bool Proxy::InstancesKnown() const {
+  // Who hands sessions to owners needs to know these alone.
+  const bool relays = large_ && !roles_.meshed();
+  if (relays && !roles_.known()) {
+    return false;
+  }
+  const auto& services = catalog_.Configuration().services;
+  return std::all_of(services.begin(), services.end(), [&](const auto& service) {
+    const bool needed = !relays || roles_.owns(service.first);
+    return !needed || !groups_.Members(service.first).empty();
+  });
+}
+
 void Proxy::JudgeReadiness(common::Instant now) {
   bool ready = catalog_.Configuration().version > 0 && !stopping_since_;
-  for (const auto& [name, service] : catalog_.Configuration().services) {
-    ready = ready && !groups_.Members(name).empty();
+  if (!ready_ && ready) {
+    ready = InstancesKnown();
   }
   // Once ready, a daemon stays so until it stops: it answers refusals itself.
   ready = (ready || ready_) && !stopping_since_;
@@ -320,7 +431,7 @@
   stopping_since_ = now;
   outbox_.Log("stopping", {{"sessions", std::to_string(dispatcher_.SessionCount())}});
   JudgeReadiness(now);
-  SendHeartbeats(true, TellsAll(), now);
+  SendHeartbeats(Receivers::kPartners, TellsAll(), now);
 }
 
 void Proxy::AdvanceStop(common::Instant now) {
@@ -349,6 +460,13 @@
   }
 }
 
+common::Duration Proxy::TickPause() const {
+  const bool quiet = large_ && roles_.known() && !roles_.meshed() && !roles_.watches_any() &&
+                     !view_.is_hub() && !stopping_since_ && ready_ &&
+                     dispatcher_.SessionCount() == 0;
+  return quiet ? kQuietTick : kTick;
+}
+
 void Proxy::Tick(common::Instant now) {
   if (!started_) {
     started_ = now;
@@ -369,7 +487,7 @@
   backends_.Tick(now);
   store_lease_.Tick(catalog_.Connected(), now);
   groups_.Tick(now);
-  failover_.Tick(catalog_.Configuration(), catalog_.DaemonNames(), catalog_.Connected(), now);
+  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
   relay_.Tick(now);
   JudgeReadiness(now);
@@ -380,7 +498,14 @@
   }
   // In a large deployment most daemons know of a group only what its watchers tell.
   const bool opinion = groups_.TakeOpinionChanged() && !roles_.meshed();
-  SendHeartbeats(fence || news || opinion, TellsAll() || (news && !roles_.meshed()), now);
+  const bool revision = catalog_.Revisions().configuration > told_configuration_revision_;
+  told_configuration_revision_ = catalog_.Revisions().configuration;
+  // A new configuration is passed on at once: daemon to hub, hub to hubs, hub to its zone.
+  const bool urgent = news || opinion || (revision && large_);
+  const Receivers receivers = fence    ? Receivers::kAll
+                              : urgent ? Receivers::kPartners
+                                       : Receivers::kDue;
+  SendHeartbeats(receivers, TellsAll() || (news && !roles_.meshed()), now);
   AdvanceStop(now);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "membership/live_view.h"
 #include "proxy/actions.h"
 #include "proxy/backend_set.h"
 #include "proxy/catalog_state.h"
@@ -74,9 +75,12 @@
   /// A stop was asked for: sessions end, then the process does.
   void Stop(common::Instant now);
 
-  /// To be called every kTick.
+  /// To be called after every TickPause.
   void Tick(common::Instant now);
 
+  /// @return time until the next tick: kTick, or longer for a daemon with nothing at hand.
+  common::Duration TickPause() const;
+
   std::vector<Action> TakeActions() { return outbox_.Take(); }
 
   bool Ready() const { return ready_; }
@@ -88,26 +92,56 @@
   const PeerTable& Peers() const { return peers_; }
   const relay::role_map& Roles() const { return roles_; }
   const SessionRelay& Relay() const { return relay_; }
+  const membership::live_view& View() const { return view_; }
 
  private:
+  /// Whom a heartbeat is for.
+  enum class Receivers : std::uint8_t {
+    kDue,       // those whose heartbeat is due
+    kPartners,  // all live daemons that this one exchanges heartbeats with
+    kAll,       // all daemons that may hold a lease
+  };
   void Apply(const CatalogUpdate& update, common::Instant now);
   void ApplyConfiguration(common::Instant now);
   void UpdateRoles(common::Instant now);
   /// Ends sessions of services that this daemon has not owned for a while.
-  /// @return true if a daemon that follows the store closely, and reaches it, is heard.
-  bool IsInformed(common::Instant now) const;
+  /// @return true if this daemon needs not ask the store by itself: one that follows the store
+  /// closely, and reaches it, is heard, or others look first whether the store is there.
+  bool IsInformed(common::Instant now);
+  bool HearsFollower(common::Instant now) const;
   void EndGuests(const std::set<std::string>& in_use, common::Instant now);
   std::size_t SharingDaemons(common::Instant now) const;
   std::vector<relay::member> LiveMembers(common::Instant now) const;
+  std::vector<relay::member> MembersHeard(common::Instant now) const;
+  /// Works out who lives. @return true if that changed.
+  void UpdateView(common::Instant now);
+  void ChoosePartners(common::Instant now);
+  void AddPartner(const common::Endpoint& address, const std::string& name, common::Duration pace);
+  void TakeView(const common::Endpoint& from, const PeerMessage& message, common::Instant now);
+  /// @return true if the peer asks who the hubs are, and was not told a moment ago.
+  static bool OwesIntroduction(const Peer& peer, common::Instant now);
+  void SetInterest(bool serves_guests, common::Instant now);
   void Register(common::Instant now);
+  /// @return true if this daemon should be listed in the store.
+  bool NeedsEntry(common::Instant now) const;
+  /// @return true if the store lists this daemon as it is.
+  bool IsListed() const;
   void Bootstrap(common::Instant now);
-  /// Sends the heartbeats that are due; urgent ones to all live peers. @param all_groups tells the
-  /// state of all groups, not only of those in trouble.
-  void SendHeartbeats(bool urgent, bool all_groups, common::Instant now);
+  /// Sends heartbeats. @param all_groups tells the state of all groups, not only of those in
+  /// trouble.
+  void SendHeartbeats(Receivers receivers, bool all_groups, common::Instant now);
+  bool IsReceiver(const Peer& peer, Receivers receivers, common::Instant now) const;
+  /// @return the peers that heartbeats may go to.
+  std::vector<Peer*> ReceiversOf(Receivers receivers);
+  /// @return true if the receiver of a heartbeat needs the group's report.
+  bool Concerns(const GroupReport& report, const Peer& peer) const;
+  /// @return true if this daemon is known to reach the store.
+  bool HasStore(common::Instant now) const;
+  void TellRevisions(PeerMessage& message) const;
   PeerMessage MakeHeartbeat(bool all_groups, common::Instant now) const;
   /// Sends what concerns the peer: groups in trouble, and those that it watches.
   void SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now);
-  common::Duration HeartbeatInterval(const Peer& peer) const;
+  common::Duration DutyInterval(const std::string& peer) const;
   /// Notes that a daemon has a newer configuration in force.
   void NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
                               common::Instant now);
@@ -116,12 +150,15 @@
   bool TellsAll() const;
   void AdvanceHeartbeats(common::Instant now);
   void JudgeReadiness(common::Instant now);
+  /// @return true if instances of all services that this daemon connects to are known.
+  bool InstancesKnown() const;
   void AdvanceStop(common::Instant now);
   double Jitter();
 
   ProxySettings settings_;
   Outbox outbox_;
   PeerTable peers_;
+  membership::live_view view_;
   relay::role_map roles_;
   BackendSet backends_;
   GroupSet groups_;
@@ -144,6 +181,12 @@
   common::Instant fetch_not_before_{0};
   std::size_t next_fetch_ = 0;
   common::Instant roles_due_{0};
+  bool serves_guests_ = false;
+  std::optional<common::Instant> uninformed_since_;
+  bool large_ = false;  // too many daemons for all to hear each other
+  std::vector<Peer*> partners_;
+  std::size_t registered_known_ = 0;
+  std::uint64_t told_configuration_revision_ = 0;
   std::map<std::string, common::Instant> guests_since_;  // by service
   /// A daemon that has a newer configuration in force.
   struct ConfigurationAhead {
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -9,6 +9,16 @@
 namespace {
 
 constexpr common::Duration kDeadPeerPause{1'000'000};  // between messages to a silent peer
+/// The same to daemons that may be there, while this one knows nobody.
+constexpr common::Duration kSeekPause{200'000};
+/// Least time between two introductions to a daemon: two that seek would answer each other for
+/// ever.
+constexpr common::Duration kIntroductionPause{150'000};
+/// The same in the first seconds of a life: all others may be about to come.
+constexpr common::Duration kEarlyDeadPeerPause{250'000};
+constexpr common::Duration kEarly{3'000'000};
+/// Time for which an answer of the store shows that this daemon reaches it.
+constexpr common::Duration kRecentAnswer{3'000'000};
 /// Time for the store to tell of a configuration that another daemon has in force already.
 constexpr common::Duration kAheadPause{120'000};
 /// The same in a large deployment, where most daemons list the configuration on news.
@@ -19,7 +29,8 @@
 void Proxy::NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
                                    common::Instant now) {
   const std::uint64_t own = catalog_.Configuration().version;
-  if (own > 0 && version > own && !ahead_) {
+  const bool has_own = own > 0 || large_;
+  if (has_own && version > own && !ahead_) {
     ahead_ = ConfigurationAhead{peer, version, now};
   }
 }
@@ -29,7 +40,8 @@
     ahead_.reset();
   }
   // A session that another daemon handed over waits only for a moment.
-  const bool soon = roles_.meshed() || relay_.AwaitsConfiguration();
+  const bool soon =
+      roles_.meshed() || relay_.AwaitsConfiguration() || catalog_.Configuration().version == 0;
   const common::Duration pause = soon ? kAheadPause : kDistantAheadPause;
   if (!ahead_ || fetching_ || now < ahead_->noted + pause || now < fetch_not_before_) {
     return;
@@ -40,57 +52,196 @@
   outbox_.Emit(FetchCatalog{*fetching_, {peer.host, settings_.admin_port}});
 }
 
-common::Duration Proxy::HeartbeatInterval(const Peer& peer) const {
+common::Duration Proxy::DutyInterval(const std::string& peer) const {
   if (roles_.meshed()) {
     return settings_.heartbeat_interval;
   }
-  const std::vector<std::string>& coordinators = roles_.coordinators();
-  const std::string reader = coordinators.empty() ? "" : coordinators.front();
-  const bool to_reader = reader == peer.name && roles_.watches_any(settings_.name);
-  const bool from_reader = reader == settings_.name && roles_.watches_any(peer.name);
-  if (to_reader || from_reader) {
+  const bool to_coordinator = roles_.coordinates(peer) && roles_.watches_any();
+  const bool from_coordinator = roles_.coordinates() && roles_.watches_any(peer);
+  if (!to_coordinator && !from_coordinator) {
+    return common::Duration(0);
+  }
+  const std::string& reader = roles_.coordinators().front();
+  if (reader == peer || reader == settings_.name) {
     return settings_.heartbeat_interval;
   }
-  if (roles_.coordinates() || roles_.coordinates(peer.name)) {
-    return settings_.coordinator_heartbeat_interval;
+  return to_coordinator && from_coordinator ? settings_.coordinator_heartbeat_interval
+                                            : settings_.standby_heartbeat_interval;
+}
+
+void Proxy::AddPartner(const common::Endpoint& address, const std::string& name,
+                       common::Duration pace) {
+  Peer& peer = peers_.Add(address, name);
+  const bool chosen = peer.pace.count() > 0;
+  peer.pace = chosen ? std::min(peer.pace, pace) : pace;
+  if (!chosen) {
+    partners_.push_back(&peer);
+  }
+}
+
+void Proxy::ChoosePartners(common::Instant now) {
+  for (Peer* peer : partners_) {
+    peer->pace = common::Duration(0);
+  }
+  partners_.clear();
+  const bool owner = roles_.known() && roles_.watches_any();
+  for (const membership::member& each : view_.partners()) {
+    const bool to_hub = !view_.is_hub();
+    AddPartner(each.address, each.name,
+               owner && to_hub ? settings_.owner_heartbeat_interval : settings_.view.hub_interval);
+  }
+  if (roles_.known() && (roles_.meshed() || roles_.watches_any())) {
+    for (const membership::member& each : view_.live()) {
+      const common::Duration interval = DutyInterval(each.name);
+      if (each.name != settings_.name && interval.count() > 0) {
+        AddPartner(each.address, each.name, interval);
+      }
+    }
+  }
+  if (view_.seeks(now)) {
+    for (const common::Endpoint& seed : settings_.seed_peers) {
+      if (seed != settings_.peer) {
+        AddPartner(seed, "", kSeekPause);
+      }
+    }
+  }
+  for (Peer* peer : partners_) {
+    if (view_.owes(peer->name, now)) {
+      peer->next_heartbeat = now;
+    }
   }
-  return peer.last.zone == settings_.zone ? settings_.zone_heartbeat_interval
-                                          : settings_.far_heartbeat_interval;
+}
+
+void Proxy::UpdateView(common::Instant now) {
+  if (catalog_.Daemons().size() != registered_known_) {
+    registered_known_ = catalog_.Daemons().size();
+    std::vector<membership::member> registered;
+    for (const auto& [name, daemon] : catalog_.Daemons()) {
+      registered.push_back({name, daemon.zone, daemon.peer, daemon.capacity});
+    }
+    view_.set_registered(std::move(registered), now);
+  }
+  const std::size_t known =
+      std::max(catalog_.Daemons().size(), peers_.HeardWithin(kEarly, now) + 1);
+  large_ = large_ || known > settings_.roles.most_meshed_daemons;
+  if (!large_) {
+    return;
+  }
+  // Hubs tell who lives; the list is for those who replace primaries, and for who hears no hub.
+  catalog_.SetDiscovering(!view_.settled() || (roles_.known() && roles_.coordinates()));
+  view_.set_self(HasStore(now), stopping_since_.has_value());
+  view_.update(now);
+}
+
+void Proxy::TakeView(const common::Endpoint& from, const PeerMessage& message,
+                     common::Instant now) {
+  large_ = large_ || message.view.large;
+  if (!large_) {
+    return;
+  }
+  view_.take({message.name, message.zone, from, message.capacity, message.store_connected,
+              message.stopping},
+             message.view, message.interval, now);
+}
+
+bool Proxy::OwesIntroduction(const Peer& peer, common::Instant now) {
+  return peer.heard && peer.wants_introduction && now >= peer.introduced_at + kIntroductionPause;
+}
+
+bool Proxy::HasStore(common::Instant now) const {
+  if (!large_) {
+    return catalog_.Connected();
+  }
+  if (!roles_.known()) {
+    return false;
+  }
+  // Who makes no calls can't say whether it would be answered. That all others say so the moment
+  // the store is back would make ever other daemons coordinators.
+  return roles_.coordinates() ? catalog_.Connected()
+                              : roles_.is_deputy() && catalog_.AnsweredWithin(kRecentAnswer, now);
+}
+
+void Proxy::TellRevisions(PeerMessage& message) const {
+  const CatalogRevisions revisions = catalog_.Revisions();
+  message.configuration_revision = revisions.configuration;
+  message.instances_revision = revisions.instances;
 }
 
 PeerMessage Proxy::MakeHeartbeat(bool all_groups, common::Instant now) const {
   PeerMessage message;
   message.zone = settings_.zone;
-  message.store_connected = catalog_.Connected();
+  message.capacity = settings_.capacity;
+  message.store_connected = HasStore(now);
   message.stopping = stopping_since_.has_value();
   message.configuration_version = catalog_.Configuration().version;
-  message.catalog_revision = catalog_.Revision();
+  TellRevisions(message);
   message.groups = groups_.Reports(all_groups, now);
   return message;
 }
 
+bool Proxy::Concerns(const GroupReport& report, const Peer& peer) const {
+  if (roles_.watches(report.service, peer.name)) {
+    return true;
+  }
+  // Any daemon may hold a lease that must be let go; else only watchers care.
+  return large_ ? report.fence_below > 0 : report.troubled;
+}
+
 void Proxy::SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now) {
   const bool alive = peers_.Alive(peer, now);
   PeerMessage message = whole;
-  std::erase_if(message.groups, [&](const GroupReport& report) {
-    return !report.troubled && !roles_.watches(report.service, peer.name);
-  });
-  message.interval = alive ? HeartbeatInterval(peer) : kDeadPeerPause;
+  std::erase_if(message.groups, [&](const GroupReport& report) { return !Concerns(report, peer); });
+  if (large_) {
+    message.view = view_.message_for(peer.name, now);
+    if (OwesIntroduction(peer, now)) {
+      message.view.introduced = view_.introduction(now);
+      peer.introduced_at = now;
+    }
+    const bool partner = peer.pace.count() > 0;
+    message.interval =
+        partner && (alive || view_.find(peer.name) != nullptr) ? peer.pace : kDeadPeerPause;
+  } else {
+    const bool early = now < *started_ + kEarly;
+    message.interval = alive   ? settings_.heartbeat_interval
+                       : early ? kEarlyDeadPeerPause
+                               : kDeadPeerPause;
+  }
   peer.next_heartbeat = now + message.interval;
   peers_.Stamp(peer, message, now);
   outbox_.Emit(SendPeer{peer.address, std::move(message)});
 }
 
-void Proxy::SendHeartbeats(bool urgent, bool all_groups, common::Instant now) {
-  std::optional<PeerMessage> message;
+std::vector<Peer*> Proxy::ReceiversOf(Receivers receivers) {
+  if (large_ && receivers != Receivers::kAll) {
+    return partners_;
+  }
+  std::vector<Peer*> all;
   for (auto& [address, peer] : peers_.All()) {
-    if (now < peer.next_heartbeat && !(urgent && peers_.Alive(peer, now))) {
+    all.push_back(&peer);
+  }
+  return all;
+}
+
+bool Proxy::IsReceiver(const Peer& peer, Receivers receivers, common::Instant now) const {
+  if (now >= peer.next_heartbeat && (!large_ || peer.pace.count() > 0)) {
+    return true;
+  }
+  if (receivers == Receivers::kDue) {
+    return false;
+  }
+  return large_ || peers_.Alive(peer, now);
+}
+
+void Proxy::SendHeartbeats(Receivers receivers, bool all_groups, common::Instant now) {
+  std::optional<PeerMessage> message;
+  for (Peer* peer : ReceiversOf(receivers)) {
+    if (!IsReceiver(*peer, receivers, now)) {
       continue;
     }
     if (!message) {
       message = MakeHeartbeat(all_groups, now);
     }
-    SendHeartbeat(peer, *message, now);
+    SendHeartbeat(*peer, *message, now);
   }
 }
 
@@ -108,10 +259,11 @@
 
 void Proxy::AdvanceHeartbeats(common::Instant now) {
   // A heartbeat that is due soon carries more if it follows the confirmation at once.
-  for (auto& [address, peer] : peers_.All()) {
-    const bool due_soon = now + HeartbeatInterval(peer) / 2 >= peer.next_heartbeat;
-    if (due_soon && peers_.Alive(peer, now)) {
-      peer.next_heartbeat = now;
+  for (Peer* peer : ReceiversOf(Receivers::kPartners)) {
+    const common::Duration interval = large_ ? peer->pace : settings_.heartbeat_interval;
+    const bool due_soon = now + interval / 2 >= peer->next_heartbeat;
+    if (due_soon && peers_.Alive(*peer, now)) {
+      peer->next_heartbeat = now;
     }
   }
 }
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -10,6 +10,7 @@
 
 #include "common/endpoint.h"
 #include "common/time.h"
+#include "membership/live_view.h"
 #include "relay/role_map.h"
 
 namespace valvekeel::proxy {
@@ -44,18 +45,22 @@
   /// between watches of what may be late.
   common::Duration relaxed_watch_wait{20'000'000};
   common::Duration relaxed_pause{2'000'000};
-  /// In a large deployment, for coordinators: longest wait of a watch. Short, since the others rely
-  /// on them until they notice that the store is silent.
-  common::Duration coordinator_watch_wait{1'800'000};
+  /// In a large deployment, for the coordinator that reads the leadership record: longest wait of a
+  /// watch. That the store is silent shows in its reads; this is for a watch that was lost alone.
+  common::Duration coordinator_watch_wait{5'000'000};
   /// For a daemon that hears from others what is new: between two lists, and the time after which
   /// it lists the other daemons again.
   common::Duration news_pause{500'000};
   common::Duration seldom_wait{60'000'000};
   common::Duration heartbeat_interval{250'000};
-  /// In a large deployment: between other coordinators and all, in a zone, between others.
+  /// In a large deployment: among coordinators; between a coordinator that does not act for all and
+  /// the owners, who tell it at once what matters; and from an owner to its hubs, since callers
+  /// wait for the word that an owner was lost.
   common::Duration coordinator_heartbeat_interval{500'000};
-  common::Duration zone_heartbeat_interval{220'000};
-  common::Duration far_heartbeat_interval{2'600'000};
+  common::Duration standby_heartbeat_interval{1'000'000};
+  common::Duration owner_heartbeat_interval{250'000};
+  std::uint32_t capacity = 0;  // of this machine, thousandths of a processor core; 0 if unknown
+  membership::view_policy view;
   relay::role_policy roles;
   common::Duration lease_round_interval{400'000};
   /// Share of the target latency for which a statement may wait for an instance before it is
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -17,9 +17,11 @@
 }  // namespace
 
 SessionRelay::SessionRelay(const ProxySettings& settings, const relay::role_map& roles,
-                           const PeerTable& peers, Dispatcher& dispatcher, Outbox& outbox)
+                           const PeerTable& peers, const membership::live_view& view,
+                           Dispatcher& dispatcher, Outbox& outbox)
     : roles_(roles),
       peers_(peers),
+      view_(view),
       dispatcher_(dispatcher),
       outbox_(outbox),
       sessions_(settings.zone, roles, *this) {}
@@ -93,7 +95,7 @@
   }
 }
 
-bool SessionRelay::alive(const std::string& daemon, common::Instant now) const {
+bool SessionRelay::HeardLately(const std::string& daemon, common::Instant now) const {
   const Peer* peer = peers_.ByName(daemon);
   if (peer == nullptr || !peer->heard) {
     return false;
@@ -102,13 +104,25 @@
   return now < *peer->heard + limit;
 }
 
+bool SessionRelay::alive(const std::string& daemon, common::Instant now) const {
+  // In a large deployment hubs hear the owners for all.
+  return view_.find(daemon) != nullptr || HeardLately(daemon, now);
+}
+
 bool SessionRelay::stays(const std::string& daemon, common::Instant now) const {
-  return alive(daemon, now) && !peers_.ByName(daemon)->last.stopping;
+  const membership::member* member = view_.find(daemon);
+  if (member != nullptr) {
+    return !member->stopping;
+  }
+  return HeardLately(daemon, now) && !peers_.ByName(daemon)->last.stopping;
 }
 
 void SessionRelay::open_link(relay::session_number session, const std::string& owner) {
   const std::uint64_t version = configuration_ == nullptr ? 0 : configuration_->version;
-  outbox_.Emit(RelaySession{session, peers_.ByName(owner)->address, version});
+  const membership::member* member = view_.find(owner);
+  const common::Endpoint& address =
+      member != nullptr ? member->address : peers_.ByName(owner)->address;
+  outbox_.Emit(RelaySession{session, address, version});
 }
 
 void SessionRelay::close_link(relay::session_number session) { outbox_.Emit(CloseRelay{session}); }
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 
+#include "membership/live_view.h"
 #include "proxy/dispatcher.h"
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
@@ -29,7 +30,7 @@
 class SessionRelay : public relay::relay_port {
  public:
   SessionRelay(const ProxySettings& settings, const relay::role_map& roles, const PeerTable& peers,
-               Dispatcher& dispatcher, Outbox& outbox);
+               const membership::live_view& view, Dispatcher& dispatcher, Outbox& outbox);
 
   void SetConfiguration(const model::Configuration* configuration, common::Instant now);
 
@@ -67,11 +68,13 @@
     common::Instant arrived{0};
   };
 
+  bool HeardLately(const std::string& daemon, common::Instant now) const;
   bool BelongsElsewhere(const std::string& database) const;
   std::string ServiceOf(const std::string& database) const;
 
   const relay::role_map& roles_;
   const PeerTable& peers_;
+  const membership::live_view& view_;
   Dispatcher& dispatcher_;
   Outbox& outbox_;
   const model::Configuration* configuration_ = nullptr;
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -109,7 +109,8 @@
     return;
   }
   Deliver(life, [this] { proxy_->Tick(cluster_.Surroundings().Now()); });
-  cluster_.Surroundings().After(proxy::kTick, [this, life] { Tick(life); });
+  const common::Duration pause = proxy_ ? proxy_->TickPause() : proxy::kTick;
+  cluster_.Surroundings().After(pause, [this, life] { Tick(life); });
 }
 
 void DaemonHost::OpenSession(proxy::SessionNumber number, const std::string& database,
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -44,6 +44,7 @@
   relayed_session& made = this->sessions[session];
   made.service = service;
   ++this->counts.started;
+  ++this->unaccepted;
   this->hand_over(session, made, now);
 }
 
@@ -53,6 +54,7 @@
   if (owner.empty()) {
     ++this->counts.served_here;
     this->port.note("session_served_here", number, session.service, "");
+    --this->unaccepted;
     this->sessions.erase(number);
     this->port.serve_here(number, now);
     return;
@@ -66,8 +68,9 @@
 
 void relayed_sessions::accepted(session_number session) {
   const auto found = this->sessions.find(session);
-  if (found != this->sessions.end()) {
+  if (found != this->sessions.end() && !found->second.is_accepted) {
     found->second.is_accepted = true;
+    --this->unaccepted;
   }
 }
 
@@ -119,6 +122,7 @@
 void relayed_sessions::forget(session_number number) {
   const auto found = this->sessions.find(number);
   --this->sessions_by_owner[found->second.owner];
+  this->unaccepted -= found->second.is_accepted ? 0 : 1;
   this->sessions.erase(found);
   this->port.close_link(number);
 }
@@ -140,14 +144,34 @@
   }
 }
 
+void relayed_sessions::note_owners(common::Instant now, std::set<std::string>& lost,
+                                   std::set<std::string>& leaving) const {
+  for (const auto& [owner, count] : this->sessions_by_owner) {
+    if (count == 0) {
+      continue;
+    }
+    if (!this->port.alive(owner, now)) {
+      lost.insert(owner);
+    } else if (!this->port.stays(owner, now)) {
+      leaving.insert(owner);
+    }
+  }
+}
+
 void relayed_sessions::tick(common::Instant now) {
+  std::set<std::string> lost_owners;
+  std::set<std::string> leaving_owners;
+  this->note_owners(now, lost_owners, leaving_owners);
+  if (this->unaccepted == 0 && lost_owners.empty() && leaving_owners.empty()) {
+    return;
+  }
   std::vector<session_number> broken;
   std::vector<session_number> leaving;
   for (const auto& [number, session] : this->sessions) {
     const bool late = !session.is_accepted && now >= session.opened + ACCEPT_LIMIT;
-    if (late || !this->port.alive(session.owner, now)) {
+    if (late || lost_owners.contains(session.owner)) {
       broken.push_back(number);
-    } else if (session.is_accepted && session.rests() && !this->port.stays(session.owner, now)) {
+    } else if (session.is_accepted && session.rests() && leaving_owners.contains(session.owner)) {
       leaving.push_back(number);
     }
   }
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -116,6 +116,9 @@
   void hand_over(session_number number, relayed_session& session, common::Instant now);
   void forget(session_number number);
   void end(session_number number);
+  /** Finds the owners of sessions that are lost, and those that are about to stop. */
+  void note_owners(common::Instant now, std::set<std::string>& lost,
+                   std::set<std::string>& leaving) const;
   void end_all(const std::vector<session_number>& numbers);
 
   std::string zone;
@@ -123,6 +126,7 @@
   relay_port& port;
   std::map<session_number, relayed_session> sessions;
   std::map<std::string, std::size_t> sessions_by_owner;
+  std::size_t unaccepted = 0;  // sessions that no owner has accepted yet
   relay_counters counts;
   bool closing = false;
 };
--- a/src/relay/role_map.cc
+++ b/src/relay/role_map.cc
@@ -1,6 +1,8 @@
 #include "relay/role_map.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "common/stable_hash.h"
@@ -9,10 +11,48 @@
 namespace {
 
 constexpr const char* COORDINATION = "coordination";
+constexpr const char* OWNER_POOL = "owner pool";
 constexpr std::size_t GUEST_CONNECTIONS = 1;
+const std::vector<std::string> NOBODY;
+
+/** @return the first of the members: large machines first, then by a hash that all daemons share.
+ */
+std::vector<member> largest(const std::string& object, std::vector<member> among,
+                            std::size_t count) {
+  std::vector<std::pair<std::tuple<std::uint32_t, std::uint64_t, std::string>, std::size_t>> order;
+  for (std::size_t at = 0; at < among.size(); ++at) {
+    const member& each = among[at];
+    order.push_back({{~each.capacity, common::StableHash(object, each.name), each.name}, at});
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<member> first;
+  for (const auto& [rank, at] : order) {
+    if (first.size() < count) {
+      first.push_back(std::move(among[at]));
+    }
+  }
+  return first;
+}
 
-bool contains(const std::vector<std::string>& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
+/** @return names by weighted rendezvous hashing: shares follow the machines' capacity, and the loss
+ * of one member moves no other. */
+std::vector<std::string> ranked(const std::string& object, const std::vector<member>& among,
+                                std::size_t count) {
+  constexpr double HASH_RANGE = 18446744073709551616.0;  // of 64 bits
+  std::vector<std::pair<double, std::string>> order;
+  for (const member& each : among) {
+    const auto hash = static_cast<double>(common::StableHash(object, each.name));
+    const double weight = std::max<std::uint32_t>(1, each.capacity);
+    order.emplace_back(-std::log((hash + 1.0) / (HASH_RANGE + 2.0)) / weight, each.name);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::string> names;
+  for (auto& [rank, name] : order) {
+    if (names.size() < count) {
+      names.push_back(std::move(name));
+    }
+  }
+  return names;
 }
 
 }  // namespace
@@ -20,81 +60,131 @@
 role_map::role_map(std::string self, role_policy policy)
     : self(std::move(self)), policy(policy), coordinator_names({this->self}) {}
 
-std::vector<std::string> role_map::ranked(const std::string& object,
-                                          const std::vector<member>& among,
-                                          std::size_t count) const {
-  std::vector<std::pair<std::uint64_t, std::string>> order;
-  for (const member& each : among) {
-    order.emplace_back(common::StableHash(object, each.name), each.name);
+void role_map::choose_coordinators() {
+  std::vector<member> connected;
+  std::vector<member> others;
+  for (const member& each : this->live) {
+    (each.store_connected ? connected : others).push_back(each);
   }
-  std::sort(order.begin(), order.end());
-  std::vector<std::string> names;
-  for (const auto& [rank, name] : order) {
-    if (names.size() < count) {
-      names.push_back(name);
+  const std::vector<member> next =
+      largest(COORDINATION, this->live, this->policy.coordinators + this->policy.deputies);
+  this->self_deputy = std::any_of(next.begin(), next.end(),
+                                  [&](const member& each) { return each.name == this->self; });
+  this->coordinator_names.clear();
+  for (std::vector<member>* group : {&connected, &others}) {
+    const std::size_t missing = this->policy.coordinators - this->coordinator_names.size();
+    for (member& each : largest(COORDINATION, std::move(*group), missing)) {
+      this->coordinator_names.push_back(std::move(each.name));
     }
   }
-  return names;
+}
+
+role_map::members_by_zone role_map::owner_pools() {
+  members_by_zone pools;
+  this->self_next = false;
+  for (const member& each : this->live) {
+    pools[each.zone].push_back(each);
+  }
+  for (auto& [zone, members] : pools) {
+    members = largest(OWNER_POOL, std::move(members),
+                      this->policy.owner_pool + this->policy.pool_reserve);
+    this->self_next =
+        this->self_next || std::any_of(members.begin(), members.end(),
+                                       [&](const member& each) { return each.name == this->self; });
+    members.resize(std::min(members.size(), this->policy.owner_pool));
+  }
+  return pools;
+}
+
+bool role_map::becomes_direct(const std::string& service, std::size_t share) const {
+  const service_roles* before = this->find(service);
+  const bool owned = !this->is_meshed && (before == nullptr || !before->is_direct);
+  if (owned && (!this->may_be_direct || this->sharing > this->policy.most_direct_daemons)) {
+    return false;
+  }
+  return share >=
+         (owned ? this->policy.direct_again_connections : this->policy.least_direct_connections);
 }
 
 role_map::service_roles role_map::roles_of(const std::string& service,
-                                           std::uint32_t most_connections) const {
+                                           std::uint32_t most_connections,
+                                           const members_by_zone& pools) const {
   service_roles roles;
   const std::uint32_t reserved = this->policy.reserved_connections;
   const std::size_t shared = most_connections > reserved ? most_connections - reserved : 1;
   roles.direct_connections = std::max<std::size_t>(1, shared / this->sharing);
-  roles.is_direct =
-      this->sharing <= 1 || shared / this->sharing >= this->policy.least_direct_connections;
+  roles.is_direct = this->sharing <= 1 || this->becomes_direct(service, shared / this->sharing);
   if (roles.is_direct) {
     return roles;
   }
-  std::map<std::string, std::vector<member>> by_zone;
-  for (const member& each : this->live) {
-    by_zone[each.zone].push_back(each);
-  }
-  std::size_t count = 0;
-  for (const auto& [zone, members] : by_zone) {
-    roles.owners_by_zone[zone] = this->ranked(service, members, this->policy.owners_per_zone);
-    count += roles.owners_by_zone[zone].size();
+  for (const auto& [zone, members] : pools) {
+    std::vector<std::string>& owners = roles.owners_by_zone[zone];
+    owners = ranked(service, members, this->policy.owners_per_zone);
+    roles.all_owners.insert(roles.all_owners.end(), owners.begin(), owners.end());
   }
+  roles.owner_names.insert(roles.all_owners.begin(), roles.all_owners.end());
+  roles.self_owns = roles.owner_names.contains(this->self);
   // One share is left to guests and to owners that have just ceased to be.
-  roles.owner_connections = std::max<std::size_t>(1, shared / (count + 1));
+  roles.owner_connections = std::max<std::size_t>(1, shared / (roles.all_owners.size() + 1));
   return roles;
 }
 
 void role_map::update(std::vector<member> live, std::size_t sharing,
-                      const std::map<std::string, std::uint32_t>& connections) {
+                      const std::map<std::string, std::uint32_t>& connections, bool may_be_direct) {
+  sharing = std::max<std::size_t>(1, sharing);
+  const bool same = this->is_known && this->sharing == sharing && this->limits == connections &&
+                    this->live == live && this->may_be_direct == may_be_direct;
+  if (same) {
+    return;
+  }
   this->is_known = true;
   this->live = std::move(live);
-  this->sharing = std::max<std::size_t>(1, sharing);
+  this->sharing = sharing;
+  this->limits = connections;
+  this->may_be_direct = may_be_direct;
   this->is_meshed = this->sharing <= this->policy.most_meshed_daemons;
-  std::vector<member> connected;
-  std::vector<member> others;
-  for (const member& each : this->live) {
-    (each.store_connected ? connected : others).push_back(each);
-  }
-  this->coordinator_names = this->ranked(COORDINATION, connected, this->policy.coordinators);
-  const std::size_t missing = this->policy.coordinators - this->coordinator_names.size();
-  for (std::string& name : this->ranked(COORDINATION, others, missing)) {
-    this->coordinator_names.push_back(std::move(name));
-  }
-  this->services.clear();
+  this->choose_coordinators();
+  const members_by_zone pools = this->owner_pools();
+  std::unordered_map<std::string, service_roles> next;
   for (const auto& [service, most_connections] : connections) {
-    this->services[service] = this->roles_of(service, most_connections);
+    next[service] = this->roles_of(service, most_connections, pools);
   }
+  this->services = std::move(next);
+  this->any_direct = this->services.empty();
+  this->watcher_names.clear();
+  this->watcher_names.insert(this->coordinator_names.begin(), this->coordinator_names.end());
+  for (const auto& [service, roles] : this->services) {
+    this->any_direct = this->any_direct || roles.is_direct;
+    this->watcher_names.insert(roles.all_owners.begin(), roles.all_owners.end());
+  }
+  this->self_coordinates = this->coordinates(this->self);
+  this->self_watches = this->watches_any(this->self);
+}
+
+const role_map::service_roles* role_map::find(const std::string& service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? nullptr : &found->second;
 }
 
 bool role_map::coordinates(const std::string& daemon) const {
-  return this->is_meshed || contains(this->coordinator_names, daemon);
+  return this->is_meshed ||
+         std::find(this->coordinator_names.begin(), this->coordinator_names.end(), daemon) !=
+             this->coordinator_names.end();
 }
 
 bool role_map::direct(const std::string& service) const {
-  const auto found = this->services.find(service);
-  return found == this->services.end() || found->second.is_direct;
+  const service_roles* roles = this->find(service);
+  return roles == nullptr || roles->is_direct;
 }
 
 bool role_map::owns(const std::string& service, const std::string& daemon) const {
-  return this->direct(service) || contains(this->owners(service), daemon);
+  const service_roles* roles = this->find(service);
+  return roles == nullptr || roles->is_direct || roles->owner_names.contains(daemon);
+}
+
+bool role_map::owns(const std::string& service) const {
+  const service_roles* roles = this->find(service);
+  return roles == nullptr || roles->is_direct || roles->self_owns;
 }
 
 bool role_map::watches(const std::string& service, const std::string& daemon) const {
@@ -102,42 +192,35 @@
 }
 
 bool role_map::watches_any(const std::string& daemon) const {
-  return this->coordinates(daemon) ||
-         std::any_of(this->services.begin(), this->services.end(),
-                     [&](const auto& service) { return this->owns(service.first, daemon); });
+  const bool by_a_direct_service = !this->services.empty() && this->any_direct;
+  return this->is_meshed || by_a_direct_service || this->watcher_names.contains(daemon);
 }
 
-std::vector<std::string> role_map::owners_in(const std::string& service,
-                                             const std::string& zone) const {
-  const auto found = this->services.find(service);
-  if (found == this->services.end()) {
-    return {};
+const std::vector<std::string>& role_map::owners_in(const std::string& service,
+                                                    const std::string& zone) const {
+  const service_roles* roles = this->find(service);
+  if (roles == nullptr) {
+    return NOBODY;
   }
-  const auto owners = found->second.owners_by_zone.find(zone);
-  return owners == found->second.owners_by_zone.end() ? std::vector<std::string>() : owners->second;
+  const auto owners = roles->owners_by_zone.find(zone);
+  return owners == roles->owners_by_zone.end() ? NOBODY : owners->second;
 }
 
-std::vector<std::string> role_map::owners(const std::string& service) const {
-  std::vector<std::string> all;
-  const auto found = this->services.find(service);
-  if (found != this->services.end()) {
-    for (const auto& [zone, owners] : found->second.owners_by_zone) {
-      all.insert(all.end(), owners.begin(), owners.end());
-    }
-  }
-  return all;
+const std::vector<std::string>& role_map::owners(const std::string& service) const {
+  const service_roles* roles = this->find(service);
+  return roles == nullptr ? NOBODY : roles->all_owners;
 }
 
 std::size_t role_map::connections(const std::string& service, bool serves_guests) const {
-  const auto found = this->services.find(service);
-  if (found == this->services.end()) {
+  const service_roles* roles = this->find(service);
+  if (roles == nullptr) {
     return GUEST_CONNECTIONS;
   }
-  if (found->second.is_direct) {
-    return found->second.direct_connections;
+  if (roles->is_direct) {
+    return roles->direct_connections;
   }
-  if (this->owns(service)) {
-    return found->second.owner_connections;
+  if (roles->self_owns) {
+    return roles->owner_connections;
   }
   return serves_guests || this->coordinates() ? GUEST_CONNECTIONS : 0;
 }
--- a/src/relay/role_map.h
+++ b/src/relay/role_map.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace valvekeel::relay {
@@ -24,6 +26,9 @@
   std::string name;
   std::string zone;
   bool store_connected = false;
+  std::uint32_t capacity = 0;  // thousandths of a processor core; 0 if unknown
+
+  bool operator==(const member&) const = default;
 };
 
 /** From which size on daemons share their work out. */
@@ -31,11 +36,26 @@
   /** Up to so many daemons, all coordinate and tell each other everything at full pace. */
   std::size_t most_meshed_daemons = 16;
   std::size_t coordinators = 3;
+  /** Daemons that look whether the store is there when no coordinator reaches it. */
+  std::size_t deputies = 6;
   std::size_t owners_per_zone = 2;
+  /** Daemons of a zone among whom all services' owners are chosen: the coordinators exchange
+   * heartbeats with these alone, so their number must not grow with the zone's. Measured: a daemon
+   * of 0.12 cores serves 75 requests a second with a fifth of it. */
+  std::size_t owner_pool = 8;
+  /** Daemons of a zone that stand ready to join the pool: they are listed in the store beforehand,
+   * which they could not be while it is away. */
+  std::size_t pool_reserve = 4;
   /** Connections of an instance that no daemon's share contains. */
   std::uint32_t reserved_connections = 3;
+  /** Up to so many daemons may all connect to every instance: each handshake holds a slot for 12 to
+   * 32 ms on the users' sites, a hundred of them about a second of an instance's time. */
+  std::size_t most_direct_daemons = 100;
   /** Share of an instance's connections below which a service gets owners. */
   std::uint32_t least_direct_connections = 2;
+  /** The same for a service that has owners already, in a large deployment: all daemons connect at
+   * once then, so it must not change back for one daemon more. */
+  std::uint32_t direct_again_connections = 3;
 };
 
 class role_map {
@@ -48,9 +68,10 @@
    * @param live         the daemons that are alive and not stopping, this one included
    * @param sharing      number of daemons that may hold connections: those heard lately
    * @param connections  what an instance takes, by service
+   * @param may_be_direct  false while others may be there of whom nothing is known yet
    */
   void update(std::vector<member> live, std::size_t sharing,
-              const std::map<std::string, std::uint32_t>& connections);
+              const std::map<std::string, std::uint32_t>& connections, bool may_be_direct = true);
 
   /** @return true once the roles were worked out. */
   bool known() const { return this->is_known; }
@@ -59,7 +80,7 @@
   bool meshed() const { return this->is_meshed; }
 
   bool coordinates(const std::string& daemon) const;
-  bool coordinates() const { return this->coordinates(this->self); }
+  bool coordinates() const { return this->self_coordinates; }
 
   /** @return the coordinators, first the one that acts for all. */
   const std::vector<std::string>& coordinators() const { return this->coordinator_names; }
@@ -68,19 +89,30 @@
   bool direct(const std::string& service) const;
 
   bool owns(const std::string& service, const std::string& daemon) const;
-  bool owns(const std::string& service) const { return this->owns(service, this->self); }
+  bool owns(const std::string& service) const;
 
   /** @return true if the daemon forms an opinion about the service's instances. */
   bool watches(const std::string& service, const std::string& daemon) const;
 
   /** @return the owners in a zone, in the order of their rank. */
-  std::vector<std::string> owners_in(const std::string& service, const std::string& zone) const;
+  const std::vector<std::string>& owners_in(const std::string& service,
+                                            const std::string& zone) const;
 
   /** @return the owners of all zones. */
-  std::vector<std::string> owners(const std::string& service) const;
+  const std::vector<std::string>& owners(const std::string& service) const;
 
   /** @return true if the daemon owns some service, or coordinates. */
   bool watches_any(const std::string& daemon) const;
+  bool watches_any() const { return this->self_watches; }
+
+  /** @return true if this daemon is among the first to coordinate if the coordinators can't. */
+  bool is_deputy() const { return this->self_deputy; }
+
+  /** @return true if this daemon is in a pool of owners, or among the next to join one. */
+  bool next_to_own() const { return this->self_next; }
+
+  /** @return all daemons that own some service or coordinate; empty while all do everything. */
+  const std::unordered_set<std::string>& watchers() const { return this->watcher_names; }
 
   /**
    * @param serves_guests  sessions of the service run here although this daemon doesn't own it
@@ -94,21 +126,36 @@
     std::size_t direct_connections = 1;
     std::size_t owner_connections = 1;
     bool is_direct = true;
+    bool self_owns = false;
     std::map<std::string, std::vector<std::string>> owners_by_zone;
+    std::vector<std::string> all_owners;
+    std::unordered_set<std::string> owner_names;
   };
+  using members_by_zone = std::map<std::string, std::vector<member>>;
 
-  std::vector<std::string> ranked(const std::string& object, const std::vector<member>& among,
-                                  std::size_t count) const;
-  service_roles roles_of(const std::string& service, std::uint32_t most_connections) const;
+  void choose_coordinators();
+  members_by_zone owner_pools();
+  service_roles roles_of(const std::string& service, std::uint32_t most_connections,
+                         const members_by_zone& pools) const;
+  bool becomes_direct(const std::string& service, std::size_t share) const;
+  const service_roles* find(const std::string& service) const;
 
   std::string self;
   role_policy policy;
   std::vector<member> live;
   std::size_t sharing = 1;
+  std::map<std::string, std::uint32_t> limits;
   bool is_known = false;
   bool is_meshed = true;
+  bool self_coordinates = true;
+  bool self_watches = true;
+  bool self_next = true;
+  bool self_deputy = true;
+  bool may_be_direct = true;
+  bool any_direct = true;
   std::vector<std::string> coordinator_names;
-  std::map<std::string, service_roles> services;
+  std::unordered_set<std::string> watcher_names;
+  std::unordered_map<std::string, service_roles> services;
 };
 
 }  // namespace valvekeel::relay
