--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -91,7 +91,7 @@
   Gauge("valvekeel_store_connected", "1 if the metadata store answers", {},
         proxy.CatalogView().Connected() ? 1 : 0);
   Gauge("valvekeel_live_daemons", "Other daemons heard", {},
-        static_cast<double>(proxy.Peers().LiveNames(now).size()));
+        static_cast<double>(proxy.LiveDaemons(now)));
   for (const auto& [service, group] : proxy.Groups().All()) {
     Gauge("valvekeel_group_term", "Term of the known primary", {{"service", service}},
           group.lease.Newest().term);
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -74,7 +74,12 @@
 
   /// Sets how many connections to an instance may be opening at once.
   void SetMostOpening(std::size_t most) { most_opening_ = most; }
-  std::size_t MostOpening() const { return most_opening_; }
+
+  /// @return true if one more may be opened for statements that wait.
+  bool MayOpenFor(const Backend& backend, std::size_t waiting) const {
+    const std::size_t opening = backend.Opening();
+    return opening <= waiting && opening < most_opening_;
+  }
 
   /// Opens a connection if the limit allows it. @param extra connections beyond the limit.
   bool Open(Backend& backend, common::Instant now, std::size_t extra = 0);
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -154,8 +154,7 @@
   }
   Connection* connection = backend.PickFree(session.values);
   if (connection == nullptr) {
-    const std::size_t opening = backend.Opening();
-    if (opening <= waiting_.size() && opening < backends_.MostOpening()) {
+    if (backends_.MayOpenFor(backend, waiting_.size())) {
       backends_.Open(backend, now);
     }
     return false;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -94,6 +94,11 @@
   const SessionRelay& Relay() const { return relay_; }
   const membership::live_view& View() const { return view_; }
 
+  /// @return how many other daemons are taken to be alive.
+  std::size_t LiveDaemons(common::Instant now) const {
+    return large_ ? view_.live().size() - 1 : peers_.LiveNames(now).size();
+  }
+
  private:
   /// Whom a heartbeat is for.
   enum class Receivers : std::uint8_t {
--- a/tests/proxy/backend_set_test.cc
+++ b/tests/proxy/backend_set_test.cc
@@ -83,4 +83,18 @@
   CHECK(fixture.Count() == 0);
 }
 
+TEST_CASE("Where many daemons share an instance each opens one connection at a time", "[proxy]") {
+  // Found on the large site: when all daemons returned, each statement that waited made its owner
+  // open a connection more, and the handshakes held the slots for seconds.
+  BackendFixture fixture(1, true);
+  fixture.backends.SetConnectionLimit("group", 10);
+  Backend& backend = *fixture.backends.Find("i");
+  const std::size_t waiting = 20;
+  CHECK(fixture.backends.MayOpenFor(backend, waiting));
+  REQUIRE(fixture.backends.Open(backend, kStart));
+  CHECK(fixture.backends.MayOpenFor(backend, waiting));
+  fixture.backends.SetMostOpening(1);
+  CHECK_FALSE(fixture.backends.MayOpenFor(backend, waiting));
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/catalog_state_test.cc
+++ b/tests/proxy/catalog_state_test.cc
@@ -222,4 +222,37 @@
   CHECK(calls == 2);
 }
 
+TEST_CASE("Who reads the record no more is not held to its last failed reads", "[proxy]") {
+  // Found on the large site: each daemon that had been reader while the store was away counted as
+  // without the store for the rest of the day, and a primary was not replaced for 20 s.
+  CatalogFixture fixture;
+  fixture.catalog.SetInterest({false, true, true, true, true});
+  fixture.Answer(Collection::kConfiguration, {ReadStatus::kOk, 5, {Version(3)}});
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 5, {Instance("i-1", 4)}});
+  fixture.catalog.NoteProbe(false);
+  fixture.catalog.NoteProbe(false);
+  REQUIRE_FALSE(fixture.catalog.Connected());
+  fixture.catalog.SetInterest({false, true, false, true, true});
+  fixture.Answer(Collection::kConfiguration, {ReadStatus::kOk, 6, {}});
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 6, {}});
+  CHECK(fixture.catalog.Connected());
+}
+
+TEST_CASE("A removed instance is news for those who list, and no chase for those who watch",
+          "[proxy]") {
+  CatalogFixture fixture;
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 5, {Instance("i-1", 4)}});
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 9, {Instance("i-1", 4, true)}});
+  CHECK(fixture.catalog.Revisions().instances == 9);
+  // Another daemon's watch was answered a little later, at a later revision of the store.
+  fixture.catalog.NoteRevisions({0, 11}, fixture.now);
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, 12, {}});
+  fixture.catalog.Tick(fixture.now);
+  fixture.outbox.Take();
+  const common::Duration limit{500'000};
+  fixture.catalog.NoteRevisions({0, 11}, fixture.now + 2 * limit);
+  fixture.catalog.Tick(fixture.now + 2 * limit);
+  CHECK(fixture.outbox.Take().empty());
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/relay/role_map_test.cc
+++ b/tests/relay/role_map_test.cc
@@ -109,4 +109,66 @@
   CHECK(after[1] != before[0]);
 }
 
+TEST_CASE("Owners of all services come from a few large daemons of each zone", "[relay]") {
+  // Found on the large site: with owners among all 295 daemons a coordinator would exchange
+  // heartbeats with nearly all of them.
+  std::vector<member> all = daemons(180);
+  for (std::size_t number = 0; number < all.size(); ++number) {
+    all[number].capacity = number % 20 < 3 ? 500 : 120;
+  }
+  std::map<std::string, std::uint32_t> services;
+  for (int number = 0; number < 20; ++number) {
+    services["service-" + std::to_string(number)] = 202;
+  }
+  role_map roles("daemon-0", {});
+  roles.update(all, all.size(), services);
+  CHECK(roles.watchers().size() <= 3 * 8 + 3);
+  for (const auto& [service, most] : services) {
+    CHECK(roles.owners(service).size() == 6);
+    for (const std::string& owner : roles.owners(service)) {
+      CHECK(std::stoul(owner.substr(owner.find('-') + 1)) % 20 < 3);
+    }
+  }
+}
+
+TEST_CASE("One daemon more or less does not turn a service from owners to all daemons", "[relay]") {
+  // Logwell's large site: 600 connections and 295 daemons, two each; with 299 the share is one.
+  const std::map<std::string, std::uint32_t> services = {{"ledger", 600}};
+  role_map roles("daemon-0", {});
+  for (const std::size_t count : {295, 299, 295, 298, 199}) {
+    roles.update(daemons(count), count, services);
+    CHECK_FALSE(roles.direct("ledger"));
+  }
+}
+
+TEST_CASE("A service does without owners only once all daemons are known", "[relay]") {
+  // Found on the large site: after a loss of power each daemon knew a third of the others at first,
+  // and took the share of three.
+  const std::map<std::string, std::uint32_t> services = {{"ledger", 225}};
+  role_map roles("daemon-0", {});
+  roles.update(daemons(40), 40, services, false);
+  CHECK_FALSE(roles.direct("ledger"));
+  roles.update(daemons(68), 68, services, true);
+  CHECK(roles.direct("ledger"));
+  // Two each are enough to go on with.
+  roles.update(daemons(90), 90, services, true);
+  CHECK(roles.direct("ledger"));
+  roles.update(daemons(112), 112, services, true);
+  CHECK_FALSE(roles.direct("ledger"));
+  roles.update(daemons(90), 90, services, true);
+  CHECK_FALSE(roles.direct("ledger"));
+}
+
+TEST_CASE("Deputies follow the coordinators in order, whoever has the store", "[relay]") {
+  std::vector<member> all = daemons(60);
+  std::size_t deputies = 0;
+  for (const member& each : all) {
+    role_map roles(each.name, {});
+    roles.update(all, all.size(), {});
+    CHECK((!roles.coordinates() || roles.is_deputy()));
+    deputies += roles.is_deputy() ? 1 : 0;
+  }
+  CHECK(deputies == 9);
+}
+
 }  // namespace valvekeel::relay
