After a history that is gone the list must not be answered from an old state

A daemon that starts lists an old state at a tenth of the price; where the store had forgotten its history, the watch from there ended with 410, and the follower listed an old state again, and again. Ruled out: news from other daemons (both sites are small and watch). Change: only the first list may be old.

--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -45,7 +45,8 @@
   calling_ = true;
   listing_ = true;
   ReadCall call{collection_, std::nullopt, common::Duration(0), kListTimeout};
-  call.may_be_old = revision_ ? old_answers_ < kMostOldAnswers : old_first_list_;
+  // After a history that is gone an old state would lead there again.
+  call.may_be_old = revision_ ? old_answers_ < kMostOldAnswers : old_first_list_ && !listed_;
   return call;
 }
 
--- a/tests/proxy/catalog_state_test.cc
+++ b/tests/proxy/catalog_state_test.cc
@@ -255,4 +255,33 @@
   CHECK(fixture.outbox.Take().empty());
 }
 
+TEST_CASE("After a history that is gone the list must not be old", "[proxy]") {
+  // Found by mttt scale-1 and noms scale-2 (CONFIG): a daemon that had just started listed an old
+  // state, was told that the history from there was gone, and listed an old state again.
+  CatalogFixture fixture;
+  fixture.catalog.Tick(fixture.now);
+  bool first_may_be_old = false;
+  for (const Action& action : fixture.outbox.Take()) {
+    const auto* read = std::get_if<ReadCatalog>(&action);
+    if (read != nullptr && read->read.collection == Collection::kConfiguration) {
+      first_may_be_old = read->read.may_be_old;
+      fixture.calls[Collection::kConfiguration] = read->call;
+    }
+  }
+  CHECK(first_may_be_old);
+  fixture.Answer(Collection::kConfiguration, {ReadStatus::kOk, 5, {Version(3)}});
+  fixture.Answer(Collection::kConfiguration, {ReadStatus::kHistoryGone, 0, {}});
+  fixture.catalog.Tick(fixture.now);
+  std::size_t lists = 0;
+  for (const Action& action : fixture.outbox.Take()) {
+    const auto* read = std::get_if<ReadCatalog>(&action);
+    if (read != nullptr && read->read.collection == Collection::kConfiguration) {
+      CHECK_FALSE(read->read.after_revision);
+      CHECK_FALSE(read->read.may_be_old);
+      ++lists;
+    }
+  }
+  CHECK(lists == 1);
+}
+
 }  // namespace valvekeel::proxy
