--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -11,7 +11,9 @@
 #include <iostream>
 #include <map>
 #include <string>
+#include <vector>
 
+#include "proxysim/control_cost.h"
 #include "proxysim/scenario.h"
 
 ABSL_FLAG(std::uint64_t, first, 1, "first seed");
@@ -19,6 +21,8 @@
 ABSL_FLAG(std::uint64_t, faults, 6, "faults in a day");
 ABSL_FLAG(bool, draw_shape, false, "draw the deployment too");
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
+ABSL_FLAG(std::vector<std::string>, control_cost, {},
+          "instead of days: what control costs deployments of these sizes, e.g. 30,100,300");
 ABSL_FLAG(bool, print_log, false, "print the daemons' log lines");
 
 namespace {
@@ -44,9 +48,45 @@
 
 }  // namespace
 
+namespace {
+
+void PrintPhase(const char* name, std::size_t daemons,
+                const valvekeel::proxysim::PhaseCost& phase) {
+  const double seconds = std::chrono::duration<double>(phase.length).count();
+  std::cout << "| " << daemons << " | " << name << " | "
+            << static_cast<double>(phase.messages) / seconds << " | "
+            << static_cast<double>(phase.plain_messages) / seconds << " | "
+            << static_cast<double>(phase.most_messages) / seconds << " | "
+            << static_cast<double>(phase.bytes) / seconds / 1000 << " | " << phase.store_calls
+            << " | " << phase.processor_seconds / seconds / static_cast<double>(daemons) * 1000
+            << " |\n";
+}
+
+/// @return the exit status: 1 if the daemons of some size did not agree.
+int PrintControlCost(const std::vector<std::string>& sizes) {
+  std::cout << "| daemons | phase | messages/s | of a plain daemon, most | of any, most | KB/s | "
+               "store calls | ms of processor time a second and daemon |\n"
+               "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  bool agreed = true;
+  for (const std::string& size : sizes) {
+    const auto cost = valvekeel::proxysim::MeasureControlCost(std::stoul(size));
+    PrintPhase("start", cost.daemons, cost.start);
+    PrintPhase("rest", cost.daemons, cost.rest);
+    PrintPhase("return of all", cost.daemons, cost.herd_return);
+    agreed = agreed && cost.agreed_at_rest && cost.agreed_at_end;
+  }
+  std::cout << (agreed ? "all agreed on the coordinators\n" : "NOT AGREED\n");
+  return agreed ? 0 : 1;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("valvekeel-proxysim [--first=N] [--seeds=N] [--draw_shape]");
   absl::ParseCommandLine(argc, argv);
+  if (!absl::GetFlag(FLAGS_control_cost).empty()) {
+    return PrintControlCost(absl::GetFlag(FLAGS_control_cost));
+  }
   const auto start = std::chrono::steady_clock::now();
   std::map<std::string, std::size_t> days_by_rule;
   std::size_t attempts = 0;
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -25,6 +25,8 @@
   GroupShape group;
   proxy::Mechanisms mechanisms;
   relay::role_policy roles;
+  bool first_start = false;      // of the whole deployment
+  bool encode_messages = false;  // the bytes of heartbeats are counted
 };
 
 class Cluster {
--- /dev/null
+++ b/src/proxysim/control_cost.h
@@ -0,0 +1,37 @@
+// What control costs a deployment of a size: messages, bytes and calls to the store, with no
+// caller.
+//
+// Owns: nothing between runs. Invariant: the same size gives the same counts. Thread: one.
+#pragma once
+
+#include <cstddef>
+
+#include "common/time.h"
+
+namespace valvekeel::proxysim {
+
+/// What was counted in one phase.
+struct PhaseCost {
+  common::Duration length{0};
+  std::size_t messages = 0;        // of all daemons
+  std::size_t bytes = 0;           // of these messages, encoded
+  std::size_t plain_messages = 0;  // sent by the plain daemon that sent the most
+  std::size_t most_messages = 0;   // sent by the daemon that sent the most
+  std::size_t store_calls = 0;     // of all daemons
+  double processor_seconds = 0;    // of the whole simulation: an upper bound for the decision code
+};
+
+struct ControlCost {
+  std::size_t daemons = 0;
+  PhaseCost start;
+  PhaseCost rest;
+  PhaseCost herd_return;        // all are killed and return within 0.3 s
+  bool agreed_at_rest = false;  // all daemons name the same coordinators
+  bool agreed_at_end = false;
+};
+
+/// Plays a start, a while at rest, and the return of all. @param daemons how many; 20 services,
+/// five zones.
+ControlCost MeasureControlCost(std::size_t daemons);
+
+}  // namespace valvekeel::proxysim
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -40,6 +40,7 @@
     settings.seed_catalogs = settings.seed_peers;
     settings.admin_port = address_.port;
     settings.roles = cluster_.Shape().roles;
+    settings.first_start = cluster_.Shape().first_start && life_ == 1;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
     Tick(life);
   });
@@ -381,6 +382,7 @@
 }
 
 void DaemonHost::Do(const proxy::ReadCatalog& action) {
+  ++traffic_.store_calls;
   const std::uint64_t life = life_;
   cluster_.Store().Read(name_, action.read,
                         [this, life, call = action.call](const metadata::ReadResult& result) {
@@ -391,6 +393,7 @@
 }
 
 void DaemonHost::Do(const proxy::ReadLeadership& action) {
+  ++traffic_.store_calls;
   const std::uint64_t life = life_;
   cluster_.Store().ReadLeadership(
       name_, [this, life, call = action.call](const failover::WriteResult& result) {
@@ -404,6 +407,7 @@
 }
 
 void DaemonHost::Do(const proxy::WriteLeadership& action) {
+  ++traffic_.store_calls;
   const std::uint64_t life = life_;
   cluster_.Store().WriteLeadership(
       name_, action.write, [this, life, call = action.call](const failover::WriteResult& result) {
@@ -414,6 +418,7 @@
 }
 
 void DaemonHost::Do(const proxy::WriteDaemon& action) {
+  ++traffic_.store_calls;
   const std::uint64_t life = life_;
   cluster_.Store().WriteDaemon(name_, action.entry, [this, life, call = action.call](bool written) {
     Deliver(life, [this, call, written] {
@@ -433,6 +438,10 @@
 }
 
 void DaemonHost::Do(const proxy::SendPeer& action) {
+  ++traffic_.messages;
+  if (cluster_.Shape().encode_messages) {
+    traffic_.bytes += proxy::EncodePeerMessage(action.message).size();
+  }
   DaemonHost* peer = cluster_.DaemonAt(action.address);
   World& world = cluster_.Surroundings();
   if (peer == nullptr || !world.Reaches(name_, peer->Name())) {
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -28,6 +28,13 @@
   std::function<void()> closed;
 };
 
+/// What a daemon has sent over all its lives.
+struct TrafficCounters {
+  std::size_t messages = 0;     // heartbeats
+  std::size_t bytes = 0;        // of these, if they are encoded
+  std::size_t store_calls = 0;  // of any kind
+};
+
 /// A session that another daemon serves.
 struct RelayLink {
   DaemonHost* owner = nullptr;
@@ -51,6 +58,7 @@
   const std::string& Name() const { return name_; }
   const common::Endpoint& Address() const { return address_; }
   proxy::Proxy* Decisions() { return proxy_.get(); }
+  const TrafficCounters& Traffic() const { return traffic_; }
 
   // Callers.
   void OpenSession(proxy::SessionNumber number, const std::string& database, CallerPort port);
@@ -100,6 +108,7 @@
   common::Endpoint address_;
   std::unique_ptr<proxy::Proxy> proxy_;
   std::uint64_t life_ = 0;
+  TrafficCounters traffic_;
   bool frozen_ = false;
   bool ready_ = false;
   bool draining_ = false;
