--- a/src/host/catalog_copy_json.cc
+++ b/src/host/catalog_copy_json.cc
@@ -22,7 +22,8 @@
           {"timeout_us", route.timeout.count()},
           {"target_latency_us", route.target_latency.count()},
           {"priority", route.priority},
-          {"max_staleness_us", route.max_staleness.count()}};
+          {"max_staleness_us", route.max_staleness.count()},
+          {"public", route.is_public}};
 }
 
 model::Route RouteFrom(const json& value) {
@@ -34,9 +35,33 @@
   route.target_latency = common::Duration(value.at("target_latency_us").get<std::int64_t>());
   route.priority = value.at("priority").get<std::uint32_t>();
   route.max_staleness = common::Duration(value.at("max_staleness_us").get<std::int64_t>());
+  route.is_public = value.at("public").get<bool>();
   return route;
 }
 
+json ToJson(const tenants::tenant& tenant) {
+  json keys = json::array();
+  for (const tenants::key_digest& key : tenant.keys) {
+    keys.push_back(tenants::to_hex(key));
+  }
+  return json::array({tenant.name, std::move(keys), tenant.priority, tenant.rate, tenant.burst});
+}
+
+tenants::tenant TenantFrom(const json& value) {
+  tenants::tenant tenant;
+  tenant.name = value.at(0).get<std::string>();
+  for (const json& digits : value.at(1)) {
+    // A digest that can't be read is no key: whoever has it is not let in.
+    if (const auto key = tenants::from_hex(digits.get_ref<const std::string&>())) {
+      tenant.keys.push_back(*key);
+    }
+  }
+  tenant.priority = value.at(2).get<std::uint32_t>();
+  tenant.rate = value.at(3).get<double>();
+  tenant.burst = value.at(4).get<double>();
+  return tenant;
+}
+
 json ToJson(const model::Configuration& configuration) {
   json routes = json::array();
   for (const auto& [database, route] : configuration.routes) {
@@ -46,7 +71,12 @@
   for (const auto& [name, service] : configuration.services) {
     services.push_back(json::array({name, service.max_connections, service.sync_replicas}));
   }
+  json tenants = json::array();
+  for (const auto& [name, tenant] : configuration.tenants) {
+    tenants.push_back(ToJson(tenant));
+  }
   return {{"version", configuration.version},
+          {"tenants", std::move(tenants)},
           {"routes", std::move(routes)},
           {"services", std::move(services)},
           {"transaction_idle_us", configuration.transaction_idle.count()}};
@@ -64,6 +94,10 @@
                                  each.at(2).get<std::uint32_t>()};
     configuration.services[service.name] = service;
   }
+  for (const json& each : value.at("tenants")) {
+    tenants::tenant tenant = TenantFrom(each);
+    configuration.tenants[tenant.name] = std::move(tenant);
+  }
   configuration.transaction_idle =
       common::Duration(value.at("transaction_idle_us").get<std::int64_t>());
   return configuration;
--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -20,13 +20,14 @@
 #include "model/request.h"
 #include "proxy/actions.h"
 #include "proxy/caller_session.h"
+#include "tenants/key_digest.h"
 
 namespace valvekeel::host {
 
 /// First message of a caller.
 struct CallerStart {
   std::string database;
-  std::string user;
+  tenants::key_digest key;  // of the word by which the caller is known
 };
 
 /// The caller ends its session.
@@ -76,7 +77,9 @@
  public:
   virtual ~InstanceCodec() = default;
 
-  virtual std::string EncodeStart(const std::string& service, const std::string& instance) = 0;
+  /// @param tenant whose requests the connection will carry; empty: the proxy's own.
+  virtual std::string EncodeStart(const std::string& service, const std::string& tenant,
+                                  const std::string& instance) = 0;
   virtual std::string EncodeRequest(const model::InstanceRequest& request) = 0;
 
   /// An answer will come to a caller's request that was passed on without being encoded here.
@@ -97,11 +100,18 @@
   using LeadershipHandler =
       std::function<void(const std::optional<std::pair<model::LeadershipRecord, std::uint64_t>>&)>;
 
+  /// Takes the newest configuration and its revision; nothing if there was no answer.
+  using ConfigurationHandler =
+      std::function<void(const std::optional<std::pair<model::Configuration, std::uint64_t>>&)>;
+
   virtual ~MetadataStore() = default;
   virtual void Read(const metadata::ReadCall& call, ReadHandler handler) = 0;
 
   /// Reads the leadership record as it is now.
   virtual void ReadLeadership(LeadershipHandler handler) = 0;
+
+  /// Reads the configuration as it is now, never from an old state.
+  virtual void ReadConfiguration(ConfigurationHandler handler) = 0;
   virtual void WriteLeadership(const failover::RecordWrite& write, WriteHandler handler) = 0;
   virtual void WriteDaemon(const model::DaemonEntry& entry, RegisterHandler handler) = 0;
 };
--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -26,6 +26,39 @@
                  [target](std::int64_t value) { *target = std::chrono::milliseconds(value); });
 }
 
+/// Words of `daemon.features` that this daemon knows.
+constexpr const char* kTenantsFeature = "tenants";
+constexpr const char* kQuotaFeature = "quota";
+constexpr double kMostSlack = 1e9;
+constexpr double kShortestWindowSeconds = 0.1;
+constexpr double kLongestWindowSeconds = 3'600;
+constexpr double kMicroseconds = 1e6;  // of a second
+
+/// Adds what says how the deployment's tenants are known and limited.
+void AddTenantKeys(Schema& schema, tenants::tenant_policy& out) {
+  schema.TextList("daemon.features",
+                  "what the deployment uses: tenants (callers are known by keys), quota (tenants' "
+                  "rates are limited); others are ignored",
+                  [&out](const std::vector<std::string>& value) {
+                    for (const std::string& feature : value) {
+                      out.keys_required = out.keys_required || feature == kTenantsFeature;
+                      out.rates_limited = out.rates_limited || feature == kQuotaFeature;
+                    }
+                  });
+  Time(
+      schema, "tenants.revocation_limit_ms",
+      "from a key's removal until no daemon serves it, in touch with the store or not; 0: no bound",
+      0, &out.revocation_limit);
+  schema.Real("tenants.rate_window_s", "s", "window in which operations count against a limit",
+              kShortestWindowSeconds, kLongestWindowSeconds,
+              static_cast<double>(out.rate_window.count()) / kMicroseconds, [&out](double value) {
+                out.rate_window = Duration(std::llround(value * kMicroseconds));
+              });
+  schema.Real("tenants.rate_slack", "operations",
+              "of a window, that may pass beyond a limit since counts come late", 0.0, kMostSlack,
+              out.rate_slack, [&out](double value) { out.rate_slack = value; });
+}
+
 /// Adds a whole number from 1 on.
 template <typename Whole>
 void Count(Schema& schema, const std::string& key, const std::string& unit,
@@ -102,6 +135,7 @@
   Count(schema, "peers.hubs_per_zone", "daemons",
         "large deployments: daemons of a zone that hear all others of it",
         &out.proxy.view.hubs_per_zone);
+  AddTenantKeys(schema, out.proxy.tenants);
   Count(schema, "relay.most_meshed_daemons", "daemons",
         "up to so many, all coordinate and send heartbeats at full pace",
         &out.proxy.roles.most_meshed_daemons);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -188,7 +188,7 @@
   Caller& caller = found->second;
   if (const auto* start = std::get_if<CallerStart>(&message)) {
     caller.started = true;
-    proxy_.SessionStarted(number, start->database, start->user, caller.origin, now);
+    proxy_.SessionStarted(number, start->database, start->key, caller.origin, now);
     return true;
   }
   if (const auto* command = std::get_if<proxy::CallerCommand>(&message)) {
@@ -221,7 +221,8 @@
   InstanceConnection& connection = found->second;
   connection.stream->Start([this, number](std::string_view bytes) { InstanceBytes(number, bytes); },
                            [this, number] { InstanceGone(number); });
-  connection.stream->Send(connection.codec->EncodeStart(action.service, action.instance));
+  connection.stream->Send(
+      connection.codec->EncodeStart(action.service, action.tenant, action.instance));
 }
 
 void ProxyHost::FailConnection(proxy::ConnectionNumber number, proxy::OpenFailure failure,
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -102,6 +102,7 @@
   void Do(const proxy::CloseRelay& action);
   void Do(const proxy::ReadCatalog& action);
   void Do(const proxy::ReadLeadership& action);
+  void Do(const proxy::ReadConfiguration& action);
   void Do(const proxy::WriteLeadership& action);
   void Do(const proxy::WriteDaemon& action);
   void Do(const proxy::Promote& action);
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -167,6 +167,19 @@
   });
 }
 
+void ProxyHost::Do(const proxy::ReadConfiguration& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().ReadConfiguration([this, call](const auto& read) {
+    const common::Instant now = common::SteadyNow();
+    if (read) {
+      proxy_.ConfigurationRead(call, read->first, read->second, now);
+    } else {
+      proxy_.ConfigurationRead(call, std::nullopt, 0, now);
+    }
+    Drain();
+  });
+}
+
 void ProxyHost::Do(const proxy::WriteLeadership& action) {
   const proxy::CallNumber call = action.call;
   adapter_.Store().WriteLeadership(action.write, [this, call](const failover::WriteResult& result) {
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -14,6 +14,7 @@
 #include "common/endpoint.h"
 #include "common/position.h"
 #include "common/time.h"
+#include "tenants/tenant.h"
 
 namespace valvekeel::model {
 
@@ -33,6 +34,7 @@
   common::Duration target_latency{0};  // of an operation
   std::uint32_t priority = 0;          // 0 is the highest
   common::Duration max_staleness{0};
+  bool is_public = false;  // callers need no key
 };
 
 /// A database group as configured.
@@ -47,7 +49,8 @@
   std::uint64_t version = 0;
   std::map<std::string, Route> routes;  // by database
   std::map<std::string, Service> services;
-  common::Duration transaction_idle{0};  // after which an idle transaction may be ended
+  std::map<std::string, tenants::tenant> tenants;  // by name
+  common::Duration transaction_idle{0};            // after which an idle transaction may be ended
 };
 
 /// An instance as it announces itself.
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -36,6 +36,7 @@
   common::Endpoint address;
   std::string service;
   std::string instance;
+  std::string tenant;  // whose requests it carries; empty: the proxy's own
 };
 
 /// Sends requests in one write; each is answered in turn.
@@ -93,6 +94,11 @@
   metadata::ReadCall read;
 };
 
+/// Asks for the newest configuration, never from an old state of the store.
+struct ReadConfiguration {
+  CallNumber call = 0;
+};
+
 struct WriteLeadership {
   CallNumber call = 0;
   failover::RecordWrite write;
@@ -146,7 +152,7 @@
 
 using Action = std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession,
                             AnswerCaller, CloseSession, RelaySession, CloseRelay, ReadCatalog,
-                            ReadLeadership, WriteLeadership, WriteDaemon, Promote, SendPeer,
-                            FetchCatalog, SetReady, Exit, LogEvent>;
+                            ReadLeadership, ReadConfiguration, WriteLeadership, WriteDaemon,
+                            Promote, SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -32,9 +32,10 @@
 Backend::Backend(model::InstanceEntry entry)
     : entry_(std::move(entry)), in_flight_limit_(kInFlightPerSlot * std::max(1U, entry_.slots)) {}
 
-Connection& Backend::Add(ConnectionNumber number, common::Instant now) {
+Connection& Backend::Add(ConnectionNumber number, const std::string& tenant, common::Instant now) {
   Connection& connection = connections_[number];
   connection.number = number;
+  connection.tenant = tenant;
   connection.created = now;
   connection.last_used = now;
   return connection;
@@ -45,13 +46,33 @@
   return found == connections_.end() ? nullptr : &found->second;
 }
 
-Connection* Backend::PickFree(const SessionValues& values) {
+bool Backend::IsFree(const Connection& connection) {
+  return connection.open && connection.outstanding.empty() && !connection.session &&
+         connection.state == model::TransactionState::kIdle;
+}
+
+Connection* Backend::PickAnyFree() {
+  const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                  [](const auto& entry) { return IsFree(entry.second); });
+  return found == connections_.end() ? nullptr : &found->second;
+}
+
+Connection* Backend::PickForOther(const std::string& tenant) {
+  Connection* oldest = nullptr;
+  for (auto& [number, connection] : connections_) {
+    const bool other = IsFree(connection) && connection.tenant != tenant;
+    if (other && (oldest == nullptr || connection.last_used < oldest->last_used)) {
+      oldest = &connection;
+    }
+  }
+  return oldest;
+}
+
+Connection* Backend::PickFree(const std::string& tenant, const SessionValues& values) {
   Connection* best = nullptr;
   bool best_matches = false;
   for (auto& [number, connection] : connections_) {
-    const bool free = connection.open && connection.outstanding.empty() && !connection.session &&
-                      connection.state == model::TransactionState::kIdle;
-    if (!free) {
+    if (!IsFree(connection) || connection.tenant != tenant) {
       continue;
     }
     const bool matches = connection.values == values;
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -43,6 +43,7 @@
 
 struct Connection {
   ConnectionNumber number = 0;
+  std::string tenant;  // whose requests it carries; empty: no tenant's
   bool open = false;
   common::Instant created{0};
   common::Instant last_used{0};
@@ -80,14 +81,18 @@
   void SetEntry(const model::InstanceEntry& entry) { entry_ = entry; }
 
   // Connections.
-  Connection& Add(ConnectionNumber number, common::Instant now);
+  Connection& Add(ConnectionNumber number, const std::string& tenant, common::Instant now);
   Connection* Find(ConnectionNumber number);
   void Remove(ConnectionNumber number) { connections_.erase(number); }
   std::map<ConnectionNumber, Connection>& Connections() { return connections_; }
   const std::map<ConnectionNumber, Connection>& Connections() const { return connections_; }
 
-  /// @return a free connection, preferably with these values in force, or nothing.
-  Connection* PickFree(const SessionValues& values);
+  /// @return a free connection of the tenant, preferably with these values in force, or nothing.
+  Connection* PickFree(const std::string& tenant, const SessionValues& values);
+  /// @return a free connection for requests of the proxy's own: whose it is does not matter.
+  Connection* PickAnyFree();
+  /// @return the free connection of another tenant that was used least recently, or nothing.
+  Connection* PickForOther(const std::string& tenant);
   std::size_t Opening() const;
   std::size_t Busy() const;  // connections that work for somebody
 
@@ -142,6 +147,8 @@
   std::optional<model::InstanceStatus> status;    // last seen
 
  private:
+  static bool IsFree(const Connection& connection);
+
   model::InstanceEntry entry_;
   std::map<ConnectionNumber, Connection> connections_;
   common::Instant last_heard_{0};
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -66,6 +66,11 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
+Connection* BackendSet::FindConnection(ConnectionNumber number) {
+  Backend* backend = Owner(number);
+  return backend == nullptr ? nullptr : backend->Find(number);
+}
+
 bool BackendSet::IsSucceeded(const Backend& backend) const {
   if (!backend.gone_since) {
     return false;
@@ -97,12 +102,33 @@
   if (!backend.MayOpen(now) || backend.Connections().size() >= limit) {
     return false;
   }
+  StartOpening("", backend, now);
+  return true;
+}
+
+std::optional<ConnectionNumber> BackendSet::OpenFor(const std::string& tenant, Backend& backend,
+                                                    common::Instant now) {
+  if (!backend.MayOpen(now)) {
+    return std::nullopt;
+  }
+  if (backend.Connections().size() >= ConnectionLimit(backend.Entry().service)) {
+    const Connection* replaced = backend.PickForOther(tenant);
+    if (replaced == nullptr) {
+      return std::nullopt;
+    }
+    Close(backend, replaced->number);
+  }
+  return StartOpening(tenant, backend, now);
+}
+
+ConnectionNumber BackendSet::StartOpening(const std::string& tenant, Backend& backend,
+                                          common::Instant now) {
   const ConnectionNumber number = outbox_.NextNumber();
-  backend.Add(number, now);
+  backend.Add(number, tenant, now);
   owners_[number] = backend.Entry().id;
-  outbox_.Emit(
-      OpenConnection{number, backend.Entry().address, backend.Entry().service, backend.Entry().id});
-  return true;
+  outbox_.Emit(OpenConnection{number, backend.Entry().address, backend.Entry().service,
+                              backend.Entry().id, tenant});
+  return number;
 }
 
 void BackendSet::Send(Backend& backend, Connection& connection,
@@ -131,7 +157,7 @@
 
 void BackendSet::ServeControls(Backend& backend, common::Instant now) {
   while (!backend.control_queue.empty()) {
-    Connection* connection = backend.PickFree({});
+    Connection* connection = backend.PickAnyFree();
     if (connection == nullptr) {
       if (backend.Opening() == 0) {
         Open(backend, now, kExtraForControl);
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -57,6 +57,9 @@
 
   Backend* Find(const std::string& id);
 
+  /// @return a connection to whatever instance, or nothing.
+  Connection* FindConnection(ConnectionNumber number);
+
   /// @return true if the instance is gone and another of its service has its address: that one
   /// carries its log on.
   bool IsSucceeded(const Backend& backend) const;
@@ -81,7 +84,13 @@
     return opening <= waiting && opening < most_opening_;
   }
 
-  /// Opens a connection if the limit allows it. @param extra connections beyond the limit.
+  /// Opens a connection if the limit allows it; else in the place of a free one of another tenant.
+  /// @return the connection, nothing if none is to be had.
+  std::optional<ConnectionNumber> OpenFor(const std::string& tenant, Backend& backend,
+                                          common::Instant now);
+
+  /// Opens a connection of no tenant if the limit allows it. @param extra connections beyond the
+  /// limit.
   bool Open(Backend& backend, common::Instant now, std::size_t extra = 0);
 
   /// Sends requests of one purpose over a connection.
@@ -112,6 +121,7 @@
     common::Instant started{0};
   };
 
+  ConnectionNumber StartOpening(const std::string& tenant, Backend& backend, common::Instant now);
   Backend* Owner(ConnectionNumber number);
   void ServeControls(Backend& backend, common::Instant now);
   void FinishControl(ControlNumber number, const std::optional<model::InstanceStatus>& status,
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -18,6 +18,7 @@
 #include "model/command.h"
 #include "proxy/actions.h"
 #include "proxy/backend.h"
+#include "tenants/key_digest.h"
 
 namespace valvekeel::proxy {
 
@@ -45,6 +46,8 @@
   std::string instance;
   ConnectionNumber connection = 0;
   common::Instant sent{0};
+  std::string tenant;                        // for whom it runs; set when it is placed
+  std::optional<ConnectionNumber> opening;   // connection that was asked for it
   std::size_t preparations = 0;              // not answered yet
   std::optional<common::Position> required;  // that the instance's log must hold
   std::uint32_t attempts = 0;
@@ -66,13 +69,14 @@
   common::Instant began{0};
   common::Instant last_active{0};
   std::string instance;
+  std::string tenant;  // for whom it runs
   std::optional<ConnectionNumber> connection;
 };
 
 struct CallerSession {
   SessionNumber number = 0;
   std::string database;
-  std::string user;
+  tenants::key_digest key;  // by which the caller is known
   bool accepted = false;
   common::Instant started{0};
   SessionValues values;
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -311,6 +311,14 @@
   return true;
 }
 
+CatalogUpdate CatalogState::TakeRead(const model::Configuration& configuration,
+                                     std::uint64_t revision) {
+  known_.configuration = std::max(known_.configuration, revision);
+  CatalogUpdate update;
+  update.configuration = TakeConfiguration(configuration, "read");
+  return update;
+}
+
 CatalogUpdate CatalogState::TakeCopy(const CatalogCopy& copy) {
   CatalogUpdate update;
   update.configuration = TakeConfiguration(copy.configuration, "daemon");
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -79,6 +79,9 @@
   CatalogUpdate Answered(CallNumber call, const metadata::ReadResult& result, common::Instant now,
                          double jitter);
 
+  /// Takes the configuration as a read of its own has shown it.
+  CatalogUpdate TakeRead(const model::Configuration& configuration, std::uint64_t revision);
+
   /// Takes another daemon's copy; only what is newer counts.
   CatalogUpdate TakeCopy(const CatalogCopy& copy);
 
--- /dev/null
+++ b/src/proxy/configuration_prover.cc
@@ -0,0 +1,70 @@
+#include "proxy/configuration_prover.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+/// Parts of the revocation limit (5 s on the users' sites). Between two reads of the reader: with
+/// heartbeats of 0.25 s both ways a proof is at most 0.3 of the limit old where it is told.
+constexpr int kReadPart = 6;
+/// Age of a proof at which a daemon reads by itself: what the reader should have told is missing.
+/// Leaves more than half of the limit for tries.
+constexpr int kOwnReadNumerator = 2;
+constexpr int kOwnReadDenominator = 5;
+/// Between two reads of a daemon that reads by itself.
+constexpr int kOwnPausePart = 8;
+/// The same while the store does not answer, and before the first proof of a life.
+constexpr common::Duration kFailedPause{800'000};
+constexpr common::Duration kFirstPause{300'000};
+
+}  // namespace
+
+bool ConfigurationProver::IsDue(const Duty& duty, common::Instant now) const {
+  const common::Duration limit = settings_.tenants.revocation_limit;
+  const auto since = asked_at_ ? std::optional(now - *asked_at_) : std::nullopt;
+  if (duty.reader) {
+    return !since || *since >= limit / kReadPart;
+  }
+  if (!duty.admits) {
+    return false;
+  }
+  const auto age = admission_.proof().age(admission_.configuration_version(), now);
+  const bool old = !age || *age >= limit * kOwnReadNumerator / kOwnReadDenominator;
+  const common::Duration retry = age ? limit / kOwnPausePart : kFirstPause;
+  const common::Duration pause = failed_ || !duty.store_connected ? kFailedPause : retry;
+  return old && (!since || *since >= pause);
+}
+
+void ConfigurationProver::Tick(const Duty& duty, common::Instant now) {
+  if (!admission_.proof().required()) {
+    return;
+  }
+  const bool unproven = duty.admits && admission_.is_unproven(now);
+  if (unproven != unproven_) {
+    unproven_ = unproven;
+    const auto age = admission_.proof().age(admission_.configuration_version(), now);
+    outbox_.Log(unproven ? "keys_unproven" : "keys_proven",
+                {{"version", std::to_string(admission_.configuration_version())},
+                 {"proof_age_ms", age ? Milliseconds(*age) : "none"}},
+                unproven ? LogLevel::kWarning : LogLevel::kInfo);
+  }
+  if (call_ || !IsDue(duty, now)) {
+    return;
+  }
+  call_ = outbox_.NextNumber();
+  asked_at_ = now;
+  outbox_.Emit(ReadConfiguration{*call_});
+}
+
+bool ConfigurationProver::Read(CallNumber call, const std::optional<std::uint64_t>& version) {
+  if (call_ != call) {
+    return false;
+  }
+  call_.reset();
+  failed_ = !version;
+  if (version) {
+    admission_.proof().note({*version, *asked_at_});
+  }
+  return true;
+}
+
+}  // namespace valvekeel::proxy
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -11,10 +11,11 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-                       Outbox& outbox)
+                       tenants::admission& admission, Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
+      admission_(admission),
       outbox_(outbox),
       placement_(settings, backends) {}
 
@@ -24,7 +25,7 @@
   for (const SessionNumber number : starting) {
     const Session session = *Find(number);
     sessions_.erase(number);
-    SessionStarted(number, session.database, session.user, now);
+    SessionStarted(number, session.database, session.key, now);
   }
 }
 
@@ -42,24 +43,28 @@
 }
 
 void Dispatcher::SessionStarted(SessionNumber number, const std::string& database,
-                                const std::string& user, common::Instant now) {
+                                const tenants::key_digest& key, common::Instant now) {
   Session session;
   session.number = number;
   session.database = database;
-  session.user = user;
+  session.key = key;
   session.started = now;
   if (configuration_ == nullptr) {
     starting_.insert(number);
     sessions_.emplace(number, std::move(session));
     return;
   }
-  if (RouteOf(session) == nullptr) {
+  const model::Route* route = RouteOf(session);
+  if (route == nullptr) {
     outbox_.Log("session_refused", {{"database", database},
                                     {"reason", "unknown database"},
                                     {"version", std::to_string(configuration_->version)}});
     outbox_.Emit(CloseSession{number, true, model::ErrorCode::kUnknownDatabase, database});
     return;
   }
+  if (!AcceptsCaller(session, *route, now)) {
+    return;
+  }
   session.accepted = true;
   sessions_.emplace(number, std::move(session));
   outbox_.Emit(AcceptSession{number});
@@ -160,6 +165,10 @@
     AnswerError(session, model::ErrorCode::kUnknownDatabase, session.database);
     return;
   }
+  const auto tenant = AdmitOperation(session, command, *route, now);
+  if (!tenant) {
+    return;
+  }
   // The instance hears of it with the first statement, so that no connection waits meanwhile.
   Transaction& transaction = session.transaction;
   transaction = Transaction{};
@@ -167,6 +176,7 @@
   transaction.read_only = command.command.kind == model::CommandKind::kBeginReadOnly;
   transaction.begin_id = command.request_id;
   transaction.route = *route;
+  transaction.tenant = *tenant;
   transaction.began = now;
   transaction.last_active = now;
   AnswerLocally(session);
@@ -227,6 +237,13 @@
     AnswerError(session, model::ErrorCode::kUnknownDatabase, session.database);
     return;
   }
+  if (transaction.open) {
+    if (!ContinuesForTenant(session, command, now)) {
+      return;
+    }
+  } else if (!AdmitOperation(session, command, *route, now)) {
+    return;
+  }
   Operation operation;
   operation.caller = command;
   operation.route = *route;
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -19,6 +19,7 @@
 #include "proxy/outbox.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/read_placement.h"
+#include "tenants/admission.h"
 
 namespace valvekeel::proxy {
 
@@ -35,13 +36,14 @@
 
 class Dispatcher : public ConnectionObserver {
  public:
-  Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups, Outbox& outbox);
+  Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
+             tenants::admission& admission, Outbox& outbox);
 
   /// Takes a new version of the configuration; in force from each session's next transaction.
   void SetConfiguration(const model::Configuration* configuration, common::Instant now);
 
-  void SessionStarted(SessionNumber number, const std::string& database, const std::string& user,
-                      common::Instant now);
+  void SessionStarted(SessionNumber number, const std::string& database,
+                      const tenants::key_digest& key, common::Instant now);
   void CommandReceived(SessionNumber number, const CallerCommand& command, common::Instant now);
   void SessionClosed(SessionNumber number, common::Instant now);
 
@@ -74,6 +76,24 @@
   Session* Find(SessionNumber number);
   const model::Route* RouteOf(const Session& session) const;
 
+  // Tenants.
+  /// @return true if the caller may start a session on the route; else it was turned away.
+  bool AcceptsCaller(const Session& session, const model::Route& route, common::Instant now);
+  /// Admits a new operation. @return its tenant; nothing if it was answered with a refusal.
+  std::optional<std::string> AdmitOperation(Session& session, const CallerCommand& command,
+                                            const model::Route& route, common::Instant now);
+  /// Checks that a statement of an open transaction may still run for its tenant.
+  /// @return false if the transaction was ended and the statement answered.
+  bool ContinuesForTenant(Session& session, const CallerCommand& command, common::Instant now);
+  tenants::admission_result Identify(const Session& session, const model::Route& route,
+                                     common::Instant now) const;
+  /// @return true if an operation that waited may still run, by what was found out just now.
+  static bool StillAdmitted(const Session& session, const tenants::admission_result& found);
+  void LogTurnedAway(const std::string& request, const model::Route& route,
+                     const tenants::admission_result& result);
+  /// Ends the transaction at its instance; only its end is taken from the caller.
+  void FailTransaction(Session& session, common::Instant now);
+
   // Commands.
   void Begin(Session& session, const CallerCommand& command, common::Instant now);
   void Run(Session& session, const CallerCommand& command, common::Instant now);
@@ -99,6 +119,11 @@
   bool NeedsPrimary(const Session& session) const;
   std::vector<Placement> Places(const Session& session, common::Instant now);
   bool StartOn(Session& session, const Placement& place, common::Instant now);
+  /// Opens a connection for an operation that found none, at the first place that can take it.
+  void OpenFor(Session& session, const std::vector<Placement>& places, common::Instant now);
+  bool TakesStatement(const Backend& backend, const Operation& operation,
+                      common::Instant now) const;
+  bool AwaitsConnection(const Operation& operation, common::Instant now);
   void SendPreparation(Session& session, Backend& backend, Connection& connection,
                        const std::optional<common::Position>& required, common::Instant now);
   void SendStatement(Session& session, Backend& backend, Connection& connection,
@@ -132,6 +157,7 @@
   const ProxySettings& settings_;
   BackendSet& backends_;
   GroupSet& groups_;
+  tenants::admission& admission_;
   Outbox& outbox_;
   ReadPlacement placement_;
   const model::Configuration* configuration_ = nullptr;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -11,6 +11,9 @@
 constexpr common::Duration kReadOnlyPause{20'000};  // until a new primary may be known
 constexpr common::Duration kRetryPause{2'000};      // before an operation is placed again
 constexpr std::uint32_t kMostAttempts = 30;
+/// Time for a connection that was asked for an operation to open; then another instance is asked.
+/// Four times a handshake of the users' sites.
+constexpr common::Duration kOpeningPatience{50'000};
 /// Part of its longest wait after which an operation counts as crowded out: four fifths.
 constexpr int kCrowdedOutAfter = 4;
 constexpr int kCrowdedOutOf = 5;
@@ -108,6 +111,11 @@
 bool Dispatcher::TryStart(Session& session, common::Instant now) {
   Operation& operation = *session.operation;
   const Transaction& transaction = session.transaction;
+  const tenants::admission_result found = Identify(session, operation.route, now);
+  if (!StillAdmitted(session, found)) {
+    return false;  // the next tick answers it
+  }
+  operation.tenant = found.tenant;
   if (WouldCommit(session) && groups_.WritesStalled(operation.route.service, now)) {
     operation.last_refusal = "writes stay unanswered";
     return false;
@@ -137,6 +145,7 @@
     }
   }
   operation.last_refusal = "no free connection";
+  OpenFor(session, places, now);
   const common::Duration longest_wait = operation.hold_until - operation.arrived;
   if (now >= operation.arrived + longest_wait * kCrowdedOutAfter / kCrowdedOutOf) {
     for (const Placement& place : places) {
@@ -146,17 +155,45 @@
   return false;
 }
 
+bool Dispatcher::TakesStatement(const Backend& backend, const Operation& operation,
+                                common::Instant now) const {
+  return backend.HasRoom() && now >= backend.AvoidUntil() &&
+         !backend.LeftToImpatient(UrgencyOf(operation.route), now);
+}
+
+bool Dispatcher::AwaitsConnection(const Operation& operation, common::Instant now) {
+  if (!operation.opening) {
+    return false;
+  }
+  const Connection* connection = backends_.FindConnection(*operation.opening);
+  return connection != nullptr && !connection->open && now < connection->created + kOpeningPatience;
+}
+
+void Dispatcher::OpenFor(Session& session, const std::vector<Placement>& places,
+                         common::Instant now) {
+  Operation& operation = *session.operation;
+  if (AwaitsConnection(operation, now)) {
+    return;
+  }
+  for (const Placement& place : places) {
+    Backend& backend = *backends_.Find(place.instance);
+    const bool possible = !operation.avoided.contains(place.instance) &&
+                          TakesStatement(backend, operation, now) &&
+                          backends_.MayOpenFor(backend, waiting_.size());
+    operation.opening = possible ? backends_.OpenFor(operation.tenant, backend, now) : std::nullopt;
+    if (operation.opening) {
+      return;
+    }
+  }
+}
+
 bool Dispatcher::StartOn(Session& session, const Placement& place, common::Instant now) {
   Backend& backend = *backends_.Find(place.instance);
-  if (!backend.HasRoom() || now < backend.AvoidUntil() ||
-      backend.LeftToImpatient(UrgencyOf(session.operation->route), now)) {
+  if (!TakesStatement(backend, *session.operation, now)) {
     return false;
   }
-  Connection* connection = backend.PickFree(session.values);
+  Connection* connection = backend.PickFree(session.operation->tenant, session.values);
   if (connection == nullptr) {
-    if (backends_.MayOpenFor(backend, waiting_.size())) {
-      backends_.Open(backend, now);
-    }
     return false;
   }
   connection->session = session.number;
--- /dev/null
+++ b/src/proxy/dispatcher_tenants.cc
@@ -0,0 +1,140 @@
+// For whom operations run, and which are turned away for their key or their tenant's limit.
+
+#include <utility>
+
+#include "proxy/dispatcher.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+/// What a caller is told of a refusal.
+struct Refusal {
+  model::ErrorCode code = model::ErrorCode::kBusy;
+  std::string text;
+};
+
+std::string ComeBackAfter(common::Duration pause) {
+  return "retry_after_ms=" + Milliseconds(pause);
+}
+
+Refusal RefusalOf(const tenants::admission_result& result) {
+  switch (result.outcome) {
+    case tenants::verdict::unknown_key:
+      return {model::ErrorCode::kDenied, "unknown key"};
+    case tenants::verdict::unproven:
+      return {model::ErrorCode::kBusy,
+              ComeBackAfter(result.come_back) + " keys cannot be checked now"};
+    case tenants::verdict::over_limit:
+      return {model::ErrorCode::kBusy,
+              ComeBackAfter(result.come_back) + " the tenant's rate is used up"};
+    case tenants::verdict::admitted:
+      break;
+  }
+  return {};
+}
+
+const char* OutcomeName(tenants::verdict outcome) {
+  switch (outcome) {
+    case tenants::verdict::unknown_key:
+      return "unknown key";
+    case tenants::verdict::unproven:
+      return "keys unproven";
+    case tenants::verdict::over_limit:
+      return "over the limit";
+    case tenants::verdict::admitted:
+      return "admitted";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+tenants::admission_result Dispatcher::Identify(const Session& session, const model::Route& route,
+                                               common::Instant now) const {
+  return admission_.identify(route.is_public, session.key, now);
+}
+
+void Dispatcher::LogTurnedAway(const std::string& request, const model::Route& route,
+                               const tenants::admission_result& result) {
+  admission_.note_refused(result.outcome);
+  outbox_.Log("request_turned_away",
+              {{"request", request},
+               {"reason", OutcomeName(result.outcome)},
+               {"tenant", result.tenant},
+               {"service", route.service},
+               {"version", std::to_string(admission_.configuration_version())},
+               {"proof_age_ms", Milliseconds(result.proof_age)},
+               {"retry_after_ms", Milliseconds(result.come_back)}},
+              LogLevel::kWarning);
+}
+
+bool Dispatcher::AcceptsCaller(const Session& session, const model::Route& route,
+                               common::Instant now) {
+  const tenants::admission_result result = Identify(session, route, now);
+  if (result.outcome == tenants::verdict::admitted) {
+    return true;
+  }
+  LogTurnedAway("", route, result);
+  const Refusal refusal = RefusalOf(result);
+  outbox_.Emit(CloseSession{session.number, true, refusal.code, refusal.text});
+  return false;
+}
+
+std::optional<std::string> Dispatcher::AdmitOperation(Session& session,
+                                                      const CallerCommand& command,
+                                                      const model::Route& route,
+                                                      common::Instant now) {
+  tenants::admission_result result = admission_.admit(route.is_public, session.key, now);
+  if (result.outcome == tenants::verdict::admitted) {
+    return std::move(result.tenant);
+  }
+  LogTurnedAway(command.request_id, route, result);
+  const Refusal refusal = RefusalOf(result);
+  AnswerError(session, refusal.code, refusal.text);
+  return std::nullopt;
+}
+
+bool Dispatcher::ContinuesForTenant(Session& session, const CallerCommand& command,
+                                    common::Instant now) {
+  const Transaction& transaction = session.transaction;
+  const tenants::admission_result result = Identify(session, transaction.route, now);
+  const bool admitted = result.outcome == tenants::verdict::admitted;
+  if (admitted && result.tenant == transaction.tenant) {
+    return true;
+  }
+  LogTurnedAway(command.request_id, transaction.route, result);
+  // Nothing of the transaction is kept: its connection is rolled back before the answer.
+  FailTransaction(session, now);
+  const bool commits = command.command.kind == model::CommandKind::kCommit;
+  if (commits) {
+    EndTransaction(session, now);
+  }
+  if (result.outcome == tenants::verdict::unknown_key) {
+    AnswerError(session, model::ErrorCode::kDenied, "the key was taken away");
+  } else {
+    AnswerError(session, model::ErrorCode::kAborted,
+                admitted ? "the key has another tenant" : RefusalOf(result).text);
+  }
+  return false;
+}
+
+bool Dispatcher::StillAdmitted(const Session& session, const tenants::admission_result& found) {
+  const bool same = !session.transaction.open || found.tenant == session.transaction.tenant;
+  return found.outcome == tenants::verdict::admitted && same;
+}
+
+void Dispatcher::FailTransaction(Session& session, common::Instant now) {
+  Transaction& transaction = session.transaction;
+  transaction.failed = true;
+  if (!transaction.connection) {
+    return;
+  }
+  Backend* backend = backends_.Find(transaction.instance);
+  Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
+  transaction.connection.reset();
+  if (connection != nullptr) {
+    backends_.Release(*backend, *connection, now);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -41,6 +41,14 @@
 void Dispatcher::CheckOperation(Session& session, common::Instant now) {
   Operation& operation = *session.operation;
   if (operation.phase == OperationPhase::kWaiting) {
+    const tenants::admission_result found = Identify(session, operation.route, now);
+    if (!StillAdmitted(session, found)) {
+      LogTurnedAway(operation.caller.request_id, operation.route, found);
+      const bool unknown = found.outcome == tenants::verdict::unknown_key;
+      FinishWithError(session, unknown ? model::ErrorCode::kDenied : model::ErrorCode::kAborted,
+                      "the key is no longer in force", now);
+      return;
+    }
     if (now >= std::min(operation.hold_until, operation.deadline)) {
       FinishWithError(session, model::ErrorCode::kBusy,
                       std::string(kComeBack) + operation.last_refusal, now);
@@ -52,6 +60,7 @@
   if (resend && now < operation.deadline) {
     ++counters_.resent_reads;
     ++operation.resends;
+    admission_.limiter().note_resent(operation.tenant, now);
     outbox_.Log("request_resent", {{"request", operation.caller.request_id},
                                    {"instance", operation.instance},
                                    {"waited_ms", Milliseconds(now - operation.sent)},
@@ -94,13 +103,7 @@
   outbox_.Log("transaction_ended", {{"request", transaction.begin_id},
                                     {"instance", transaction.instance},
                                     {"idle_ms", Milliseconds(now - transaction.last_active)}});
-  Backend* backend = backends_.Find(transaction.instance);
-  Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
-  transaction.failed = true;
-  transaction.connection.reset();
-  if (connection != nullptr) {
-    backends_.Release(*backend, *connection, now);
-  }
+  FailTransaction(session, now);
 }
 
 void Dispatcher::NoteUnansweredWrites(common::Instant now) {
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -1,5 +1,6 @@
 #include "proxy/peer_message.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace valvekeel::proxy {
@@ -9,6 +10,17 @@
 
 constexpr std::int64_t kNoAge = -1;
 
+/// Rates are sent as whole thousandths: shorter than a double.
+constexpr double kThousandths = 1'000;
+
+std::uint64_t ThousandthsOf(double value) {
+  return static_cast<std::uint64_t>(std::lround(value * kThousandths));
+}
+
+double FromThousandths(const json& value) {
+  return static_cast<double>(value.get<std::uint64_t>()) / kThousandths;
+}
+
 json AgeToJson(const std::optional<common::Duration>& age) {
   return age ? json(age->count()) : json(kNoAge);
 }
@@ -124,6 +136,34 @@
   return view;
 }
 
+json ToJson(const tenants::rate_message& rates) {
+  json usage = json::array();
+  for (const tenants::usage_count& each : rates.usage) {
+    usage.push_back(json::array({each.tenant, each.admitted, each.offered}));
+  }
+  json grants = json::array();
+  for (const tenants::rate_grant& each : rates.grants) {
+    grants.push_back(json::array({each.tenant, ThousandthsOf(each.rate), ThousandthsOf(each.burst),
+                                  ThousandthsOf(each.first)}));
+  }
+  return json::array({rates.allocates, rates.counts, std::move(usage), std::move(grants)});
+}
+
+tenants::rate_message RatesFrom(const json& value) {
+  tenants::rate_message rates;
+  rates.allocates = value.at(0).get<bool>();
+  rates.counts = value.at(1).get<bool>();
+  for (const json& each : value.at(2)) {
+    rates.usage.push_back({each.at(0).get<std::uint32_t>(), each.at(1).get<std::uint64_t>(),
+                           each.at(2).get<std::uint64_t>()});
+  }
+  for (const json& each : value.at(3)) {
+    rates.grants.push_back({each.at(0).get<std::uint32_t>(), FromThousandths(each.at(1)),
+                            FromThousandths(each.at(2)), FromThousandths(each.at(3))});
+  }
+  return rates;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -135,7 +175,8 @@
       {message.name, message.zone, message.incarnation, message.sequence, message.echoed,
        message.echoed_incarnation, message.interval.count(), message.store_connected,
        message.stopping, message.configuration_version, message.configuration_revision,
-       message.instances_revision, message.capacity, ToJson(message.view), std::move(groups)});
+       message.instances_revision, message.capacity, ToJson(message.view), message.proven_version,
+       AgeToJson(message.proof_age), ToJson(message.rates), std::move(groups)});
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -161,6 +202,9 @@
     message.instances_revision = next().get<std::uint64_t>();
     message.capacity = next().get<std::uint32_t>();
     message.view = ViewFrom(next());
+    message.proven_version = next().get<std::uint64_t>();
+    message.proof_age = AgeFromJson(next());
+    message.rates = RatesFrom(next());
     for (const json& group : next()) {
       message.groups.push_back(GroupFromJson(group));
     }
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -15,6 +15,7 @@
 #include "common/result.h"
 #include "common/time.h"
 #include "membership/member.h"
+#include "tenants/rate_messages.h"
 
 namespace valvekeel::proxy {
 
@@ -49,6 +50,9 @@
   std::uint64_t instances_revision = 0;      // the same of the list of instances
   std::uint32_t capacity = 0;                // of the sender's machine, thousandths of a core
   membership::view_message view;             // in a large deployment
+  std::uint64_t proven_version = 0;          // newest version known to have been the store's newest
+  std::optional<common::Duration> proof_age;  // since that was read
+  tenants::rate_message rates;
   std::vector<GroupReport> groups;
 };
 
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -50,6 +50,11 @@
     return std::nullopt;
   }
   peer.name = message.name;
+  if (new_life) {
+    // It knows nothing of what was told before.
+    peer.confirmed = common::Instant(0);
+    peer.counts_told_since.reset();
+  }
   peer.incarnation = message.incarnation;
   peer.highest_sequence = message.sequence;
   peer.heard = now;
@@ -67,6 +72,7 @@
   if (echoed == peer.sent.end()) {
     return std::nullopt;
   }
+  peer.confirmed = std::max(peer.confirmed, echoed->second);
   return echoed->second;
 }
 
--- a/src/proxy/peer_table.h
+++ b/src/proxy/peer_table.h
@@ -31,8 +31,11 @@
   std::uint64_t highest_sequence = 0;  // heard of this incarnation
   std::uint64_t next_sequence = 1;     // of our messages to it
   std::deque<std::pair<std::uint64_t, common::Instant>> sent;
+  common::Instant confirmed{0};  // when the newest of our messages that it has seen was sent
   common::Instant next_heartbeat{0};
   common::Duration pace{0};  // between heartbeats in a large deployment; 0 if there are none
+  /// Since when it is told this daemon's counts of tenants' operations, all of them at first.
+  std::optional<common::Instant> counts_told_since;
   PeerMessage last;
   common::Instant introduced_at{0};  // when it was last told who the hubs are
   bool wants_introduction = false;   // it does not know who lives
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -53,6 +53,8 @@
 
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
+      admission_(settings_.tenants),
+      allocator_(settings_.tenants),
       peers_(settings_.name, settings_.incarnation),
       view_({settings_.name, settings_.zone, settings_.peer, settings_.capacity}, settings_.view),
       roles_(settings_.name, settings_.roles),
@@ -61,8 +63,9 @@
       catalog_(settings_, outbox_),
       failover_(settings_, backends_, groups_, peers_, view_, roles_, outbox_),
       store_lease_(settings_, groups_, roles_, outbox_),
-      dispatcher_(settings_, backends_, groups_, outbox_),
-      relay_(settings_, roles_, peers_, view_, dispatcher_, outbox_),
+      prover_(settings_, admission_, outbox_),
+      dispatcher_(settings_, backends_, groups_, admission_, outbox_),
+      relay_(settings_, roles_, peers_, view_, admission_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
@@ -75,12 +78,12 @@
 double Proxy::Jitter() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
 void Proxy::SessionStarted(SessionNumber session, const std::string& database,
-                           const std::string& user, const SessionOrigin& origin,
+                           const tenants::key_digest& key, const SessionOrigin& origin,
                            common::Instant now) {
   if (origin.handed_over) {
     NoteConfigurationAhead(origin.daemon, origin.least_configuration, now);
   }
-  relay_.SessionStarted(session, database, user, origin, now);
+  relay_.SessionStarted(session, database, key, origin, now);
 }
 
 void Proxy::CommandReceived(SessionNumber session, const CallerCommand& command,
@@ -141,6 +144,16 @@
   }
 }
 
+void Proxy::ConfigurationRead(CallNumber call,
+                              const std::optional<model::Configuration>& configuration,
+                              std::uint64_t revision, common::Instant now) {
+  const auto version =
+      configuration ? std::optional(configuration->version) : std::optional<std::uint64_t>();
+  if (prover_.Read(call, version) && configuration) {
+    Apply(catalog_.TakeRead(*configuration, revision), now);
+  }
+}
+
 void Proxy::LeadershipWritten(CallNumber call, const failover::WriteResult& result,
                               common::Instant now) {
   failover_.RecordWritten(call, result, now);
@@ -172,6 +185,7 @@
     return;  // our own
   }
   TakeView(from, message, now);
+  TakeTenants(peer->second, message, counted_from, now);
   const bool has_news =
       large_ ? view_.is_hub() || roles_.coordinates() : roles_.meshed() || roles_.watches_any();
   const bool introduces = large_ && OwesIntroduction(peer->second, now);
@@ -227,6 +241,9 @@
   for (const auto& [name, service] : catalog_.Configuration().services) {
     groups_.Get(name, now);
   }
+  const model::Configuration& configuration = catalog_.Configuration();
+  admission_.set_configuration(configuration.version, configuration.tenants);
+  allocator_.set_tenants(configuration.tenants, now);
   UpdateRoles(now);
   dispatcher_.SetConfiguration(&catalog_.Configuration(), now);
   relay_.SetConfiguration(&catalog_.Configuration(), now);
@@ -486,6 +503,8 @@
   }
   backends_.Tick(now);
   store_lease_.Tick(catalog_.Connected(), now);
+  prover_.Tick({store_lease_.IsReader(), Admits(), catalog_.Connected()}, now);
+  AdvanceRates(now);
   groups_.Tick(now);
   failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
@@ -501,7 +520,8 @@
   const bool revision = catalog_.Revisions().configuration > told_configuration_revision_;
   told_configuration_revision_ = catalog_.Revisions().configuration;
   // A new configuration is passed on at once: daemon to hub, hub to hubs, hub to its zone.
-  const bool urgent = news || opinion || (revision && large_);
+  const bool rates = std::exchange(rates_changed_, false);
+  const bool urgent = news || opinion || rates || (revision && large_);
   const Receivers receivers = fence    ? Receivers::kAll
                               : urgent ? Receivers::kPartners
                                        : Receivers::kDue;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -19,6 +19,7 @@
 #include "proxy/actions.h"
 #include "proxy/backend_set.h"
 #include "proxy/catalog_state.h"
+#include "proxy/configuration_prover.h"
 #include "proxy/dispatcher.h"
 #include "proxy/failover_driver.h"
 #include "proxy/group_set.h"
@@ -28,6 +29,8 @@
 #include "proxy/session_relay.h"
 #include "proxy/store_lease.h"
 #include "relay/role_map.h"
+#include "tenants/admission.h"
+#include "tenants/rate_allocator.h"
 
 namespace valvekeel::proxy {
 
@@ -39,8 +42,9 @@
   Proxy& operator=(const Proxy&) = delete;
 
   // Callers.
-  void SessionStarted(SessionNumber session, const std::string& database, const std::string& user,
-                      const SessionOrigin& origin, common::Instant now);
+  void SessionStarted(SessionNumber session, const std::string& database,
+                      const tenants::key_digest& key, const SessionOrigin& origin,
+                      common::Instant now);
   void CommandReceived(SessionNumber session, const CallerCommand& command, common::Instant now);
   void SessionClosed(SessionNumber session, common::Instant now);
 
@@ -64,6 +68,9 @@
   /// @param record nothing if the store did not answer; revision 0 if there is no record.
   void LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
                       std::uint64_t revision, common::Instant now);
+  /// @param configuration nothing if the store did not answer.
+  void ConfigurationRead(CallNumber call, const std::optional<model::Configuration>& configuration,
+                         std::uint64_t revision, common::Instant now);
   void LeadershipWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
   void DaemonWritten(CallNumber call, bool written, common::Instant now);
   void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
@@ -85,6 +92,7 @@
 
   bool Ready() const { return ready_; }
   CatalogCopy Catalog() const { return catalog_.Copy(); }
+  const tenants::admission& Admission() const { return admission_; }
   const Dispatcher& Dispatch() const { return dispatcher_; }
   const BackendSet& Backends() const { return backends_; }
   GroupSet& Groups() { return groups_; }
@@ -114,6 +122,15 @@
   /// closely, and reaches it, is heard, or others look first whether the store is there.
   bool IsInformed(common::Instant now);
   bool HearsFollower(common::Instant now) const;
+  /// @return true if this daemon serves sessions, or may be handed some.
+  bool Admits() const;
+  /// @return true if this daemon works out the tenants' rates for all.
+  bool AllocatesRates() const;
+  void AdvanceRates(common::Instant now);
+  void TakeTenants(const Peer& peer, const PeerMessage& message,
+                   const std::optional<common::Instant>& counted_from, common::Instant now);
+  /// Completes a heartbeat by what the peer should know around tenants.
+  void TellTenants(Peer& peer, PeerMessage& message, common::Instant now) const;
   void EndGuests(const std::set<std::string>& in_use, common::Instant now);
   std::size_t SharingDaemons(common::Instant now) const;
   std::vector<relay::member> LiveMembers(common::Instant now) const;
@@ -162,6 +179,8 @@
 
   ProxySettings settings_;
   Outbox outbox_;
+  tenants::admission admission_;
+  tenants::rate_allocator allocator_;
   PeerTable peers_;
   membership::live_view view_;
   relay::role_map roles_;
@@ -170,6 +189,7 @@
   CatalogState catalog_;
   FailoverDriver failover_;
   StoreLease store_lease_;
+  ConfigurationProver prover_;
   Dispatcher dispatcher_;
   SessionRelay relay_;
   std::mt19937_64 random_;
@@ -190,6 +210,7 @@
   std::optional<common::Instant> uninformed_since_;
   bool large_ = false;  // too many daemons for all to hear each other
   std::vector<Peer*> partners_;
+  bool rates_changed_ = false;  // all should hear of the grants now
   std::size_t registered_known_ = 0;
   std::uint64_t told_configuration_revision_ = 0;
   std::map<std::string, common::Instant> guests_since_;  // by service
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -12,6 +12,7 @@
 #include "common/time.h"
 #include "membership/live_view.h"
 #include "relay/role_map.h"
+#include "tenants/tenant.h"
 
 namespace valvekeel::proxy {
 
@@ -66,6 +67,7 @@
   /// Share of the target latency for which a statement may wait for an instance before it is
   /// refused.
   double hold_fraction = 0.25;
+  tenants::tenant_policy tenants;
   Mechanisms mechanisms;
 };
 
--- /dev/null
+++ b/src/proxy/proxy_tenants.cc
@@ -0,0 +1,75 @@
+// What daemons tell each other around tenants: proofs of the configuration, counts, grants.
+
+#include <algorithm>
+
+#include "proxy/proxy.h"
+
+namespace valvekeel::proxy {
+
+bool Proxy::Admits() const { return roles_.known() && (roles_.watches_any() || serves_guests_); }
+
+bool Proxy::AllocatesRates() const {
+  return settings_.tenants.rates_limited && store_lease_.IsReader();
+}
+
+void Proxy::AdvanceRates(common::Instant now) {
+  if (!settings_.tenants.rates_limited || !roles_.known()) {
+    return;
+  }
+  admission_.limiter().set_sharing(roles_.meshed() ? SharingDaemons(now)
+                                                   : roles_.watchers().size());
+  if (roles_.coordinates()) {
+    allocator_.note_usage(settings_.name, settings_.incarnation,
+                          admission_.limiter().usage_since(common::Instant(0)), now);
+  }
+  const bool much = allocator_.tick(now);
+  if (AllocatesRates()) {
+    admission_.limiter().take_grants(allocator_.grants_for(settings_.name), now);
+    rates_changed_ = rates_changed_ || much;
+  }
+  rates_changed_ = admission_.limiter().take_surge() || rates_changed_;
+}
+
+void Proxy::TakeTenants(const Peer& peer, const PeerMessage& message,
+                        const std::optional<common::Instant>& counted_from, common::Instant now) {
+  if (counted_from && message.proof_age) {
+    admission_.proof().note({message.proven_version, *counted_from - *message.proof_age});
+  }
+  if (roles_.known() && roles_.coordinates() && message.rates.counts) {
+    allocator_.note_usage(peer.name, peer.incarnation, message.rates.usage, now);
+  }
+  const bool from_allocator = message.rates.allocates && roles_.known() &&
+                              !roles_.coordinators().empty() &&
+                              roles_.coordinators().front() == peer.name;
+  if (from_allocator) {
+    admission_.limiter().take_grants(message.rates.grants, now);
+  }
+}
+
+void Proxy::TellTenants(Peer& peer, PeerMessage& message, common::Instant now) const {
+  const auto proof = admission_.proof().newest();
+  if (admission_.proof().required() && proof) {
+    message.proven_version = proof->version;
+    message.proof_age = now - proof->read_at;
+  }
+  if (!settings_.tenants.rates_limited || !roles_.known()) {
+    return;
+  }
+  if (roles_.coordinates(peer.name)) {
+    if (!peer.counts_told_since) {
+      peer.counts_told_since = now;
+    }
+    const bool has_all = peer.confirmed >= *peer.counts_told_since;
+    message.rates.counts = true;
+    message.rates.usage =
+        admission_.limiter().usage_since(has_all ? peer.confirmed : common::Instant(0));
+  } else {
+    peer.counts_told_since.reset();
+  }
+  if (AllocatesRates() && roles_.watches_any(peer.name)) {
+    message.rates.allocates = true;
+    message.rates.grants = allocator_.grants_for(peer.name);
+  }
+}
+
+}  // namespace valvekeel::proxy
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -18,10 +18,12 @@
 
 SessionRelay::SessionRelay(const ProxySettings& settings, const relay::role_map& roles,
                            const PeerTable& peers, const membership::live_view& view,
-                           Dispatcher& dispatcher, Outbox& outbox)
+                           const tenants::admission& admission, Dispatcher& dispatcher,
+                           Outbox& outbox)
     : roles_(roles),
       peers_(peers),
       view_(view),
+      admission_(admission),
       dispatcher_(dispatcher),
       outbox_(outbox),
       sessions_(settings.zone, roles, *this) {}
@@ -40,19 +42,19 @@
 }
 
 void SessionRelay::SessionStarted(SessionNumber session, const std::string& database,
-                                  const std::string& user, const SessionOrigin& origin,
+                                  const tenants::key_digest& key, const SessionOrigin& origin,
                                   common::Instant now) {
   const std::uint64_t version = configuration_ == nullptr ? 0 : configuration_->version;
   if (origin.handed_over && version < origin.least_configuration) {
-    started_[session] = {database, user, origin.least_configuration, now};
+    started_[session] = {database, key, origin.least_configuration, now};
     return;
   }
   if (!origin.handed_over && BelongsElsewhere(database)) {
-    relayed_[session] = {database, user, 0, now};
-    sessions_.start(session, ServiceOf(database), now);
+    relayed_[session] = {database, key, 0, now};
+    sessions_.start(session, ServiceOf(database), admission_.tenant_of(key), now);
     return;
   }
-  dispatcher_.SessionStarted(session, database, user, now);
+  dispatcher_.SessionStarted(session, database, key, now);
 }
 
 void SessionRelay::SessionClosed(SessionNumber session) {
@@ -73,7 +75,7 @@
   for (const SessionNumber session : ready) {
     const Start start = started_.at(session);
     started_.erase(session);
-    dispatcher_.SessionStarted(session, start.database, start.user, now);
+    dispatcher_.SessionStarted(session, start.database, start.key, now);
   }
 }
 
@@ -130,7 +132,7 @@
 void SessionRelay::serve_here(relay::session_number session, common::Instant now) {
   const Start start = relayed_.at(session);
   relayed_.erase(session);
-  dispatcher_.SessionStarted(session, start.database, start.user, now);
+  dispatcher_.SessionStarted(session, start.database, start.key, now);
 }
 
 void SessionRelay::end_caller(relay::session_number session) {
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -30,12 +30,14 @@
 class SessionRelay : public relay::relay_port {
  public:
   SessionRelay(const ProxySettings& settings, const relay::role_map& roles, const PeerTable& peers,
-               const membership::live_view& view, Dispatcher& dispatcher, Outbox& outbox);
+               const membership::live_view& view, const tenants::admission& admission,
+               Dispatcher& dispatcher, Outbox& outbox);
 
   void SetConfiguration(const model::Configuration* configuration, common::Instant now);
 
-  void SessionStarted(SessionNumber session, const std::string& database, const std::string& user,
-                      const SessionOrigin& origin, common::Instant now);
+  void SessionStarted(SessionNumber session, const std::string& database,
+                      const tenants::key_digest& key, const SessionOrigin& origin,
+                      common::Instant now);
   void SessionClosed(SessionNumber session);
 
   /// @return true if another daemon serves the session.
@@ -63,7 +65,7 @@
   /// A session's first message.
   struct Start {
     std::string database;
-    std::string user;
+    tenants::key_digest key;                // by which the caller is known
     std::uint64_t least_configuration = 0;  // waits for this version
     common::Instant arrived{0};
   };
@@ -75,6 +77,7 @@
   const relay::role_map& roles_;
   const PeerTable& peers_;
   const membership::live_view& view_;
+  const tenants::admission& admission_;
   Dispatcher& dispatcher_;
   Outbox& outbox_;
   const model::Configuration* configuration_ = nullptr;
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -124,7 +124,8 @@
   callers_[number] = std::move(port);
   databases_[number] = database;
   Deliver(life_, [this, number, database, origin] {
-    proxy_->SessionStarted(number, database, "caller", origin, cluster_.Surroundings().Now());
+    proxy_->SessionStarted(number, database, tenants::digest_of("caller"), origin,
+                           cluster_.Surroundings().Now());
   });
 }
 
@@ -406,6 +407,18 @@
       });
 }
 
+void DaemonHost::Do(const proxy::ReadConfiguration& action) {
+  ++traffic_.store_calls;
+  const std::uint64_t life = life_;
+  cluster_.Store().ReadConfiguration(
+      name_, [this, life, call = action.call](
+                 const std::optional<model::Configuration>& configuration, std::uint64_t revision) {
+        Deliver(life, [this, call, configuration, revision] {
+          proxy_->ConfigurationRead(call, configuration, revision, cluster_.Surroundings().Now());
+        });
+      });
+}
+
 void DaemonHost::Do(const proxy::WriteLeadership& action) {
   ++traffic_.store_calls;
   const std::uint64_t life = life_;
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -93,6 +93,7 @@
   void Do(const proxy::CloseRelay& action);
   void Do(const proxy::ReadCatalog& action);
   void Do(const proxy::ReadLeadership& action);
+  void Do(const proxy::ReadConfiguration& action);
   void Do(const proxy::WriteLeadership& action);
   void Do(const proxy::WriteDaemon& action);
   void Do(const proxy::Promote& action);
--- a/src/proxysim/store.cc
+++ b/src/proxysim/store.cc
@@ -10,6 +10,7 @@
 using model::Collection;
 
 constexpr const char* kStore = "store";
+constexpr const char* kConfiguration = "main";
 constexpr const char* kLeader = "leader";
 constexpr common::Duration kService{4'000};
 constexpr common::Duration kWriteTimeout{900'000};
@@ -197,6 +198,30 @@
   });
 }
 
+void SimulatedStore::ReadConfiguration(const std::string& daemon,
+                                       const ConfigurationHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const std::optional<model::Configuration>& configuration,
+                                       std::uint64_t revision) {
+    if (!std::exchange(*ended, true)) {
+      handler(configuration, revision);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish(std::nullopt, 0); });
+  Exchange(daemon, [this, daemon, finish] {
+    const auto& objects = objects_[Collection::kConfiguration];
+    const auto found = objects.find(kConfiguration);
+    if (faults.down || found == objects.end()) {
+      Reply(daemon, [finish] { finish(std::nullopt, 0); });
+      return;
+    }
+    const auto configuration = std::get<model::Configuration>(found->second.payload);
+    Reply(daemon, [finish, configuration, revision = found->second.revision] {
+      finish(configuration, revision);
+    });
+  });
+}
+
 void SimulatedStore::WriteDaemon(const std::string& daemon, const model::DaemonEntry& entry,
                                  const std::function<void(bool)>& handler) {
   auto ended = std::make_shared<bool>(false);
--- a/src/proxysim/store.h
+++ b/src/proxysim/store.h
@@ -43,6 +43,13 @@
   /// Reads the leadership record. @param handler gets it as of kWritten; kNoAnswer if unanswered.
   void ReadLeadership(const std::string& daemon, const WriteHandler& handler);
 
+  /// Takes the newest configuration and its revision; nothing if there was no answer.
+  using ConfigurationHandler =
+      std::function<void(const std::optional<model::Configuration>&, std::uint64_t revision)>;
+
+  /// Reads the configuration as it is now.
+  void ReadConfiguration(const std::string& daemon, const ConfigurationHandler& handler);
+
   /// Registers a daemon. @param handler told whether it was written.
   void WriteDaemon(const std::string& daemon, const model::DaemonEntry& entry,
                    const std::function<void(bool)>& handler);
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -1,8 +1,11 @@
 #include "relay/relayed_sessions.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
+#include "common/stable_hash.h"
+
 namespace valvekeel::relay {
 namespace {
 
@@ -14,15 +17,33 @@
 relayed_sessions::relayed_sessions(std::string zone, const role_map& roles, relay_port& port)
     : zone(std::move(zone)), roles(roles), port(port) {}
 
-std::string relayed_sessions::least_used(const std::vector<std::string>& owners,
-                                         const relayed_session& session,
-                                         common::Instant now) const {
+std::vector<std::string> relayed_sessions::usable(const std::vector<std::string>& owners,
+                                                  const relayed_session& session,
+                                                  common::Instant now) const {
+  std::vector<std::string> able;
+  for (const std::string& owner : owners) {
+    if (!session.tried.contains(owner) && this->port.stays(owner, now)) {
+      able.push_back(owner);
+    }
+  }
+  return able;
+}
+
+std::string relayed_sessions::pick(const std::vector<std::string>& owners,
+                                   const relayed_session& session, common::Instant now) const {
+  const std::vector<std::string> able = this->usable(owners, session, now);
+  if (able.empty() || session.tenant.empty()) {
+    return this->least_used(able);
+  }
+  return *std::max_element(able.begin(), able.end(), [&](const auto& a, const auto& b) {
+    return common::StableHash(session.tenant, a) < common::StableHash(session.tenant, b);
+  });
+}
+
+std::string relayed_sessions::least_used(const std::vector<std::string>& owners) const {
   std::string best;
   std::size_t fewest = 0;
   for (const std::string& owner : owners) {
-    if (session.tried.contains(owner) || !this->port.stays(owner, now)) {
-      continue;
-    }
     const auto used = this->sessions_by_owner.find(owner);
     const std::size_t count = used == this->sessions_by_owner.end() ? 0 : used->second;
     if (best.empty() || count < fewest) {
@@ -35,14 +56,15 @@
 
 std::string relayed_sessions::choose(const relayed_session& session, common::Instant now) const {
   const std::string near =
-      this->least_used(this->roles.owners_in(session.service, this->zone), session, now);
-  return near.empty() ? this->least_used(this->roles.owners(session.service), session, now) : near;
+      this->pick(this->roles.owners_in(session.service, this->zone), session, now);
+  return near.empty() ? this->pick(this->roles.owners(session.service), session, now) : near;
 }
 
 void relayed_sessions::start(session_number session, const std::string& service,
-                             common::Instant now) {
+                             const std::string& tenant, common::Instant now) {
   relayed_session& made = this->sessions[session];
   made.service = service;
+  made.tenant = tenant;
   ++this->counts.started;
   ++this->unaccepted;
   this->hand_over(session, made, now);
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -65,8 +65,14 @@
  public:
   relayed_sessions(std::string zone, const role_map& roles, relay_port& port);
 
-  /** Begins to relay a session of a service that this daemon doesn't own. */
-  void start(session_number session, const std::string& service, common::Instant now);
+  /**
+   * Begins to relay a session of a service that this daemon doesn't own.
+   *
+   * @param tenant  whose sessions go to the same owner of a zone, so that they share its
+   *                connections; empty: to the owner with the fewest sessions
+   */
+  void start(session_number session, const std::string& service, const std::string& tenant,
+             common::Instant now);
 
   /** The owner has accepted the session. */
   void accepted(session_number session);
@@ -97,6 +103,7 @@
  private:
   struct relayed_session {
     std::string service;
+    std::string tenant;
     std::string owner;
     common::Instant opened{0};
     bool is_accepted = false;
@@ -111,8 +118,12 @@
   };
 
   std::string choose(const relayed_session& session, common::Instant now) const;
-  std::string least_used(const std::vector<std::string>& owners, const relayed_session& session,
-                         common::Instant now) const;
+  /** @return the owners that can take the session. */
+  std::vector<std::string> usable(const std::vector<std::string>& owners,
+                                  const relayed_session& session, common::Instant now) const;
+  std::string pick(const std::vector<std::string>& owners, const relayed_session& session,
+                   common::Instant now) const;
+  std::string least_used(const std::vector<std::string>& owners) const;
   void hand_over(session_number number, relayed_session& session, common::Instant now);
   void forget(session_number number);
   void end(session_number number);
--- /dev/null
+++ b/src/tenants/admission.cc
@@ -0,0 +1,81 @@
+#include "tenants/admission.h"
+
+namespace valvekeel::tenants {
+namespace {
+
+/** Time to come back without proof: a daemon that has just come has it within a few calls to the
+ * store, and one that is cut off from it is asked in vain. */
+constexpr common::Duration UNPROVEN_COME_BACK{300'000};
+
+}  // namespace
+
+admission::admission(const tenant_policy& policy)
+    : policy(policy),
+      proofs(policy.keys_required ? policy.revocation_limit : common::Duration(0)),
+      rates(policy) {}
+
+void admission::set_configuration(std::uint64_t version,
+                                  const std::map<std::string, tenant>& tenants) {
+  this->version = version;
+  this->keys.set(tenants);
+  this->rates.set_tenants(tenants);
+}
+
+admission_result admission::identify(bool is_public, const key_digest& key,
+                                     common::Instant now) const {
+  admission_result result;
+  if (is_public || !this->policy.keys_required) {
+    return result;
+  }
+  const auto age = this->proofs.age(this->version, now);
+  result.proof_age = age.value_or(common::Duration(-1));
+  if (this->is_unproven(now)) {
+    // A key that is unknown here may be a new one.
+    result.outcome = verdict::unproven;
+    result.come_back = UNPROVEN_COME_BACK;
+    return result;
+  }
+  const std::string* tenant = this->keys.find(key);
+  if (tenant == nullptr) {
+    result.outcome = verdict::unknown_key;
+    return result;
+  }
+  result.tenant = *tenant;
+  return result;
+}
+
+std::string admission::tenant_of(const key_digest& key) const {
+  const std::string* tenant = this->keys.find(key);
+  return tenant == nullptr ? "" : *tenant;
+}
+
+admission_result admission::admit(bool is_public, const key_digest& key, common::Instant now) {
+  admission_result result = this->identify(is_public, key, now);
+  if (result.outcome != verdict::admitted || result.tenant.empty()) {
+    return result;
+  }
+  const auto wait = this->rates.admit(result.tenant, now);
+  if (wait) {
+    result.outcome = verdict::over_limit;
+    result.come_back = *wait;
+  }
+  return result;
+}
+
+void admission::note_refused(verdict outcome) {
+  switch (outcome) {
+    case verdict::unknown_key:
+      ++this->counts.unknown_key;
+      return;
+    case verdict::unproven:
+      ++this->counts.unproven;
+      return;
+    case verdict::over_limit:
+      ++this->counts.over_limit;
+      return;
+    case verdict::admitted:
+      return;
+  }
+}
+
+}  // namespace valvekeel::tenants
--- /dev/null
+++ b/src/tenants/freshness.cc
@@ -0,0 +1,58 @@
+#include "tenants/freshness.h"
+
+#include <algorithm>
+
+namespace valvekeel::tenants {
+namespace {
+
+/** Versions whose proofs are kept: a daemon may be a few behind. */
+constexpr std::size_t KEPT = 4;
+
+/** Taken off the limit, for clocks that do not run alike: a twentieth. */
+constexpr int MARGIN_PART = 20;
+
+}  // namespace
+
+void freshness::note(const version_proof& proof) {
+  common::Instant& known = this->proofs[proof.version];
+  known = std::max(known, proof.read_at);
+  while (this->proofs.size() > KEPT) {
+    this->proofs.erase(this->proofs.begin());
+  }
+}
+
+std::optional<version_proof> freshness::newest() const {
+  if (this->proofs.empty()) {
+    return std::nullopt;
+  }
+  const auto last = this->proofs.rbegin();
+  return version_proof{last->first, last->second};
+}
+
+std::optional<common::Instant> freshness::proven_at(std::uint64_t version) const {
+  std::optional<common::Instant> latest;
+  for (const auto& [proven, at] : this->proofs) {
+    if (proven <= version && (!latest || at > *latest)) {
+      latest = at;
+    }
+  }
+  return latest;
+}
+
+std::optional<common::Duration> freshness::age(std::uint64_t version, common::Instant now) const {
+  const auto at = this->proven_at(version);
+  if (!at) {
+    return std::nullopt;
+  }
+  return now - *at;
+}
+
+bool freshness::holds(std::uint64_t version, common::Instant now) const {
+  if (!this->required()) {
+    return true;
+  }
+  const auto since = this->age(version, now);
+  return since && *since < this->limit - this->limit / MARGIN_PART;
+}
+
+}  // namespace valvekeel::tenants
--- /dev/null
+++ b/src/tenants/tenant.h
@@ -0,0 +1,47 @@
+/**
+ * @file What a deployment says of its tenants.
+ *
+ * Owns: the typed values. Invariant: none beyond the types; who decodes them has checked them.
+ * Thread: any (values only).
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "tenants/key_digest.h"
+
+namespace valvekeel::tenants {
+
+/** A customer whose callers share one limit and whose connections are not mixed with others'. */
+struct tenant {
+  std::string name;
+  std::vector<key_digest> keys;
+  std::uint32_t priority = 0;  // 0 is the highest
+  double rate = 0;             // operations a second over all daemons; 0: no limit
+  double burst = 0;            // operations that may come at once besides
+};
+
+/** What a deployment asks for around tenants; an operator sets it. */
+struct tenant_policy {
+  /** Callers of routes that are not public are known by their keys. */
+  bool keys_required = false;
+  /** Time from a key's removal in the store until no daemon serves it; 0: no bound. */
+  common::Duration revocation_limit{0};
+  /** Tenants' rates are limited. */
+  bool rates_limited = false;
+  /** Window in which operations are counted against a limit. */
+  common::Duration rate_window{5'000'000};
+  /** Operations in a window that may pass beyond a limit: what counts that come late may cost. */
+  double rate_slack = 0;
+};
+
+/** @return a number that stands for a tenant in messages between daemons. */
+std::uint32_t id_of(const std::string& tenant);
+
+/** @return operations of the tenant that its limit allows in one window. */
+double allowed_in_window(const tenant& of, const tenant_policy& policy);
+
+}  // namespace valvekeel::tenants
--- a/tests/platform/line_protocol_test.cc
+++ b/tests/platform/line_protocol_test.cc
@@ -55,7 +55,7 @@
       messages.push_back(std::move(message));
     }
     REQUIRE(messages.size() == 3);
-    CHECK(std::get<CallerStart>(messages[0]).user == "who is it");
+    CHECK(std::get<CallerStart>(messages[0]).key == tenants::digest_of("who is it"));
     CHECK(std::get<proxy::CallerCommand>(messages[1]).request_id == "id1");
     CHECK(std::holds_alternative<CallerEnd>(messages[2]));
   }
@@ -90,7 +90,8 @@
 
 TEST_CASE("An instance's answers are tied to the requests in order", "[platform]") {
   LineInstanceCodec codec;
-  CHECK(codec.EncodeStart("group", "i-1") == "START group valvekeel i-1\r\n");
+  CHECK(codec.EncodeStart("group", "", "i-1") == "START group valvekeel i-1\r\n");
+  CHECK(codec.EncodeStart("group", "north", "i-1") == "START group north i-1\r\n");
   REQUIRE(std::holds_alternative<InstanceAccepted>(codec.Decode("READY I 3.1207\r\n").front()));
   model::SessionRequest read = Read("id1");
   read.required = common::Position{3, 1207};
--- a/tests/proxy/backend_test.cc
+++ b/tests/proxy/backend_test.cc
@@ -29,7 +29,7 @@
 
 /// Gives a backend a connection on which a caller's statement is in flight.
 void AddInFlight(Backend& backend, ConnectionNumber number) {
-  Connection& connection = backend.Add(number, kStart);
+  Connection& connection = backend.Add(number, "", kStart);
   connection.open = true;
   connection.session = number;
   connection.outstanding.push_back({Purpose::kStatement, kStart, 0});
--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -11,6 +11,7 @@
 constexpr Instant kStart{10'000'000};
 constexpr Duration kLong{1'000'000};
 constexpr SessionNumber kSession = 3;
+const tenants::key_digest kKey = tenants::digest_of("key");
 
 model::Configuration ConfigurationOf(std::uint64_t version) {
   model::Configuration configuration;
@@ -38,7 +39,8 @@
     }
     roles.update(members, members.size(), {{"group", 8}});
     settings.zone = "zone";
-    relay = std::make_unique<SessionRelay>(settings, roles, peers, view, dispatcher, outbox);
+    relay =
+        std::make_unique<SessionRelay>(settings, roles, peers, view, admission, dispatcher, outbox);
   }
 
   static relay::role_policy Policy() {
@@ -76,7 +78,8 @@
   relay::role_map roles;
   BackendSet backends{outbox};
   GroupSet groups{settings, backends, roles, outbox};
-  Dispatcher dispatcher{settings, backends, groups, outbox};
+  tenants::admission admission{settings.tenants};
+  Dispatcher dispatcher{settings, backends, groups, admission, outbox};
   std::unique_ptr<SessionRelay> relay;
 };
 
@@ -86,7 +89,7 @@
   RelayFixture fixture(RelayFixture::Other());
   const model::Configuration configuration = ConfigurationOf(5);
   fixture.Configure(configuration);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
   const auto relayed = fixture.Taken<RelaySession>();
   REQUIRE(relayed);
   CHECK(relayed->owner.host == RelayFixture::Owner());
@@ -98,7 +101,7 @@
   RelayFixture fixture(RelayFixture::Owner());
   const model::Configuration configuration = ConfigurationOf(5);
   fixture.Configure(configuration);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
   CHECK(fixture.Taken<AcceptSession>());
 }
 
@@ -106,7 +109,7 @@
   RelayFixture fixture(RelayFixture::Other());
   const model::Configuration configuration = ConfigurationOf(5);
   fixture.Configure(configuration);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 5}, kStart);
   CHECK(fixture.Taken<AcceptSession>());
   CHECK_FALSE(fixture.relay->Relays(kSession));
 }
@@ -115,7 +118,7 @@
   RelayFixture fixture(RelayFixture::Owner());
   const model::Configuration older = ConfigurationOf(4);
   fixture.Configure(older);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 5}, kStart);
   CHECK_FALSE(fixture.Taken<AcceptSession>());
   CHECK(fixture.relay->AwaitsConfiguration());
   const model::Configuration newer = ConfigurationOf(5);
@@ -128,7 +131,7 @@
   RelayFixture fixture(RelayFixture::Owner());
   const model::Configuration older = ConfigurationOf(4);
   fixture.Configure(older);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {true, {"e", 0}, 5}, kStart);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 5}, kStart);
   fixture.relay->Tick(kStart + kLong);
   const auto closed = fixture.Taken<CloseSession>();
   REQUIRE(closed);
@@ -139,7 +142,7 @@
   RelayFixture fixture(RelayFixture::Other());
   const model::Configuration configuration = ConfigurationOf(5);
   fixture.Configure(configuration);
-  fixture.relay->SessionStarted(kSession, "ledger", "user", {}, kStart + kLong);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart + kLong);
   CHECK(fixture.Taken<AcceptSession>());
 }
 
@@ -147,7 +150,7 @@
   RelayFixture fixture(RelayFixture::Other());
   const model::Configuration configuration = ConfigurationOf(5);
   fixture.Configure(configuration);
-  fixture.relay->SessionStarted(kSession, "other", "user", {}, kStart);
+  fixture.relay->SessionStarted(kSession, "other", kKey, {}, kStart);
   const auto closed = fixture.Taken<CloseSession>();
   REQUIRE(closed);
   CHECK(closed->error == model::ErrorCode::kUnknownDatabase);
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -63,13 +63,34 @@
 
 TEST_CASE("A session goes to the owner of its own zone", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near()});
 }
 
+TEST_CASE("Sessions of a tenant go to the same owner of the zone", "[relay]") {
+  fixture test;
+  role_policy policy;
+  policy.most_meshed_daemons = 1;
+  test.roles = role_map("self", policy);
+  test.roles.update({{"self", "b", true}, {"a1", "a", true}, {"a2", "a", true}}, 3,
+                    {{"ledger", 4}});
+  REQUIRE(test.roles.owners_in("ledger", "a").size() == 2);
+  std::set<std::string> of_all;
+  for (session_number tenant = 0; tenant < 20; ++tenant) {
+    test.port.opened.clear();
+    for (session_number number = 0; number < 4; ++number) {
+      test.sessions.start(tenant * 4 + number, "ledger", "t" + std::to_string(tenant), NOW);
+    }
+    const std::set<std::string> owners(test.port.opened.begin(), test.port.opened.end());
+    CHECK(owners.size() == 1);
+    of_all.insert(owners.begin(), owners.end());
+  }
+  CHECK(of_all.size() == 2);
+}
+
 TEST_CASE("An owner that ends before it accepts is followed by the next", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.link_ended(SESSION, NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near(), test.far()});
   test.sessions.link_ended(SESSION, NOW);
@@ -79,7 +100,7 @@
 
 TEST_CASE("An owner that does not accept in time is followed by the next", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.tick(NOW + LONG);
   CHECK(test.port.opened.size() == 2);
 }
@@ -87,7 +108,7 @@
 TEST_CASE("A session whose command was passed on is never handed on", "[relay]") {
   // It might run twice.
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.command_sent(SESSION);
   test.sessions.link_ended(SESSION, NOW);
   CHECK(test.port.opened.size() == 1);
@@ -97,7 +118,7 @@
 
 TEST_CASE("The end of a silent owner ends its sessions at once", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
   test.sessions.command_sent(SESSION);
   test.port.dead.insert(test.near());
@@ -107,7 +128,7 @@
 
 TEST_CASE("A session leaves a stopping owner only when it rests", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
   test.sessions.command_sent(SESSION);
   test.port.leaving.insert(test.near());
@@ -123,8 +144,8 @@
 
 TEST_CASE("A planned stop ends resting sessions, others as they come to rest", "[relay]") {
   fixture test;
-  test.sessions.start(SESSION, "ledger", NOW);
-  test.sessions.start(SESSION + 1, "ledger", NOW);
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.start(SESSION + 1, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
   test.sessions.accepted(SESSION + 1);
   test.sessions.command_sent(SESSION);
--- /dev/null
+++ b/tests/tenants/key_digest_test.cc
@@ -0,0 +1,105 @@
+// Digests of keys, the directory of tenants, and how long proofs hold.
+
+#include "tenants/key_digest.h"
+
+#include <catch2/catch.hpp>
+
+#include "tenants/admission.h"
+
+namespace valvekeel::tenants {
+namespace {
+
+using common::Duration;
+using common::Instant;
+
+constexpr Instant START{10'000'000};
+constexpr Duration LIMIT{5'000'000};
+
+tenant make_tenant(const std::string& name, const std::string& key) {
+  tenant made;
+  made.name = name;
+  made.keys = {digest_of(key)};
+  return made;
+}
+
+tenant_policy strict_policy() {
+  tenant_policy policy;
+  policy.keys_required = true;
+  policy.revocation_limit = LIMIT;
+  return policy;
+}
+
+TEST_CASE("A key's digest is its SHA-256", "[tenants]") {
+  CHECK(to_hex(digest_of("abc")) ==
+        "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  CHECK(from_hex(to_hex(digest_of("abc"))) == digest_of("abc"));
+  CHECK_FALSE(digest_of("abc") == digest_of("abd"));
+}
+
+TEST_CASE("Digits that are no digest are not read", "[tenants]") {
+  CHECK_FALSE(from_hex("").has_value());
+  CHECK_FALSE(from_hex("ba78").has_value());
+  CHECK_FALSE(from_hex(to_hex(digest_of("abc")) + "00").has_value());
+  CHECK_FALSE(from_hex(std::string(64, 'x')).has_value());
+}
+
+TEST_CASE("A key passes to another tenant and is taken away", "[tenants]") {
+  directory keys;
+  keys.set({{"north", make_tenant("north", "k1")}, {"south", make_tenant("south", "k2")}});
+  REQUIRE(keys.find(digest_of("k1")) != nullptr);
+  CHECK(*keys.find(digest_of("k1")) == "north");
+  keys.set({{"south", make_tenant("south", "k1")}});
+  CHECK(*keys.find(digest_of("k1")) == "south");
+  CHECK(keys.find(digest_of("k2")) == nullptr);
+}
+
+TEST_CASE("A proof holds for less than the limit from the read that it stands for", "[tenants]") {
+  freshness proofs(LIMIT);
+  CHECK_FALSE(proofs.holds(3, START));
+  proofs.note({3, START});
+  CHECK(proofs.holds(3, START + LIMIT / 2));
+  CHECK_FALSE(proofs.holds(3, START + LIMIT));
+  proofs.note({3, START - LIMIT / 2});
+  CHECK(proofs.holds(3, START + LIMIT - LIMIT / 10));
+}
+
+TEST_CASE("A proof of a later version proves nothing of an earlier one", "[tenants]") {
+  freshness proofs(LIMIT);
+  proofs.note({3, START});
+  proofs.note({5, START + LIMIT / 2});
+  CHECK(proofs.proven_at(3) == START);
+  CHECK_FALSE(proofs.holds(3, START + LIMIT));
+  CHECK(proofs.holds(5, START + LIMIT));
+  CHECK(proofs.holds(6, START + LIMIT));
+  CHECK_FALSE(proofs.proven_at(2).has_value());
+}
+
+TEST_CASE("Without a limit no proof is needed", "[tenants]") {
+  const freshness proofs{Duration(0)};
+  CHECK(proofs.holds(1, START));
+}
+
+TEST_CASE("An unknown key is told apart from keys that cannot be checked", "[tenants]") {
+  const tenant_policy policy = strict_policy();
+  admission callers(policy);
+  callers.set_configuration(2, {{"north", make_tenant("north", "k1")}});
+  CHECK(callers.identify(false, digest_of("k1"), START).outcome == verdict::unproven);
+  CHECK(callers.identify(true, digest_of("k1"), START).outcome == verdict::admitted);
+  callers.proof().note({2, START});
+  const admission_result known = callers.identify(false, digest_of("k1"), START);
+  CHECK(known.outcome == verdict::admitted);
+  CHECK(known.tenant == "north");
+  CHECK(callers.identify(false, digest_of("k2"), START).outcome == verdict::unknown_key);
+  CHECK(callers.identify(false, digest_of("k1"), START + LIMIT).outcome == verdict::unproven);
+}
+
+TEST_CASE("Where keys are not used every caller is admitted", "[tenants]") {
+  const tenant_policy policy;
+  admission callers(policy);
+  const admission_result result = callers.admit(false, digest_of("whoever"), START);
+  CHECK(result.outcome == verdict::admitted);
+  CHECK(result.tenant.empty());
+}
+
+}  // namespace
+}  // namespace valvekeel::tenants
