Limits by token buckets at the allocator; grants name what goes on if it falls silent

Change: a bucket of the tenant's rate and burst; held back below half of it; each grant has a sustained rate for the time without an allocator, which counts after 0.7 s of silence. Test: an allocator that is lost as a tenant rushes is followed in time (fails with the window).

--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -143,8 +143,8 @@
   }
   json grants = json::array();
   for (const tenants::rate_grant& each : rates.grants) {
-    grants.push_back(json::array({each.tenant, ThousandthsOf(each.rate), ThousandthsOf(each.burst),
-                                  ThousandthsOf(each.first)}));
+    grants.push_back(json::array({each.tenant, ThousandthsOf(each.rate),
+                                  ThousandthsOf(each.sustained), ThousandthsOf(each.first)}));
   }
   return json::array({rates.allocates, rates.counts, std::move(usage), std::move(grants)});
 }
--- a/src/tenants/rate_allocator.h
+++ b/src/tenants/rate_allocator.h
@@ -1,21 +1,19 @@
 /**
  * @file How much of each tenant's rate each daemon may use, worked out by one daemon for all.
  *
- * The coordinator that acts for all sums what the daemons let through in the last window. A tenant
- * below a part of its limit is left alone. Above it, what the limit leaves is shared among the
- * daemons by what their callers ask for. The other coordinators hear the counts as well, so that
- * one of them knows the past when it takes over.
+ * The coordinator that acts for all keeps a token bucket for each tenant, and takes out of it what
+ * the daemons tell that they let through. A tenant whose bucket is well filled is left alone. One
+ * whose bucket runs low is held back: what flows into the bucket, and what is left in it, is shared
+ * among the daemons by what their callers ask for. The other coordinators hear the counts as well,
+ * so that one of them knows the past when it takes over.
  *
- * Owns: the counts of the last window by tenant and the demand by daemon. Invariant: the grants of
- * a tenant add up to no more than `rate_for` allows. Pure. Thread: its host's.
+ * Owns: the buckets by tenant and the demand by daemon. Invariant: the grants of a tenant add up to
+ * its rate and what its bucket holds, no more. Pure. Thread: its host's.
  */
 #pragma once
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -48,14 +46,11 @@
   /** @return what a daemon may let through of the tenants that are held back. */
   std::vector<rate_grant> grants_for(const std::string& daemon) const;
 
-  /** @return operations of a tenant in the last window, as far as they were told. */
-  double used(const std::string& tenant) const;
+  /** @return operations that the tenant's bucket holds; below zero, what was let through too much.
+   */
+  double left(const std::string& tenant) const;
 
  private:
-  static constexpr std::size_t WINDOW_SLICES = 20;
-  /** One more, since the present one is not full: what is counted is never less than a window. */
-  static constexpr std::size_t SLICES = WINDOW_SLICES + 1;
-
   /** The life of a daemon whose counts come. */
   struct daemon_life {
     std::uint64_t incarnation = 0;
@@ -70,32 +65,25 @@
     std::uint64_t incarnation = 0;
   };
   struct state {
-    std::string name;
     double rate = 0;
-    double allowed = 0;  // in a window
-    std::array<double, SLICES> slices{};
+    double size = 0;  // of the bucket
+    double tokens = 0;
     std::unordered_map<std::string, part> parts;
     bool is_held_back = false;
     double granted = 0;          // operations a second, to all daemons
     common::Instant told_at{0};  // when all were to hear of it at once
   };
 
-  double used(const state& of) const;
-  double demand(const state& of, common::Instant now) const;
-  double rate_for(const state& of) const;
+  static double demand(const part& of, common::Instant now);
+  static double rate_for(const state& of);
   void advance(common::Instant now);
-  /** Counts operations that were let through evenly since an instant. */
-  void spread(state& of, double operations, common::Instant since, common::Instant now);
   void judge(state& of, common::Instant now);
-  common::Duration slice() const;
 
   const tenant_policy& policy;
   std::unordered_map<std::uint32_t, state> states;     // by the tenant's id
   std::unordered_map<std::string, daemon_life> lives;  // by daemon
-  std::size_t current = 0;                             // slice that is being filled
-  std::optional<common::Instant> slice_began;
   bool changed = false;
-  common::Instant now{0};  // of the last tick
+  common::Instant filled_at{0};
 };
 
 }  // namespace valvekeel::tenants
--- a/src/tenants/rate_limiter.cc
+++ b/src/tenants/rate_limiter.cc
@@ -10,8 +10,9 @@
 
 constexpr double MICROSECONDS_IN_SECOND = 1e6;
 
-/** Silence of the allocator after which a daemon goes by itself: five of its heartbeats. */
-constexpr common::Duration ALLOCATOR_SILENCE{1'250'000};
+/** Silence of the allocator after which a daemon goes by itself: nearly three of its
+ * heartbeats. */
+constexpr common::Duration ALLOCATOR_SILENCE{700'000};
 
 /** Time over which a tenant's usual rate is averaged: near the users' window of 5 s, so that what a
  * daemon lets through by itself follows what the window has seen. */
@@ -22,6 +23,11 @@
  * both. */
 constexpr double ALONE_FACTOR = 1.25;
 
+/** Operations that may come at once at a daemon that holds a tenant back: at least, and in seconds
+ * of its grant. */
+constexpr double HELD_BURST = 3;
+constexpr double HELD_BURST_SECONDS = 0.5;
+
 /** Operations that may come at once without an allocator, at least: sessions come in lumps. */
 constexpr double ALONE_BURST = 3;
 
@@ -71,24 +77,18 @@
   return !this->allocator_heard || now >= *this->allocator_heard + ALLOCATOR_SILENCE;
 }
 
-rate_grant rate_limiter::bucket_of(const state& of, common::Instant now) const {
+rate_limiter::bucket rate_limiter::bucket_of(const state& of, common::Instant now) const {
   if (of.grant && !this->allocator_silent(now)) {
-    return *of.grant;
+    return {of.grant->rate, std::max(HELD_BURST, of.grant->rate * HELD_BURST_SECONDS)};
   }
   // As it was when the allocator was last heard: what a daemon lets through by itself must not
   // raise what it lets through next.
   const Duration idle = std::max(Duration(0), this->allocator_heard.value_or(now) - of.usual_at);
   const double usual = of.usual * std::exp(-seconds(idle) / USUAL_SECONDS);
   const double share = of.rate_limit / static_cast<double>(std::max<std::size_t>(1, this->sharing));
-  rate_grant alone;
-  alone.rate = std::max(ALONE_FACTOR * usual, share);
-  alone.burst = std::max(ALONE_BURST, alone.rate);
-  if (of.grant) {
-    // The last word was that the tenant is near its limit.
-    alone.rate = std::min(alone.rate, of.grant->rate);
-    alone.burst = std::min(alone.burst, of.grant->burst);
-  }
-  return alone;
+  // With a grant the last word was that the tenant is near its limit.
+  const double rate = of.grant ? of.grant->sustained : std::max(ALONE_FACTOR * usual, share);
+  return {rate, std::max(ALONE_BURST, rate)};
 }
 
 void rate_limiter::note_offered(state& of, common::Instant now) {
@@ -126,12 +126,12 @@
   this->note_offered(*of, now);
   const bool held_back = of->grant || this->allocator_silent(now);
   if (held_back) {
-    const rate_grant bucket = this->bucket_of(*of, now);
-    const double filled = of->tokens + bucket.rate * seconds(now - of->filled_at);
-    of->tokens = std::min(filled, bucket.burst);
+    const bucket filling = this->bucket_of(*of, now);
+    const double filled = of->tokens + filling.rate * seconds(now - of->filled_at);
+    of->tokens = std::min(filled, filling.size);
     of->filled_at = now;
     if (of->tokens < 1) {
-      const double missing = (1 - of->tokens) / std::max(bucket.rate, 1e-3);
+      const double missing = (1 - of->tokens) / std::max(filling.rate, 1e-3);
       const double wait = std::min(missing, seconds(LONGEST_WAIT));
       return common::Duration(static_cast<std::int64_t>(wait * MICROSECONDS_IN_SECOND));
     }
--- a/src/tenants/rate_limiter.h
+++ b/src/tenants/rate_limiter.h
@@ -75,7 +75,12 @@
 
   state* find(const std::string& tenant);
   bool allocator_silent(common::Instant now) const;
-  rate_grant bucket_of(const state& of, common::Instant now) const;
+  /** What flows into a token bucket, and how much it holds at most. */
+  struct bucket {
+    double rate = 0;  // operations a second
+    double size = 0;
+  };
+  bucket bucket_of(const state& of, common::Instant now) const;
   void note_offered(state& of, common::Instant now);
   void note_admitted(state& of, common::Instant now);
 
--- a/src/tenants/rate_messages.h
+++ b/src/tenants/rate_messages.h
@@ -23,9 +23,9 @@
 /** What one daemon may let through of a tenant that is near its limit. */
 struct rate_grant {
   std::uint32_t tenant = 0;
-  double rate = 0;   // operations a second
-  double burst = 0;  // operations that may come at once
-  double first = 0;  // operations to begin with
+  double rate = 0;       // operations a second, now
+  double sustained = 0;  // the same if the allocator falls silent
+  double first = 0;      // operations to begin with
 
   bool operator==(const rate_grant&) const = default;
 };
