A caller that an owner turned away is not handed on; more of a replica for owners of its zone

Ruled out: leaving refusals to the daemon that was called: only owners have proof. Change: owner_link tells of a refusal, the session ends with it; an owner without proof declines without a word, so that another is tried. What makes operations wait is told apart in the log (no free connection, instances are busy). Tests: tests/proxy/dispatcher_tenants_test.cc, owner_link_test, relayed_sessions_test.

--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -34,6 +34,8 @@
     host_.Drain();
   }
 
+  void on_declined() override { host_.proxy_.RelayDeclined(session_); }
+
   void on_answer(const model::Reply& reply) override {
     host_.proxy_.RelayAnswered(session_, reply.state, common::SteadyNow());
     host_.Drain();
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -144,7 +144,10 @@
       return true;
     }
   }
-  operation.last_refusal = "no free connection";
+  const bool any_takes = std::any_of(places.begin(), places.end(), [&](const Placement& place) {
+    return TakesStatement(*backends_.Find(place.instance), operation, now);
+  });
+  operation.last_refusal = any_takes ? "no free connection" : "instances are busy";
   OpenFor(session, places, now);
   const common::Duration longest_wait = operation.hold_until - operation.arrived;
   if (now >= operation.arrived + longest_wait * kCrowdedOutAfter / kCrowdedOutOf) {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -97,6 +97,8 @@
 
 void Proxy::RelayAccepted(SessionNumber session) { relay_.Sessions().accepted(session); }
 
+void Proxy::RelayDeclined(SessionNumber session) { relay_.Sessions().declined(session); }
+
 void Proxy::RelayAnswered(SessionNumber session, model::TransactionState state,
                           common::Instant now) {
   relay_.Sessions().answered(session, state, now);
@@ -310,8 +312,7 @@
     SetInterest(!in_use.empty(), now);
     backends_.SetMostOpening(roles_.meshed() ? kOpeningMeshed : kOpeningOwner);
     for (const auto& [name, most] : connections) {
-      backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
-                                   roles_.coordinates() || roles_.owns(name));
+      SetConnectionLimits(name, in_use.contains(name));
     }
     EndGuests(in_use, now);
   }
@@ -320,6 +321,17 @@
   }
 }
 
+void Proxy::SetConnectionLimits(const std::string& service, bool serves_guests) {
+  BackendSet::ConnectionLimits limits;
+  limits.at_primary = roles_.connections(service, serves_guests);
+  for (const std::string& id : groups_.Members(service)) {
+    const std::string& zone = backends_.All().at(id).Entry().zone;
+    limits.at_replica[zone] = roles_.connections_to_replica(service, serves_guests, zone);
+  }
+  const bool watched = roles_.coordinates() || roles_.owns(service);
+  backends_.SetConnectionLimits(service, std::move(limits), watched);
+}
+
 void Proxy::SetInterest(bool serves_guests, common::Instant now) {
   serves_guests_ = serves_guests;
   const bool connects = roles_.watches_any() || serves_guests;
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -41,6 +41,14 @@
   return !service.empty() && !roles_.owns(service);
 }
 
+bool SessionRelay::LacksProof(const std::string& database, common::Instant now) const {
+  if (configuration_ == nullptr || !admission_.is_unproven(now)) {
+    return false;
+  }
+  const auto route = configuration_->routes.find(database);
+  return route != configuration_->routes.end() && !route->second.is_public;
+}
+
 void SessionRelay::SessionStarted(SessionNumber session, const std::string& database,
                                   const tenants::key_digest& key, const SessionOrigin& origin,
                                   common::Instant now) {
@@ -49,6 +57,10 @@
     started_[session] = {database, key, origin.least_configuration, now};
     return;
   }
+  if (origin.handed_over && LacksProof(database, now)) {
+    outbox_.Emit(CloseSession{session});  // without an error: another owner may have proof
+    return;
+  }
   if (!origin.handed_over && BelongsElsewhere(database)) {
     relayed_[session] = {database, key, 0, now};
     sessions_.start(session, ServiceOf(database), admission_.tenant_of(key), now);
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -72,6 +72,8 @@
 
   bool HeardLately(const std::string& daemon, common::Instant now) const;
   bool BelongsElsewhere(const std::string& database) const;
+  /// @return true if callers of the database can't be admitted here for want of proof.
+  bool LacksProof(const std::string& database, common::Instant now) const;
   std::string ServiceOf(const std::string& database) const;
 
   const relay::role_map& roles_;
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -96,6 +96,11 @@
   }
 }
 
+void relayed_sessions::declined(session_number session) {
+  // As after an acceptance, the end of the link ends the session.
+  this->accepted(session);
+}
+
 void relayed_sessions::command_sent(session_number session) {
   const auto found = this->sessions.find(session);
   if (found != this->sessions.end()) {
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -77,6 +77,9 @@
   /** The owner has accepted the session. */
   void accepted(session_number session);
 
+  /** The owner has turned the caller away, which was told so: no other owner is tried. */
+  void declined(session_number session);
+
   /** A command of the caller was passed on. */
   void command_sent(session_number session);
 
--- a/src/relay_link/owner_link.cc
+++ b/src/relay_link/owner_link.cc
@@ -29,13 +29,15 @@
       }
       if (std::holds_alternative<host::InstanceAccepted>(message)) {
         this->events->on_accepted();
+      } else if (std::holds_alternative<host::InstanceRejected>(message)) {
+        // The error goes to the caller as it is; the owner closes then.
+        this->events->on_declined();
       } else if (const auto* reply = std::get_if<model::Reply>(&message)) {
         this->events->on_answer(*reply);
       } else if (std::holds_alternative<host::InstanceFault>(message)) {
         this->end();
         return;
       }
-      // An error in place of the acceptance goes to the caller as it is; the owner closes then.
     }
   }
 
--- a/src/relay_link/owner_link.h
+++ b/src/relay_link/owner_link.h
@@ -27,6 +27,9 @@
   virtual ~owner_events() = default;
 
   virtual void on_accepted() = 0;
+
+  /** The owner turned the caller away; its error is among the bytes. */
+  virtual void on_declined() = 0;
   virtual void on_answer(const model::Reply& reply) = 0;
 
   /** Bytes for the caller; they come before the events that they stand for. */
--- /dev/null
+++ b/tests/proxy/dispatcher_tenants_test.cc
@@ -0,0 +1,267 @@
+// Callers' keys, the tenants that instance connections belong to, and what is turned away.
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "proxy/dispatcher.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Instant kStart{10'000'000};
+constexpr common::Duration kMillisecond{1'000};
+constexpr common::Duration kLimit{5'000'000};
+constexpr SessionNumber kNorth = 1;
+constexpr SessionNumber kSouth = 2;
+const tenants::key_digest kNorthKey = tenants::digest_of("north-key");
+const tenants::key_digest kSouthKey = tenants::digest_of("south-key");
+
+tenants::tenant MakeTenant(const std::string& name, const tenants::key_digest& key) {
+  tenants::tenant tenant;
+  tenant.name = name;
+  tenant.keys = {key};
+  return tenant;
+}
+
+model::Configuration MakeConfiguration(std::uint64_t version) {
+  model::Configuration configuration;
+  configuration.version = version;
+  configuration.services["ledger"] = {"ledger", 50, 1};
+  for (const bool is_public : {false, true}) {
+    model::Route route;
+    route.database = is_public ? "open" : "orders";
+    route.service = "ledger";
+    route.timeout = std::chrono::seconds(1);
+    route.target_latency = std::chrono::milliseconds(200);
+    route.is_public = is_public;
+    configuration.routes[route.database] = route;
+  }
+  return configuration;
+}
+
+model::Configuration BothTenants(std::uint64_t version) {
+  model::Configuration configuration = MakeConfiguration(version);
+  configuration.tenants["north"] = MakeTenant("north", kNorthKey);
+  configuration.tenants["south"] = MakeTenant("south", kSouthKey);
+  return configuration;
+}
+
+ProxySettings StrictSettings() {
+  ProxySettings settings;
+  settings.tenants.keys_required = true;
+  settings.tenants.revocation_limit = kLimit;
+  settings.mechanisms.read_lease = false;
+  return settings;
+}
+
+/// One daemon before one instance that takes `connections` of it.
+struct DispatcherFixture {
+  explicit DispatcherFixture(std::size_t connections = 10) {
+    backends.SetObserver(&dispatcher);
+    backends.SetConnectionLimit("ledger", connections, false);
+    model::InstanceEntry entry;
+    entry.id = "i-1";
+    entry.service = "ledger";
+    entry.slots = 6;
+    entry.primary = true;
+    backends.SetEntry(entry, kStart);
+    groups.Get("ledger", kStart).lease.Renew({1, "i-1", kStart});
+    configuration = BothTenants(1);
+    Configure(kStart);
+    admission.proof().note({1, kStart});
+    outbox.Take();
+  }
+
+  void Configure(common::Instant now) {
+    admission.set_configuration(configuration.version, configuration.tenants);
+    dispatcher.SetConfiguration(&configuration, now);
+  }
+
+  template <typename Kind>
+  std::vector<Kind> Taken() {
+    std::vector<Kind> found;
+    for (const Action& action : outbox.Take()) {
+      if (const auto* kind = std::get_if<Kind>(&action)) {
+        found.push_back(*kind);
+      }
+    }
+    return found;
+  }
+
+  void Ask(SessionNumber session, model::CommandKind kind, common::Instant now) {
+    model::Command command;
+    command.kind = kind;
+    command.arguments = "k";
+    dispatcher.CommandReceived(session, {"r" + std::to_string(++requests), command}, now);
+  }
+
+  /// @return the error of the only answer, nothing if it succeeded or there was none.
+  std::optional<model::ErrorCode> ErrorAnswered() {
+    const auto answers = Taken<AnswerCaller>();
+    if (answers.size() != 1 || answers.front().reply.succeeded) {
+      return std::nullopt;
+    }
+    return answers.front().reply.error;
+  }
+
+  ProxySettings settings = StrictSettings();
+  Outbox outbox;
+  relay::role_map roles{"d", {}};
+  BackendSet backends{outbox};
+  GroupSet groups{settings, backends, roles, outbox};
+  tenants::admission admission{settings.tenants};
+  Dispatcher dispatcher{settings, backends, groups, admission, outbox};
+  model::Configuration configuration;
+  int requests = 0;
+};
+
+}  // namespace
+
+TEST_CASE("A caller without a known key is denied at the start", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", tenants::digest_of("guess"), kStart);
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed.size() == 1);
+  CHECK(closed.front().error == model::ErrorCode::kDenied);
+  fixture.dispatcher.SessionStarted(kNorth, "open", tenants::digest_of("guess"), kStart);
+  CHECK(fixture.Taken<AcceptSession>().size() == 1);
+  fixture.dispatcher.SessionStarted(kSouth, "orders", kSouthKey, kStart);
+  CHECK(fixture.Taken<AcceptSession>().size() == 1);
+}
+
+TEST_CASE("A key taken away is denied at the next operation", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.configuration.version = 2;
+  fixture.configuration.tenants.erase("north");
+  fixture.Configure(kStart);
+  fixture.Taken<AnswerCaller>();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  CHECK(fixture.ErrorAnswered() == model::ErrorCode::kDenied);
+}
+
+TEST_CASE("A key taken away rolls its transaction back", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.Ask(kNorth, model::CommandKind::kBegin, kStart);
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  const auto opened = fixture.Taken<OpenConnection>();
+  REQUIRE(opened.size() == 1);
+  fixture.backends.Opened(opened.front().connection, kStart);
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  fixture.backends.Answered(opened.front().connection, reply, kStart);  // BEGIN
+  fixture.backends.Answered(opened.front().connection, reply, kStart);  // READ
+  fixture.configuration.version = 2;
+  fixture.configuration.tenants.erase("north");
+  fixture.Configure(kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kCommit, kStart);
+  const std::vector<Action> actions = fixture.outbox.Take();
+  bool rolled_back = false;
+  std::optional<model::Reply> answer;
+  for (const Action& action : actions) {
+    if (const auto* sent = std::get_if<SendRequests>(&action)) {
+      const auto& request = std::get<model::SessionRequest>(sent->requests.front());
+      rolled_back = request.command.kind == model::CommandKind::kRollback;
+    } else if (const auto* told = std::get_if<AnswerCaller>(&action)) {
+      answer = told->reply;
+    }
+  }
+  CHECK(rolled_back);
+  REQUIRE(answer);
+  CHECK(answer->error == model::ErrorCode::kDenied);
+  CHECK(answer->state == model::TransactionState::kIdle);
+}
+
+TEST_CASE("A connection of one tenant never serves another", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.dispatcher.SessionStarted(kSouth, "orders", kSouthKey, kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  const auto opened = fixture.Taken<OpenConnection>();
+  REQUIRE(opened.size() == 1);
+  CHECK(opened.front().tenant == "north");
+  // South comes while the connection opens, and needs one of its own.
+  fixture.Ask(kSouth, model::CommandKind::kRead, kStart);
+  const auto of_south = fixture.Taken<OpenConnection>();
+  REQUIRE(of_south.size() == 1);
+  CHECK(of_south.front().tenant == "south");
+  fixture.backends.Opened(of_south.front().connection, kStart);
+  const auto sent = fixture.Taken<SendRequests>();
+  REQUIRE(sent.size() == 1);
+  CHECK(sent.front().connection == of_south.front().connection);
+}
+
+TEST_CASE("At the limit a free connection of another tenant makes room", "[proxy][tenants]") {
+  DispatcherFixture fixture(1);
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.dispatcher.SessionStarted(kSouth, "orders", kSouthKey, kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  const auto opened = fixture.Taken<OpenConnection>();
+  REQUIRE(opened.size() == 1);
+  fixture.backends.Opened(opened.front().connection, kStart);
+  // While it is at work nothing makes room.
+  fixture.Ask(kSouth, model::CommandKind::kRead, kStart);
+  CHECK(fixture.Taken<OpenConnection>().empty());
+  model::Reply reply;
+  reply.succeeded = true;
+  fixture.backends.Answered(opened.front().connection, reply, kStart);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const std::vector<Action> actions = fixture.outbox.Take();
+  std::size_t closed = 0;
+  std::size_t of_south = 0;
+  for (const Action& action : actions) {
+    closed += std::holds_alternative<CloseConnection>(action) ? 1 : 0;
+    const auto* open = std::get_if<OpenConnection>(&action);
+    of_south += open != nullptr && open->tenant == "south" ? 1 : 0;
+  }
+  CHECK(closed == 1);
+  CHECK(of_south == 1);
+}
+
+TEST_CASE("One connection is opened for one operation", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  CHECK(fixture.Taken<OpenConnection>().size() == 1);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  CHECK(fixture.Taken<OpenConnection>().empty());
+}
+
+TEST_CASE("Without proof an operation is refused at once with a time to come back",
+          "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart + kLimit);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kBusy);
+  CHECK(answers.front().reply.error_text.find("retry_after_ms=") == 0);
+  fixture.admission.proof().note({1, kStart + kLimit});
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart + kLimit);
+  CHECK(fixture.Taken<OpenConnection>().size() == 1);
+}
+
+TEST_CASE("An operation that waits while its key is taken away does not run", "[proxy][tenants]") {
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.outbox.Take();
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  const auto opened = fixture.Taken<OpenConnection>();
+  REQUIRE(opened.size() == 1);
+  fixture.configuration.version = 2;
+  fixture.configuration.tenants.erase("north");
+  fixture.Configure(kStart);
+  fixture.backends.Opened(opened.front().connection, kStart);
+  CHECK(fixture.Taken<SendRequests>().empty());
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  CHECK(fixture.ErrorAnswered() == model::ErrorCode::kDenied);
+}
+
+}  // namespace valvekeel::proxy
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -88,6 +88,15 @@
   CHECK(of_all.size() == 2);
 }
 
+TEST_CASE("A caller that an owner turned away is not handed on", "[relay]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.declined(SESSION);
+  test.sessions.link_ended(SESSION, NOW);
+  CHECK(test.port.opened.size() == 1);
+  CHECK(test.port.ended == 1);
+}
+
 TEST_CASE("An owner that ends before it accepts is followed by the next", "[relay]") {
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -16,6 +16,7 @@
 
 /** What was seen of an owner. */
 struct record {
+  bool declined = false;
   bool accepted = false;
   bool ended = false;
   std::vector<model::Reply> answers;
@@ -26,6 +27,7 @@
  public:
   explicit recording_events(record& seen) : seen(seen) {}
   void on_accepted() override { this->seen.accepted = true; }
+  void on_declined() override { this->seen.declined = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
   void on_bytes(std::string_view bytes) override { this->seen.bytes += bytes; }
   void on_ended() override { this->seen.ended = true; }
@@ -92,6 +94,15 @@
   CHECK_FALSE(test.seen.ended);
 }
 
+TEST_CASE("An owner's refusal goes to the caller", "[relay_link]") {
+  const std::string answer = "ERROR DENIED unknown key\r\n";
+  fixture test(answer);
+  test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+  REQUIRE(test.run_until([&] { return test.seen.declined; }));
+  CHECK(test.seen.bytes == answer);
+  CHECK_FALSE(test.seen.accepted);
+}
+
 TEST_CASE("An answer to nothing ends the link", "[relay_link]") {
   fixture test("READY I -\r\nCOMPLETE 1.a\r\nREADY I 3.12\r\n");
   test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
