Simulator: tenants' keys that end and pass on, with a checker and its mechanisms switched off

Change: callers with keys, keys taken away and passed on at random times, KEY: a statement ran on a connection whose tenant did not hold the caller's key within the revocation limit before it was sent.

--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -115,7 +115,7 @@
   if (!StillAdmitted(session, found)) {
     return false;  // the next tick answers it
   }
-  operation.tenant = found.tenant;
+  operation.tenant = settings_.mechanisms.tenant_connections ? found.tenant : std::string();
   if (WouldCommit(session) && groups_.WritesStalled(operation.route.service, now)) {
     operation.last_refusal = "writes stay unanswered";
     return false;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -26,6 +26,7 @@
   bool required_positions = true;  // replicas must hold what a read needs
   bool enough_fences = true;       // more than one replica is fenced before a promotion
   bool session_reset = true;       // a connection's values are those of its session
+  bool tenant_connections = true;  // a connection serves one tenant
   bool unknown_outcomes = true;    // a write whose answer is lost is not sent again
 };
 
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -35,6 +35,7 @@
   std::uint64_t session = 0;
   std::uint64_t epoch = 0;  // of the session, so that late events are told apart
   std::string service;
+  std::string key;
   model::Route route;
   std::map<std::string, std::string> values;
   // The operation in progress.
@@ -97,7 +98,9 @@
       }
     });
   };
-  caller->daemon->OpenSession(caller->session, caller->route.database, std::move(port));
+  caller->key = ChooseKey();
+  caller->daemon->OpenSession(caller->session, {caller->route.database, caller->key},
+                              std::move(port));
   world.After(std::chrono::seconds(2), [this, caller, epoch] {
     const bool waits = epoch == caller->epoch && !caller->active && caller->commands.empty();
     if (waits) {
@@ -107,6 +110,17 @@
   });
 }
 
+std::string Callers::ChooseKey() {
+  const std::vector<std::string> keys = cluster_.Keys().Keys();
+  std::vector<std::string> in_force;
+  for (const std::string& key : keys) {
+    if (!cluster_.Keys().Holder(key).empty()) {
+      in_force.push_back(key);
+    }
+  }
+  return in_force.empty() ? "" : in_force[cluster_.Surroundings().Below(in_force.size())];
+}
+
 void Callers::Think(const std::shared_ptr<Caller>& caller) {
   World& world = cluster_.Surroundings();
   const std::uint64_t epoch = caller->epoch;
@@ -159,6 +173,7 @@
   attempt.consistency = caller->route.consistency;
   attempt.max_staleness = caller->route.max_staleness;
   attempt.began = cluster_.Surroundings().Now();
+  attempt.key = caller->key;
   attempt.values = caller->values;
   caller->attempt = attempt.id;
   caller->next = 0;
@@ -177,6 +192,7 @@
       [](const model::Command& each) {
         return each.kind == CommandKind::kBegin || each.kind == CommandKind::kBeginReadOnly;
       });
+  attempt->sent = world.Now();
   if (!attempt->in_transaction) {
     attempt->began = world.Now();
   }
--- a/src/proxysim/callers.h
+++ b/src/proxysim/callers.h
@@ -37,6 +37,8 @@
  private:
   struct Caller;
 
+  /// @return one of the keys in force; empty where keys are not used.
+  std::string ChooseKey();
   void Connect(const std::shared_ptr<Caller>& caller);
   void Think(const std::shared_ptr<Caller>& caller);
   void BeginOperation(const std::shared_ptr<Caller>& caller);
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -40,6 +40,8 @@
 
 std::string ZoneName(std::size_t number) { return std::string("zone-") + std::to_string(number); }
 
+std::string TenantName(std::size_t number) { return "tenant-" + std::to_string(number); }
+
 Cluster::Cluster(std::uint64_t seed, const ClusterShape& shape)
     : world_(seed), history_(world_), store_(world_), shape_(shape) {
   configuration_.version = 1;
@@ -48,6 +50,7 @@
     const std::string service = std::string("group") + std::to_string(number);
     auto group = std::make_unique<DatabaseGroup>(world_, history_, service, shape_.group);
     DatabaseGroup* made = group.get();
+    made->keys = shape_.tenants > 0 ? &keys_ : nullptr;
     group->on_change = [this, made] { AnnounceAll(*made); };
     groups_.emplace(service, std::move(group));
     configuration_.services[service] = {service,
@@ -64,6 +67,7 @@
     }
     AnnounceAll(*made);
   }
+  MakeTenants();
   WriteConfiguration();
   for (std::size_t number = 0; number < shape_.daemons; ++number) {
     const std::string name = std::string("daemon-") + std::to_string(number);
@@ -78,6 +82,33 @@
   store_.Put(Collection::kConfiguration, "main", configuration_);
 }
 
+void Cluster::MakeTenants() {
+  constexpr std::size_t kKeysOfTenant = 2;
+  for (std::size_t number = 0; number < shape_.tenants; ++number) {
+    const std::string name = TenantName(number);
+    configuration_.tenants[name].name = name;
+    for (std::size_t key = 0; key < kKeysOfTenant; ++key) {
+      GiveKey("key-" + std::to_string(number) + "-" + std::to_string(key), name);
+    }
+  }
+}
+
+void Cluster::GiveKey(const std::string& key, const std::string& tenant) {
+  const tenants::key_digest digest = tenants::digest_of(key);
+  for (auto& [name, each] : configuration_.tenants) {
+    std::erase(each.keys, digest);
+  }
+  if (!tenant.empty()) {
+    configuration_.tenants.at(tenant).keys.push_back(digest);
+  }
+  keys_.Set(key, tenant, world_.Now());
+}
+
+void Cluster::ChangeKey(const std::string& key, const std::string& tenant) {
+  GiveKey(key, tenant);
+  ChangeConfiguration();
+}
+
 void Cluster::ChangeConfiguration() {
   ++configuration_.version;
   WriteConfiguration();
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -12,6 +12,7 @@
 #include "proxysim/daemon_host.h"
 #include "proxysim/database_group.h"
 #include "proxysim/history.h"
+#include "proxysim/key_history.h"
 #include "proxysim/store.h"
 #include "proxysim/world.h"
 
@@ -25,8 +26,10 @@
   GroupShape group;
   proxy::Mechanisms mechanisms;
   relay::role_policy roles;
-  bool first_start = false;      // of the whole deployment
-  bool encode_messages = false;  // the bytes of heartbeats are counted
+  std::size_t tenants = 0;         // 0: callers need no keys
+  tenants::tenant_policy tenancy;  // in force if there are tenants
+  bool first_start = false;        // of the whole deployment
+  bool encode_messages = false;    // the bytes of heartbeats are counted
 };
 
 class Cluster {
@@ -46,6 +49,11 @@
   DaemonHost* DaemonAt(const common::Endpoint& address);
   model::Configuration CurrentConfiguration() const { return configuration_; }
 
+  const KeyHistory& Keys() const { return keys_; }
+
+  /// Gives a key to a tenant, or takes it away, by a further version of the configuration.
+  void ChangeKey(const std::string& key, const std::string& tenant);
+
   /// Writes a further version of the configuration.
   void ChangeConfiguration();
 
@@ -62,9 +70,12 @@
  private:
   void AnnounceAll(DatabaseGroup& group);
   void WriteConfiguration();
+  void GiveKey(const std::string& key, const std::string& tenant);
+  void MakeTenants();
 
   World world_;
   History history_;
+  KeyHistory keys_;
   SimulatedStore store_;
   ClusterShape shape_;
   model::Configuration configuration_;
@@ -78,4 +89,7 @@
 /// @return the name of a zone.
 std::string ZoneName(std::size_t number);
 
+/// @return the name of a tenant.
+std::string TenantName(std::size_t number);
+
 }  // namespace valvekeel::proxysim
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -40,6 +40,7 @@
     settings.seed_catalogs = settings.seed_peers;
     settings.admin_port = address_.port;
     settings.roles = cluster_.Shape().roles;
+    settings.tenants = cluster_.Shape().tenancy;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
     Tick(life);
@@ -57,7 +58,7 @@
   }
   ++life_;
   const auto callers = std::exchange(callers_, {});
-  databases_.clear();
+  starts_.clear();
   for (const auto& [number, link] : std::exchange(relays_, {})) {
     ToOwner(link,
             [session = link.owner_session](DaemonHost& owner) { owner.CloseSession(session); });
@@ -114,17 +115,17 @@
   cluster_.Surroundings().After(pause, [this, life] { Tick(life); });
 }
 
-void DaemonHost::OpenSession(proxy::SessionNumber number, const std::string& database,
+void DaemonHost::OpenSession(proxy::SessionNumber number, const SessionStart& start,
                              CallerPort port) {
-  TakeHandover(number, database, {}, std::move(port));
+  TakeHandover(number, start, {}, std::move(port));
 }
 
-void DaemonHost::TakeHandover(proxy::SessionNumber number, const std::string& database,
+void DaemonHost::TakeHandover(proxy::SessionNumber number, const SessionStart& start,
                               const proxy::SessionOrigin& origin, CallerPort port) {
   callers_[number] = std::move(port);
-  databases_[number] = database;
-  Deliver(life_, [this, number, database, origin] {
-    proxy_->SessionStarted(number, database, tenants::digest_of("caller"), origin,
+  starts_[number] = start;
+  Deliver(life_, [this, number, start, origin] {
+    proxy_->SessionStarted(number, start.database, tenants::digest_of(start.key), origin,
                            cluster_.Surroundings().Now());
   });
 }
@@ -143,7 +144,7 @@
 
 void DaemonHost::CloseSession(proxy::SessionNumber number) {
   callers_.erase(number);
-  databases_.erase(number);
+  starts_.erase(number);
   Deliver(life_, [this, number] { proxy_->SessionClosed(number, cluster_.Surroundings().Now()); });
 }
 
@@ -197,6 +198,7 @@
     }
     ServerConnection connection;
     connection.daemon = name_;
+    connection.tenant = action.tenant;
     connection.answer = [this, life, number,
                          instance = action.instance](const model::Reply& reply) {
       World& surroundings = cluster_.Surroundings();
@@ -366,10 +368,9 @@
     return;
   }
   const proxy::SessionOrigin origin{true, address_, action.least_configuration};
-  ToOwner(link, [link, origin, database = databases_[action.session],
-                 port = RelayPort(action.session, link)](DaemonHost& taker) {
-    taker.TakeHandover(link.owner_session, database, origin, port);
-  });
+  ToOwner(link,
+          [link, origin, start = starts_[action.session], port = RelayPort(action.session, link)](
+              DaemonHost& taker) { taker.TakeHandover(link.owner_session, start, origin, port); });
 }
 
 void DaemonHost::Do(const proxy::CloseRelay& action) {
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -28,6 +28,12 @@
   std::function<void()> closed;
 };
 
+/// A caller's first message.
+struct SessionStart {
+  std::string database;
+  std::string key;
+};
+
 /// What a daemon has sent over all its lives.
 struct TrafficCounters {
   std::size_t messages = 0;     // heartbeats
@@ -61,9 +67,9 @@
   const TrafficCounters& Traffic() const { return traffic_; }
 
   // Callers.
-  void OpenSession(proxy::SessionNumber number, const std::string& database, CallerPort port);
+  void OpenSession(proxy::SessionNumber number, const SessionStart& start, CallerPort port);
   /// Takes a session that another daemon hands over.
-  void TakeHandover(proxy::SessionNumber number, const std::string& database,
+  void TakeHandover(proxy::SessionNumber number, const SessionStart& start,
                     const proxy::SessionOrigin& origin, CallerPort port);
   void Command(proxy::SessionNumber number, const proxy::CallerCommand& command);
   void CloseSession(proxy::SessionNumber number);
@@ -115,7 +121,7 @@
   bool draining_ = false;
   std::deque<std::function<void()>> held_;  // while frozen
   std::map<proxy::SessionNumber, CallerPort> callers_;
-  std::map<proxy::SessionNumber, std::string> databases_;  // of the callers' sessions
+  std::map<proxy::SessionNumber, SessionStart> starts_;  // of the callers' sessions
   std::map<proxy::SessionNumber, RelayLink> relays_;
   std::uint64_t next_link_ = 1;
   std::map<proxy::ConnectionNumber, std::string> connections_;  // instance by connection
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -247,6 +247,17 @@
   return false;
 }
 
+void DatabaseGroup::CheckKey(const ServerConnection& connection, const CallerAttempt& attempt) {
+  if (keys == nullptr || attempt.key.empty()) {
+    return;
+  }
+  const common::Instant from = attempt.sent - kRevocationLimit;
+  if (!keys->HeldWithin(attempt.key, connection.tenant, from, world_.Now())) {
+    world_.Report("KEY", attempt.id + " of " + attempt.key + " ran for \"" + connection.tenant +
+                             "\" too late or for another tenant");
+  }
+}
+
 void DatabaseGroup::CheckRead(const SimulatedInstance& instance, const CallerAttempt& attempt) {
   const std::vector<AcknowledgedCommit> required = history_.Required(attempt);
   // The newest few are the ones that may be missing: logs are prefixes of each other.
@@ -299,6 +310,7 @@
     world_.Report("UNASKED", "statement of " + request.request_id);
     return reply;
   }
+  CheckKey(connection, *attempt);
   CheckConnection(instance, connection, *attempt);
   const bool lost_lead =
       connection.state != TransactionState::kIdle && !connection.read_only && !instance.primary;
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -16,6 +16,7 @@
 #include "model/reply.h"
 #include "model/request.h"
 #include "proxysim/history.h"
+#include "proxysim/key_history.h"
 #include "proxysim/world.h"
 
 namespace valvekeel::proxysim {
@@ -26,9 +27,13 @@
   std::string id;  // of the caller's attempt
 };
 
+/// Time from a key's removal until no daemon may serve it.
+inline constexpr common::Duration kRevocationLimit{5'000'000};
+
 /// One connection as its instance sees it.
 struct ServerConnection {
   std::string daemon;
+  std::string tenant;                               // that the connection was opened for
   std::function<void(const model::Reply&)> answer;  // carries a reply back to the daemon
   std::function<void()> reset;                      // tells the daemon that it is gone
   std::map<std::string, std::string> values;
@@ -98,6 +103,7 @@
   void SetLostAnswers(double share) { lost_answers_ = share; }
 
   /// Told when the list of instances or what they say of themselves changes.
+  const KeyHistory* keys = nullptr;  // checked against, if set
   std::function<void()> on_change;
 
  private:
@@ -118,6 +124,8 @@
                        const model::SessionRequest& request);
   void CheckConnection(const SimulatedInstance& instance, const ServerConnection& connection,
                        const CallerAttempt& attempt);
+  /// Checks that the connection's tenant has, or had not long ago, the caller's key.
+  void CheckKey(const ServerConnection& connection, const CallerAttempt& attempt);
   void CheckRead(const SimulatedInstance& instance, const CallerAttempt& attempt);
   void Commit(SimulatedInstance& instance, std::uint64_t number, const std::string& id);
   void Replicate(const std::string& from);
--- a/src/proxysim/history.h
+++ b/src/proxysim/history.h
@@ -25,6 +25,8 @@
   model::Consistency consistency = model::Consistency::kPrimary;
   common::Duration max_staleness{0};
   common::Instant began{0};
+  common::Instant sent{0};  // of the newest statement
+  std::string key;          // of the caller, empty where keys are not used
   bool in_transaction = false;
   std::map<std::string, std::string> values;  // acknowledged to the session
   bool committed = false;                     // some instance committed it
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -25,6 +25,8 @@
 const std::string kStore = "store";
 const std::string kPlatform = "platform";
 
+constexpr std::size_t kKeyChanges = 8;  // of a day with tenants
+
 /// Draws and carries out the faults of one day.
 class FaultInjector {
  public:
@@ -301,9 +303,45 @@
   std::uint64_t replacements_ = 0;
 };
 
+/// Takes keys away and gives them back, to the same tenant or another.
+class KeyChanges {
+ public:
+  explicit KeyChanges(Cluster& cluster) : cluster_(cluster), world_(cluster.Surroundings()) {}
+
+  void Begin() {
+    const std::vector<std::string> keys = cluster_.Keys().Keys();
+    const std::string key = keys[world_.Below(keys.size())];
+    const std::string next = TenantName(world_.Below(cluster_.Shape().tenants));
+    if (world_.Chance(kPassedOn)) {
+      cluster_.ChangeKey(key, next);
+      return;
+    }
+    cluster_.ChangeKey(key, "");
+    world_.After(kKeyAway, [this, key, next] { cluster_.ChangeKey(key, next); });
+  }
+
+ private:
+  static constexpr double kPassedOn = 0.3;
+  static constexpr Duration kKeyAway{9'000'000};
+
+  Cluster& cluster_;
+  World& world_;
+};
+
+void AddTenants(const ScenarioOptions& options, ClusterShape& shape) {
+  constexpr std::size_t kTenants = 4;
+  if (!options.tenants) {
+    return;
+  }
+  shape.tenants = kTenants;
+  shape.tenancy.keys_required = true;
+  shape.tenancy.revocation_limit = options.key_proof ? kRevocationLimit : Duration(0);
+}
+
 ClusterShape ShapeOf(const ScenarioOptions& options) {
   ClusterShape shape;
   shape.mechanisms = options.mechanisms;
+  AddTenants(options, shape);
   if (options.large) {
     World draw(options.seed * 6007);
     shape.daemons = 18 + draw.Below(9);
@@ -367,6 +405,11 @@
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
     world.After(at, [&injector] { injector.Begin(); });
   }
+  KeyChanges changes(cluster);
+  for (std::size_t change = 0; options.tenants && change < kKeyChanges; ++change) {
+    const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
+    world.After(at, [&changes] { changes.Begin(); });
+  }
   const Instant end =
       world.Now() + options.calm_before + options.troubled + kLongest + options.calm_after;
   callers.StopAt(end);
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -111,6 +111,46 @@
   CHECK(FirstBroken("TWICE", sent_again) != 0);
 }
 
+TEST_CASE("Keys taken away or passed on are served for their tenant, and no longer than allowed",
+          "[proxysim][tenants]") {
+  constexpr std::uint64_t kSeeds = 12;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.tenants = true;
+    options.large = seed % 3 == 0;
+    options.faults = 8;
+    INFO("seed " << seed);
+    const ScenarioResult result = RunScenario(options);
+    CHECK(result.violations.empty());
+    CHECK(result.succeeded > 0);
+  }
+}
+
+TEST_CASE("Without a mechanism of the tenants its checker fails", "[proxysim][tenants]") {
+  const auto first_broken = [](bool key_proof, const proxy::Mechanisms& mechanisms) {
+    constexpr std::uint64_t kMostSeeds = 60;
+    for (std::uint64_t seed = 1; seed <= kMostSeeds; ++seed) {
+      ScenarioOptions options;
+      options.seed = seed;
+      options.tenants = true;
+      options.key_proof = key_proof;
+      options.mechanisms = mechanisms;
+      options.faults = 8;
+      for (const Violation& violation : RunScenario(options).violations) {
+        if (violation.rule == "KEY") {
+          return seed;
+        }
+      }
+    }
+    return std::uint64_t{0};
+  };
+  CHECK(first_broken(false, {}) != 0);
+  proxy::Mechanisms shared_connections;
+  shared_connections.tenant_connections = false;
+  CHECK(first_broken(true, shared_connections) != 0);
+}
+
 TEST_CASE("The same seed gives the same day", "[proxysim]") {
   ScenarioOptions options;
   options.seed = 5;
