--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -20,7 +20,8 @@
 bool Concerns(const LogLine& line, const std::string& service, const std::string& instance) {
   const bool of_service = !service.empty() && Field(line, "service") == service;
   const bool of_instance = !instance.empty() && Field(line, "instance") == instance;
-  const bool of_store = line.event == "store_lost" || line.event == "thawed";
+  const bool of_store = line.event == "store_lost" || line.event == "thawed" ||
+                        line.event == "keys_unproven" || line.event == "configuration_in_force";
   return (of_service || of_instance || of_store) && Field(line, "request").empty();
 }
 
@@ -41,8 +42,25 @@
   return "answered with " + error;
 }
 
+/// @return why a request was turned away for its key or its tenant's limit.
+std::string TurnedAwayCause(const LogLine& line) {
+  const std::string reason = Field(line, "reason");
+  const std::string tenant = Field(line, "tenant");
+  std::string cause = "turned away, nothing ran: " + reason;
+  cause += tenant.empty() ? "" : " (tenant " + tenant + ")";
+  cause += "; configuration " + Field(line, "version") + ", known to be the newest " +
+           Field(line, "proof_age_ms") + " ms before";
+  const std::string pause = Field(line, "retry_after_ms");
+  cause +=
+      pause.empty() || pause == "0" ? "" : "; the caller was told to come back in " + pause + " ms";
+  return cause;
+}
+
 std::string CauseOf(const Account& account) {
   const LogLine& last = account.own.back();
+  if (last.event == "request_turned_away") {
+    return TurnedAwayCause(last);
+  }
   if (last.event != "request_failed") {
     return "it was " + last.event + " at " + Field(last, "instance") +
            "; no failure of it is on record, so it succeeded or its caller left";
--- a/src/explain/summary.cc
+++ b/src/explain/summary.cc
@@ -55,7 +55,7 @@
   void Take(const LogLine& line) {
     LifeState& life = lives_[{line.process, line.life}];
     const std::string service = Field(line, "service");
-    if (line.event == "request_failed") {
+    if (line.event == "request_failed" || line.event == "request_turned_away") {
       TakeFailure(line, service);
     } else if (line.event == "primary_lost") {
       life.lost_since.try_emplace(service, line.monotonic_ms);
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -4,10 +4,16 @@
 #include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace valvekeel::host {
 namespace {
 
 constexpr double kSecond = 1e6;
+/// Tenants with an entry of their own, those refused most: labels must not grow with the tenants.
+constexpr std::size_t kTenantsShown = 10;
 
 const char* ConsistencyName(model::Consistency consistency) {
   switch (consistency) {
@@ -50,6 +56,31 @@
   prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels).Set(value);
 }
 
+void Metrics::TenantGauges(proxy::Proxy& proxy, common::Instant now) {
+  const tenants::admission& admission = proxy.Admission();
+  const tenants::admission_counters& counters = admission.counters();
+  const std::string turned_away = "valvekeel_turned_away_total";
+  const std::string help = "Requests and sessions turned away before anything ran";
+  Gauge(turned_away, help, {{"reason", "unknown_key"}}, static_cast<double>(counters.unknown_key));
+  Gauge(turned_away, help, {{"reason", "unproven"}}, static_cast<double>(counters.unproven));
+  Gauge(turned_away, help, {{"reason", "over_limit"}}, static_cast<double>(counters.over_limit));
+  const auto age = admission.proof().age(admission.configuration_version(), now);
+  if (admission.proof().required() && age) {
+    Gauge("valvekeel_proof_age_seconds", "Time since the configuration was known to be the newest",
+          {}, Seconds(*age));
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> refused;
+  for (const auto& [tenant, count] : admission.limiter().refused()) {
+    refused.emplace_back(count, tenant);
+  }
+  std::sort(refused.rbegin(), refused.rend());
+  refused.resize(std::min(refused.size(), kTenantsShown));
+  for (const auto& [count, tenant] : refused) {
+    Gauge("valvekeel_over_limit_total", "Operations over their tenant's limit",
+          {{"tenant", tenant}}, static_cast<double>(count));
+  }
+}
+
 std::string Metrics::Text(proxy::Proxy& proxy, const runtime::BoundedLog& log,
                           common::Instant now) {
   const proxy::DispatchCounters& counters = proxy.Dispatch().Counters();
@@ -65,6 +96,7 @@
         static_cast<double>(counters.retries));
   Gauge("valvekeel_resent_reads_total", "Reads sent again for want of an answer", {},
         static_cast<double>(counters.resent_reads));
+  TenantGauges(proxy, now);
   for (const auto& [code, count] : counters.errors) {
     Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
           static_cast<double>(count));
--- a/src/host/metrics.h
+++ b/src/host/metrics.h
@@ -25,6 +25,7 @@
   std::string Text(proxy::Proxy& proxy, const runtime::BoundedLog& log, common::Instant now);
 
  private:
+  void TenantGauges(proxy::Proxy& proxy, common::Instant now);
   void Gauge(const std::string& name, const std::string& help,
              const std::map<std::string, std::string>& labels, double value);
 
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -45,6 +45,21 @@
   CHECK(Explain(logs, "r1").context.empty());
 }
 
+TEST_CASE("A request turned away for its tenant's limit is explained with its inputs",
+          "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":2,\"seq\":9,\"mono_ms\":99,\"process\":\"d1\",\"event\":\"request_turned_away\","
+      "\"request\":\"r1\",\"reason\":\"over the limit\",\"tenant\":\"north\",\"version\":\"7\","
+      "\"proof_age_ms\":\"412\",\"retry_after_ms\":\"120\"}\n",
+      logs);
+  const std::string cause = Explain(logs, "r1").cause;
+  CHECK(cause.find("over the limit (tenant north)") != std::string::npos);
+  CHECK(cause.find("configuration 7") != std::string::npos);
+  CHECK(cause.find("412 ms before") != std::string::npos);
+  CHECK(cause.find("come back in 120 ms") != std::string::npos);
+}
+
 TEST_CASE("A request that no line names has no invented cause", "[explain]") {
   LogSet logs;
   ReadLog(kLog, logs);
