Revert the shares by zone; idle connections of tenants stay short-lived

Change: the shares by zone go, retention and openings stay as they were. Conclusion: the standing ways are kept for all three.

--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -148,9 +148,6 @@
   Count(schema, "relay.owner_pool", "daemons",
         "daemons of a zone, the largest first, among whom the owners of all services are chosen",
         &out.proxy.roles.owner_pool);
-  Count(schema, "relay.near_owner_weight", "shares",
-        "share of a replica's connections of an owner in its zone, where one elsewhere has 1",
-        &out.proxy.roles.near_owner_weight);
   Count(schema, "relay.direct_again_connections", "connections",
         "large deployments: share from which on a service with owners does without them",
         &out.proxy.roles.direct_again_connections);
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -1,7 +1,6 @@
 #include "proxy/backend_set.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace valvekeel::proxy {
 namespace {
@@ -16,9 +15,6 @@
 /// Time after which a connection beyond the first is given up: what a daemon holds when it loses
 /// power, its instances hold against everybody for seconds.
 constexpr common::Duration kIdleKept{700'000};
-/// The same for a connection of a tenant, which serves no other: the next operation of a small
-/// tenant comes after seconds, and a handshake costs as much of the instance as a short statement.
-constexpr common::Duration kTenantIdleKept{700'000};
 /// Time after which a connection to an instance that is not watched is given up.
 constexpr common::Duration kGuestIdle{100'000};
 
@@ -87,9 +83,8 @@
   });
 }
 
-void BackendSet::SetConnectionLimits(const std::string& service, ConnectionLimits limits,
-                                     bool watched) {
-  limits_[service] = std::move(limits);
+void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit, bool watched) {
+  limits_[service] = limit;
   if (watched) {
     watched_.insert(service);
   } else {
@@ -97,19 +92,13 @@
   }
 }
 
-std::size_t BackendSet::ConnectionLimit(const Backend& backend) const {
-  const auto found = limits_.find(backend.Entry().service);
-  if (found == limits_.end()) {
-    return 0;
-  }
-  const ConnectionLimits& limits = found->second;
-  const auto at_replica = limits.at_replica.find(backend.Entry().zone);
-  const bool by_zone = !backend.Entry().primary && at_replica != limits.at_replica.end();
-  return by_zone ? at_replica->second : limits.at_primary;
+std::size_t BackendSet::ConnectionLimit(const std::string& service) const {
+  const auto found = limits_.find(service);
+  return found == limits_.end() ? 0 : found->second;
 }
 
 bool BackendSet::Open(Backend& backend, common::Instant now, std::size_t extra) {
-  const std::size_t limit = ConnectionLimit(backend) + extra;
+  const std::size_t limit = ConnectionLimit(backend.Entry().service) + extra;
   if (!backend.MayOpen(now) || backend.Connections().size() >= limit) {
     return false;
   }
@@ -122,7 +111,7 @@
   if (!backend.MayOpen(now)) {
     return std::nullopt;
   }
-  if (backend.Connections().size() >= ConnectionLimit(backend)) {
+  if (backend.Connections().size() >= ConnectionLimit(backend.Entry().service)) {
     const Connection* replaced = backend.PickForOther(tenant);
     if (replaced == nullptr) {
       return std::nullopt;
@@ -387,7 +376,7 @@
 
 void BackendSet::TrimConnections(Backend& backend, common::Instant now) {
   std::vector<ConnectionNumber> closing;
-  const std::size_t limit = ConnectionLimit(backend);
+  const std::size_t limit = ConnectionLimit(backend.Entry().service);
   const bool watched = Watched(backend.Entry().service);
   std::size_t total = backend.Connections().size();
   std::vector<ConnectionNumber> unopened;
@@ -396,8 +385,7 @@
       unopened.push_back(number);
     }
     const bool idle = connection.open && connection.outstanding.empty() && !connection.session;
-    const common::Duration kept_for = connection.tenant.empty() ? kIdleKept : kTenantIdleKept;
-    const common::Duration idle_limit = watched ? kept_for : kGuestIdle;
+    const common::Duration idle_limit = watched ? kIdleKept : kGuestIdle;
     const std::size_t kept = watched ? 1 : 0;
     const bool unused = total > kept && now >= connection.last_used + idle_limit;
     const bool surplus = idle && (total > limit || unused);
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -66,22 +66,14 @@
   std::map<std::string, Backend>& All() { return backends_; }
   const std::map<std::string, Backend>& All() const { return backends_; }
 
-  /// How many connections this daemon may have to an instance of a service.
-  struct ConnectionLimits {
-    std::size_t at_primary = 0;
-    std::map<std::string, std::size_t> at_replica;  // by the replica's zone; else as at the primary
-  };
-
-  /// Sets them. @param watched keeps one open all the time, to see that the instance is there.
-  void SetConnectionLimits(const std::string& service, ConnectionLimits limits, bool watched);
-  void SetConnectionLimit(const std::string& service, std::size_t limit, bool watched = true) {
-    SetConnectionLimits(service, {limit, {}}, watched);
-  }
+  /// Sets how many connections this daemon may have to an instance. @param watched keeps one open
+  /// all the time, to see that the instance is there.
+  void SetConnectionLimit(const std::string& service, std::size_t limit, bool watched = true);
 
   /// @return true if this daemon keeps an eye on the service's instances.
   bool Watched(const std::string& service) const { return watched_.contains(service); }
-  /// @return how many it may have to this instance; 0 until that is set.
-  std::size_t ConnectionLimit(const Backend& backend) const;
+  /// @return that number; 0 until it is set.
+  std::size_t ConnectionLimit(const std::string& service) const;
 
   /// Sets how many connections to an instance may be opening at once.
   void SetMostOpening(std::size_t most) { most_opening_ = most; }
@@ -144,8 +136,8 @@
   std::map<std::string, Backend> backends_;
   std::map<ConnectionNumber, std::string> owners_;
   std::map<ControlNumber, PendingControl> controls_;
-  std::map<std::string, ConnectionLimits> limits_;  // by service
-  std::set<std::string> watched_;                   // services
+  std::map<std::string, std::size_t> limits_;  // by service
+  std::set<std::string> watched_;              // services
   std::size_t most_opening_ = 1'000;
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -312,7 +312,8 @@
     SetInterest(!in_use.empty(), now);
     backends_.SetMostOpening(roles_.meshed() ? kOpeningMeshed : kOpeningOwner);
     for (const auto& [name, most] : connections) {
-      SetConnectionLimits(name, in_use.contains(name));
+      backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
+                                   roles_.coordinates() || roles_.owns(name));
     }
     EndGuests(in_use, now);
   }
@@ -321,17 +322,6 @@
   }
 }
 
-void Proxy::SetConnectionLimits(const std::string& service, bool serves_guests) {
-  BackendSet::ConnectionLimits limits;
-  limits.at_primary = roles_.connections(service, serves_guests);
-  for (const std::string& id : groups_.Members(service)) {
-    const std::string& zone = backends_.All().at(id).Entry().zone;
-    limits.at_replica[zone] = roles_.connections_to_replica(service, serves_guests, zone);
-  }
-  const bool watched = roles_.coordinates() || roles_.owns(service);
-  backends_.SetConnectionLimits(service, std::move(limits), watched);
-}
-
 void Proxy::SetInterest(bool serves_guests, common::Instant now) {
   serves_guests_ = serves_guests;
   const bool connects = roles_.watches_any() || serves_guests;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -143,7 +143,6 @@
   void TakeView(const common::Endpoint& from, const PeerMessage& message, common::Instant now);
   /// @return true if the peer asks who the hubs are, and was not told a moment ago.
   static bool OwesIntroduction(const Peer& peer, common::Instant now);
-  void SetConnectionLimits(const std::string& service, bool serves_guests);
   void SetInterest(bool serves_guests, common::Instant now);
   void Register(common::Instant now);
   /// @return true if this daemon should be listed in the store.
--- a/src/relay/role_map.cc
+++ b/src/relay/role_map.cc
@@ -124,10 +124,6 @@
   }
   roles.owner_names.insert(roles.all_owners.begin(), roles.all_owners.end());
   roles.self_owns = roles.owner_names.contains(this->self);
-  roles.shared_connections = shared;
-  for (const member& each : this->live) {
-    roles.own_zone = each.name == this->self ? each.zone : roles.own_zone;
-  }
   // One share is left to guests and to owners that have just ceased to be.
   roles.owner_connections = std::max<std::size_t>(1, shared / (roles.all_owners.size() + 1));
   return roles;
@@ -215,20 +211,6 @@
   return roles == nullptr ? NOBODY : roles->all_owners;
 }
 
-std::size_t role_map::connections_to_replica(const std::string& service, bool serves_guests,
-                                             const std::string& zone) const {
-  const service_roles* roles = this->find(service);
-  if (roles == nullptr || roles->is_direct || !roles->self_owns) {
-    return this->connections(service, serves_guests);
-  }
-  const std::size_t near = this->owners_in(service, zone).size();
-  const std::size_t far = roles->all_owners.size() - near;
-  const std::size_t weight = this->policy.near_owner_weight;
-  const std::size_t shares = near * weight + far + 1;
-  const std::size_t own = roles->own_zone == zone ? weight : 1;
-  return std::max<std::size_t>(1, roles->shared_connections * own / shares);
-}
-
 std::size_t role_map::connections(const std::string& service, bool serves_guests) const {
   const service_roles* roles = this->find(service);
   if (roles == nullptr) {
--- a/src/relay/role_map.h
+++ b/src/relay/role_map.h
@@ -33,10 +33,6 @@
 
 /** From which size on daemons share their work out. */
 struct role_policy {
-  /** Weight of an owner in the instance's zone when a replica's connections are shared out; one
-   * elsewhere has weight 1. Where connections belong to tenants an owner needs many: reads stay in
-   * the zone, and only the primary serves all zones alike. */
-  std::uint32_t near_owner_weight = 1;
   /** Up to so many daemons, all coordinate and tell each other everything at full pace. */
   std::size_t most_meshed_daemons = 16;
   std::size_t coordinators = 3;
@@ -124,21 +120,11 @@
    */
   std::size_t connections(const std::string& service, bool serves_guests) const;
 
-  /**
-   * The same for a replica.
-   *
-   * @param zone  in which the replica is
-   */
-  std::size_t connections_to_replica(const std::string& service, bool serves_guests,
-                                     const std::string& zone) const;
-
  private:
   /** Roles around one service; no owners if it is direct. */
   struct service_roles {
     std::size_t direct_connections = 1;
     std::size_t owner_connections = 1;
-    std::size_t shared_connections = 1;  // of an instance, by all owners and guests
-    std::string own_zone;
     bool is_direct = true;
     bool self_owns = false;
     std::map<std::string, std::vector<std::string>> owners_by_zone;
