--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -310,7 +310,7 @@
 
   void Begin() {
     const std::vector<std::string> keys = cluster_.Keys().Keys();
-    const std::string key = keys[world_.Below(keys.size())];
+    const std::string& key = keys[world_.Below(keys.size())];
     const std::string next = TenantName(world_.Below(cluster_.Shape().tenants));
     if (world_.Chance(kPassedOn)) {
       cluster_.ChangeKey(key, next);
--- a/tests/platform/catalog_translation_test.cc
+++ b/tests/platform/catalog_translation_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "host/catalog_copy_json.h"
+#include "proxy/peer_message.h"
+
 namespace valvekeel::platform {
 namespace {
 
@@ -47,6 +50,63 @@
   CHECK(configuration.transaction_idle == std::chrono::milliseconds(3000));
 }
 
+TEST_CASE("Tenants are read, and no copy between daemons holds a key", "[platform][tenants]") {
+  const std::string key = "bkf83fgfwrz56aw63is4";
+  json open_route = Route("db2", "primary");
+  open_route["public"] = true;
+  const json spec = {{"version", 7},
+                     {"routes", {Route("db1", "primary"), open_route}},
+                     {"services", {{{"name", "group"}, {"max_conns", 34}}}},
+                     {"tenants",
+                      {{{"name", "north"},
+                        {"api_keys", {key}},
+                        {"priority", 1},
+                        {"rate_per_s", 196},
+                        {"burst", 98.5}}}}};
+  const auto object = Translate(Collection::kConfiguration, Object("main", spec));
+  proxy::CatalogCopy copy;
+  copy.configuration = std::get<model::Configuration>(object.payload);
+  const std::string text = host::EncodeCatalogCopy(copy);
+  CHECK(text.find(key) == std::string::npos);
+  const auto taken = host::DecodeCatalogCopy(text);
+  REQUIRE(taken);
+  const tenants::tenant& north = taken->configuration.tenants.at("north");
+  CHECK(north.keys == std::vector<tenants::key_digest>{tenants::digest_of(key)});
+  CHECK(north.rate == 196);
+  CHECK(north.burst == 98.5);
+  CHECK_FALSE(taken->configuration.routes.at("db1").is_public);
+  CHECK(taken->configuration.routes.at("db2").is_public);
+}
+
+TEST_CASE("A tenant with a negative rate makes the configuration unreadable",
+          "[platform][tenants]") {
+  const json spec = {{"version", 7},
+                     {"routes", json::array()},
+                     {"services", json::array()},
+                     {"tenants", {{{"name", "north"}, {"rate_per_s", -1}}}}};
+  const auto object = Translate(Collection::kConfiguration, Object("main", spec));
+  CHECK(std::holds_alternative<std::monostate>(object.payload));
+}
+
+TEST_CASE("Proof and rates of a heartbeat arrive as they were sent", "[platform][tenants]") {
+  proxy::PeerMessage message;
+  message.proven_version = 9;
+  message.proof_age = std::chrono::milliseconds(420);
+  message.rates.counts = true;
+  message.rates.allocates = true;
+  message.rates.usage = {{7, 30, 41}};
+  message.rates.grants = {{7, 1.25, 0.5, 1}};
+  const auto read = proxy::DecodePeerMessage(proxy::EncodePeerMessage(message));
+  REQUIRE(common::IsOk(read));
+  const proxy::PeerMessage& heard = common::ValueOf(read);
+  CHECK(heard.proven_version == 9);
+  CHECK(heard.proof_age == message.proof_age);
+  CHECK(heard.rates.counts);
+  CHECK(heard.rates.allocates);
+  CHECK(heard.rates.usage == message.rates.usage);
+  CHECK(heard.rates.grants == message.rates.grants);
+}
+
 TEST_CASE("What cannot be read has no payload and keeps its name", "[platform]") {
   const auto broken = Translate(Collection::kConfiguration, Object("main", {{"version", "x"}}));
   CHECK(std::holds_alternative<std::monostate>(broken.payload));
