A read of the configuration that fails has a log line

Cause: a read that was not answered, or unreadable, left no trace until keys went unproven. Change: configuration_read_failed.

--- a/src/proxy/configuration_prover.cc
+++ b/src/proxy/configuration_prover.cc
@@ -61,7 +61,9 @@
   }
   call_.reset();
   failed_ = !version;
-  if (version) {
+  if (!version) {
+    outbox_.Log("configuration_read_failed", {}, LogLevel::kWarning);
+  } else {
     admission_.proof().note({*version, *asked_at_});
   }
   return true;
