--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -30,9 +30,6 @@
 constexpr const char* kTenantsFeature = "tenants";
 constexpr const char* kQuotaFeature = "quota";
 constexpr double kMostSlack = 1e9;
-constexpr double kShortestWindowSeconds = 0.1;
-constexpr double kLongestWindowSeconds = 3'600;
-constexpr double kMicroseconds = 1e6;  // of a second
 
 /// Adds what says how the deployment's tenants are known and limited.
 void AddTenantKeys(Schema& schema, tenants::tenant_policy& out) {
@@ -49,13 +46,8 @@
       schema, "tenants.revocation_limit_ms",
       "from a key's removal until no daemon serves it, in touch with the store or not; 0: no bound",
       0, &out.revocation_limit);
-  schema.Real("tenants.rate_window_s", "s", "window in which operations count against a limit",
-              kShortestWindowSeconds, kLongestWindowSeconds,
-              static_cast<double>(out.rate_window.count()) / kMicroseconds, [&out](double value) {
-                out.rate_window = Duration(std::llround(value * kMicroseconds));
-              });
   schema.Real("tenants.rate_slack", "operations",
-              "of a window, that may pass beyond a limit since counts come late", 0.0, kMostSlack,
+              "that may pass beyond a limit at once, since counts come late", 0.0, kMostSlack,
               out.rate_slack, [&out](double value) { out.rate_slack = value; });
 }
 
--- a/src/tenants/rate_allocator.cc
+++ b/src/tenants/rate_allocator.cc
@@ -6,8 +6,6 @@
 namespace valvekeel::tenants {
 namespace {
 
-constexpr double MICROSECONDS_IN_SECOND = 1e6;
-
 /** Filling of a bucket below which a tenant is held back, and from which on it is let go. A tenant
  * at five times its rate empties half of a bucket of one second in an eighth of a second; the
  * counts of 0.25 s are on their way then, which the slack and the overage of the users' limit
@@ -33,10 +31,6 @@
 constexpr double MUCH = 0.3;
 constexpr common::Duration TELL_PAUSE{100'000};
 
-double seconds(common::Duration duration) {
-  return static_cast<double>(duration.count()) / MICROSECONDS_IN_SECOND;
-}
-
 }  // namespace
 
 void rate_allocator::set_tenants(const std::map<std::string, tenant>& tenants,
@@ -59,7 +53,7 @@
 }
 
 double rate_allocator::demand(const part& of, common::Instant now) {
-  return of.demand * std::exp(-seconds(now - of.demand_at) / DEMAND_SECONDS);
+  return of.demand * std::exp(-in_seconds(now - of.demand_at) / DEMAND_SECONDS);
 }
 
 void rate_allocator::note_usage(const std::string& daemon, std::uint64_t incarnation,
@@ -70,7 +64,8 @@
   const bool new_life = !first && life->second.incarnation != incarnation;
   const bool from_start = new_life || (!first && life->second.heard_from_start);
   const common::Duration silent = first ? common::Duration(0) : now - life->second.heard;
-  const double counted = std::min(1.0, seconds(LONGEST_COUNTED) / std::max(seconds(silent), 1e-3));
+  const double counted =
+      std::min(1.0, in_seconds(LONGEST_COUNTED) / std::max(in_seconds(silent), 1e-3));
   this->lives[daemon] = {incarnation, now, from_start};
   for (const usage_count& each : counts) {
     const auto found = this->states.find(each.tenant);
@@ -96,7 +91,7 @@
 }
 
 void rate_allocator::advance(common::Instant now) {
-  const double passed = seconds(now - this->filled_at);
+  const double passed = in_seconds(now - this->filled_at);
   if (passed <= 0) {
     return;
   }
--- a/src/tenants/rate_limiter.cc
+++ b/src/tenants/rate_limiter.cc
@@ -8,8 +8,6 @@
 
 using common::Duration;
 
-constexpr double MICROSECONDS_IN_SECOND = 1e6;
-
 /** Silence of the allocator after which a daemon goes by itself: nearly three of its
  * heartbeats. */
 constexpr common::Duration ALLOCATOR_SILENCE{700'000};
@@ -42,10 +40,6 @@
 /** Longest time to come back that a caller is told: grants change every few hundred ms. */
 constexpr common::Duration LONGEST_WAIT{1'000'000};
 
-double seconds(common::Duration duration) {
-  return static_cast<double>(duration.count()) / MICROSECONDS_IN_SECOND;
-}
-
 }  // namespace
 
 void rate_limiter::set_tenants(const std::map<std::string, tenant>& tenants) {
@@ -84,7 +78,7 @@
   // As it was when the allocator was last heard: what a daemon lets through by itself must not
   // raise what it lets through next.
   const Duration idle = std::max(Duration(0), this->allocator_heard.value_or(now) - of.usual_at);
-  const double usual = of.usual * std::exp(-seconds(idle) / USUAL_SECONDS);
+  const double usual = of.usual * std::exp(-in_seconds(idle) / USUAL_SECONDS);
   const double share = of.rate_limit / static_cast<double>(std::max<std::size_t>(1, this->sharing));
   // With a grant the last word was that the tenant is near its limit.
   const double rate = of.grant ? of.grant->sustained : std::max(ALONE_FACTOR * usual, share);
@@ -99,7 +93,7 @@
     of.in_slice = 0;
   }
   ++of.in_slice;
-  const double expected = of.usual * seconds(SLICE);
+  const double expected = of.usual * in_seconds(SLICE);
   if (of.in_slice > std::max(SURGE_LEAST, SURGE_FACTOR * expected)) {
     this->surge = true;
     of.in_slice = 0;
@@ -112,7 +106,7 @@
   if (this->allocator_silent(now)) {
     return;
   }
-  const double kept = std::exp(-seconds(now - of.usual_at) / USUAL_SECONDS);
+  const double kept = std::exp(-in_seconds(now - of.usual_at) / USUAL_SECONDS);
   of.usual = of.usual * kept + 1 / USUAL_SECONDS;
   of.usual_at = now;
 }
@@ -127,12 +121,12 @@
   const bool held_back = of->grant || this->allocator_silent(now);
   if (held_back) {
     const bucket filling = this->bucket_of(*of, now);
-    const double filled = of->tokens + filling.rate * seconds(now - of->filled_at);
+    const double filled = of->tokens + filling.rate * in_seconds(now - of->filled_at);
     of->tokens = std::min(filled, filling.size);
     of->filled_at = now;
     if (of->tokens < 1) {
       const double missing = (1 - of->tokens) / std::max(filling.rate, 1e-3);
-      const double wait = std::min(missing, seconds(LONGEST_WAIT));
+      const double wait = std::min(missing, in_seconds(LONGEST_WAIT));
       return common::Duration(static_cast<std::int64_t>(wait * MICROSECONDS_IN_SECOND));
     }
     of->tokens -= 1;
--- a/src/tenants/tenant.h
+++ b/src/tenants/tenant.h
@@ -15,6 +15,13 @@
 
 namespace valvekeel::tenants {
 
+/** Microseconds of a second: rates are told by the second, durations in microseconds. */
+inline constexpr double MICROSECONDS_IN_SECOND = 1e6;
+
+inline double in_seconds(common::Duration duration) {
+  return static_cast<double>(duration.count()) / MICROSECONDS_IN_SECOND;
+}
+
 /** A customer whose callers share one limit and whose connections are not mixed with others'. */
 struct tenant {
   std::string name;
@@ -32,16 +39,11 @@
   common::Duration revocation_limit{0};
   /** Tenants' rates are limited. */
   bool rates_limited = false;
-  /** Window in which operations are counted against a limit. */
-  common::Duration rate_window{5'000'000};
-  /** Operations in a window that may pass beyond a limit: what counts that come late may cost. */
+  /** Operations that may pass beyond a limit at once: what counts that come late may cost. */
   double rate_slack = 0;
 };
 
 /** @return a number that stands for a tenant in messages between daemons. */
 std::uint32_t id_of(const std::string& tenant);
 
-/** @return operations of the tenant that its limit allows in one window. */
-double allowed_in_window(const tenant& of, const tenant_policy& policy);
-
 }  // namespace valvekeel::tenants
