--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -1,6 +1,7 @@
 #include "failover/attempt.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "group/read_lease.h"
 
@@ -198,7 +199,7 @@
     }
     if (all) {
       // Fenced, they receive nothing that could make one of them a candidate.
-      GiveUp(view, "no replica holds what may have been acknowledged", now, actions);
+      GiveUp(view, "no replica that may lead holds what may have been acknowledged", now, actions);
       return;
     }
   }
@@ -211,14 +212,20 @@
   struct Rank {
     bool usable = false;
     common::Position received;
+    model::LeaderFitness fitness = model::LeaderFitness::kUnfit;
     bool stays = false;
+
+    bool operator<(const Rank& other) const {
+      return std::tie(usable, received, fitness, stays) <
+             std::tie(other.usable, other.received, other.fitness, other.stays);
+    }
   };
   const auto rank = [&](const MemberView& member) {
     const auto fenced = fenced_.find(member.id);
     if (fenced == fenced_.end() || rejected_.contains(member.id)) {
       return Rank{};
     }
-    return Rank{true, fenced->second.received, !member.draining && !member.gone};
+    return Rank{true, fenced->second.received, member.fitness, !member.draining && !member.gone};
   };
   const MemberView* best = nullptr;
   for (const MemberView& member : view.members) {
@@ -226,16 +233,16 @@
     if (!mine.usable) {
       continue;
     }
-    const Rank other = best == nullptr ? Rank{} : rank(*best);
-    const bool better = !other.usable || mine.received > other.received ||
-                        (mine.received == other.received && mine.stays && !other.stays);
-    if (better) {
+    if (best == nullptr || rank(*best) < mine) {
       best = &member;
     }
   }
   if (best == nullptr || rank(*best).received < view.floor) {
     return false;
   }
+  if (view.better_than && best->fitness <= *view.better_than) {
+    return false;
+  }
   candidate_ = best->id;
   return true;
 }
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -25,6 +25,7 @@
 #include "common/position.h"
 #include "common/time.h"
 #include "failover/leadership.h"
+#include "model/leader_fitness.h"
 #include "model/reply.h"
 #include "model/request.h"
 
@@ -37,6 +38,7 @@
   bool reachable = false;
   bool departed = false;  // counts as ended; fenced all the same should it come back
   bool gone = false;      // no longer listed; may still hold the only copy of a commit
+  model::LeaderFitness fitness = model::LeaderFitness::kFit;
 };
 
 /// What the daemon knows of the group.
@@ -50,6 +52,8 @@
   std::size_t known_replicas = 0;    // as other daemons count them
   common::Position floor;            // that the candidate must hold, for replicas that ended
   std::set<std::string> unreleased;  // daemons that may still read at the old primary
+  /// The replacement is planned: it is worth nothing unless the new primary suits better than this.
+  std::optional<model::LeaderFitness> better_than;
 };
 
 /// Sends a control request to an instance.
--- a/src/host/catalog_copy_json.cc
+++ b/src/host/catalog_copy_json.cc
@@ -23,7 +23,8 @@
           {"target_latency_us", route.target_latency.count()},
           {"priority", route.priority},
           {"max_staleness_us", route.max_staleness.count()},
-          {"public", route.is_public}};
+          {"public", route.is_public},
+          {"allowed_regions", route.allowed_regions}};
 }
 
 model::Route RouteFrom(const json& value) {
@@ -36,6 +37,7 @@
   route.priority = value.at("priority").get<std::uint32_t>();
   route.max_staleness = common::Duration(value.at("max_staleness_us").get<std::int64_t>());
   route.is_public = value.at("public").get<bool>();
+  route.allowed_regions = value.at("allowed_regions").get<std::vector<std::string>>();
   return route;
 }
 
@@ -44,7 +46,8 @@
   for (const tenants::key_digest& key : tenant.keys) {
     keys.push_back(tenants::to_hex(key));
   }
-  return json::array({tenant.name, std::move(keys), tenant.priority, tenant.rate, tenant.burst});
+  return json::array({tenant.name, std::move(keys), tenant.priority, tenant.rate, tenant.burst,
+                      tenant.allowed_regions});
 }
 
 tenants::tenant TenantFrom(const json& value) {
@@ -59,9 +62,25 @@
   tenant.priority = value.at(2).get<std::uint32_t>();
   tenant.rate = value.at(3).get<double>();
   tenant.burst = value.at(4).get<double>();
+  tenant.allowed_regions = value.at(5).get<std::vector<std::string>>();
   return tenant;
 }
 
+json ToJson(const model::Service& service) {
+  return json::array({service.name, service.max_connections, service.sync_replicas,
+                      service.warm_up.time.count(), service.warm_up.rate});
+}
+
+model::Service ServiceFrom(const json& value) {
+  model::Service service;
+  service.name = value.at(0).get<std::string>();
+  service.max_connections = value.at(1).get<std::uint32_t>();
+  service.sync_replicas = value.at(2).get<std::uint32_t>();
+  service.warm_up.time = common::Duration(value.at(3).get<std::int64_t>());
+  service.warm_up.rate = value.at(4).get<double>();
+  return service;
+}
+
 json ToJson(const model::Configuration& configuration) {
   json routes = json::array();
   for (const auto& [database, route] : configuration.routes) {
@@ -69,7 +88,7 @@
   }
   json services = json::array();
   for (const auto& [name, service] : configuration.services) {
-    services.push_back(json::array({name, service.max_connections, service.sync_replicas}));
+    services.push_back(ToJson(service));
   }
   json tenants = json::array();
   for (const auto& [name, tenant] : configuration.tenants) {
@@ -90,8 +109,7 @@
     configuration.routes[route.database] = route;
   }
   for (const json& each : value.at("services")) {
-    const model::Service service{each.at(0).get<std::string>(), each.at(1).get<std::uint32_t>(),
-                                 each.at(2).get<std::uint32_t>()};
+    const model::Service service = ServiceFrom(each);
     configuration.services[service.name] = service;
   }
   for (const json& each : value.at("tenants")) {
@@ -105,14 +123,14 @@
 
 json ToJson(const model::InstanceEntry& entry) {
   return json::array({entry.id, entry.service, ToJson(entry.address), entry.zone, entry.slots,
-                      entry.draining, entry.primary});
+                      entry.draining, entry.primary, entry.warm_up_left.count()});
 }
 
 model::InstanceEntry InstanceFrom(const json& value) {
   return {value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
           EndpointFrom(value.at(2)),        value.at(3).get<std::string>(),
           value.at(4).get<std::uint32_t>(), value.at(5).get<bool>(),
-          value.at(6).get<bool>()};
+          value.at(6).get<bool>(),          common::Duration(value.at(7).get<std::int64_t>())};
 }
 
 }  // namespace
--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -51,6 +51,21 @@
               out.rate_slack, [&out](double value) { out.rate_slack = value; });
 }
 
+/// Adds what says where work may run: regions, evacuated zones, instances that have just started.
+void AddAccessKeys(Schema& schema, proxy::ProxySettings& out) {
+  constexpr double kMostOverage = 100;
+  Time(schema, "evacuation.limit_ms",
+       "from an evacuation's acknowledgement until nothing goes to the zone's instances; 0: zones "
+       "are not evacuated",
+       0, &out.evacuation_limit);
+  schema.Real("warm_up.overage", "",
+              "times the rate of a starting instance that may reach it in a second", 1.0,
+              kMostOverage, out.warm_up.overage,
+              [&out](double value) { out.warm_up.overage = value; });
+  schema.Real("warm_up.slack", "requests", "that may reach a starting instance besides", 0.0,
+              kMostSlack, out.warm_up.slack, [&out](double value) { out.warm_up.slack = value; });
+}
+
 /// Adds a whole number from 1 on.
 template <typename Whole>
 void Count(Schema& schema, const std::string& key, const std::string& unit,
@@ -68,6 +83,7 @@
   std::string store;
   std::string promotion;
   std::vector<std::string> seeds;
+  std::vector<std::string> zone_regions;  // "zone=region"
 };
 
 void Address(Schema& schema, const std::string& key, const std::string& meaning,
@@ -128,6 +144,9 @@
         "large deployments: daemons of a zone that hear all others of it",
         &out.proxy.view.hubs_per_zone);
   AddTenantKeys(schema, out.proxy.tenants);
+  AddAccessKeys(schema, out.proxy);
+  schema.TextList("daemon.zone_regions", "region of each zone of the deployment, as zone=region",
+                  [&texts](const std::vector<std::string>& value) { texts.zone_regions = value; });
   Count(schema, "relay.most_meshed_daemons", "daemons",
         "up to so many, all coordinate and send heartbeats at full pace",
         &out.proxy.roles.most_meshed_daemons);
@@ -188,6 +207,26 @@
   std::vector<SettingError>& errors_;
 };
 
+/// Parses texts "zone=region", notes those that are none.
+void TakeRegions(const std::vector<std::string>& texts, const std::string& path,
+                 proxy::ProxySettings& out, std::vector<SettingError>& errors) {
+  for (const std::string& text : texts) {
+    const std::size_t equals = text.find('=');
+    const bool valid = equals != std::string::npos && equals > 0 && equals + 1 < text.size();
+    if (!valid) {
+      errors.push_back({path, 0, "daemon.zone_regions", "\"" + text + "\" is not zone=region"});
+      continue;
+    }
+    out.regions[text.substr(0, equals)] = text.substr(equals + 1);
+  }
+  const auto own = out.regions.find(out.zone);
+  if (own != out.regions.end()) {
+    out.region = own->second;
+  } else if (!out.regions.empty()) {
+    errors.push_back({path, 0, "daemon.zone_regions", "this daemon's zone has no region"});
+  }
+}
+
 }  // namespace
 
 common::Result<HostSettings, std::vector<SettingError>> LoadHostSettings(
@@ -205,6 +244,7 @@
   check.Take("listen.peer", texts.peer, &out.proxy.peer);
   check.Take("store.address", texts.store, &out.store);
   check.Take("promotion.address", texts.promotion, &out.promotion);
+  TakeRegions(texts.zone_regions, path, out.proxy, errors);
   for (const std::string& text : texts.seeds) {
     common::Endpoint seed;
     check.Take("daemon.seeds", text, &seed);
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -34,7 +34,16 @@
   common::Duration target_latency{0};  // of an operation
   std::uint32_t priority = 0;          // 0 is the highest
   common::Duration max_staleness{0};
-  bool is_public = false;  // callers need no key
+  bool is_public = false;                    // callers need no key
+  std::vector<std::string> allowed_regions;  // where it may run; empty: everywhere
+};
+
+/// How an instance that has just started is spared.
+struct WarmUp {
+  common::Duration time{0};  // from its start; 0: it takes all work at once
+  double rate = 0;           // requests a second that it may get meanwhile, from all daemons
+
+  bool operator==(const WarmUp&) const = default;
 };
 
 /// A database group as configured.
@@ -42,6 +51,7 @@
   std::string name;
   std::uint32_t max_connections = 1;  // of an instance, over all daemons
   std::uint32_t sync_replicas = 0;    // that hold a commit before it is acknowledged
+  WarmUp warm_up;
 };
 
 /// One version of the whole configuration.
@@ -61,7 +71,13 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
-  bool primary = false;  // as it sees itself
+  bool primary = false;              // as it sees itself
+  common::Duration warm_up_left{0};  // as it was when the entry was written
+};
+
+/// An operator's wish that the instances of a zone get nothing more, until it is withdrawn.
+struct ZoneEvacuation {
+  std::string zone;
 };
 
 /// A daemon as it announces itself.
@@ -89,10 +105,16 @@
   std::map<std::string, AttemptRecord> attempts;  // the last one of each service
 };
 
-enum class Collection : std::uint8_t { kConfiguration, kInstances, kDaemons, kLeadership };
+enum class Collection : std::uint8_t {
+  kConfiguration,
+  kInstances,
+  kDaemons,
+  kLeadership,
+  kEvacuations,
+};
 
-using CatalogPayload =
-    std::variant<std::monostate, Configuration, InstanceEntry, DaemonEntry, LeadershipRecord>;
+using CatalogPayload = std::variant<std::monostate, Configuration, InstanceEntry, DaemonEntry,
+                                    LeadershipRecord, ZoneEvacuation>;
 
 /// One object of a collection; the payload is empty if it could not be read.
 struct CatalogObject {
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -31,6 +31,8 @@
       return "daemons";
     case Collection::kLeadership:
       return "leadership";
+    case Collection::kEvacuations:
+      return "evacuations";
   }
   return "unknown";
 }
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -11,13 +11,14 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-                       tenants::admission& admission, Outbox& outbox)
+                       tenants::admission& admission, access::rule_set& access, Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
       admission_(admission),
+      access_(access),
       outbox_(outbox),
-      placement_(settings, backends) {}
+      placement_(settings, backends, access) {}
 
 void Dispatcher::SetConfiguration(const model::Configuration* configuration, common::Instant now) {
   configuration_ = configuration;
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "access/rule_set.h"
 #include "proxy/backend_set.h"
 #include "proxy/caller_session.h"
 #include "proxy/group_set.h"
@@ -32,12 +33,13 @@
   std::uint64_t retries = 0;
   std::uint64_t resent_reads = 0;
   std::map<std::string, std::uint64_t> errors;  // answered to callers, by code
+  std::map<std::string, std::uint64_t> barred;  // refused or ended by access rules, by reason
 };
 
 class Dispatcher : public ConnectionObserver {
  public:
   Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-             tenants::admission& admission, Outbox& outbox);
+             tenants::admission& admission, access::rule_set& access, Outbox& outbox);
 
   /// Takes a new version of the configuration; in force from each session's next transaction.
   void SetConfiguration(const model::Configuration* configuration, common::Instant now);
@@ -94,6 +96,21 @@
   /// Ends the transaction at its instance; only its end is taken from the caller.
   void FailTransaction(Session& session, common::Instant now);
 
+  // Access to instances.
+  /// @return the session's operation as the access rules see it.
+  static access::work WorkOf(const Session& session);
+  /// @return why a waiting operation can't be served in its time; nothing if it may be.
+  std::optional<access::answer> Barred(const Session& session, common::Instant now);
+  /// @return the same of a statement whose transaction is open at an instance.
+  std::optional<access::answer> BarredWithin(const Session& session, common::Instant now);
+  /// Refuses a waiting operation that can't be served in its time. @return true if it was refused.
+  bool RefuseBarred(Session& session, common::Instant now);
+  /// Rolls a transaction back whose instance takes nothing more.
+  void EndBarredTransaction(Session& session, common::Instant now);
+  /// Sends callers' work, and tells the access rules.
+  void SendWork(Backend& backend, Connection& connection,
+                std::vector<model::InstanceRequest> requests, Purpose purpose, common::Instant now);
+
   // Commands.
   void Begin(Session& session, const CallerCommand& command, common::Instant now);
   void Run(Session& session, const CallerCommand& command, common::Instant now);
@@ -158,6 +175,7 @@
   BackendSet& backends_;
   GroupSet& groups_;
   tenants::admission& admission_;
+  access::rule_set& access_;
   Outbox& outbox_;
   ReadPlacement placement_;
   const model::Configuration* configuration_ = nullptr;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -64,7 +64,8 @@
   const std::string primary = groups_.UsablePrimary(service, now);
   const Backend* leader = backends_.Find(primary);
   if (NeedsPrimary(session)) {
-    if (leader == nullptr || !placement_.TakesWork(*leader, now)) {
+    if (leader == nullptr || !placement_.TakesWork(*leader, now) ||
+        access_.judge(leader->Entry(), WorkOf(session), now).outcome >= access::verdict::later) {
       return {};
     }
     Placement at_primary;
@@ -75,7 +76,8 @@
   const ReadNeed need{operation.route.consistency, operation.route.max_staleness,
                       session.transaction.open ? session.transaction.began : operation.arrived,
                       session.own_commit, session.own_commit_at};
-  return placement_.Candidates(group, primary, groups_.Members(service), need, now);
+  return placement_.Candidates(group, primary, groups_.Members(service), need, WorkOf(session),
+                               now);
 }
 
 void Dispatcher::OnCapacity(common::Instant now) { Pump(now); }
@@ -121,6 +123,10 @@
     return false;
   }
   if (transaction.open && transaction.connection) {
+    if (const auto barred = BarredWithin(session, now)) {
+      operation.last_refusal = barred->reason;
+      return false;
+    }
     Backend* backend = backends_.Find(transaction.instance);
     Connection* connection = backend->Find(*transaction.connection);
     operation.instance = transaction.instance;
@@ -270,7 +276,7 @@
   }
   operation.phase = OperationPhase::kPreparing;
   operation.preparations = requests.size();
-  backends_.Send(backend, connection, std::move(requests), Purpose::kPreparation, now);
+  SendWork(backend, connection, std::move(requests), Purpose::kPreparation, now);
 }
 
 void Dispatcher::SendStatement(Session& session, Backend& backend, Connection& connection,
@@ -283,7 +289,7 @@
   if (request.command.kind == model::CommandKind::kExecute) {
     request.command.name = connection.prepared.at(session.prepared.at(request.command.name));
   }
-  backends_.Send(backend, connection, {std::move(request)}, Purpose::kStatement, now);
+  SendWork(backend, connection, {std::move(request)}, Purpose::kStatement, now);
 }
 
 void Dispatcher::OnAnswer(Backend& backend, Connection& connection, const Outstanding& outstanding,
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -49,6 +49,9 @@
                       "the key is no longer in force", now);
       return;
     }
+    if (RefuseBarred(session, now)) {
+      return;
+    }
     if (now >= std::min(operation.hold_until, operation.deadline)) {
       FinishWithError(session, model::ErrorCode::kBusy,
                       std::string(kComeBack) + operation.last_refusal, now);
@@ -146,6 +149,7 @@
     if (session->operation) {
       CheckOperation(*session, now);
     } else {
+      EndBarredTransaction(*session, now);
       CheckTransaction(*session, now);
     }
   }
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -34,12 +34,13 @@
 }  // namespace
 
 FailoverDriver::FailoverDriver(const ProxySettings& settings, BackendSet& backends,
-                               GroupSet& groups, const PeerTable& peers,
-                               const membership::live_view& view, const relay::role_map& roles,
-                               Outbox& outbox)
+                               GroupSet& groups, const access::rule_set& access,
+                               const PeerTable& peers, const membership::live_view& view,
+                               const relay::role_map& roles, Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
+      access_(access),
       peers_(peers),
       view_(view),
       roles_(roles),
@@ -117,22 +118,37 @@
   return lost >= needed;
 }
 
-std::string FailoverDriver::NeedOf(const GroupState& group, const model::Service& service,
-                                   common::Instant now) const {
-  static_cast<void>(service);
+FailoverDriver::Need FailoverDriver::NeedOfFitness(const GroupState& group, const Backend& primary,
+                                                   common::Instant now) const {
+  const access::leader_answer present = access_.judge_leader(primary.Entry(), now);
+  if (present.fitness == model::LeaderFitness::kFit) {
+    return {};
+  }
+  for (const std::string& id : groups_.Members(group.service)) {
+    const Backend& other = backends_.All().at(id);
+    const bool usable = !other.Unreachable() && !other.Silent(now) && !other.gone_since &&
+                        !other.draining_since && id != primary.Entry().id;
+    if (usable && access_.judge_leader(other.Entry(), now).fitness > present.fitness) {
+      return {present.reason, present.fitness};
+    }
+  }
+  return {};
+}
+
+FailoverDriver::Need FailoverDriver::NeedOf(const GroupState& group, common::Instant now) const {
   if (LostToMany(group, now)) {
-    return "lost";
+    return {"lost", {}};
   }
   const auto primary = backends_.All().find(group.lease.Newest().primary);
   if (primary == backends_.All().end() || !group.lease.Holds(now)) {
-    return "";
+    return {};
   }
   if (primary->second.draining_since) {
-    return "draining";
+    return {"draining", {}};
   }
   const bool unlisted =
       primary->second.gone_since && now >= *primary->second.gone_since + kUnlistedLimit;
-  return unlisted ? "unlisted" : "";
+  return unlisted ? Need{"unlisted", {}} : NeedOfFitness(group, primary->second, now);
 }
 
 bool FailoverDriver::IsTurn(const Wish& wish, common::Instant now) const {
@@ -158,7 +174,8 @@
 
 failover::GroupView FailoverDriver::ViewOf(const GroupState& group, const model::Service& service,
                                            const RegisteredDaemons& registered,
-                                           common::Term new_term, common::Instant now) const {
+                                           common::Term new_term, const Need& need,
+                                           common::Instant now) const {
   failover::GroupView view;
   view.service = group.service;
   view.term = group.lease.Newest().term;
@@ -171,12 +188,14 @@
         id == view.primary || std::find(replicas.begin(), replicas.end(), id) != replicas.end();
     view.members.push_back({id, backend.draining_since.has_value(),
                             !backend.Unreachable() && !backend.Silent(now), !counted,
-                            backend.gone_since.has_value()});
+                            backend.gone_since.has_value(),
+                            access_.judge_leader(backend.Entry(), now).fitness});
   }
   view.one_fence_is_enough = !settings_.mechanisms.enough_fences;
   view.floor = group.floor;
   view.known_replicas = KnownReplicas(group.service, now);
   view.unreleased = Unreleased(group.service, registered, new_term, now);
+  view.better_than = need.better_than;
   return view;
 }
 
@@ -238,26 +257,27 @@
       AdvanceAttempt(name, configuration, registered, now);
       continue;
     }
-    const std::string reason = NeedOf(*group, service, now);
-    if (reason.empty()) {
+    const Need need = NeedOf(*group, now);
+    if (need.reason.empty()) {
       wishes_.erase(name);
       DropStaleEntry(*group, now);
       continue;
     }
-    Wish& wish = wishes_.try_emplace(name, Wish{now, reason}).first->second;
+    Wish& wish = wishes_.try_emplace(name, Wish{now, need}).first->second;
+    wish.need = need;
     const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now) &&
                          now >= group->known_since + kAcquaintance;
     if (!allowed) {
       continue;
     }
-    if (!failover::Attempt::Feasible(ViewOf(*group, service, registered, 0, now))) {
+    if (!failover::Attempt::Feasible(ViewOf(*group, service, registered, 0, need, now))) {
       not_before_[name] = now + kInfeasiblePause;
-      outbox_.Log("failover_infeasible", {{"service", name}, {"reason", reason}},
+      outbox_.Log("failover_infeasible", {{"service", name}, {"reason", need.reason}},
                   LogLevel::kWarning);
       continue;
     }
     outbox_.Log("failover_started", {{"service", name},
-                                     {"reason", reason},
+                                     {"reason", need.reason},
                                      {"primary", group->lease.Newest().primary},
                                      {"term", std::to_string(group->lease.Newest().term)}});
     attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
@@ -284,8 +304,9 @@
                                     const RegisteredDaemons& registered, common::Instant now) {
   failover::Attempt& attempt = *attempts_.at(service);
   GroupState& group = *groups_.Find(service);
-  const failover::GroupView view = ViewOf(group, configuration.services.at(service), registered,
-                                          attempt.ReplacedTerm() + 1, now);
+  const failover::GroupView view =
+      ViewOf(group, configuration.services.at(service), registered, attempt.ReplacedTerm() + 1,
+             wishes_.at(service).need, now);
   Perform(group, attempt.Advance(view, now), now);
   if (!attempt.Ended()) {
     return;
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "access/rule_set.h"
 #include "failover/attempt.h"
 #include "failover/leadership.h"
 #include "proxy/backend_set.h"
@@ -28,8 +29,8 @@
 class FailoverDriver {
  public:
   FailoverDriver(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
-                 const PeerTable& peers, const membership::live_view& view,
-                 const relay::role_map& roles, Outbox& outbox);
+                 const access::rule_set& access, const PeerTable& peers,
+                 const membership::live_view& view, const relay::role_map& roles, Outbox& outbox);
 
   /// Takes the leadership record as the store has it. @param revision 0 if there is none.
   void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
@@ -49,18 +50,25 @@
   bool TakeUrgent() { return std::exchange(urgent_, false); }
 
  private:
+  /// Why a primary should be replaced.
+  struct Need {
+    std::string reason;  // empty: it should not
+    /// Of a replacement that is worth nothing unless the new primary suits better than this.
+    std::optional<model::LeaderFitness> better_than;
+  };
   struct Wish {
     common::Instant since{0};
-    std::string reason;
+    Need need;
   };
 
-  std::string NeedOf(const GroupState& group, const model::Service& service,
-                     common::Instant now) const;
+  Need NeedOf(const GroupState& group, common::Instant now) const;
+  /// @return the need that follows from how well the primary suits, if another suits better.
+  Need NeedOfFitness(const GroupState& group, const Backend& primary, common::Instant now) const;
   bool LostToMany(const GroupState& group, common::Instant now) const;
   bool IsTurn(const Wish& wish, common::Instant now) const;
   failover::GroupView ViewOf(const GroupState& group, const model::Service& service,
                              const RegisteredDaemons& registered, common::Term new_term,
-                             common::Instant now) const;
+                             const Need& need, common::Instant now) const;
   /// @return the daemons that may hold a lease of a term below, and have not said that they let go.
   std::set<std::string> Unreleased(const std::string& service, const RegisteredDaemons& registered,
                                    common::Term new_term, common::Instant now) const;
@@ -80,6 +88,7 @@
   const ProxySettings& settings_;
   BackendSet& backends_;
   GroupSet& groups_;
+  const access::rule_set& access_;
   const PeerTable& peers_;
   const membership::live_view& view_;
   const relay::role_map& roles_;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -61,10 +61,10 @@
       backends_(outbox_),
       groups_(settings_, backends_, roles_, outbox_),
       catalog_(settings_, outbox_),
-      failover_(settings_, backends_, groups_, peers_, view_, roles_, outbox_),
+      failover_(settings_, backends_, groups_, access_, peers_, view_, roles_, outbox_),
       store_lease_(settings_, groups_, roles_, outbox_),
       prover_(settings_, admission_, outbox_),
-      dispatcher_(settings_, backends_, groups_, admission_, outbox_),
+      dispatcher_(settings_, backends_, groups_, admission_, access_, outbox_),
       relay_(settings_, roles_, peers_, view_, admission_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "access/rule_set.h"
 #include "membership/live_view.h"
 #include "proxy/actions.h"
 #include "proxy/backend_set.h"
@@ -180,6 +181,7 @@
 
   ProxySettings settings_;
   Outbox outbox_;
+  access::rule_set access_;
   tenants::admission admission_;
   tenants::rate_allocator allocator_;
   PeerTable peers_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -30,9 +31,17 @@
   bool unknown_outcomes = true;    // a write whose answer is lost is not sent again
 };
 
+/// What a deployment tolerates beyond a starting instance's rate (model::WarmUp), in any second.
+struct WarmUpTolerance {
+  double overage = 1;  // times the rate
+  double slack = 0;    // requests besides
+};
+
 struct ProxySettings {
   std::string name;                             // of this daemon
   std::string zone;                             // in which it runs
+  std::string region;                           // of that zone; empty if regions are not told
+  std::map<std::string, std::string> regions;   // by zone, of all zones of the deployment
   std::uint64_t incarnation = 0;                // of this life, chosen by the host
   common::Endpoint peer;                        // own address for other daemons
   std::uint16_t admin_port = 0;                 // for FetchCatalog, alike on all daemons
@@ -69,6 +78,10 @@
   /// refused.
   double hold_fraction = 0.25;
   tenants::tenant_policy tenants;
+  /// From an evacuation's acknowledgement until nothing is sent to the zone's instances; 0:
+  /// operators evacuate no zones, and the store is not asked for it.
+  common::Duration evacuation_limit{0};
+  WarmUpTolerance warm_up;
   Mechanisms mechanisms;
 };
 
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -1,6 +1,7 @@
 #include "proxy/read_placement.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace valvekeel::proxy {
 namespace {
@@ -63,37 +64,59 @@
   return cost;
 }
 
+std::optional<Placement> ReadPlacement::PlaceAt(const Backend& backend, bool primary,
+                                                const std::optional<Requirement>& required,
+                                                common::Instant now) const {
+  if (!TakesWork(backend, now) || (!primary && !required)) {
+    return std::nullopt;
+  }
+  Placement placement;
+  placement.instance = backend.Entry().id;
+  placement.cost_us = Cost(backend, now);
+  if (primary) {
+    placement.cost_us += kPrimaryUs;
+    return placement;
+  }
+  placement.required = required->position;
+  placement.age = required->age;
+  placement.own = required->own;
+  placement.cost_us += backend.ExpectedFresh(required->age, now) ? 0 : kLaggingUs;
+  return placement;
+}
+
 std::vector<Placement> ReadPlacement::Candidates(const GroupState& group,
                                                  const std::string& usable_primary,
                                                  const std::vector<std::string>& members,
-                                                 const ReadNeed& need, common::Instant now) const {
+                                                 const ReadNeed& need, const access::work& work,
+                                                 common::Instant now) const {
   const std::optional<Requirement> required = Required(group, need, now);
   std::vector<Placement> staying;
-  std::vector<Placement> leaving;
+  std::vector<Placement> overflow;
+  std::vector<Placement> last;
   for (const std::string& id : members) {
     const Backend& backend = backends_.All().at(id);
-    const bool primary = id == usable_primary;
-    if (!TakesWork(backend, now) || (!primary && !required)) {
+    const access::verdict verdict = access_.judge(backend.Entry(), work, now).outcome;
+    if (verdict >= access::verdict::later) {
       continue;
     }
-    Placement placement;
-    placement.instance = id;
-    placement.cost_us = Cost(backend, now);
-    if (primary) {
-      placement.cost_us += kPrimaryUs;
-    } else {
-      placement.required = required->position;
-      placement.age = required->age;
-      placement.own = required->own;
-      placement.cost_us += backend.ExpectedFresh(required->age, now) ? 0 : kLaggingUs;
+    auto placement = PlaceAt(backend, id == usable_primary, required, now);
+    if (!placement) {
+      continue;
     }
     const bool leaves = backend.draining_since || backend.gone_since;
-    (leaves ? leaving : staying).push_back(std::move(placement));
+    if (leaves || verdict == access::verdict::last_resort) {
+      last.push_back(std::move(*placement));
+    } else {
+      (verdict == access::verdict::overflow ? overflow : staying).push_back(std::move(*placement));
+    }
   }
   const auto cheaper = [](const Placement& a, const Placement& b) { return a.cost_us < b.cost_us; };
   std::sort(staying.begin(), staying.end(), cheaper);
+  std::sort(overflow.begin(), overflow.end(), cheaper);
+  staying.insert(staying.end(), std::make_move_iterator(overflow.begin()),
+                 std::make_move_iterator(overflow.end()));
   // An instance that leaves gets work only if no other can take it.
-  return staying.empty() ? leaving : staying;
+  return staying.empty() ? last : staying;
 }
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/read_placement.h
+++ b/src/proxy/read_placement.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "access/rule_set.h"
 #include "common/position.h"
 #include "proxy/backend_set.h"
 #include "proxy/caller_session.h"
@@ -35,13 +36,18 @@
 
 class ReadPlacement {
  public:
-  ReadPlacement(const ProxySettings& settings, const BackendSet& backends)
-      : zone_(settings.zone), drain_limit_(settings.drain_limit), backends_(backends) {}
+  ReadPlacement(const ProxySettings& settings, const BackendSet& backends,
+                const access::rule_set& access)
+      : zone_(settings.zone),
+        drain_limit_(settings.drain_limit),
+        backends_(backends),
+        access_(access) {}
 
-  /// @param usable_primary empty if there is none now. @return places in order of cost.
+  /// @param usable_primary empty if there is none now. @return places in order of cost; behind
+  /// them those that take only what the others have no room for.
   std::vector<Placement> Candidates(const GroupState& group, const std::string& usable_primary,
                                     const std::vector<std::string>& members, const ReadNeed& need,
-                                    common::Instant now) const;
+                                    const access::work& work, common::Instant now) const;
 
   /// What a replica must hold for a read.
   struct Requirement {
@@ -59,10 +65,15 @@
 
  private:
   double Cost(const Backend& backend, common::Instant now) const;
+  /// @return the place, without regard to the access rules; nothing if the read can't run there.
+  std::optional<Placement> PlaceAt(const Backend& backend, bool primary,
+                                   const std::optional<Requirement>& required,
+                                   common::Instant now) const;
 
   const std::string& zone_;
   common::Duration drain_limit_;
   const BackendSet& backends_;
+  const access::rule_set& access_;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/tenants/tenant.h
+++ b/src/tenants/tenant.h
@@ -26,9 +26,10 @@
 struct tenant {
   std::string name;
   std::vector<key_digest> keys;
-  std::uint32_t priority = 0;  // 0 is the highest
-  double rate = 0;             // operations a second over all daemons; 0: no limit
-  double burst = 0;            // operations that may come at once besides
+  std::uint32_t priority = 0;                // 0 is the highest
+  double rate = 0;                           // operations a second over all daemons; 0: no limit
+  double burst = 0;                          // operations that may come at once besides
+  std::vector<std::string> allowed_regions;  // where its work may run; empty: everywhere
 };
 
 /** What a deployment asks for around tenants; an operator sets it. */
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -298,4 +298,35 @@
   CHECK(std::distance(fixture.controls.begin(), demotion) >= 2);
 }
 
+TEST_CASE("Of replicas with the same log the one that suits better leads", "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers["a"] = AttemptFixture::Replica({1, 10});
+  fixture.answers["b"] = AttemptFixture::Replica({1, 10});
+  fixture.view.members[1].fitness = model::LeaderFitness::kPoor;
+  fixture.RunFor(std::chrono::seconds(3));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions.front().candidate == "b");
+}
+
+TEST_CASE("A replica that suits badly leads rather than a commit is lost", "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers["a"] = AttemptFixture::Replica({1, 11});
+  fixture.answers["b"] = AttemptFixture::Replica({1, 10});
+  fixture.view.members[1].fitness = model::LeaderFitness::kUnfit;
+  fixture.RunFor(std::chrono::seconds(3));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions.front().candidate == "a");
+}
+
+TEST_CASE("A planned replacement that makes nothing better is given up", "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers["a"] = AttemptFixture::Replica({1, 11});
+  fixture.answers["b"] = AttemptFixture::Replica({1, 10});
+  fixture.view.members[1].fitness = model::LeaderFitness::kUnfit;
+  fixture.view.better_than = model::LeaderFitness::kUnfit;
+  fixture.RunFor(std::chrono::seconds(3));
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+  CHECK(fixture.promotions.empty());
+}
+
 }  // namespace valvekeel::failover
--- a/tests/host/host_settings_test.cc
+++ b/tests/host/host_settings_test.cc
@@ -87,4 +87,30 @@
   CHECK_FALSE(DecodeCatalogCopy("nothing"));
 }
 
+TEST_CASE("Regions of zones, evacuation and warm-up are settings", "[host][access]") {
+  const TemporaryFile file(kValid);
+  const auto loaded = LoadHostSettings(
+      file.path, {"daemon.zone_regions=[\"z1=north\", \"z2=south\"]", "evacuation.limit_ms=5000",
+                  "warm_up.overage=1.5", "warm_up.slack=5"});
+  REQUIRE(common::IsOk(loaded));
+  const proxy::ProxySettings& settings = common::ValueOf(loaded).proxy;
+  CHECK(settings.region == "north");
+  CHECK(settings.regions.at("z2") == "south");
+  CHECK(settings.evacuation_limit == std::chrono::seconds(5));
+  CHECK(settings.warm_up.overage == 1.5);
+  CHECK(settings.warm_up.slack == 5);
+}
+
+TEST_CASE("A region that can't be read, or is missing for this zone, is told", "[host][access]") {
+  const TemporaryFile file(kValid);
+  const auto loaded = LoadHostSettings(file.path, {"daemon.zone_regions=[\"z2=south\", \"z3\"]"});
+  REQUIRE_FALSE(common::IsOk(loaded));
+  std::string all;
+  for (const auto& error : common::ErrorOf(loaded)) {
+    all += settings::Describe(error) + "\n";
+  }
+  CHECK(all.find("\"z3\" is not zone=region") != std::string::npos);
+  CHECK(all.find("this daemon's zone has no region") != std::string::npos);
+}
+
 }  // namespace valvekeel::host
--- a/tests/platform/catalog_translation_test.cc
+++ b/tests/platform/catalog_translation_test.cc
@@ -143,4 +143,47 @@
   CHECK(read.attempts == record.attempts);
 }
 
+TEST_CASE("Regions and warm-up are read, and pass on between daemons", "[platform][access]") {
+  json route = Route("db1", "primary");
+  route["allowed_regions"] = {"north", "south"};
+  const json spec = {
+      {"version", 7},
+      {"routes", {route, Route("db2", "primary")}},
+      {"services",
+       {{{"name", "group"}, {"max_conns", 34}, {"warmup_s", 6.5}, {"warmup_per_s", 8.0}}}},
+      {"tenants", {{{"name", "t"}, {"allowed_regions", {"south"}}}}}};
+  proxy::CatalogCopy copy;
+  copy.configuration = std::get<model::Configuration>(
+      Translate(Collection::kConfiguration, Object("main", spec)).payload);
+  const json instance = {{"service", "group"}, {"addr", "10.0.0.1:80"}, {"warmup_left_ms", 1500}};
+  copy.instances.push_back(std::get<model::InstanceEntry>(
+      Translate(Collection::kInstances, Object("i-1", instance)).payload));
+  const auto taken = host::DecodeCatalogCopy(host::EncodeCatalogCopy(copy));
+  REQUIRE(taken);
+  const model::Configuration& configuration = taken->configuration;
+  CHECK(configuration.routes.at("db1").allowed_regions ==
+        std::vector<std::string>{"north", "south"});
+  CHECK(configuration.routes.at("db2").allowed_regions.empty());
+  CHECK(configuration.tenants.at("t").allowed_regions == std::vector<std::string>{"south"});
+  CHECK(configuration.services.at("group").warm_up ==
+        model::WarmUp{std::chrono::milliseconds(6500), 8});
+  REQUIRE(taken->instances.size() == 1);
+  CHECK(taken->instances.front().warm_up_left == std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("An evacuation is known by its zone, whatever else its object holds",
+          "[platform][access]") {
+  const auto object = Translate(Collection::kEvacuations, Object("zone-1", json::object()));
+  CHECK(std::get<model::ZoneEvacuation>(object.payload).zone == "zone-1");
+  CHECK(KindOf(Collection::kEvacuations) == "evacuations");
+}
+
+TEST_CASE("A negative warm-up makes a configuration unreadable", "[platform][access]") {
+  const json spec = {{"version", 7},
+                     {"routes", json::array()},
+                     {"services", {{{"name", "group"}, {"warmup_per_s", -1}}}}};
+  const auto object = Translate(Collection::kConfiguration, Object("main", spec));
+  CHECK(std::holds_alternative<std::monostate>(object.payload));
+}
+
 }  // namespace valvekeel::platform
--- a/tests/proxy/dispatcher_tenants_test.cc
+++ b/tests/proxy/dispatcher_tenants_test.cc
@@ -110,7 +110,8 @@
   BackendSet backends{outbox};
   GroupSet groups{settings, backends, roles, outbox};
   tenants::admission admission{settings.tenants};
-  Dispatcher dispatcher{settings, backends, groups, admission, outbox};
+  access::rule_set access;
+  Dispatcher dispatcher{settings, backends, groups, admission, access, outbox};
   model::Configuration configuration;
   int requests = 0;
 };
--- a/tests/proxy/read_placement_test.cc
+++ b/tests/proxy/read_placement_test.cc
@@ -31,14 +31,16 @@
   }
 
   std::vector<Placement> Candidates(const ReadNeed& need, Instant now) const {
-    return placement.Candidates(group, "p", {"a", "b", "p"}, need, now);
+    return placement.Candidates(group, "p", {"a", "b", "p"}, need, {route, ""}, now);
   }
 
   ProxySettings settings;
   Outbox outbox;
   BackendSet backends{outbox};
   GroupState group;
-  ReadPlacement placement{settings, backends};
+  access::rule_set access;
+  model::Route route;
+  ReadPlacement placement{settings, backends, access};
 };
 
 ReadNeed Bounded(Instant arrived) {
--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -79,7 +79,8 @@
   BackendSet backends{outbox};
   GroupSet groups{settings, backends, roles, outbox};
   tenants::admission admission{settings.tenants};
-  Dispatcher dispatcher{settings, backends, groups, admission, outbox};
+  access::rule_set access;
+  Dispatcher dispatcher{settings, backends, groups, admission, access, outbox};
   std::unique_ptr<SessionRelay> relay;
 };
 
