--- a/src/sim/cluster_sim.h
+++ b/src/sim/cluster_sim.h
@@ -1,4 +1,4 @@
-// Many daemons' cluster code in one process, on simulated time: the hollow daemons.
+// Many daemons' cluster code in one process, on simulated time.
 //
 // Owns: the nodes, the simulated network and the counts of what each node sent, received and spent.
 // Invariant: nodes run the daemon's own cluster::Node; every message is encoded and decoded as on
@@ -32,7 +32,7 @@
   std::uint64_t seed = 1;
 };
 
-/// What one hollow daemon sent, received and spent.
+/// What one daemon sent, received and spent.
 struct NodeUsage {
   std::uint64_t messages_sent = 0;
   std::uint64_t bytes_sent = 0;
@@ -41,7 +41,7 @@
   std::uint64_t cpu_ns = 0;  // thread processor time in Node and codec
 };
 
-/// A cluster of hollow daemons.
+/// A cluster of daemons in one process.
 class ClusterSim {
  public:
   explicit ClusterSim(ClusterShape shape);
