Evacuated zones: the view, who reads it, how it spreads, and the rule

Cause: operators evacuate a zone by an object in the store that nobody read. Ruled out: a watch by the reader. Its answer proves nothing later than its own sending, a whole wait ago: with a wait of 2 s an owner's view is up to 4.3 s old, and its zone would close at once. A list each second is as cheap as a watch that short, and its answer is a second old at most where it is told. Change: src/evacuation (view, tracker, rule, schedule of reads); Proxy reads, hears, tells, and says changes at once; a statement that is being prepared as its instance closes runs elsewhere, a transaction whose statement runs meanwhile ends with its connection (a ROLLBACK after the answer could come after the bound). Conclusion: with evacuation.limit_ms 0 nothing is asked, told or judged.

--- /dev/null
+++ b/src/evacuation/evacuation_rule.cc
@@ -0,0 +1,51 @@
+#include "evacuation/evacuation_rule.h"
+
+namespace valvekeel::evacuation {
+namespace {
+
+/** Time after which callers of a closed zone may come back: most evacuations last for seconds. */
+constexpr common::Duration CLOSED_COME_BACK{1'000'000};
+
+/** The same while the first view is awaited: a few answers of the store (4 ms) and ticks. */
+constexpr common::Duration UNKNOWN_COME_BACK{30'000};
+
+}  // namespace
+
+bool evacuation_rule::closed(const std::string& zone, common::Instant now) const {
+  if (!this->policy.closes) {
+    return false;
+  }
+  const auto in_use_at = this->tracker.in_use_at(zone);
+  const common::Duration margin = this->policy.limit / MARGIN_PART;
+  return !in_use_at || now >= *in_use_at + this->policy.limit - margin;
+}
+
+access::answer evacuation_rule::judge(const model::InstanceEntry& instance,
+                                      const access::work& asked, common::Instant now) const {
+  if (this->tracker.awaits_first(now)) {
+    return {access::verdict::later, VIEW_UNKNOWN, UNKNOWN_COME_BACK};
+  }
+  if (!this->tracker.evacuated(instance.zone)) {
+    return {};
+  }
+  if (this->closed(instance.zone, now)) {
+    return {access::verdict::closed, EVACUATED, CLOSED_COME_BACK};
+  }
+  if (asked.continues_transaction) {
+    return {};
+  }
+  return {access::verdict::last_resort, EVACUATED, common::Duration(0)};
+}
+
+access::leader_answer evacuation_rule::judge_leader(const model::InstanceEntry& instance,
+                                                    common::Instant /*now*/) const {
+  if (this->tracker.evacuated(instance.zone)) {
+    return {model::LeaderFitness::kUnfit, EVACUATED};
+  }
+  return {};
+}
+
+void evacuation_rule::note_sent(const model::InstanceEntry& /*instance*/, std::size_t /*requests*/,
+                                common::Instant /*now*/) {}
+
+}  // namespace valvekeel::evacuation
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -64,6 +64,7 @@
   bool failed = false;  // only its end is taken
   bool ran = false;     // a statement has run in it
   bool wrote = false;   // a write has run in it
+  bool barred = false;  // its instance closed while a statement ran there
   std::string begin_id;
   model::Route route;
   common::Instant began{0};
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -335,7 +335,7 @@
   Backend* backend = backends_.Find(transaction.instance);
   Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
   if (connection != nullptr) {
-    backends_.Release(*backend, *connection, now);
+    LeaveConnection(transaction, *backend, *connection, now);
   }
 }
 
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -105,8 +105,16 @@
   std::optional<access::answer> BarredWithin(const Session& session, common::Instant now);
   /// Refuses a waiting operation that can't be served in its time. @return true if it was refused.
   bool RefuseBarred(Session& session, common::Instant now);
+  /// @return true if the instance takes nothing more, not even for what is open there.
+  bool Closed(const std::string& instance, const model::Route& route, const std::string& tenant,
+              common::Instant now);
   /// Rolls a transaction back whose instance takes nothing more.
   void EndBarredTransaction(Session& session, common::Instant now);
+  /// Notes that the transaction's instance takes nothing more while a statement runs there.
+  void NoteBarredRunning(Session& session, common::Instant now);
+  /// Gives the connection of a transaction that ends back, or ends the connection.
+  void LeaveConnection(const Transaction& transaction, Backend& backend, Connection& connection,
+                       common::Instant now);
   /// Sends callers' work, and tells the access rules.
   void SendWork(Backend& backend, Connection& connection,
                 std::vector<model::InstanceRequest> requests, Purpose purpose, common::Instant now);
--- a/src/proxy/dispatcher_access.cc
+++ b/src/proxy/dispatcher_access.cc
@@ -94,6 +94,32 @@
   FailTransaction(session, now);
 }
 
+bool Dispatcher::Closed(const std::string& instance, const model::Route& route,
+                        const std::string& tenant, common::Instant now) {
+  const Backend* backend = backends_.Find(instance);
+  return backend != nullptr &&
+         access_.judge(backend->Entry(), {route, tenant, true}, now).outcome ==
+             access::verdict::closed;
+}
+
+void Dispatcher::NoteBarredRunning(Session& session, common::Instant now) {
+  Transaction& transaction = session.transaction;
+  if (transaction.open && transaction.connection && !transaction.barred) {
+    transaction.barred = Closed(transaction.instance, transaction.route, transaction.tenant, now);
+  }
+}
+
+void Dispatcher::LeaveConnection(const Transaction& transaction, Backend& backend,
+                                 Connection& connection, common::Instant now) {
+  if (transaction.barred) {
+    // A ROLLBACK may come too late by now; the end of the connection is none of the instance's
+    // work.
+    backends_.Close(backend, connection.number);
+    return;
+  }
+  backends_.Release(backend, connection, now);
+}
+
 void Dispatcher::SendWork(Backend& backend, Connection& connection,
                           std::vector<model::InstanceRequest> requests, Purpose purpose,
                           common::Instant now) {
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -321,6 +321,13 @@
   if (reply.succeeded && operation.preparations > 0) {
     return;
   }
+  if (reply.succeeded && Closed(backend.Entry().id, operation.route, operation.tenant, now)) {
+    // Closed since: nothing of the statement has run. The connection ends what was begun there.
+    Connection lost = connection;
+    backends_.Close(backend, lost.number);
+    OnLost(backend, lost, now);
+    return;
+  }
   if (reply.succeeded) {
     if (session.transaction.open && !session.transaction.connection) {
       session.transaction.connection = connection.number;
--- a/src/proxy/dispatcher_tenants.cc
+++ b/src/proxy/dispatcher_tenants.cc
@@ -133,7 +133,7 @@
   Connection* connection = backend == nullptr ? nullptr : backend->Find(*transaction.connection);
   transaction.connection.reset();
   if (connection != nullptr) {
-    backends_.Release(*backend, *connection, now);
+    LeaveConnection(transaction, *backend, *connection, now);
   }
 }
 
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -58,6 +58,7 @@
     }
     return;
   }
+  NoteBarredRunning(session, now);
   const Backend* backend = backends_.Find(operation.instance);
   const bool resend = backend != nullptr && ResendDue(session, *backend, now);
   if (resend && now < operation.deadline) {
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -164,6 +164,18 @@
   return rates;
 }
 
+json ToJson(const evacuation::view_message& view) {
+  return view.age ? json::array({view.revision, view.zones, AgeToJson(view.age)}) : json::array();
+}
+
+evacuation::view_message EvacuationsFrom(const json& value) {
+  if (value.empty()) {
+    return {};
+  }
+  return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::vector<std::string>>(),
+          AgeFromJson(value.at(2))};
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -171,12 +183,13 @@
   for (const GroupReport& group : message.groups) {
     groups.push_back(GroupToJson(group));
   }
-  const json whole = json::array(
-      {message.name, message.zone, message.incarnation, message.sequence, message.echoed,
-       message.echoed_incarnation, message.interval.count(), message.store_connected,
-       message.stopping, message.configuration_version, message.configuration_revision,
-       message.instances_revision, message.capacity, ToJson(message.view), message.proven_version,
-       AgeToJson(message.proof_age), ToJson(message.rates), std::move(groups)});
+  const json whole =
+      json::array({message.name, message.zone, message.incarnation, message.sequence,
+                   message.echoed, message.echoed_incarnation, message.interval.count(),
+                   message.store_connected, message.stopping, message.configuration_version,
+                   message.configuration_revision, message.instances_revision, message.capacity,
+                   ToJson(message.view), message.proven_version, AgeToJson(message.proof_age),
+                   ToJson(message.rates), ToJson(message.evacuations), std::move(groups)});
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -205,6 +218,7 @@
     message.proven_version = next().get<std::uint64_t>();
     message.proof_age = AgeFromJson(next());
     message.rates = RatesFrom(next());
+    message.evacuations = EvacuationsFrom(next());
     for (const json& group : next()) {
       message.groups.push_back(GroupFromJson(group));
     }
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -14,6 +14,7 @@
 #include "common/position.h"
 #include "common/result.h"
 #include "common/time.h"
+#include "evacuation/zone_view.h"
 #include "membership/member.h"
 #include "tenants/rate_messages.h"
 
@@ -53,6 +54,7 @@
   std::uint64_t proven_version = 0;          // newest version known to have been the store's newest
   std::optional<common::Duration> proof_age;  // since that was read
   tenants::rate_message rates;
+  evacuation::view_message evacuations;  // if zones can be evacuated
   std::vector<GroupReport> groups;
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -53,6 +53,9 @@
 
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
+      evacuation_reads_(settings_.evacuation_limit),
+      evacuation_rule_(evacuations_,
+                       {settings_.evacuation_limit, settings_.mechanisms.evacuation_bound}),
       admission_(settings_.tenants),
       allocator_(settings_.tenants),
       peers_(settings_.name, settings_.incarnation),
@@ -68,6 +71,9 @@
       relay_(settings_, roles_, peers_, view_, admission_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
+  if (FollowsEvacuations()) {
+    access_.add(evacuation_rule_);
+  }
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
     if (seed_peer != settings_.peer) {
       peers_.Add(seed_peer);
@@ -131,6 +137,9 @@
 }
 
 void Proxy::CatalogRead(CallNumber call, const metadata::ReadResult& result, common::Instant now) {
+  if (EvacuationsRead(call, result, now)) {
+    return;
+  }
   Apply(catalog_.Answered(call, result, now, Jitter()), now);
   catalog_.Tick(now);
 }
@@ -188,6 +197,7 @@
   }
   TakeView(from, message, now);
   TakeTenants(peer->second, message, counted_from, now);
+  TakeEvacuations(message, counted_from, now);
   const bool has_news =
       large_ ? view_.is_hub() || roles_.coordinates() : roles_.meshed() || roles_.watches_any();
   const bool introduces = large_ && OwesIntroduction(peer->second, now);
@@ -506,6 +516,7 @@
   backends_.Tick(now);
   store_lease_.Tick(catalog_.Connected(), now);
   prover_.Tick({store_lease_.IsReader(), Admits(), catalog_.Connected()}, now);
+  AdvanceEvacuations(now);
   AdvanceRates(now);
   groups_.Tick(now);
   failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
@@ -523,7 +534,8 @@
   told_configuration_revision_ = catalog_.Revisions().configuration;
   // A new configuration is passed on at once: daemon to hub, hub to hubs, hub to its zone.
   const bool rates = std::exchange(rates_changed_, false);
-  const bool urgent = news || opinion || rates || (revision && large_);
+  const bool evacuations = std::exchange(evacuations_changed_, false);
+  const bool urgent = news || opinion || rates || evacuations || (revision && large_);
   const Receivers receivers = fence    ? Receivers::kAll
                               : urgent ? Receivers::kPartners
                                        : Receivers::kDue;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -16,6 +16,9 @@
 #include <vector>
 
 #include "access/rule_set.h"
+#include "evacuation/evacuation_rule.h"
+#include "evacuation/read_schedule.h"
+#include "evacuation/view_tracker.h"
 #include "membership/live_view.h"
 #include "proxy/actions.h"
 #include "proxy/backend_set.h"
@@ -103,6 +106,7 @@
   const relay::role_map& Roles() const { return roles_; }
   const SessionRelay& Relay() const { return relay_; }
   const membership::live_view& View() const { return view_; }
+  const evacuation::view_tracker& Evacuations() const { return evacuations_; }
 
   /// @return how many other daemons are taken to be alive.
   std::size_t LiveDaemons(common::Instant now) const {
@@ -133,6 +137,18 @@
                    const std::optional<common::Instant>& counted_from, common::Instant now);
   /// Completes a heartbeat by what the peer should know around tenants.
   void TellTenants(Peer& peer, PeerMessage& message, common::Instant now) const;
+  // Evacuated zones (proxy_evacuation.cc).
+  /// @return true if the deployment's operators evacuate zones.
+  bool FollowsEvacuations() const { return settings_.evacuation_limit.count() > 0; }
+  /// Asks the store which zones are evacuated, if that is due.
+  void AdvanceEvacuations(common::Instant now);
+  /// Takes the store's answer. @return true if the call was that question.
+  bool EvacuationsRead(CallNumber call, const metadata::ReadResult& result, common::Instant now);
+  void TakeEvacuations(const PeerMessage& message,
+                       const std::optional<common::Instant>& counted_from, common::Instant now);
+  void TakeEvacuations(const evacuation::zone_view& view, const std::string& source,
+                       common::Instant now);
+  void TellEvacuations(PeerMessage& message, common::Instant now) const;
   void EndGuests(const std::set<std::string>& in_use, common::Instant now);
   std::size_t SharingDaemons(common::Instant now) const;
   std::vector<relay::member> LiveMembers(common::Instant now) const;
@@ -182,6 +198,11 @@
   ProxySettings settings_;
   Outbox outbox_;
   access::rule_set access_;
+  evacuation::view_tracker evacuations_;
+  evacuation::read_schedule evacuation_reads_;
+  evacuation::evacuation_rule evacuation_rule_;
+  std::optional<CallNumber> evacuation_call_;
+  bool evacuations_changed_ = false;  // all should hear of it now
   tenants::admission admission_;
   tenants::rate_allocator allocator_;
   PeerTable peers_;
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -207,6 +207,7 @@
                                : kDeadPeerPause;
   }
   TellTenants(peer, message, now);
+  TellEvacuations(message, now);
   peer.next_heartbeat = now + message.interval;
   peers_.Stamp(peer, message, now);
   outbox_.Emit(SendPeer{peer.address, std::move(message)});
--- /dev/null
+++ b/tests/evacuation/evacuation_rule_test.cc
@@ -0,0 +1,96 @@
+// What an evacuation means for an instance of the zone, and until when.
+
+#include "evacuation/evacuation_rule.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::evacuation {
+namespace {
+
+using access::verdict;
+using std::chrono::milliseconds;
+
+constexpr common::Instant START{100'000'000};
+constexpr common::Duration LIMIT = std::chrono::seconds(5);
+constexpr common::Duration UNTIL_CLOSED = LIMIT - LIMIT / MARGIN_PART;
+
+/** A daemon that knew all zones to be in use at START, and hears of an evacuation then. */
+struct rule_fixture {
+  rule_fixture() { this->entry.zone = "north"; }
+
+  void evacuate() {
+    this->tracker.take({5, {}, START});
+    this->tracker.take({9, {"north"}, START + milliseconds(700)});
+  }
+
+  verdict judge(common::Instant now, bool continues = false) const {
+    return this->rule.judge(this->entry, {this->route, "", continues}, now).outcome;
+  }
+
+  view_tracker tracker;
+  evacuation_rule rule{tracker, {LIMIT}};
+  model::InstanceEntry entry;
+  model::Route route;
+};
+
+}  // namespace
+
+TEST_CASE("An instance of an evacuated zone is the last resort, then closed", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.evacuate();
+  CHECK(fixture.judge(START + milliseconds(700)) == verdict::last_resort);
+  CHECK(fixture.judge(START + UNTIL_CLOSED - milliseconds(1)) == verdict::last_resort);
+  CHECK(fixture.judge(START + UNTIL_CLOSED) == verdict::closed);
+}
+
+TEST_CASE("A transaction goes on in an evacuated zone until the bound", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.evacuate();
+  CHECK(fixture.judge(START + UNTIL_CLOSED - milliseconds(1), true) == verdict::open);
+  CHECK(fixture.judge(START + UNTIL_CLOSED, true) == verdict::closed);
+}
+
+TEST_CASE("Later news of an evacuation doesn't move its bound", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.evacuate();
+  fixture.tracker.take({12, {"north"}, START + std::chrono::seconds(4)});
+  CHECK(fixture.judge(START + UNTIL_CLOSED) == verdict::closed);
+}
+
+TEST_CASE("Without a view from before an evacuated zone is closed at once", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.tracker.take({9, {"north"}, START});
+  CHECK(fixture.judge(START) == verdict::closed);
+}
+
+TEST_CASE("Other zones are open, and an evacuated one is again when it is over", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.evacuate();
+  model::InstanceEntry other;
+  other.zone = "south";
+  CHECK(fixture.rule.judge(other, {fixture.route, ""}, START + LIMIT).outcome == verdict::open);
+  fixture.tracker.take({13, {}, START + LIMIT});
+  CHECK(fixture.judge(START + LIMIT) == verdict::open);
+}
+
+TEST_CASE("A stale view closes nothing that it doesn't name", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.tracker.take({5, {}, START});
+  CHECK(fixture.judge(START + 10 * LIMIT) == verdict::open);
+}
+
+TEST_CASE("An instance of an evacuated zone should not lead", "[evacuation]") {
+  rule_fixture fixture;
+  CHECK(fixture.rule.judge_leader(fixture.entry, START).fitness == model::LeaderFitness::kFit);
+  fixture.evacuate();
+  CHECK(fixture.rule.judge_leader(fixture.entry, START).fitness == model::LeaderFitness::kUnfit);
+}
+
+TEST_CASE("Before the first view work waits for a moment", "[evacuation]") {
+  rule_fixture fixture;
+  fixture.tracker.note_work(START);
+  CHECK(fixture.judge(START) == verdict::later);
+  CHECK(fixture.judge(START + FIRST_VIEW_TIME) == verdict::open);
+}
+
+}  // namespace valvekeel::evacuation
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -1,7 +1,9 @@
 // What the access rules mean for callers: who moves, who waits, who is refused at once.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <type_traits>
 #include <vector>
 
 #include "proxy/dispatcher.h"
@@ -203,4 +205,59 @@
   CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
 }
 
+TEST_CASE("A statement that runs as its instance closes ends with its connection",
+          "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kBegin);
+  fixture.Ask(model::CommandKind::kRead);
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  const ConnectionNumber connection = fixture.SentTo();
+  fixture.backends.Answered(connection, reply, kStart);  // BEGIN
+  fixture.backends.Answered(connection, reply, kStart);  // READ
+  fixture.Ask(model::CommandKind::kRead);
+  fixture.outbox.Take();
+  fixture.rule.verdicts["p"] = access::verdict::closed;
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const common::Instant late = kStart + 700 * kMillisecond;
+  fixture.backends.Answered(connection, reply, late);
+  fixture.dispatcher.Tick(late + kMillisecond);
+  const std::vector<Action> actions = fixture.outbox.Take();
+  const auto is = [&](auto* kind) {
+    return std::any_of(actions.begin(), actions.end(), [&](const Action& action) {
+      return std::get_if<std::remove_pointer_t<decltype(kind)>>(&action) != nullptr;
+    });
+  };
+  CHECK(is(static_cast<CloseConnection*>(nullptr)));
+  CHECK_FALSE(is(static_cast<SendRequests*>(nullptr)));
+  fixture.Ask(model::CommandKind::kCommit);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
+}
+
+TEST_CASE("A statement whose instance closes while it is prepared runs elsewhere",
+          "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kSet);
+  fixture.outbox.Take();
+  fixture.Ask(model::CommandKind::kRead);
+  const auto prepared = fixture.Taken<SendRequests>();
+  REQUIRE(prepared.size() == 1);
+  const ConnectionNumber first = prepared.front().connection;
+  const bool at_primary = first == fixture.connections["p"];
+  fixture.rule.verdicts[at_primary ? "p" : "r"] = access::verdict::closed;
+  model::Reply reply;
+  reply.succeeded = true;
+  for (std::size_t answer = 0; answer < prepared.front().requests.size(); ++answer) {
+    fixture.backends.Answered(first, reply, kStart + kMillisecond);
+  }
+  fixture.dispatcher.Tick(kStart + 10 * kMillisecond);
+  for (const SendRequests& sent : fixture.Taken<SendRequests>()) {
+    CHECK(sent.connection == fixture.connections[at_primary ? "r" : "p"]);
+  }
+  CHECK(fixture.backends.FindConnection(first) == nullptr);
+}
+
 }  // namespace valvekeel::proxy
--- /dev/null
+++ b/tests/proxy/proxy_evacuation_test.cc
@@ -0,0 +1,199 @@
+// How a daemon learns of evacuated zones, and what it tells others.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "proxy/proxy.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+using common::Duration;
+using common::Instant;
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{100'000'000};
+const common::Endpoint kPeer{"10.0.0.2", 7440};
+
+constexpr std::uint64_t kIncarnation = 7;
+
+ProxySettings MakeSettings() {
+  ProxySettings settings;
+  settings.name = "self";
+  settings.zone = "near";
+  settings.incarnation = kIncarnation;
+  settings.peer = {"10.0.0.1", 7440};
+  settings.evacuation_limit = std::chrono::seconds(5);
+  return settings;
+}
+
+/// A daemon that knows one other, which heard all its messages; its store answers as told.
+struct EvacuationFixture {
+  EvacuationFixture() { Advance(Duration(0)); }
+
+  void Advance(Duration step) {
+    now += step;
+    proxy.Tick(now);
+    Take();
+  }
+
+  void Take() {
+    for (const Action& action : proxy.TakeActions()) {
+      if (const auto* sent = std::get_if<SendPeer>(&action); sent && sent->address == kPeer) {
+        told.push_back(sent->message);
+      }
+      if (const auto* read = std::get_if<ReadCatalog>(&action);
+          read && read->read.collection == model::Collection::kEvacuations) {
+        reads.push_back(*read);
+      }
+      if (const auto* event = std::get_if<LogEvent>(&action)) {
+        events.push_back(event->event);
+      }
+    }
+  }
+
+  /// The other daemon tells a view of this age.
+  void Hear(std::uint64_t revision, const std::vector<std::string>& zones, Duration age) {
+    PeerMessage message;
+    message.name = "other";
+    message.zone = "near";
+    message.incarnation = 1;
+    message.sequence = ++sequence;
+    message.interval = milliseconds(250);
+    if (!told.empty()) {
+      message.echoed = told.back().sequence;
+      message.echoed_incarnation = kIncarnation;
+    }
+    message.evacuations = {revision, zones, age};
+    proxy.PeerHeard(kPeer, message, now);
+    Take();
+  }
+
+  /// Answers the newest question.
+  void Answer(metadata::ReadStatus status, std::uint64_t revision,
+              const std::vector<std::string>& zones) {
+    metadata::ReadResult result;
+    result.status = status;
+    result.revision = revision;
+    for (const std::string& zone : zones) {
+      result.objects.push_back({zone, revision, false, model::ZoneEvacuation{zone}});
+    }
+    proxy.CatalogRead(reads.back().call, result, now);
+    Take();
+  }
+
+  bool Logged(const std::string& event) const {
+    return std::find(events.begin(), events.end(), event) != events.end();
+  }
+
+  Instant now = kStart;
+  std::vector<PeerMessage> told;
+  std::vector<ReadCatalog> reads;
+  std::vector<std::string> events;
+  std::uint64_t sequence = 0;
+  Proxy proxy{MakeSettings(), 1};
+};
+
+}  // namespace
+
+TEST_CASE("A view heard is placed by our own message, and told on with its age",
+          "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.Hear(5, {}, milliseconds(100));  // the other has not heard us: nothing to count from
+  CHECK_FALSE(fixture.proxy.Evacuations().known());
+  REQUIRE_FALSE(fixture.told.empty());
+  const Instant sent_at = fixture.now;
+  fixture.now += milliseconds(60);
+  fixture.Hear(5, {"north"}, milliseconds(100));
+  REQUIRE(fixture.proxy.Evacuations().known());
+  CHECK(fixture.proxy.Evacuations().newest()->read_at == sent_at - milliseconds(100));
+  CHECK(fixture.proxy.Evacuations().evacuated("north"));
+  fixture.Advance(milliseconds(40));
+  const evacuation::view_message& message = fixture.told.back().evacuations;
+  CHECK(message.revision == 5);
+  CHECK(message.zones == std::vector<std::string>{"north"});
+  CHECK(message.age == milliseconds(200));
+}
+
+TEST_CASE("An evacuation, and its end, is told at once", "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.Hear(5, {}, Duration(0));
+  fixture.Hear(5, {}, Duration(0));
+  fixture.Advance(milliseconds(10));
+  const std::size_t before = fixture.told.size();
+  fixture.Advance(milliseconds(10));
+  REQUIRE(fixture.told.size() == before);  // no heartbeat is due
+  fixture.Hear(6, {"north"}, Duration(0));
+  fixture.Advance(milliseconds(10));
+  REQUIRE(fixture.told.size() == before + 1);
+  CHECK(fixture.told.back().evacuations.zones.size() == 1);
+  fixture.Hear(7, {}, Duration(0));
+  fixture.Advance(milliseconds(10));
+  REQUIRE(fixture.told.size() == before + 2);
+  CHECK(fixture.told.back().evacuations.zones.empty());
+  CHECK(fixture.Logged("evacuation_known"));
+  CHECK(fixture.Logged("evacuation_over"));
+}
+
+TEST_CASE("Evacuations are read by a list that is never old", "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.proxy.SessionStarted(1, "orders", {}, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  REQUIRE(fixture.reads.size() == 1);
+  CHECK_FALSE(fixture.reads.back().read.may_be_old);
+  CHECK_FALSE(fixture.reads.back().read.after_revision);
+  const Instant asked_at = fixture.now;
+  fixture.now += milliseconds(5);
+  fixture.Answer(metadata::ReadStatus::kOk, 5, {"north"});
+  REQUIRE(fixture.proxy.Evacuations().known());
+  CHECK(fixture.proxy.Evacuations().newest()->read_at == asked_at);
+}
+
+TEST_CASE("A store that refuses or forgets the read changes nothing", "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.proxy.SessionStarted(1, "orders", {}, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  REQUIRE(fixture.reads.size() == 1);
+  const auto status = GENERATE(metadata::ReadStatus::kRefused, metadata::ReadStatus::kNoAnswer,
+                               metadata::ReadStatus::kHistoryGone);
+  fixture.Answer(status, 9, {"north"});
+  CHECK_FALSE(fixture.proxy.Evacuations().known());
+  CHECK(fixture.Logged("evacuations_read_failed"));
+  fixture.Advance(milliseconds(810));
+  CHECK(fixture.reads.size() == 2);  // it asks again
+}
+
+TEST_CASE("Without a limit nothing is asked or told", "[proxy][evacuation]") {
+  ProxySettings settings;
+  settings.name = "self";
+  settings.peer = {"10.0.0.1", 7440};
+  Proxy proxy(settings, 1);
+  Instant now = kStart;
+  proxy.SessionStarted(1, "orders", {}, {}, now);
+  std::size_t reads = 0;
+  for (int tick = 0; tick < 500; ++tick, now += milliseconds(10)) {
+    proxy.Tick(now);
+    for (const Action& action : proxy.TakeActions()) {
+      const auto* read = std::get_if<ReadCatalog>(&action);
+      const bool asks = read != nullptr && read->read.collection == model::Collection::kEvacuations;
+      reads += asks ? 1 : 0;
+    }
+  }
+  CHECK(reads == 0);
+}
+
+TEST_CASE("A heartbeat's view survives its encoding", "[proxy][evacuation]") {
+  PeerMessage message;
+  message.evacuations = {12, {"north", "south"}, milliseconds(340)};
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+  REQUIRE(common::IsOk(decoded));
+  const evacuation::view_message& view = common::ValueOf(decoded).evacuations;
+  CHECK(view.revision == 12);
+  CHECK(view.zones == std::vector<std::string>{"north", "south"});
+  CHECK(view.age == milliseconds(340));
+  const auto without = DecodePeerMessage(EncodePeerMessage({}));
+  REQUIRE(common::IsOk(without));
+  CHECK_FALSE(common::ValueOf(without).evacuations.age);
+}
+
+}  // namespace valvekeel::proxy
