--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -8,6 +8,7 @@
 using model::Collection;
 
 constexpr const char* kPlatform = "platform";
+constexpr const char* kStore = "store";
 constexpr common::Duration kPromotionTimeout{450'000};
 constexpr common::Duration kUnlistAfter{3'600'000};  // three heartbeats of silence
 constexpr std::uint16_t kPeerPort = 7440;
@@ -52,6 +53,11 @@
     DatabaseGroup* made = group.get();
     made->keys = shape_.tenants > 0 ? &keys_ : nullptr;
     group->on_change = [this, made] { AnnounceAll(*made); };
+    if (shape_.evacuation_limit.count() > 0) {
+      group->on_work = [this](const std::string& instance, const std::string& daemon) {
+        evacuations_.WorkArrived(ZoneOf(instance), instance, daemon);
+      };
+    }
     groups_.emplace(service, std::move(group));
     configuration_.services[service] = {service,
                                         static_cast<std::uint32_t>(shape_.group.most_connections),
@@ -76,6 +82,36 @@
         std::make_unique<DaemonHost>(*this, name, ZoneName(number % shape_.zones), address));
     daemons_.back()->Start();
   }
+  if (shape_.evacuation_limit.count() > 0) {
+    evacuations_.Watch([this] { LookForDisturbances(); });
+  }
+}
+
+void Cluster::LookForDisturbances() {
+  for (const auto& daemon : daemons_) {
+    const bool reaches =
+        world_.Reaches(daemon->Name(), kStore) && world_.Reaches(kStore, daemon->Name());
+    if (!daemon->Runs() || !reaches) {
+      evacuations_.NoteDaemon(daemon->Name());
+    }
+  }
+  if (!store_.faults.None()) {
+    evacuations_.NoteStore();
+  }
+}
+
+void Cluster::Evacuate(const std::string& zone) {
+  store_.Put(Collection::kEvacuations, zone, model::ZoneEvacuation{zone});
+  evacuations_.Begin(zone);
+}
+
+void Cluster::EndEvacuation(const std::string& zone) {
+  store_.Delete(Collection::kEvacuations, zone);
+  evacuations_.End(zone);
+}
+
+std::string Cluster::ZoneOf(const std::string& instance) const {
+  return ZoneName(std::hash<std::string>()(instance) % shape_.zones);
 }
 
 void Cluster::WriteConfiguration() {
@@ -137,7 +173,7 @@
   entry.id = instance.id;
   entry.service = group.Service();
   entry.address = {"10.128.0.1", AddressPort(instance.id)};
-  entry.zone = ZoneName(std::hash<std::string>()(instance.id) % shape_.zones);
+  entry.zone = ZoneOf(instance.id);
   entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
   entry.draining = instance.draining;
   entry.primary = instance.primary;
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -11,6 +11,7 @@
 
 #include "proxysim/daemon_host.h"
 #include "proxysim/database_group.h"
+#include "proxysim/evacuation_monitor.h"
 #include "proxysim/history.h"
 #include "proxysim/key_history.h"
 #include "proxysim/store.h"
@@ -26,10 +27,11 @@
   GroupShape group;
   proxy::Mechanisms mechanisms;
   relay::role_policy roles;
-  std::size_t tenants = 0;         // 0: callers need no keys
-  tenants::tenant_policy tenancy;  // in force if there are tenants
-  bool first_start = false;        // of the whole deployment
-  bool encode_messages = false;    // the bytes of heartbeats are counted
+  std::size_t tenants = 0;               // 0: callers need no keys
+  tenants::tenant_policy tenancy;        // in force if there are tenants
+  common::Duration evacuation_limit{0};  // 0: no zone is evacuated
+  bool first_start = false;              // of the whole deployment
+  bool encode_messages = false;          // the bytes of heartbeats are counted
 };
 
 class Cluster {
@@ -57,6 +59,13 @@
   /// Writes a further version of the configuration.
   void ChangeConfiguration();
 
+  /// An operator evacuates a zone, or takes that back.
+  void Evacuate(const std::string& zone);
+  void EndEvacuation(const std::string& zone);
+  bool Evacuated(const std::string& zone) const { return evacuations_.Evacuated(zone); }
+  /// @return the zone in which an instance stands.
+  std::string ZoneOf(const std::string& instance) const;
+
   /// Writes an instance's entry as it would itself.
   void Announce(const DatabaseGroup& group, const SimulatedInstance& instance);
 
@@ -72,11 +81,13 @@
   void WriteConfiguration();
   void GiveKey(const std::string& key, const std::string& tenant);
   void MakeTenants();
+  void LookForDisturbances();
 
   World world_;
   History history_;
   KeyHistory keys_;
   SimulatedStore store_;
+  EvacuationMonitor evacuations_{world_};
   ClusterShape shape_;
   model::Configuration configuration_;
   std::map<std::string, std::unique_ptr<DatabaseGroup>> groups_;
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -41,7 +41,9 @@
     settings.admin_port = address_.port;
     settings.roles = cluster_.Shape().roles;
     settings.tenants = cluster_.Shape().tenancy;
+    settings.evacuation_limit = cluster_.Shape().evacuation_limit;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
+    stopping_ = false;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
     Tick(life);
   });
@@ -73,6 +75,7 @@
 
 void DaemonHost::Stop() {
   if (proxy_) {
+    stopping_ = true;
     proxy_->Stop(cluster_.Surroundings().Now());
     Drain();
   }
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -61,6 +61,8 @@
 
   bool Alive() const { return proxy_ != nullptr; }
   bool Ready() const { return Alive() && ready_; }
+  /// @return true if it runs, and was not told to stop.
+  bool Runs() const { return Alive() && !frozen_ && !stopping_; }
   const std::string& Name() const { return name_; }
   const common::Endpoint& Address() const { return address_; }
   proxy::Proxy* Decisions() { return proxy_.get(); }
@@ -117,6 +119,7 @@
   std::uint64_t life_ = 0;
   TrafficCounters traffic_;
   bool frozen_ = false;
+  bool stopping_ = false;
   bool ready_ = false;
   bool draining_ = false;
   std::deque<std::function<void()>> held_;  // while frozen
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -86,6 +86,9 @@
   if (connection == found->second.connections.end()) {
     return;
   }
+  if (on_work && std::holds_alternative<model::SessionRequest>(request)) {
+    on_work(id, connection->second.daemon);
+  }
   connection->second.queue.push_back(request);
   if (!connection->second.busy) {
     RunNext(found->second, number);
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -105,6 +105,8 @@
   /// Told when the list of instances or what they say of themselves changes.
   const KeyHistory* keys = nullptr;  // checked against, if set
   std::function<void()> on_change;
+  /// Told of each of the callers' requests that arrives, if set.
+  std::function<void(const std::string& instance, const std::string& daemon)> on_work;
 
  private:
   struct PendingCommit {
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -25,7 +25,8 @@
 const std::string kStore = "store";
 const std::string kPlatform = "platform";
 
-constexpr std::size_t kKeyChanges = 8;  // of a day with tenants
+constexpr std::size_t kKeyChanges = 8;   // of a day with tenants
+constexpr std::size_t kEvacuations = 3;  // of a day with evacuations
 
 /// Draws and carries out the faults of one day.
 class FaultInjector {
@@ -328,6 +329,52 @@
   World& world_;
 };
 
+/// Evacuates zones: mostly one, sometimes two or all.
+class Evacuations {
+ public:
+  Evacuations(Cluster& cluster, std::vector<std::string>& told)
+      : cluster_(cluster), world_(cluster.Surroundings()), told_(told) {}
+
+  void Begin() {
+    const std::size_t zones = cluster_.Shape().zones;
+    const std::size_t first = world_.Below(zones);
+    const std::size_t most = world_.Chance(kAll) ? zones : 1 + world_.Below(2);
+    const Duration length = world_.Between(kShortestEvacuation, kLongestEvacuation);
+    for (std::size_t next = 0; next < std::min(most, zones); ++next) {
+      Begin(ZoneName((first + next) % zones), length);
+    }
+  }
+
+  std::size_t Count() const { return count_; }
+
+ private:
+  static constexpr double kAll = 0.1;
+  static constexpr Duration kShortestEvacuation{1'500'000};
+  static constexpr Duration kLongestEvacuation{12'000'000};
+
+  void Begin(const std::string& zone, Duration length) {
+    if (cluster_.Evacuated(zone)) {
+      return;
+    }
+    ++count_;
+    Tell("evacuate " + zone);
+    cluster_.Evacuate(zone);
+    world_.After(length, [this, zone] {
+      Tell("take back " + zone);
+      cluster_.EndEvacuation(zone);
+    });
+  }
+
+  void Tell(const std::string& what) {
+    told_.push_back(std::to_string(world_.Now().count() / 1000) + " ms: " + what);
+  }
+
+  Cluster& cluster_;
+  World& world_;
+  std::vector<std::string>& told_;
+  std::size_t count_ = 0;
+};
+
 void AddTenants(const ScenarioOptions& options, ClusterShape& shape) {
   constexpr std::size_t kTenants = 4;
   if (!options.tenants) {
@@ -342,6 +389,7 @@
   ClusterShape shape;
   shape.mechanisms = options.mechanisms;
   AddTenants(options, shape);
+  shape.evacuation_limit = options.evacuations ? kEvacuationLimit : Duration(0);
   if (options.large) {
     World draw(options.seed * 6007);
     shape.daemons = 18 + draw.Below(9);
@@ -410,6 +458,11 @@
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
     world.After(at, [&changes] { changes.Begin(); });
   }
+  Evacuations evacuations(cluster, result.faults);
+  for (std::size_t begun = 0; options.evacuations && begun < kEvacuations; ++begun) {
+    const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
+    world.After(at, [&evacuations] { evacuations.Begin(); });
+  }
   const Instant end =
       world.Now() + options.calm_before + options.troubled + kLongest + options.calm_after;
   callers.StopAt(end);
@@ -424,6 +477,7 @@
     }
   }
   result.violations = world.Violations();
+  result.evacuations = evacuations.Count();
   result.attempts = cluster.Record().Attempts();
   result.succeeded = cluster.Record().Succeeded();
   for (const auto& [service, group] : cluster.Groups()) {
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -21,10 +21,11 @@
   common::Duration calm_after{14'000'000};  // everything must serve again by its end
   std::size_t faults = 6;
   std::size_t sessions = 40;
-  bool draw_shape = false;  // draws numbers of daemons, zones, instances, replicas
-  bool tenants = false;     // callers have keys, which are taken away and passed on
-  bool key_proof = true;    // off: daemons need no proof that keys are in force
-  bool large = false;       // many daemons before few connections: sessions are relayed
+  bool draw_shape = false;   // draws numbers of daemons, zones, instances, replicas
+  bool tenants = false;      // callers have keys, which are taken away and passed on
+  bool key_proof = true;     // off: daemons need no proof that keys are in force
+  bool evacuations = false;  // operators evacuate zones, and take that back
+  bool large = false;        // many daemons before few connections: sessions are relayed
   proxy::Mechanisms mechanisms;
   bool print_log = false;  // prints the daemons' log lines
 };
@@ -35,6 +36,7 @@
   std::size_t attempts = 0;
   std::size_t succeeded = 0;
   std::size_t promotions = 0;
+  std::size_t evacuations = 0;
   std::size_t relayed = 0;   // sessions handed over by daemons that live at the end
   double served_at_end = 0;  // share of the operations of the last seconds
 };
--- a/src/proxysim/store.h
+++ b/src/proxysim/store.h
@@ -24,6 +24,8 @@
   double lost = 0;            // share of the writes that are done and not answered
   bool late = false;          // lost writes are done seconds later
   common::Duration extra{0};  // time added to every answer
+
+  bool None() const { return !down && !silent && lost == 0 && extra.count() == 0; }
 };
 
 class SimulatedStore {
