--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-/// How long before the request's end something counts as context.
+/// How long before the request's end something counts as context. Evacuations always do.
 constexpr std::int64_t kContextMs = 3000;
 
 std::string Field(const LogLine& line, const std::string& name) {
@@ -17,12 +17,17 @@
   return found != line.fields.end() && found->is_string() ? found->get<std::string>() : "";
 }
 
+bool IsEvacuation(const LogLine& line) {
+  return line.event == "evacuation_known" || line.event == "evacuation_over";
+}
+
 bool Concerns(const LogLine& line, const std::string& service, const std::string& instance) {
   const bool of_service = !service.empty() && Field(line, "service") == service;
   const bool of_instance = !instance.empty() && Field(line, "instance") == instance;
   const bool of_store = line.event == "store_lost" || line.event == "thawed" ||
                         line.event == "keys_unproven" || line.event == "configuration_in_force";
-  return (of_service || of_instance || of_store) && Field(line, "request").empty();
+  return (of_service || of_instance || of_store || IsEvacuation(line)) &&
+         Field(line, "request").empty();
 }
 
 /// @return what an error means, in a few words.
@@ -56,8 +61,26 @@
   return cause;
 }
 
+/// @return which evacuation a refusal goes back to; empty if it goes back to none.
+std::string EvacuationBehind(const Account& account) {
+  const LogLine& last = account.own.back();
+  if (Field(last, "reason").find("evacuated") == std::string::npos) {
+    return "";
+  }
+  for (auto line = account.context.rbegin(); line != account.context.rend(); ++line) {
+    if (line->event == "evacuation_known") {
+      return "; before that evacuation_known (zone " + Field(*line, "zone") + ")";
+    }
+  }
+  return "";
+}
+
 std::string CauseOf(const Account& account) {
   const LogLine& last = account.own.back();
+  if (last.event == "transaction_barred") {
+    return "its transaction was rolled back, since its instance " + Field(last, "instance") +
+           " may get nothing more: " + Field(last, "reason") + EvacuationBehind(account);
+  }
   if (last.event == "request_turned_away") {
     return TurnedAwayCause(last);
   }
@@ -70,6 +93,10 @@
   if (!instance.empty()) {
     cause += " (last instance " + instance + ")";
   }
+  const std::string evacuation = EvacuationBehind(account);
+  if (!evacuation.empty()) {
+    return cause + evacuation;
+  }
   for (auto line = account.context.rbegin(); line != account.context.rend(); ++line) {
     const bool tells = line->event == "primary_lost" || line->event == "instance_lost" ||
                        line->event == "failover_started" || line->event == "store_lost" ||
@@ -149,7 +176,7 @@
   for (const LogLine& line : logs.lines) {
     const bool before = line.process == last.process && line.life == last.life &&
                         line.sequence < last.sequence &&
-                        line.monotonic_ms >= last.monotonic_ms - kContextMs;
+                        (line.monotonic_ms >= last.monotonic_ms - kContextMs || IsEvacuation(line));
     if (before && Concerns(line, Field(last, "service"), Field(last, "instance"))) {
       account.context.push_back(line);
     }
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -81,6 +81,17 @@
   }
 }
 
+void Metrics::EvacuationGauges(const proxy::Proxy& proxy, common::Instant now) {
+  const auto& view = proxy.Evacuations().newest();
+  if (!view) {
+    return;
+  }
+  Gauge("valvekeel_evacuated_zones", "Zones that operators have evacuated", {},
+        static_cast<double>(view->zones.size()));
+  Gauge("valvekeel_evacuations_age_seconds", "Time since that is known to have held", {},
+        Seconds(now - view->read_at));
+}
+
 std::string Metrics::Text(proxy::Proxy& proxy, const runtime::BoundedLog& log,
                           common::Instant now) {
   const proxy::DispatchCounters& counters = proxy.Dispatch().Counters();
@@ -97,6 +108,12 @@
   Gauge("valvekeel_resent_reads_total", "Reads sent again for want of an answer", {},
         static_cast<double>(counters.resent_reads));
   TenantGauges(proxy, now);
+  EvacuationGauges(proxy, now);
+  for (const auto& [reason, count] : counters.barred) {
+    Gauge("valvekeel_barred_total",
+          "Requests refused and transactions rolled back for want of an instance that may run them",
+          {{"reason", reason}}, static_cast<double>(count));
+  }
   for (const auto& [code, count] : counters.errors) {
     Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
           static_cast<double>(count));
--- a/src/host/metrics.h
+++ b/src/host/metrics.h
@@ -26,6 +26,7 @@
 
  private:
   void TenantGauges(proxy::Proxy& proxy, common::Instant now);
+  void EvacuationGauges(const proxy::Proxy& proxy, common::Instant now);
   void Gauge(const std::string& name, const std::string& help,
              const std::map<std::string, std::string>& labels, double value);
 
--- a/src/proxy/dispatcher_access.cc
+++ b/src/proxy/dispatcher_access.cc
@@ -78,7 +78,8 @@
 
 void Dispatcher::EndBarredTransaction(Session& session, common::Instant now) {
   Transaction& transaction = session.transaction;
-  if (!transaction.open || !transaction.connection || transaction.failed) {
+  // One that has failed keeps its connection until its caller ends it.
+  if (!transaction.open || !transaction.connection) {
     return;
   }
   const auto barred = BarredWithin(session, now);
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -68,4 +68,23 @@
   CHECK(account.cause.empty());
 }
 
+TEST_CASE("A refusal for an evacuated zone names the evacuation, however long ago", "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":1,\"seq\":5,\"mono_ms\":1000,\"process\":\"d1\",\"event\":\"evacuation_known\","
+      "\"zone\":\"north\",\"revision\":\"7\"}\n"
+      "{\"life\":1,\"seq\":6,\"mono_ms\":9000,\"process\":\"d1\",\"event\":\"transaction_barred\","
+      "\"request\":\"t1\",\"instance\":\"i-1\",\"reason\":\"evacuated\"}\n"
+      "{\"life\":1,\"seq\":9,\"mono_ms\":9900,\"process\":\"d1\",\"event\":\"request_failed\","
+      "\"request\":\"r1\",\"error\":\"busy\",\"reason\":\"retry_after_ms=1000 evacuated\","
+      "\"service\":\"g\"}\n",
+      logs);
+  const std::string refused = Explain(logs, "r1").cause;
+  CHECK(refused.find("refused, nothing ran") != std::string::npos);
+  CHECK(refused.find("evacuation_known (zone north)") != std::string::npos);
+  const std::string ended = Explain(logs, "t1").cause;
+  CHECK(ended.find("rolled back, since its instance i-1") != std::string::npos);
+  CHECK(ended.find("evacuation_known (zone north)") != std::string::npos);
+}
+
 }  // namespace valvekeel::explain
--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -34,6 +34,7 @@
         self.server = None
         self.connections = set()
         self.promoting = False
+        self.on_work = None    # called with each request of callers that arrives
 
     def position(self):
         return "%d.%d" % (self.term, len(self.log))
@@ -137,6 +138,8 @@
         word, _, rest = text.partition(" ")
         if word in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
             return self.control(word, rest)
+        if self.instance.on_work:
+            self.instance.on_work(self.instance)
         if word == "RESET":
             self.values, self.prepared = {}, {}
             return None
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -44,7 +44,12 @@
 address = "{store}"
 [relay]
 most_meshed_daemons = {meshed}
+[evacuation]
+limit_ms = {evacuation_ms}
 """
+EVACUATION_SECONDS = 5  # from the store's acknowledgement until nothing reaches the zone
+CONTACT_SECONDS = 5     # for which what was disturbed may be late
+ZONES = 3
 SERVICES = 2
 INSTANCES = 3
 CALM_SECONDS = 6
@@ -59,7 +64,9 @@
         self.path = os.path.join(folder, "daemon-%d.toml" % number)
         self.log = open(os.path.join(folder, "daemon-%d.log" % number), "ab")
         self.text = dict(name="daemon-%d" % number, zone="zone-%d" % (number % 2), host=self.host,
-                         store=store, meshed=options.meshed)
+                         store=store, meshed=options.meshed,
+                         evacuation_ms=0 if options.plant == "evacuated"
+                         else EVACUATION_SECONDS * 1000)
         self.process = None
         self.start("true")
 
@@ -83,6 +90,8 @@
         self.history = History()
         self.groups, self.links, self.daemons, self.told = {}, {}, [], []
         self.exits = 0
+        self.evacuated = {}  # when, by zone
+        self.troubled = {}   # until when somebody may be late, by fault or instance
         self.end = None
 
     async def start(self):
@@ -104,6 +113,8 @@
             host = "127.3.%d.%d" % (number, index + 1)
             instance = Instance(group, "%s-i%d" % (service, index), host, 8000)
             instance.primary = index == 0
+            instance.zone = "zone-%d" % (index % ZONES)
+            instance.on_work = self.note_work
             group.instances.append(instance)
             await instance.start()
             link = Link("127.4.%d.%d" % (number, index + 1), 8000, host, 8000)
@@ -119,7 +130,7 @@
                 link = self.links[instance.name]
                 await self.store.put("servers", instance.name, {
                     "service": group.service, "addr": "%s:%d" % (link.host, link.port),
-                    "zone": "zone-0", "version": "v1", "slots": 3, "state": "ready",
+                    "zone": instance.zone, "version": "v1", "slots": 3, "state": "ready",
                     "warmup_left_ms": 0, "db_role": "primary" if instance.primary else "replica"})
 
     async def configure(self, version):
@@ -135,6 +146,18 @@
                                                 "services": services,
                                                 "limits": {"tx_idle_ms": 2000}})
 
+    def note_work(self, instance):
+        """Holds a request that arrives against the evacuations."""
+        now = time.monotonic()
+        began = self.evacuated.get(instance.zone)
+        if began is None or now <= began + EVACUATION_SECONDS:
+            return
+        excused = [self.troubled.get(each, 0) + CONTACT_SECONDS
+                   for each in ("daemon", "store", instance.name)]
+        if now > max(excused):
+            self.history.violations.append("EVAC: %s of %s after %.2f s" % (
+                instance.name, instance.zone, now - began))
+
     async def promote(self, service, name):
         return await self.groups[service].promote(name)
 
@@ -179,7 +202,7 @@
         daemon = self.random.choice(self.daemons)
         self.tell("pause daemon-%d" % daemon.number)
         daemon.send(signal.SIGSTOP)
-        await asyncio.sleep(self.length())
+        await self.trouble("daemon", self.length())
         daemon.send(signal.SIGCONT)
 
     async def reload(self):
@@ -213,7 +236,7 @@
         link.silent_in = kind == "silence"
         link.silent_out = kind in ("silence", "no answers")
         link.reset() if kind == "reset" else None
-        await asyncio.sleep(self.length())
+        await self.trouble(name, self.length())
         link.heal()
         link.reset()
 
@@ -228,12 +251,31 @@
         if kind == "compact":
             await self.configure(self.next_version())
             await self.store.compact()
-        await asyncio.sleep(self.length())
+        await self.trouble("store", self.length())
         self.store.down = self.store.silent = False
         self.store.lose_writes, self.store.delay = 0.0, 0.002
         self.store_link.heal()
         self.store_link.reset()
 
+    async def trouble(self, name, seconds):
+        """Waits for a fault's end, and notes until when it excuses who is late."""
+        self.troubled[name] = max(self.troubled.get(name, 0), time.monotonic() + seconds)
+        await asyncio.sleep(seconds)
+
+    async def evacuate(self):
+        zones = self.random.sample(["zone-%d" % number for number in range(ZONES)],
+                                   self.random.choice([1, 1, 1, 2]))
+        zones = [zone for zone in zones if zone not in self.evacuated]
+        self.tell("evacuate %s" % zones)
+        for zone in zones:
+            await self.store.put("evacuations", zone, {})
+            self.evacuated[zone] = time.monotonic()
+        await asyncio.sleep(self.random.uniform(1, 10))
+        for zone in zones:
+            self.tell("take back %s" % zone)
+            await self.store.remove("evacuations", zone)
+            self.evacuated.pop(zone, None)
+
     async def lag(self):
         group = self.random.choice(list(self.groups.values()))
         self.tell("replicas of %s lag" % group.service)
@@ -250,7 +292,8 @@
     async def inject(self):
         await asyncio.sleep(CALM_SECONDS)
         faults = [self.kill, self.kill_many, self.stop, self.pause, self.reload, self.crash,
-                  self.crash, self.link_fault, self.link_fault, self.store_fault, self.lag]
+                  self.crash, self.link_fault, self.link_fault, self.store_fault, self.lag,
+                  self.evacuate, self.evacuate]
         running = []
         while time.monotonic() < self.end - LAST_SECONDS:
             running.append(asyncio.ensure_future(self.random.choice(faults)()))
@@ -322,7 +365,7 @@
     parser.add_argument("--connections", type=int, default=34)
     parser.add_argument("--meshed", type=int, default=16, help="most_meshed_daemons")
     parser.add_argument("--callers", type=int, default=4, help="for each service and kind")
-    parser.add_argument("--plant", choices=["", "stale", "lost", "pinned"], default="",
+    parser.add_argument("--plant", choices=["", "stale", "lost", "pinned", "evacuated"], default="",
                         help="lets the stand-in break a rule: the soak must say so")
     parser.add_argument("--keep", help="folder for settings and logs")
     options = parser.parse_args()
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -205,6 +205,30 @@
   CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
 }
 
+TEST_CASE("A transaction that has failed at an instance that closes is rolled back too",
+          "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kBegin);
+  fixture.Ask(model::CommandKind::kRead);
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  const ConnectionNumber connection = fixture.SentTo();
+  fixture.backends.Answered(connection, reply, kStart);  // BEGIN
+  fixture.backends.Answered(connection, reply, kStart);  // READ
+  fixture.Ask(model::CommandKind::kRead);
+  model::Reply failure;
+  failure.error = model::ErrorCode::kFailed;
+  failure.state = model::TransactionState::kFailed;
+  fixture.backends.Answered(connection, failure, kStart);
+  fixture.outbox.Take();
+  fixture.rule.verdicts["p"] = access::verdict::closed;
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  CHECK(fixture.SentTo() == connection);  // ROLLBACK
+  fixture.Ask(model::CommandKind::kRollback, kStart + 2 * kMillisecond);
+  CHECK(fixture.Taken<SendRequests>().empty());
+}
+
 TEST_CASE("A statement that runs as its instance closes ends with its connection",
           "[proxy][access]") {
   AccessFixture fixture;
