Evacuations: a test that at rest they cost one call a second

Cause: calls to the store are priced; owners that hear nothing new list by themselves. Checked: ./build/valvekeel-tests "At rest evacuations*": 20 daemons, 52 calls in 10 s with, 42 without.

--- a/tests/proxysim/evacuation_test.cc
+++ b/tests/proxysim/evacuation_test.cc
@@ -163,8 +163,39 @@
   std::function<void(const std::string&, const std::string&)> on_step_;
 };
 
+/// @return how many calls a large deployment makes to its store in ten seconds at rest.
+std::size_t CallsAtRest(Duration evacuation_limit) {
+  ClusterShape shape;
+  shape.daemons = 20;
+  shape.zones = 2;
+  shape.group.most_connections = 24;
+  shape.evacuation_limit = evacuation_limit;
+  Cluster cluster(kSeed, shape);
+  Callers callers(cluster, kSessions);
+  const auto calls = [&] {
+    std::size_t all = 0;
+    for (const auto& daemon : cluster.Daemons()) {
+      all += daemon->Traffic().store_calls;
+    }
+    return all;
+  };
+  cluster.Surroundings().RunUntil(seconds(15));
+  const std::size_t before = calls();
+  cluster.Surroundings().RunUntil(seconds(25));
+  return calls() - before;
+}
+
 }  // namespace
 
+TEST_CASE("At rest evacuations cost one call a second, whatever the number of daemons",
+          "[proxysim][evacuation]") {
+  const std::size_t without = CallsAtRest(Duration(0));
+  const std::size_t with = CallsAtRest(kEvacuationLimit);
+  INFO(with << " calls with, " << without << " without");
+  CHECK(with >= without + 8);
+  CHECK(with <= without + 12);
+}
+
 TEST_CASE("A primary in an evacuated zone is replaced by plan", "[proxysim][evacuation]") {
   EvacuationDay day;
   day.Evacuate(day.zone);
