A first statement refused after its instance closed leaves no ROLLBACK behind

Cause: a transaction's first statement that is refused goes elsewhere, and its connection got a ROLLBACK; after a late answer that could reach a closed instance after the bound. Change: such a connection is closed, as one of a transaction that goes on. Checked: ./build/valvekeel-tests "[access],[evacuation],[proxy]": 505 assertions in 118 test cases passed; the new test failed without the change.

--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -332,6 +332,7 @@
     if (session.transaction.open && !session.transaction.connection) {
       session.transaction.connection = connection.number;
       session.transaction.instance = backend.Entry().id;
+      session.transaction.barred = false;
     }
     SendStatement(session, backend, connection, now);
     return;
@@ -417,6 +418,9 @@
     }
     session.transaction.connection.reset();
     connection.session.reset();
+    if (session.transaction.barred) {
+      LeaveConnection(session.transaction, backend, connection, now);
+    }
     const bool read_only = code == model::ErrorCode::kReadOnly;
     const bool lagging = code == model::ErrorCode::kLagging;
     const common::Duration pause =
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -261,6 +261,31 @@
   CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
 }
 
+TEST_CASE("A first statement refused after its instance closed leaves no ROLLBACK behind",
+          "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kBeginReadOnly);
+  fixture.Ask(model::CommandKind::kRead);
+  const ConnectionNumber connection = fixture.SentTo();
+  const std::string instance = connection == fixture.connections["p"] ? "p" : "r";
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  fixture.backends.Answered(connection, reply, kStart);  // BEGIN; the READ goes out
+  fixture.outbox.Take();
+  fixture.rule.verdicts[instance] = access::verdict::closed;
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  model::Reply refusal;
+  refusal.error = model::ErrorCode::kBusy;
+  refusal.state = model::TransactionState::kOpen;
+  fixture.backends.Answered(connection, refusal, kStart + 90 * kMillisecond);
+  fixture.dispatcher.Tick(kStart + 100 * kMillisecond);
+  for (const SendRequests& sent : fixture.Taken<SendRequests>()) {
+    CHECK(sent.connection != connection);
+  }
+  CHECK(fixture.backends.FindConnection(connection) == nullptr);
+}
+
 TEST_CASE("A statement whose instance closes while it is prepared runs elsewhere",
           "[proxy][access]") {
   AccessFixture fixture;
