--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -321,10 +321,18 @@
   if (reply.succeeded && operation.preparations > 0) {
     return;
   }
+  if (reply.succeeded && Closed(backend.Entry().id, operation.route, operation.tenant, now)) {
+    // Closed since: nothing of the statement has run. The connection ends what was begun there.
+    Connection lost = connection;
+    backends_.Close(backend, lost.number);
+    OnLost(backend, lost, now);
+    return;
+  }
   if (reply.succeeded) {
     if (session.transaction.open && !session.transaction.connection) {
       session.transaction.connection = connection.number;
       session.transaction.instance = backend.Entry().id;
+      session.transaction.barred = false;
     }
     SendStatement(session, backend, connection, now);
     return;
@@ -410,6 +418,9 @@
     }
     session.transaction.connection.reset();
     connection.session.reset();
+    if (session.transaction.barred) {
+      LeaveConnection(session.transaction, backend, connection, now);
+    }
     const bool read_only = code == model::ErrorCode::kReadOnly;
     const bool lagging = code == model::ErrorCode::kLagging;
     const common::Duration pause =
