Instances that have just started get few requests: decision code and wiring

Cause: nothing read a service's warm-up; callers' requests reached a cold instance in any number. Conclusion: not proven yet.

--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -21,7 +21,7 @@
   if (calling_ || now < not_before_ || !Followed()) {
     return std::nullopt;
   }
-  if (!revision_ || pace_.on_news) {
+  if (!revision_ || pace_.on_news || refresh_) {
     return NextList(now);
   }
   calling_ = true;
@@ -31,22 +31,32 @@
   return ReadCall{collection_, revision_, wait, wait + kWatchSlack};
 }
 
+void CollectionFollower::Refresh() {
+  refresh_ = true;
+  if (failures_ == 0) {
+    not_before_ = common::Instant(0);
+  }
+}
+
 void CollectionFollower::Disconnect() {
   calling_ = false;
   connected_ = false;
 }
 
 std::optional<ReadCall> CollectionFollower::NextList(common::Instant now) {
-  const bool behind = !revision_ || wanted_ > *revision_;
+  const bool behind = !revision_ || wanted_ > *revision_ || refresh_;
   const bool due = now >= answered_at_ + pace_.watch_wait;
   if (!behind && !due) {
     return std::nullopt;
   }
   calling_ = true;
   listing_ = true;
+  call_is_fresh_ = refresh_;
+  listed_from_ = now;
   ReadCall call{collection_, std::nullopt, common::Duration(0), kListTimeout};
   // After a history that is gone an old state would lead there again.
   call.may_be_old = revision_ ? old_answers_ < kMostOldAnswers : old_first_list_ && !listed_;
+  call.may_be_old = call.may_be_old && !refresh_;
   return call;
 }
 
@@ -66,6 +76,10 @@
   answered_at_ = now;
   not_before_ = now + pace_.pause;
   if (listing_) {
+    if (call_is_fresh_) {
+      refresh_ = false;
+      fresh_as_of_ = listed_from_;
+    }
     return TakeList(result, now);
   }
   revision_ = result.revision;
--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -78,6 +78,20 @@
   /// comes by the watch that follows, or by news.
   void AllowOldFirstList() { old_first_list_ = true; }
 
+  /// Asks for a list of the newest state, next and without a pause.
+  void Refresh();
+
+  /// @return true while each change is heard as it comes.
+  bool Watches() const {
+    return connected_ && calling_ && !listing_ && pace_.pause == common::Duration(0);
+  }
+
+  /// @return the instant of the newest state that Refresh has brought, at the earliest.
+  std::optional<common::Instant> FreshAsOf() const { return fresh_as_of_; }
+
+  /// @return true if a list of the newest state was asked for and has not come.
+  bool Refreshing() const { return refresh_; }
+
   /// Makes no calls, and takes them up again.
   void SetPaused(bool paused) { paused_ = paused; }
 
@@ -119,6 +133,10 @@
   bool calling_ = false;
   bool listing_ = false;  // the call in progress is a list
   bool old_first_list_ = false;
+  bool refresh_ = false;        // the next list must be of the newest state
+  bool call_is_fresh_ = false;  // the list in progress is
+  common::Instant listed_from_{0};
+  std::optional<common::Instant> fresh_as_of_;
   bool paused_ = false;
   bool listed_ = false;
   bool connected_ = false;
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -18,6 +18,7 @@
 #include "model/reply.h"
 #include "model/request.h"
 #include "proxy/actions.h"
+#include "warm_up/instance_life.h"
 
 namespace valvekeel::proxy {
 
@@ -46,6 +47,7 @@
   std::string tenant;  // whose requests it carries; empty: no tenant's
   bool open = false;
   common::Instant created{0};
+  common::Instant opened{0};  // once it is open
   common::Instant last_used{0};
   SessionValues values;
   std::map<model::PreparedStatement, std::string> prepared;  // names on this connection
@@ -145,6 +147,7 @@
   std::optional<common::Instant> gone_since;      // its entry is no longer listed
   std::optional<common::Instant> draining_since;  // it said that it will end
   std::optional<model::InstanceStatus> status;    // last seen
+  warm_up::instance_life life;
 
  private:
   static bool IsFree(const Connection& connection);
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -239,11 +239,30 @@
   }
   Connection* connection = backend->Find(number);
   connection->open = true;
+  connection->opened = now;
   connection->last_used = now;
+  NoteLife(*backend, *connection, now);
   ServeControls(*backend, now);
   observer_->OnCapacity(now);
 }
 
+void BackendSet::NoteLife(Backend& backend, const Connection& opened, common::Instant now) {
+  const bool may_have_restarted = backend.life.note_opened();
+  if (life_observer_ == nullptr) {
+    return;
+  }
+  if (may_have_restarted) {
+    life_observer_->may_have_restarted(backend.Entry(), now);
+    return;
+  }
+  const bool first = std::none_of(
+      backend.Connections().begin(), backend.Connections().end(),
+      [&](const auto& each) { return each.second.open && each.first != opened.number; });
+  if (first) {
+    life_observer_->first_contact(backend.Entry(), now);
+  }
+}
+
 void BackendSet::OpenFailed(ConnectionNumber number, OpenFailure failure, model::ErrorCode error,
                             common::Instant now) {
   Backend* backend = Owner(number);
@@ -258,6 +277,7 @@
     const bool was_unreachable = backend->Unreachable();
     backend->OpenFailed(now, failure != OpenFailure::kSilent);
     if (!was_unreachable && backend->Unreachable()) {
+      backend->life.note_break(now);
       outbox_.Log("instance_lost",
                   {{"instance", backend->Entry().id}, {"reason", OpenFailureName(failure)}},
                   LogLevel::kWarning);
@@ -287,6 +307,10 @@
   connection->outstanding.pop_front();
   connection->state = reply.state;
   connection->last_used = now;
+  const bool lives_on = backend->life.note_answered(connection->opened, outstanding.sent);
+  if (lives_on && life_observer_ != nullptr) {
+    life_observer_->same_life(backend->Entry());
+  }
   if (outstanding.purpose == Purpose::kControl) {
     FinishControl(outstanding.control, reply.status, now);
     // The callback may have closed the connection.
@@ -317,6 +341,7 @@
   Connection lost = std::move(*connection);
   owners_.erase(number);
   backend->Remove(number);
+  backend->life.note_break(now);
   for (const Outstanding& outstanding : lost.outstanding) {
     if (outstanding.purpose == Purpose::kControl) {
       FinishControl(outstanding.control, std::nullopt, now);
@@ -361,6 +386,7 @@
           }
           probed->ProbeFailed(at);
           if (probed->Unreachable()) {
+            probed->life.note_break(at);
             outbox_.Log("instance_lost", {{"instance", id}, {"reason", "silent"}},
                         LogLevel::kWarning);
           }
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -48,6 +48,7 @@
   explicit BackendSet(Outbox& outbox) : outbox_(outbox) {}
 
   void SetObserver(ConnectionObserver* observer) { observer_ = observer; }
+  void SetLifeObserver(warm_up::life_observer* observer) { life_observer_ = observer; }
 
   /// Takes an instance's entry as the store has it.
   void SetEntry(const model::InstanceEntry& entry, common::Instant now);
@@ -127,12 +128,15 @@
   void FinishControl(ControlNumber number, const std::optional<model::InstanceStatus>& status,
                      common::Instant now);
   void ExpireControls(common::Instant now);
+  /// Tells whether the instance of a connection that has opened may have started meanwhile.
+  void NoteLife(Backend& backend, const Connection& opened, common::Instant now);
   void CheckHealth(Backend& backend, common::Instant now);
   void TrimConnections(Backend& backend, common::Instant now);
   bool RemoveEnded(Backend& backend, common::Instant now);
 
   Outbox& outbox_;
   ConnectionObserver* observer_ = nullptr;
+  warm_up::life_observer* life_observer_ = nullptr;
   std::map<std::string, Backend> backends_;
   std::map<ConnectionNumber, std::string> owners_;
   std::map<ControlNumber, PendingControl> controls_;
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -185,6 +185,22 @@
 
 bool CatalogState::DaemonsListed() const { return followers_.at(Collection::kDaemons).Listed(); }
 
+void CatalogState::RefreshInstances() {
+  metadata::CollectionFollower& instances = followers_.at(Collection::kInstances);
+  if (instances.Refreshing() || instances.Watches() || !instances.Followed()) {
+    return;
+  }
+  // A watch that waits for news would be in the way.
+  std::erase_if(calls_, [](const auto& call) { return call.second == Collection::kInstances; });
+  instances.Abandon();
+  instances.Refresh();
+}
+
+std::optional<common::Instant> CatalogState::InstancesFreshAsOf(common::Instant now) const {
+  const metadata::CollectionFollower& instances = followers_.at(Collection::kInstances);
+  return instances.Watches() ? now : instances.FreshAsOf();
+}
+
 void CatalogState::Tick(common::Instant now) {
   DelayFirstCalls(now);
   for (auto& [collection, follower] : followers_) {
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -72,6 +72,12 @@
   /// while is asked anew.
   void NoteRevisions(const CatalogRevisions& revisions, common::Instant now);
 
+  /// Reads the list of instances as it is now, unless each change is heard as it comes.
+  void RefreshInstances();
+
+  /// @return the instant as of which all instances are known, at the earliest.
+  std::optional<common::Instant> InstancesFreshAsOf(common::Instant now) const;
+
   /// Makes the calls that are due.
   void Tick(common::Instant now);
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -53,6 +53,7 @@
 
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
+      warm_up_(settings_.name, settings_.warm_up, settings_.mechanisms.warm_up_limit),
       admission_(settings_.tenants),
       allocator_(settings_.tenants),
       peers_(settings_.name, settings_.incarnation),
@@ -68,6 +69,8 @@
       relay_(settings_, roles_, peers_, view_, admission_, dispatcher_, outbox_),
       random_(seed) {
   backends_.SetObserver(&dispatcher_);
+  backends_.SetLifeObserver(&warm_up_);
+  access_.add(warm_up_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
     if (seed_peer != settings_.peer) {
       peers_.Add(seed_peer);
@@ -216,6 +219,7 @@
 }
 
 void Proxy::Apply(const CatalogUpdate& update, common::Instant now) {
+  NoteWarmUps(update, now);
   for (const model::InstanceEntry& instance : update.instances) {
     backends_.SetEntry(instance, now);
     groups_.Get(instance.service, now);
@@ -246,6 +250,7 @@
   const model::Configuration& configuration = catalog_.Configuration();
   admission_.set_configuration(configuration.version, configuration.tenants);
   allocator_.set_tenants(configuration.tenants, now);
+  ConfigureWarmUps(now);
   UpdateRoles(now);
   dispatcher_.SetConfiguration(&catalog_.Configuration(), now);
   relay_.SetConfiguration(&catalog_.Configuration(), now);
@@ -316,6 +321,7 @@
                                    roles_.coordinates() || roles_.owns(name));
     }
     EndGuests(in_use, now);
+    UpdateWarmUpRole(now);
   }
   if (large_) {
     ChoosePartners(now);
@@ -504,6 +510,7 @@
     UpdateRoles(now);
   }
   backends_.Tick(now);
+  AdvanceWarmUps(now);
   store_lease_.Tick(catalog_.Connected(), now);
   prover_.Tick({store_lease_.IsReader(), Admits(), catalog_.Connected()}, now);
   AdvanceRates(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -32,6 +32,7 @@
 #include "relay/role_map.h"
 #include "tenants/admission.h"
 #include "tenants/rate_allocator.h"
+#include "warm_up/warm_up_rule.h"
 
 namespace valvekeel::proxy {
 
@@ -103,6 +104,7 @@
   const relay::role_map& Roles() const { return roles_; }
   const SessionRelay& Relay() const { return relay_; }
   const membership::live_view& View() const { return view_; }
+  const warm_up::warm_up_rule& WarmUps() const { return warm_up_; }
 
   /// @return how many other daemons are taken to be alive.
   std::size_t LiveDaemons(common::Instant now) const {
@@ -173,6 +175,13 @@
   /// @return true if others rely on this daemon for the state of all groups.
   bool TellsAll() const;
   void AdvanceHeartbeats(common::Instant now);
+  // Instances that have just started: proxy_warm_up.cc.
+  void ConfigureWarmUps(common::Instant now);
+  void NoteWarmUps(const CatalogUpdate& update, common::Instant now);
+  void UpdateWarmUpRole(common::Instant now);
+  void AdvanceWarmUps(common::Instant now);
+  void LogWarmUps(common::Instant now);
+  warm_up::hearing HeardDaemons(common::Instant now) const;
   void JudgeReadiness(common::Instant now);
   /// @return true if instances of all services that this daemon connects to are known.
   bool InstancesKnown() const;
@@ -182,6 +191,8 @@
   ProxySettings settings_;
   Outbox outbox_;
   access::rule_set access_;
+  warm_up::warm_up_rule warm_up_;
+  std::map<std::string, common::Instant> cold_since_;  // by instance
   tenants::admission admission_;
   tenants::rate_allocator allocator_;
   PeerTable peers_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -14,6 +14,7 @@
 #include "membership/live_view.h"
 #include "relay/role_map.h"
 #include "tenants/tenant.h"
+#include "warm_up/warm_up_rule.h"
 
 namespace valvekeel::proxy {
 
@@ -29,12 +30,7 @@
   bool session_reset = true;       // a connection's values are those of its session
   bool tenant_connections = true;  // a connection serves one tenant
   bool unknown_outcomes = true;    // a write whose answer is lost is not sent again
-};
-
-/// What a deployment tolerates beyond a starting instance's rate (model::WarmUp), in any second.
-struct WarmUpTolerance {
-  double overage = 1;  // times the rate
-  double slack = 0;    // requests besides
+  bool warm_up_limit = true;       // instances that have just started get few requests
 };
 
 struct ProxySettings {
@@ -81,7 +77,8 @@
   /// From an evacuation's acknowledgement until nothing is sent to the zone's instances; 0:
   /// operators evacuate no zones, and the store is not asked for it.
   common::Duration evacuation_limit{0};
-  WarmUpTolerance warm_up;
+  /// What is tolerated beyond a starting instance's rate (model::WarmUp), in any second.
+  warm_up::tolerance warm_up;
   Mechanisms mechanisms;
 };
 
--- /dev/null
+++ b/src/warm_up/send_window.cc
@@ -0,0 +1,36 @@
+#include "warm_up/send_window.h"
+
+namespace valvekeel::warm_up {
+
+void send_window::add(std::size_t requests, common::Instant now) {
+  while (!this->sent.empty() && this->sent.front().at + SEND_WINDOW <= now) {
+    this->sent.pop_front();
+  }
+  this->sent.push_back({now, requests});
+}
+
+std::size_t send_window::count(common::Instant now) const {
+  std::size_t total = 0;
+  for (const sending& each : this->sent) {
+    total += each.at + SEND_WINDOW > now ? each.requests : 0;
+  }
+  return total;
+}
+
+common::Instant send_window::room_at(std::size_t most, std::size_t requests,
+                                     common::Instant now) const {
+  std::size_t left = this->count(now);
+  common::Instant at = now;
+  for (const sending& each : this->sent) {
+    if (left == 0 || left + requests <= most) {
+      break;
+    }
+    if (each.at + SEND_WINDOW > now) {
+      left -= each.requests;
+      at = each.at + SEND_WINDOW;
+    }
+  }
+  return at;
+}
+
+}  // namespace valvekeel::warm_up
