--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -11,6 +11,8 @@
 constexpr std::uint32_t kMostOldAnswers = 3;
 /// Longest wait of the first watch after a failure: whether the store is back shows soon.
 constexpr common::Duration kFirstWatchWait{500'000};
+/// Time for a watch to bring what was there before it began, if it began from an old state.
+constexpr common::Duration kWatchSettled{100'000};
 constexpr common::Duration kOldAnswerPause{300'000};
 constexpr common::Duration kShortestBackoff{100'000};
 constexpr std::uint32_t kMostDoublings = 3;
@@ -26,6 +28,7 @@
   }
   calling_ = true;
   listing_ = false;
+  called_at_ = now;
   const common::Duration wait =
       connected_ ? pace_.watch_wait : std::min(pace_.watch_wait, kFirstWatchWait);
   return ReadCall{collection_, revision_, wait, wait + kWatchSlack};
@@ -38,6 +41,11 @@
   }
 }
 
+bool CollectionFollower::Watches(common::Instant now) const {
+  const bool closely = pace_.pause == common::Duration(0) && calling_ && !listing_;
+  return connected_ && closely && now >= called_at_ + kWatchSettled;
+}
+
 void CollectionFollower::Disconnect() {
   calling_ = false;
   connected_ = false;
@@ -52,7 +60,7 @@
   calling_ = true;
   listing_ = true;
   call_is_fresh_ = refresh_;
-  listed_from_ = now;
+  called_at_ = now;
   ReadCall call{collection_, std::nullopt, common::Duration(0), kListTimeout};
   // After a history that is gone an old state would lead there again.
   call.may_be_old = revision_ ? old_answers_ < kMostOldAnswers : old_first_list_ && !listed_;
@@ -78,7 +86,7 @@
   if (listing_) {
     if (call_is_fresh_) {
       refresh_ = false;
-      fresh_as_of_ = listed_from_;
+      fresh_as_of_ = called_at_;
     }
     return TakeList(result, now);
   }
--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -82,9 +82,7 @@
   void Refresh();
 
   /// @return true while each change is heard as it comes.
-  bool Watches() const {
-    return connected_ && calling_ && !listing_ && pace_.pause == common::Duration(0);
-  }
+  bool Watches(common::Instant now) const;
 
   /// @return the instant of the newest state that Refresh has brought, at the earliest.
   std::optional<common::Instant> FreshAsOf() const { return fresh_as_of_; }
@@ -135,7 +133,7 @@
   bool old_first_list_ = false;
   bool refresh_ = false;        // the next list must be of the newest state
   bool call_is_fresh_ = false;  // the list in progress is
-  common::Instant listed_from_{0};
+  common::Instant called_at_{0};
   std::optional<common::Instant> fresh_as_of_;
   bool paused_ = false;
   bool listed_ = false;
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -185,9 +185,9 @@
 
 bool CatalogState::DaemonsListed() const { return followers_.at(Collection::kDaemons).Listed(); }
 
-void CatalogState::RefreshInstances() {
+void CatalogState::RefreshInstances(common::Instant now) {
   metadata::CollectionFollower& instances = followers_.at(Collection::kInstances);
-  if (instances.Refreshing() || instances.Watches() || !instances.Followed()) {
+  if (instances.Refreshing() || instances.Watches(now) || !instances.Followed()) {
     return;
   }
   // A watch that waits for news would be in the way.
@@ -198,7 +198,7 @@
 
 std::optional<common::Instant> CatalogState::InstancesFreshAsOf(common::Instant now) const {
   const metadata::CollectionFollower& instances = followers_.at(Collection::kInstances);
-  return instances.Watches() ? now : instances.FreshAsOf();
+  return instances.Watches(now) ? now : instances.FreshAsOf();
 }
 
 void CatalogState::Tick(common::Instant now) {
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -73,7 +73,7 @@
   void NoteRevisions(const CatalogRevisions& revisions, common::Instant now);
 
   /// Reads the list of instances as it is now, unless each change is heard as it comes.
-  void RefreshInstances();
+  void RefreshInstances(common::Instant now);
 
   /// @return the instant as of which all instances are known, at the earliest.
   std::optional<common::Instant> InstancesFreshAsOf(common::Instant now) const;
--- a/src/proxy/proxy_warm_up.cc
+++ b/src/proxy/proxy_warm_up.cc
@@ -84,7 +84,7 @@
     return;
   }
   if (warm_up_.instances().wants_fresh()) {
-    catalog_.RefreshInstances();
+    catalog_.RefreshInstances(now);
   }
   if (const auto as_of = catalog_.InstancesFreshAsOf(now)) {
     warm_up_.instances().note_fresh(*as_of);
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -1,5 +1,6 @@
 #include "proxysim/cluster.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace valvekeel::proxysim {
@@ -55,7 +56,7 @@
     groups_.emplace(service, std::move(group));
     configuration_.services[service] = {service,
                                         static_cast<std::uint32_t>(shape_.group.most_connections),
-                                        shape_.group.sync_replicas};
+                                        shape_.group.sync_replicas, shape_.group.warm_up};
     for (const model::Route& route :
          {MakeRoute(service, ".primary", model::Consistency::kPrimary, kWriteTimeLimit,
                     common::Duration(0)),
@@ -141,6 +142,8 @@
   entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
   entry.draining = instance.draining;
   entry.primary = instance.primary;
+  entry.warm_up_left =
+      std::max(common::Duration(0), common::Duration(instance.cold_until - world_.Now()));
   store_.Put(Collection::kInstances, instance.id, entry);
 }
 
@@ -148,7 +151,8 @@
   for (const auto& [id, instance] : group.Instances()) {
     const std::string state = std::string(instance.alive ? "alive" : "dead") +
                               (instance.primary ? "+primary" : "") +
-                              (instance.draining ? "+draining" : "");
+                              (instance.draining ? "+draining" : "") +
+                              (world_.Now() < instance.cold_until ? "+cold" : "");
     if (std::exchange(announced_[id], state) == state) {
       continue;
     }
--- /dev/null
+++ b/src/proxysim/cold_arrivals.h
@@ -0,0 +1,34 @@
+// Callers' requests that reach instances which have just started: the checker FAILBACK.
+//
+// Owns: the arrivals of the last second, by instance. Invariant: none older than that is counted.
+// Thread: one.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "common/time.h"
+
+namespace valvekeel::proxysim {
+
+class ColdArrivals {
+ public:
+  /// Notes a caller's request at a cold instance. @return how many came within the last second.
+  std::size_t Note(const std::string& instance, common::Instant now) {
+    std::deque<common::Instant>& arrivals = arrivals_[instance];
+    arrivals.push_back(now);
+    while (arrivals.front() + kCounted <= now) {
+      arrivals.pop_front();
+    }
+    return arrivals.size();
+  }
+
+ private:
+  static constexpr common::Duration kCounted{1'000'000};
+
+  std::map<std::string, std::deque<common::Instant>> arrivals_;
+};
+
+}  // namespace valvekeel::proxysim
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -41,6 +41,7 @@
     settings.admin_port = address_.port;
     settings.roles = cluster_.Shape().roles;
     settings.tenants = cluster_.Shape().tenancy;
+    settings.warm_up = cluster_.Shape().group.tolerated;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
     Tick(life);
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -86,12 +86,37 @@
   if (connection == found->second.connections.end()) {
     return;
   }
+  CheckCold(found->second, request);
   connection->second.queue.push_back(request);
   if (!connection->second.busy) {
     RunNext(found->second, number);
   }
 }
 
+void DatabaseGroup::MakeCold(SimulatedInstance& instance) {
+  if (shape_.warm_up.time == Duration(0)) {
+    return;
+  }
+  instance.cold_until = world_.Now() + shape_.warm_up.time;
+  // It says when it is warm, as its heartbeats would.
+  world_.After(shape_.warm_up.time, [this] { on_change(); });
+}
+
+void DatabaseGroup::CheckCold(const SimulatedInstance& instance,
+                              const model::InstanceRequest& request) {
+  const auto* session = std::get_if<model::SessionRequest>(&request);
+  const bool counted = session != nullptr && !session->request_id.empty();
+  if (!counted || world_.Now() >= instance.cold_until) {
+    return;
+  }
+  const std::size_t arrived = cold_arrivals_.Note(instance.id, world_.Now());
+  const double most = shape_.warm_up.rate * shape_.tolerated.overage + shape_.tolerated.slack;
+  if (static_cast<double>(arrived) > most) {
+    world_.Report("FAILBACK", instance.id + " got " + std::to_string(arrived) +
+                                  " requests in a second while it was cold");
+  }
+}
+
 void DatabaseGroup::RunNext(SimulatedInstance& instance, std::uint64_t number) {
   ServerConnection& connection = instance.connections.at(number);
   if (connection.queue.empty()) {
@@ -514,6 +539,7 @@
   SimulatedInstance& instance = found->second;
   instance.alive = true;
   instance.fenced_term = 0;
+  MakeCold(instance);
   SimulatedInstance* leader = Primary();
   if (leader != nullptr && leader->id != id && leader->term > instance.term) {
     instance.primary = false;
@@ -539,6 +565,7 @@
   instance.id = id;
   SimulatedInstance* leader = Primary();
   instance.term = leader == nullptr ? 1 : leader->term;
+  MakeCold(instance);
   instances_.emplace(id, std::move(instance));
   if (leader != nullptr) {
     Replicate(leader->id);
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -13,11 +13,14 @@
 #include <vector>
 
 #include "common/position.h"
+#include "model/catalog.h"
 #include "model/reply.h"
 #include "model/request.h"
+#include "proxysim/cold_arrivals.h"
 #include "proxysim/history.h"
 #include "proxysim/key_history.h"
 #include "proxysim/world.h"
+#include "warm_up/warm_up_rule.h"
 
 namespace valvekeel::proxysim {
 
@@ -60,6 +63,7 @@
   bool deaf = false;  // receives nothing
   std::map<std::uint64_t, ServerConnection> connections;
   std::size_t running = 0;
+  common::Instant cold_until{0};
 };
 
 /// Limits of a simulated group.
@@ -70,6 +74,8 @@
   std::size_t most_connections = 34;
   std::uint32_t sync_replicas = 1;
   common::Duration promote_time{300'000};
+  model::WarmUp warm_up;          // of instances that start while the day runs; off by default
+  warm_up::tolerance tolerated;   // beyond its rate
 };
 
 class DatabaseGroup {
@@ -114,6 +120,10 @@
     std::string instance;
   };
 
+  /// The instance starts now.
+  void MakeCold(SimulatedInstance& instance);
+  /// Checks how many callers' requests a cold instance gets.
+  void CheckCold(const SimulatedInstance& instance, const model::InstanceRequest& request);
   void RunNext(SimulatedInstance& instance, std::uint64_t number);
   void Execute(const std::string& instance, std::uint64_t number,
                const model::InstanceRequest& request);
@@ -145,6 +155,7 @@
   std::map<std::string, SimulatedInstance> instances_;
   std::vector<PendingCommit> pending_;
   double lost_answers_ = 0;
+  ColdArrivals cold_arrivals_;
 };
 
 }  // namespace valvekeel::proxysim
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -338,8 +338,16 @@
   shape.tenancy.revocation_limit = options.key_proof ? kRevocationLimit : Duration(0);
 }
 
+void AddWarmUp(const ScenarioOptions& options, ClusterShape& shape) {
+  if (options.warm_up) {
+    shape.group.warm_up = {std::chrono::seconds(6), 8};
+    shape.group.tolerated = {1.5, 5};
+  }
+}
+
 ClusterShape ShapeOf(const ScenarioOptions& options) {
   ClusterShape shape;
+  AddWarmUp(options, shape);
   shape.mechanisms = options.mechanisms;
   AddTenants(options, shape);
   if (options.large) {
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -25,6 +25,7 @@
   bool tenants = false;     // callers have keys, which are taken away and passed on
   bool key_proof = true;    // off: daemons need no proof that keys are in force
   bool large = false;       // many daemons before few connections: sessions are relayed
+  bool warm_up = false;     // instances that start are cold for a while
   proxy::Mechanisms mechanisms;
   bool print_log = false;  // prints the daemons' log lines
 };
