--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -74,8 +74,8 @@
   std::size_t most_connections = 34;
   std::uint32_t sync_replicas = 1;
   common::Duration promote_time{300'000};
-  model::WarmUp warm_up;          // of instances that start while the day runs; off by default
-  warm_up::tolerance tolerated;   // beyond its rate
+  model::WarmUp warm_up;         // of instances that start while the day runs; off by default
+  warm_up::tolerance tolerated;  // beyond its rate
 };
 
 class DatabaseGroup {
--- a/src/warm_up/cold_instances.cc
+++ b/src/warm_up/cold_instances.cc
@@ -44,18 +44,11 @@
 }
 
 void cold_instances::note_entry(const model::InstanceEntry& entry, common::Instant now) {
-  const auto known = this->told.find(entry.id);
-  if (entry.warm_up_left <= common::Duration(0)) {
-    if (known != this->told.end()) {
-      this->told.erase(known);
-    }
-    return;
-  }
-  // An entry that is read again, or changes in other fields, tells of the same start.
-  if (known != this->told.end() && known->second.left == entry.warm_up_left) {
-    return;
+  if (entry.warm_up_left > common::Duration(0)) {
+    this->told[entry.id] = now + entry.warm_up_left;
+  } else {
+    this->told.erase(entry.id);
   }
-  this->told[entry.id] = {entry.warm_up_left, now + entry.warm_up_left};
 }
 
 void cold_instances::note_first_contact(const std::string& id, common::Instant now) {
@@ -77,16 +70,15 @@
   const auto ended = [&](const auto& each) { return now >= each.second + longest; };
   std::erase_if(this->restarts, ended);
   std::erase_if(this->zones_returned, ended);
-  std::erase_if(this->contacts,
-                [&](const auto& each) { return now >= each.second + ENTRY_DELAY; });
+  std::erase_if(this->contacts, [&](const auto& each) { return now >= each.second + ENTRY_DELAY; });
 }
 
 std::optional<common::Instant> cold_instances::told_until(const model::InstanceEntry& entry,
                                                           common::Instant now) const {
   const auto found = this->told.find(entry.id);
   const bool cold = this->warm_up_of(entry.service) != nullptr && found != this->told.end() &&
-                    now < found->second.until;
-  return cold ? std::optional(found->second.until) : std::nullopt;
+                    now < found->second;
+  return cold ? std::optional(found->second) : std::nullopt;
 }
 
 std::optional<cold_state> cold_instances::find(const model::InstanceEntry& entry,
--- a/src/warm_up/cold_instances.h
+++ b/src/warm_up/cold_instances.h
@@ -62,7 +62,7 @@
   /** @return the service's warm-up, or nothing if it has none. */
   const model::WarmUp* warm_up_of(const std::string& service) const;
 
-  /** Takes an instance's entry, which has just arrived. */
+  /** Takes an instance's entry, which has just arrived and was not known before. */
   void note_entry(const model::InstanceEntry& entry, common::Instant now);
 
   /** The instance's entry is gone: the next one counts in full. */
@@ -99,17 +99,12 @@
                                             common::Instant now) const;
 
  private:
-  struct told_time {
-    common::Duration left{0};  // as the entry has it
-    common::Instant until{0};
-  };
-
-  std::map<std::string, model::WarmUp> warm_ups;           // by service, those in force alone
-  std::map<std::string, told_time> told;                   // by instance
-  std::map<std::string, common::Instant> restarts;         // by instance
-  std::map<std::string, common::Instant> contacts;         // by instance
+  std::map<std::string, model::WarmUp> warm_ups;    // by service, those in force alone
+  std::map<std::string, common::Instant> told;      // until when, by instance
+  std::map<std::string, common::Instant> restarts;  // by instance
+  std::map<std::string, common::Instant> contacts;  // by instance
   std::optional<common::Instant> fresh_as_of;
-  std::map<std::string, common::Instant> zones_returned;   // by zone
+  std::map<std::string, common::Instant> zones_returned;  // by zone
 };
 
 }  // namespace valvekeel::warm_up
--- a/src/warm_up/holder.h
+++ b/src/warm_up/holder.h
@@ -36,10 +36,10 @@
 
 /** The other daemons as this one hears them. */
 struct hearing {
-  std::size_t alive = 0;          // daemons that are heard, this one included
-  std::size_t lately = 0;         // that were heard in the last seconds
-  std::size_t direct = 0;         // that this one exchanges messages with, and hears
-  std::size_t direct_hearing = 0; // of those, who confirm that they hear this one
+  std::size_t alive = 0;           // daemons that are heard, this one included
+  std::size_t lately = 0;          // that were heard in the last seconds
+  std::size_t direct = 0;          // that this one exchanges messages with, and hears
+  std::size_t direct_hearing = 0;  // of those, who confirm that they hear this one
 };
 
 /** Names of the daemons that may send work, by service. */
--- a/src/warm_up/warm_up_rule.cc
+++ b/src/warm_up/warm_up_rule.cc
@@ -45,8 +45,7 @@
     ++this->counts.held_back;
     return {access::verdict::later, COLD_REASON, held_back_pause(*state, now)};
   }
-  const std::size_t most =
-      sending_limit(*this->cold.warm_up_of(instance.service), this->allowed);
+  const std::size_t most = sending_limit(*this->cold.warm_up_of(instance.service), this->allowed);
   if (most == 0) {
     ++this->counts.held_back;
     return {access::verdict::later, COLD_REASON, left};
