Operators see cold instances: log events, metrics, explain; tests of the wiring

Change: instance_cold, instance_warm; valvekeel_cold_instances, valvekeel_cold_requests_total, valvekeel_barred_total; explain names instance_cold as a cause. Tests of BackendSet, the follower's refresh, the counting of statements, a daemon that starts, a connection that breaks, no warm-up.

--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -73,10 +73,12 @@
   for (auto line = account.context.rbegin(); line != account.context.rend(); ++line) {
     const bool tells = line->event == "primary_lost" || line->event == "instance_lost" ||
                        line->event == "failover_started" || line->event == "store_lost" ||
-                       line->event == "instance_draining" || line->event == "thawed";
+                       line->event == "instance_draining" || line->event == "instance_cold" ||
+                       line->event == "thawed";
     if (tells) {
       cause += "; before that " + line->event;
-      const std::string reason = Field(*line, "reason");
+      const bool cold = line->event == "instance_cold";
+      const std::string reason = Field(*line, cold ? "known_by" : "reason");
       cause += reason.empty() ? "" : " (" + reason + ")";
       break;
     }
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -97,6 +97,14 @@
   Gauge("valvekeel_resent_reads_total", "Reads sent again for want of an answer", {},
         static_cast<double>(counters.resent_reads));
   TenantGauges(proxy, now);
+  for (const auto& [reason, count] : counters.barred) {
+    Gauge("valvekeel_barred_total", "Statements that no instance may run, refused or rolled back",
+          {{"reason", reason}}, static_cast<double>(count));
+  }
+  Gauge("valvekeel_cold_instances", "Instances that are spared since they have just started", {},
+        static_cast<double>(proxy.ColdInstances()));
+  Gauge("valvekeel_cold_requests_total", "Requests sent to such instances", {},
+        static_cast<double>(proxy.WarmUps().sent_cold()));
   for (const auto& [code, count] : counters.errors) {
     Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
           static_cast<double>(count));
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -105,6 +105,8 @@
   const SessionRelay& Relay() const { return relay_; }
   const membership::live_view& View() const { return view_; }
   const warm_up::warm_up_rule& WarmUps() const { return warm_up_; }
+  /// @return how many instances count as cold here.
+  std::size_t ColdInstances() const { return cold_since_.size(); }
 
   /// @return how many other daemons are taken to be alive.
   std::size_t LiveDaemons(common::Instant now) const {
--- a/src/warm_up/warm_up_rule.cc
+++ b/src/warm_up/warm_up_rule.cc
@@ -42,12 +42,10 @@
   }
   const common::Duration left = state->until - now;
   if (!this->sender.is_holder(instance.service, instance.id, now)) {
-    ++this->counts.held_back;
     return {access::verdict::later, COLD_REASON, held_back_pause(*state, now)};
   }
   const std::size_t most = sending_limit(*this->cold.warm_up_of(instance.service), this->allowed);
   if (most == 0) {
-    ++this->counts.held_back;
     return {access::verdict::later, COLD_REASON, left};
   }
   const std::size_t requests = asked.continues_transaction ? NEXT_REQUESTS : FIRST_REQUESTS;
@@ -55,7 +53,6 @@
   const common::Instant room =
       window == this->windows.end() ? now : window->second.room_at(most, requests, now);
   if (room > now) {
-    ++this->counts.held_back;
     return {access::verdict::later, COLD_REASON, std::min(left, room - now)};
   }
   return {access::verdict::overflow, COLD_REASON, {}};
@@ -81,7 +78,7 @@
   }
   this->windows[instance.id].add(requests, now);
   if (this->cold.find(instance, now)) {
-    this->counts.sent_cold += requests;
+    this->total_sent_cold += requests;
   }
 }
 
--- a/src/warm_up/warm_up_rule.h
+++ b/src/warm_up/warm_up_rule.h
@@ -57,12 +57,6 @@
  */
 std::size_t sending_limit(const model::WarmUp& warm_up, const tolerance& allowed);
 
-/** Counts of what the rule did. */
-struct warm_up_counters {
-  std::uint64_t held_back = 0;  // answers that sent work elsewhere or away
-  std::uint64_t sent_cold = 0;  // requests to cold instances
-};
-
 class warm_up_rule : public access::rule, public life_observer {
  public:
   warm_up_rule(std::string self, tolerance allowed, bool limited = true);
@@ -90,7 +84,8 @@
   cold_instances& instances() { return this->cold; }
   const cold_instances& instances() const { return this->cold; }
   holder& role() { return this->sender; }
-  const warm_up_counters& counters() const { return this->counts; }
+  /** @return how many requests went to cold instances. */
+  std::uint64_t sent_cold() const { return this->total_sent_cold; }
 
  private:
   tolerance allowed;
@@ -98,7 +93,7 @@
   cold_instances cold;
   holder sender;
   std::map<std::string, send_window> windows;  // by instance
-  mutable warm_up_counters counts;
+  std::uint64_t total_sent_cold = 0;
 };
 
 }  // namespace valvekeel::warm_up
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -68,4 +68,19 @@
   CHECK(account.cause.empty());
 }
 
+TEST_CASE("A request refused for a cold instance is explained with how that is known",
+          "[explain][warm_up]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":1,\"seq\":4,\"mono_ms\":90,\"process\":\"d1\",\"event\":\"instance_cold\","
+      "\"service\":\"g\",\"instance\":\"i-1\",\"known_by\":\"its entry\",\"left_ms\":\"6000\"}\n"
+      "{\"life\":1,\"seq\":9,\"mono_ms\":99,\"process\":\"d1\",\"event\":\"request_failed\","
+      "\"request\":\"r1\",\"error\":\"busy\",\"reason\":\"retry_after_ms=300 cold\","
+      "\"service\":\"g\"}\n",
+      logs);
+  const std::string cause = Explain(logs, "r1").cause;
+  CHECK(cause.find("retry_after_ms=300 cold") != std::string::npos);
+  CHECK(cause.find("instance_cold (its entry)") != std::string::npos);
+}
+
 }  // namespace valvekeel::explain
--- a/tests/metadata/collection_follower_test.cc
+++ b/tests/metadata/collection_follower_test.cc
@@ -136,4 +136,44 @@
   CHECK(follower.Next(Instant(4)));
 }
 
+TEST_CASE("A refresh lists the newest state at once, then the watches go on", "[metadata]") {
+  CollectionFollower follower = Listed();
+  follower.SetPace({kWait, kLongest});
+  follower.Next(Instant(3));
+  follower.Answer({ReadStatus::kOk, 11, {}}, Instant(4), 0);
+  REQUIRE_FALSE(follower.Next(Instant(5)));  // changes gather
+  CHECK_FALSE(follower.FreshAsOf());
+  follower.Refresh();
+  const auto list = follower.Next(Instant(6));
+  REQUIRE(list);
+  CHECK_FALSE(list->after_revision);
+  CHECK_FALSE(list->may_be_old);
+  follower.Answer({ReadStatus::kOk, 12, {Object("a", 12)}}, Instant(9), 0);
+  CHECK(follower.FreshAsOf() == Instant(6));
+  CHECK_FALSE(follower.Refreshing());
+  CHECK(follower.Next(Instant(9) + kLongest)->after_revision == 12);
+}
+
+TEST_CASE("A refresh that the store does not answer is tried again", "[metadata]") {
+  CollectionFollower follower = Listed();
+  follower.Refresh();
+  REQUIRE(follower.Next(Instant(3)));
+  follower.Answer({ReadStatus::kNoAnswer, 0, {}}, Instant(4), 0);
+  CHECK(follower.Refreshing());
+  CHECK_FALSE(follower.FreshAsOf());
+  const auto list = follower.Next(Instant(5'000'000));
+  REQUIRE(list);
+  CHECK_FALSE(list->may_be_old);
+}
+
+TEST_CASE("A watch shows the present once it could have brought what was missed", "[metadata]") {
+  CollectionFollower follower = Listed();
+  CHECK_FALSE(follower.Watches(Instant(3)));
+  follower.Next(Instant(3));
+  CHECK_FALSE(follower.Watches(Instant(4)));
+  CHECK(follower.Watches(Instant(500'000)));
+  follower.SetPace({kWait, kLongest});
+  CHECK_FALSE(follower.Watches(Instant(500'000)));
+}
+
 }  // namespace valvekeel::metadata
--- a/tests/proxy/backend_set_test.cc
+++ b/tests/proxy/backend_set_test.cc
@@ -18,10 +18,23 @@
   void OnCapacity(Instant) override {}
 };
 
+/// Counts what it is told of an instance's life.
+class CountingLives : public warm_up::life_observer {
+ public:
+  void may_have_restarted(const model::InstanceEntry&, Instant) override { ++restarts; }
+  void same_life(const model::InstanceEntry&) override { ++same_lives; }
+  void first_contact(const model::InstanceEntry&, Instant) override { ++contacts; }
+
+  int restarts = 0;
+  int same_lives = 0;
+  int contacts = 0;
+};
+
 /// One instance with so many open connections.
 struct BackendFixture {
   BackendFixture(std::size_t connections, bool watched) {
     backends.SetObserver(&observer);
+    backends.SetLifeObserver(&lives);
     model::InstanceEntry entry;
     entry.id = "i";
     entry.service = "group";
@@ -37,10 +50,23 @@
     }
   }
 
+  /// Opens a connection more. @return its number.
+  ConnectionNumber OpenOne(Instant now) {
+    outbox.Take();
+    backends.SetConnectionLimit("group", Count() + 1);
+    REQUIRE(backends.Open(*backends.Find("i"), now));
+    const ConnectionNumber number = std::get<OpenConnection>(outbox.Take().back()).connection;
+    backends.Opened(number, now);
+    return number;
+  }
+
+  ConnectionNumber First() { return backends.Find("i")->Connections().begin()->first; }
+
   std::size_t Count() { return backends.Find("i")->Connections().size(); }
 
   Outbox outbox;
   NoObserver observer;
+  CountingLives lives;
   BackendSet backends{outbox};
 };
 
@@ -97,4 +123,61 @@
   CHECK_FALSE(fixture.backends.MayOpenFor(backend, waiting));
 }
 
+TEST_CASE("An instance that is first connected to is told as such, once", "[proxy][warm_up]") {
+  BackendFixture fixture(3, true);
+  CHECK(fixture.lives.contacts == 1);
+  CHECK(fixture.lives.restarts == 0);
+}
+
+TEST_CASE("An instance that is reached again after a break may have started again",
+          "[proxy][warm_up]") {
+  BackendFixture fixture(1, false);
+  fixture.backends.Closed(fixture.First(), kStart);
+  CHECK(fixture.lives.restarts == 0);
+  fixture.OpenOne(kStart + Duration(50'000));
+  CHECK(fixture.lives.restarts == 1);
+  fixture.OpenOne(kStart + Duration(60'000));
+  CHECK(fixture.lives.restarts == 1);
+}
+
+TEST_CASE("An instance that was not reached for a while may have started again",
+          "[proxy][warm_up]") {
+  BackendFixture fixture(1, false);
+  fixture.backends.Close(*fixture.backends.Find("i"), fixture.First());
+  fixture.backends.SetConnectionLimit("group", 1);
+  REQUIRE(fixture.backends.Open(*fixture.backends.Find("i"), kStart));
+  fixture.backends.OpenFailed(fixture.First(), OpenFailure::kRefused, model::ErrorCode::kFailed,
+                              kStart);
+  fixture.OpenOne(kStart + kLong);
+  CHECK(fixture.lives.restarts == 1);
+}
+
+TEST_CASE("A connection that outlives the break of another takes the doubt away",
+          "[proxy][warm_up]") {
+  BackendFixture fixture(2, true);
+  const Instant broken = kStart + kLong;
+  const ConnectionNumber lost = fixture.First();
+  fixture.backends.Closed(lost, broken);
+  fixture.OpenOne(broken);
+  REQUIRE(fixture.lives.restarts == 1);
+  fixture.backends.Control(
+      "i", {model::ControlKind::kStatus, 0}, [](const auto&, Instant) {}, broken);
+  const ConnectionNumber asked = std::get<SendRequests>(fixture.outbox.Take().back()).connection;
+  model::Reply reply;
+  reply.succeeded = true;
+  fixture.backends.Answered(asked, reply, broken + Duration(1'000));
+  CHECK(fixture.lives.same_lives == 1);
+}
+
+TEST_CASE("A daemon that gave its connections up a moment ago need not ask", "[proxy][warm_up]") {
+  BackendFixture fixture(1, false);
+  fixture.backends.Close(*fixture.backends.Find("i"), fixture.First());
+  fixture.OpenOne(kStart + Duration(100'000));
+  CHECK(fixture.lives.contacts == 1);
+  fixture.backends.Close(*fixture.backends.Find("i"), fixture.First());
+  fixture.OpenOne(kStart + kLong);
+  CHECK(fixture.lives.contacts == 2);
+  CHECK(fixture.lives.restarts == 0);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -203,4 +203,19 @@
   CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
 }
 
+TEST_CASE("A statement is counted when its preparation is sent, and not again", "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kBegin);
+  fixture.Ask(model::CommandKind::kRead);
+  const ConnectionNumber connection = fixture.SentTo();
+  REQUIRE(connection == fixture.connections["p"]);
+  CHECK(fixture.rule.sent["p"] == 2);  // the begin, and the read that will follow
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  fixture.backends.Answered(connection, reply, kStart);
+  CHECK(fixture.SentTo() == connection);
+  CHECK(fixture.rule.sent["p"] == 2);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/proxy_test.cc
+++ b/tests/proxy/proxy_test.cc
@@ -55,4 +55,104 @@
   CHECK(HeartbeatsTo(kPeer, proxy.TakeActions()) == 1);
 }
 
+namespace {
+
+/// A daemon that is alone before one service; answers its calls to the store.
+struct LoneDaemon {
+  explicit LoneDaemon(Duration warm_up_time) : proxy(MakeSettings(), 1) {
+    configuration.version = 1;
+    model::Service& service = configuration.services["ledger"];
+    service.name = "ledger";
+    service.max_connections = 30;
+    service.warm_up = {warm_up_time, 8};
+    entry.id = "a";
+    entry.service = "ledger";
+  }
+
+  /// Lets time pass. Every call to the store is answered at once, every connection opens.
+  void Run(Duration time) {
+    for (const Instant end = now + time; now < end; now += kTick) {
+      proxy.Tick(now);
+      for (const Action& action : proxy.TakeActions()) {
+        if (const auto* read = std::get_if<ReadCatalog>(&action)) {
+          Answer(*read);
+        } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+          proxy.ConnectionOpened(open->connection, now);
+          connection = open->connection;
+        }
+      }
+    }
+  }
+
+  void Answer(const ReadCatalog& read) {
+    if (read.read.collection == model::Collection::kInstances) {
+      const bool list = !read.read.after_revision;
+      lists += list ? 1 : 0;
+      fresh_lists += list && !read.read.may_be_old ? 1 : 0;
+    }
+    if (read.read.after_revision) {
+      return;  // nothing changes
+    }
+    metadata::ReadResult result{metadata::ReadStatus::kOk, 5, {}};
+    if (read.read.collection == model::Collection::kConfiguration) {
+      result.objects.push_back({"main", 2, false, configuration});
+    } else if (read.read.collection == model::Collection::kInstances) {
+      result.objects.push_back({"a", 3, false, entry});
+    }
+    proxy.CatalogRead(read.call, result, now);
+  }
+
+  Proxy proxy;
+  model::Configuration configuration;
+  model::InstanceEntry entry;
+  Instant now = kStart;
+  ConnectionNumber connection = 0;
+  int lists = 0;
+  int fresh_lists = 0;
+};
+
+}  // namespace
+
+TEST_CASE("A daemon that starts before warm instances takes them for warm soon",
+          "[proxy][warm_up]") {
+  LoneDaemon daemon(Duration(6'000'000));
+  daemon.Run(Duration(2'300'000));  // connections open when the other daemons had time to greet
+  REQUIRE(daemon.connection != 0);
+  CHECK(daemon.proxy.ColdInstances() == 0);
+  daemon.Run(Duration(2'000'000));
+  CHECK(daemon.proxy.ColdInstances() == 0);
+}
+
+TEST_CASE("A daemon that starts knows of a cold instance by its entry", "[proxy][warm_up]") {
+  LoneDaemon daemon(Duration(6'000'000));
+  daemon.entry.warm_up_left = Duration(4'000'000);
+  daemon.Run(Duration(3'000'000));
+  CHECK(daemon.proxy.ColdInstances() == 1);
+  daemon.Run(Duration(1'500'000));
+  CHECK(daemon.proxy.ColdInstances() == 0);
+}
+
+TEST_CASE("An instance whose only connection broke is spared for the whole time",
+          "[proxy][warm_up]") {
+  LoneDaemon daemon(Duration(6'000'000));
+  daemon.Run(Duration(4'000'000));
+  REQUIRE(daemon.connection != 0);
+  daemon.proxy.ConnectionClosed(daemon.connection, daemon.now);
+  daemon.Run(Duration(5'900'000));
+  CHECK(daemon.proxy.ColdInstances() == 1);
+  daemon.Run(Duration(500'000));
+  CHECK(daemon.proxy.ColdInstances() == 0);
+}
+
+TEST_CASE("Without a warm-up no list is read again and no instance is cold", "[proxy][warm_up]") {
+  LoneDaemon daemon(Duration(0));
+  daemon.entry.warm_up_left = Duration(4'000'000);
+  daemon.Run(Duration(3'000'000));
+  daemon.proxy.ConnectionClosed(daemon.connection, daemon.now);
+  daemon.Run(Duration(1'000'000));
+  CHECK(daemon.lists == 1);
+  CHECK(daemon.fresh_lists == 0);
+  CHECK(daemon.proxy.ColdInstances() == 0);
+}
+
 }  // namespace valvekeel::proxy
