--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -23,6 +23,8 @@
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
 ABSL_FLAG(bool, evacuations, false, "zones are evacuated, and taken back");
 ABSL_FLAG(bool, no_evacuation_bound, false, "instances of evacuated zones are only avoided");
+ABSL_FLAG(bool, warm_up, false, "instances that start are to be spared for a while");
+ABSL_FLAG(bool, warm_up_limit, true, "off: they are not, to see the checker FAILBACK report");
 ABSL_FLAG(std::vector<std::string>, control_cost, {},
           "instead of days: what control costs deployments of these sizes, e.g. 30,100,300");
 ABSL_FLAG(bool, print_log, false, "print the daemons' log lines");
@@ -104,6 +106,8 @@
     options.large = absl::GetFlag(FLAGS_large);
     options.evacuations = absl::GetFlag(FLAGS_evacuations);
     options.mechanisms.evacuation_bound = !absl::GetFlag(FLAGS_no_evacuation_bound);
+    options.warm_up = absl::GetFlag(FLAGS_warm_up);
+    options.mechanisms.warm_up_limit = absl::GetFlag(FLAGS_warm_up_limit);
     options.print_log = absl::GetFlag(FLAGS_print_log);
     const auto result = valvekeel::proxysim::RunScenario(options);
     attempts += result.attempts;
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -114,6 +114,10 @@
           "Requests refused and transactions rolled back for want of an instance that may run them",
           {{"reason", reason}}, static_cast<double>(count));
   }
+  Gauge("valvekeel_cold_instances", "Instances that are spared since they have just started", {},
+        static_cast<double>(proxy.ColdInstances()));
+  Gauge("valvekeel_cold_requests_total", "Requests sent to such instances", {},
+        static_cast<double>(proxy.WarmUps().sent_cold()));
   for (const auto& [code, count] : counters.errors) {
     Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
           static_cast<double>(count));
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,6 +12,9 @@
 constexpr common::Duration kCrowdedPause{80'000};      // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
+/// An instance that was heard this shortly ago has not started again unless its connections broke:
+/// in between a daemon only gave its own connections up.
+constexpr common::Duration kShortGap{500'000};
 /// Time after which a connection beyond the first is given up: what a daemon holds when it loses
 /// power, its instances hold against everybody for seconds.
 constexpr common::Duration kIdleKept{700'000};
@@ -253,17 +256,35 @@
     return;
   }
   const bool was_unreachable = backend->Unreachable();
+  NoteLife(*backend, now);
   backend->Heard(now);
   if (was_unreachable) {
     outbox_.Log("instance_regained", {{"instance", backend->Entry().id}});
   }
   Connection* connection = backend->Find(number);
   connection->open = true;
+  connection->opened = now;
   connection->last_used = now;
   ServeControls(*backend, now);
   observer_->OnCapacity(now);
 }
 
+void BackendSet::NoteLife(Backend& backend, common::Instant now) {
+  const bool may_have_restarted = backend.life.note_opened();
+  if (life_observer_ == nullptr) {
+    return;
+  }
+  if (may_have_restarted) {
+    life_observer_->may_have_restarted(backend.Entry(), now);
+    return;
+  }
+  const bool connected = std::any_of(backend.Connections().begin(), backend.Connections().end(),
+                                     [](const auto& each) { return each.second.open; });
+  if (!connected && !backend.HeardWithin(kShortGap, now)) {
+    life_observer_->first_contact(backend.Entry(), now);
+  }
+}
+
 void BackendSet::OpenFailed(ConnectionNumber number, OpenFailure failure, model::ErrorCode error,
                             common::Instant now) {
   Backend* backend = Owner(number);
@@ -278,6 +299,7 @@
     const bool was_unreachable = backend->Unreachable();
     backend->OpenFailed(now, failure != OpenFailure::kSilent);
     if (!was_unreachable && backend->Unreachable()) {
+      backend->life.note_break(now);
       outbox_.Log("instance_lost",
                   {{"instance", backend->Entry().id}, {"reason", OpenFailureName(failure)}},
                   LogLevel::kWarning);
@@ -307,6 +329,10 @@
   connection->outstanding.pop_front();
   connection->state = reply.state;
   connection->last_used = now;
+  const bool lives_on = backend->life.note_answered(connection->opened, outstanding.sent);
+  if (lives_on && life_observer_ != nullptr) {
+    life_observer_->same_life(backend->Entry());
+  }
   if (outstanding.purpose == Purpose::kControl) {
     FinishControl(outstanding.control, reply.status, now);
     // The callback may have closed the connection.
@@ -337,6 +363,7 @@
   Connection lost = std::move(*connection);
   owners_.erase(number);
   backend->Remove(number);
+  backend->life.note_break(now);
   for (const Outstanding& outstanding : lost.outstanding) {
     if (outstanding.purpose == Purpose::kControl) {
       FinishControl(outstanding.control, std::nullopt, now);
@@ -381,6 +408,7 @@
           }
           probed->ProbeFailed(at);
           if (probed->Unreachable()) {
+            probed->life.note_break(at);
             outbox_.Log("instance_lost", {{"instance", id}, {"reason", "silent"}},
                         LogLevel::kWarning);
           }
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -56,6 +56,7 @@
       evacuation_reads_(settings_.evacuation_limit),
       evacuation_rule_(evacuations_,
                        {settings_.evacuation_limit, settings_.mechanisms.evacuation_bound}),
+      warm_up_(settings_.name, settings_.warm_up, settings_.mechanisms.warm_up_limit),
       admission_(settings_.tenants),
       allocator_(settings_.tenants),
       peers_(settings_.name, settings_.incarnation),
@@ -74,6 +75,8 @@
   if (FollowsEvacuations()) {
     access_.add(evacuation_rule_);
   }
+  backends_.SetLifeObserver(&warm_up_);
+  access_.add(warm_up_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
     if (seed_peer != settings_.peer) {
       peers_.Add(seed_peer);
@@ -226,6 +229,7 @@
 }
 
 void Proxy::Apply(const CatalogUpdate& update, common::Instant now) {
+  NoteWarmUps(update, now);
   for (const model::InstanceEntry& instance : update.instances) {
     backends_.SetEntry(instance, now);
     groups_.Get(instance.service, now);
@@ -256,6 +260,7 @@
   const model::Configuration& configuration = catalog_.Configuration();
   admission_.set_configuration(configuration.version, configuration.tenants);
   allocator_.set_tenants(configuration.tenants, now);
+  ConfigureWarmUps(now);
   UpdateRoles(now);
   dispatcher_.SetConfiguration(&catalog_.Configuration(), now);
   relay_.SetConfiguration(&catalog_.Configuration(), now);
@@ -326,6 +331,7 @@
                                    roles_.coordinates() || roles_.owns(name));
     }
     EndGuests(in_use, now);
+    UpdateWarmUpRole(now);
   }
   if (large_) {
     ChoosePartners(now);
@@ -514,6 +520,7 @@
     UpdateRoles(now);
   }
   backends_.Tick(now);
+  AdvanceWarmUps(now);
   store_lease_.Tick(catalog_.Connected(), now);
   prover_.Tick({store_lease_.IsReader(), Admits(), catalog_.Connected()}, now);
   AdvanceEvacuations(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -35,6 +35,7 @@
 #include "relay/role_map.h"
 #include "tenants/admission.h"
 #include "tenants/rate_allocator.h"
+#include "warm_up/warm_up_rule.h"
 
 namespace valvekeel::proxy {
 
@@ -107,6 +108,9 @@
   const SessionRelay& Relay() const { return relay_; }
   const membership::live_view& View() const { return view_; }
   const evacuation::view_tracker& Evacuations() const { return evacuations_; }
+  const warm_up::warm_up_rule& WarmUps() const { return warm_up_; }
+  /// @return how many instances count as cold here.
+  std::size_t ColdInstances() const { return cold_since_.size(); }
 
   /// @return how many other daemons are taken to be alive.
   std::size_t LiveDaemons(common::Instant now) const {
@@ -189,6 +193,13 @@
   /// @return true if others rely on this daemon for the state of all groups.
   bool TellsAll() const;
   void AdvanceHeartbeats(common::Instant now);
+  // Instances that have just started: proxy_warm_up.cc.
+  void ConfigureWarmUps(common::Instant now);
+  void NoteWarmUps(const CatalogUpdate& update, common::Instant now);
+  void UpdateWarmUpRole(common::Instant now);
+  void AdvanceWarmUps(common::Instant now);
+  void LogWarmUps(common::Instant now);
+  warm_up::hearing HeardDaemons(common::Instant now) const;
   void JudgeReadiness(common::Instant now);
   /// @return true if instances of all services that this daemon connects to are known.
   bool InstancesKnown() const;
@@ -203,6 +214,8 @@
   evacuation::evacuation_rule evacuation_rule_;
   std::optional<CallNumber> evacuation_call_;
   bool evacuations_changed_ = false;  // all should hear of it now
+  warm_up::warm_up_rule warm_up_;
+  std::map<std::string, common::Instant> cold_since_;  // by instance
   tenants::admission admission_;
   tenants::rate_allocator allocator_;
   PeerTable peers_;
--- a/src/proxy/proxy_evacuation.cc
+++ b/src/proxy/proxy_evacuation.cc
@@ -84,6 +84,7 @@
                                      {"source", source}});
   }
   for (const std::string& zone : change.ended) {
+    warm_up_.zone_returned(zone, now);
     outbox_.Log("evacuation_over", {{"zone", zone},
                                     {"revision", std::to_string(view.revision)},
                                     {"age_ms", AgeText(evacuations_.age(now))},
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -42,6 +42,7 @@
     settings.roles = cluster_.Shape().roles;
     settings.tenants = cluster_.Shape().tenancy;
     settings.evacuation_limit = cluster_.Shape().evacuation_limit;
+    settings.warm_up = cluster_.Shape().group.tolerated;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
     stopping_ = false;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -47,7 +47,13 @@
         &FaultInjector::CutPrimary,      &FaultInjector::LagReplicas,
         &FaultInjector::DeafReplica,     &FaultInjector::StoreTrouble,
         &FaultInjector::ReplacePrimary,  &FaultInjector::LoseAnswers};
-    (this->*kFaults[world_.Below(kKinds)])();
+    const bool zones_return = cluster_.Shape().group.warm_up.time > Duration(0);
+    const std::uint64_t drawn = world_.Below(zones_return ? kKinds + 1 : kKinds);
+    if (drawn == kKinds) {
+      CrashZone();
+    } else {
+      (this->*kFaults[drawn])();
+    }
   }
 
  private:
@@ -184,6 +190,23 @@
     Crash(group, AnyReplica(group), world_.Chance(0.5));
   }
 
+  /// The instances of a zone end at once, and come back one by one.
+  void CrashZone() {
+    const std::string zone = ZoneName(world_.Below(cluster_.Shape().zones));
+    Tell("crash the instances of " + zone);
+    for (auto& [service, group] : cluster_.Groups()) {
+      std::vector<std::string> lost;
+      for (const auto& [id, instance] : group->Instances()) {
+        if (cluster_.ZoneOf(id) == zone) {
+          lost.push_back(id);
+        }
+      }
+      for (const std::string& id : lost) {
+        Crash(*group, id, false);
+      }
+    }
+  }
+
   void CutPrimary() {
     DatabaseGroup& group = AnyGroup();
     if (group.Primary() == nullptr) {
@@ -385,8 +408,16 @@
   shape.tenancy.revocation_limit = options.key_proof ? kRevocationLimit : Duration(0);
 }
 
+void AddWarmUp(const ScenarioOptions& options, ClusterShape& shape) {
+  if (options.warm_up) {
+    shape.group.warm_up = {std::chrono::seconds(6), 8};
+    shape.group.tolerated = {1.5, 5};
+  }
+}
+
 ClusterShape ShapeOf(const ScenarioOptions& options) {
   ClusterShape shape;
+  AddWarmUp(options, shape);
   shape.mechanisms = options.mechanisms;
   AddTenants(options, shape);
   shape.evacuation_limit = options.evacuations ? kEvacuationLimit : Duration(0);
