--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -169,10 +169,6 @@
   return nullptr;
 }
 
-std::string Cluster::ZoneOf(const std::string& instance) const {
-  return ZoneName(std::hash<std::string>()(instance) % shape_.zones);
-}
-
 void Cluster::Announce(const DatabaseGroup& group, const SimulatedInstance& instance) {
   model::InstanceEntry entry;
   entry.id = instance.id;
