--- a/src/proxy/proxy_warm_up.cc
+++ b/src/proxy/proxy_warm_up.cc
@@ -98,7 +98,9 @@
     const model::InstanceEntry& entry = backend.Entry();
     const auto state = warm_up_.instances().find(entry, now);
     const auto since = cold_since_.find(id);
-    if (state && since == cold_since_.end()) {
+    // A daemon that has no connection to an instance for a while asks for its entry each time.
+    const bool told = state && !warm_up::awaits_entries(*state, now);
+    if (told && since == cold_since_.end()) {
       cold_since_[id] = now;
       outbox_.Log("instance_cold", {{"instance", id},
                                     {"service", entry.service},
--- a/src/warm_up/cold_instances.cc
+++ b/src/warm_up/cold_instances.cc
@@ -29,6 +29,10 @@
   return "unknown";
 }
 
+bool awaits_entries(const cold_state& state, common::Instant now) {
+  return state.source == cold_source::entries_old && state.until - now > ENTRY_DELAY - REFRESH_TIME;
+}
+
 void cold_instances::set_services(const std::map<std::string, model::Service>& services) {
   this->warm_ups.clear();
   for (const auto& [name, service] : services) {
--- a/src/warm_up/cold_instances.h
+++ b/src/warm_up/cold_instances.h
@@ -51,6 +51,12 @@
   cold_source source = cold_source::entry;  // of the longest reason
 };
 
+/** Time that a call for fresh entries may take before it counts as unanswered. */
+inline constexpr common::Duration REFRESH_TIME{200'000};
+
+/** @return true if the instance counts as cold only until fresh entries come, which is soon. */
+bool awaits_entries(const cold_state& state, common::Instant now);
+
 class cold_instances {
  public:
   /** Takes the services' warm-ups as configured. */
--- a/src/warm_up/warm_up_rule.cc
+++ b/src/warm_up/warm_up_rule.cc
@@ -15,9 +15,7 @@
 /** @return after which a daemon that may not use the instance may try again. */
 common::Duration held_back_pause(const cold_state& state, common::Instant now) {
   const common::Duration left = state.until - now;
-  const bool refreshing =
-      state.source == cold_source::entries_old && left > ENTRY_DELAY - REFRESH_TIME;
-  return std::min(left, refreshing ? REFRESH_PAUSE : HELD_BACK_PAUSE);
+  return std::min(left, awaits_entries(state, now) ? REFRESH_PAUSE : HELD_BACK_PAUSE);
 }
 
 }  // namespace
--- a/src/warm_up/warm_up_rule.h
+++ b/src/warm_up/warm_up_rule.h
@@ -32,12 +32,8 @@
  */
 inline constexpr common::Duration HELD_BACK_PAUSE{300'000};
 
-/**
- * The same while fresh entries are on their way, which takes a call to the store; given up after
- * REFRESH_TIME.
- */
+/** The same while fresh entries are on their way, which takes a call to the store. */
 inline constexpr common::Duration REFRESH_PAUSE{20'000};
-inline constexpr common::Duration REFRESH_TIME{200'000};
 
 /**
  * A primary that turns warm sooner than this stays: its replacement takes about as long (fences
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "proxy/dispatcher.h"
+#include "warm_up/warm_up_rule.h"
 
 namespace valvekeel::proxy {
 namespace {
@@ -218,4 +219,51 @@
   CHECK(fixture.rule.sent["p"] == 2);
 }
 
+namespace {
+
+/// The same with the rule for instances that have just started; this daemon may use no cold one.
+struct WarmUpFixture : AccessFixture {
+  WarmUpFixture() {
+    configuration.services["ledger"].warm_up = {std::chrono::seconds(6), 8};
+    warm_up.instances().set_services(configuration.services);
+    access.add(warm_up);
+  }
+
+  void MakeCold(const std::string& id) {
+    warm_up.may_have_restarted(backends.Find(id)->Entry(), kStart);
+  }
+
+  warm_up::warm_up_rule warm_up{"d", {1.5, 5}};
+};
+
+}  // namespace
+
+TEST_CASE("What only cold instances could serve is refused at once", "[proxy][warm_up]") {
+  WarmUpFixture fixture;
+  fixture.MakeCold("p");
+  fixture.MakeCold("r");
+  fixture.Ask(model::CommandKind::kRead);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error_text == "retry_after_ms=300 cold");
+}
+
+TEST_CASE("A write is refused at once while the primary is cold", "[proxy][warm_up]") {
+  WarmUpFixture fixture;
+  fixture.MakeCold("p");
+  fixture.Ask(model::CommandKind::kWrite);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kBusy);
+}
+
+TEST_CASE("A read goes to the warm instance while the other is cold", "[proxy][warm_up]") {
+  WarmUpFixture fixture;
+  fixture.MakeCold("r");
+  fixture.Ask(model::CommandKind::kRead);
+  CHECK(fixture.SentTo() == fixture.connections["p"]);
+}
+
 }  // namespace valvekeel::proxy
