--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -21,6 +21,8 @@
 ABSL_FLAG(std::uint64_t, faults, 6, "faults in a day");
 ABSL_FLAG(bool, draw_shape, false, "draw the deployment too");
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
+ABSL_FLAG(bool, regions, false, "two regions, to which routes and tenants are limited by turns");
+ABSL_FLAG(bool, tenants, false, "callers have keys, which are taken away and passed on");
 ABSL_FLAG(std::vector<std::string>, control_cost, {},
           "instead of days: what control costs deployments of these sizes, e.g. 30,100,300");
 ABSL_FLAG(bool, print_log, false, "print the daemons' log lines");
@@ -100,6 +102,8 @@
     options.faults = absl::GetFlag(FLAGS_faults);
     options.draw_shape = absl::GetFlag(FLAGS_draw_shape);
     options.large = absl::GetFlag(FLAGS_large);
+    options.regions = absl::GetFlag(FLAGS_regions);
+    options.tenants = absl::GetFlag(FLAGS_tenants);
     options.print_log = absl::GetFlag(FLAGS_print_log);
     const auto result = valvekeel::proxysim::RunScenario(options);
     attempts += result.attempts;
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -78,6 +78,7 @@
   std::string database;
   tenants::key_digest key;  // by which the caller is known
   bool accepted = false;
+  bool handed_over = false;  // by another daemon
   common::Instant started{0};
   SessionValues values;
   std::map<std::string, model::PreparedStatement> prepared;
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -27,6 +27,15 @@
     const Session session = *Find(number);
     sessions_.erase(number);
     SessionStarted(number, session.database, session.key, now);
+    if (session.handed_over) {
+      NoteHandedOver(number);
+    }
+  }
+}
+
+void Dispatcher::NoteHandedOver(SessionNumber number) {
+  if (Session* session = Find(number)) {
+    session->handed_over = true;
   }
 }
 
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -36,6 +36,13 @@
   std::map<std::string, std::uint64_t> barred;  // refused or ended by access rules, by reason
 };
 
+/// How long the end of a session waits.
+enum class EndWhen : std::uint8_t {
+  kResting,   // until it rests outside a transaction
+  kAnswered,  // until no answer is awaited
+  kAtOnce,
+};
+
 class Dispatcher : public ConnectionObserver {
  public:
   Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
@@ -54,6 +61,13 @@
   void OnLost(Backend& backend, Connection& connection, common::Instant now) override;
   void OnCapacity(common::Instant now) override;
 
+  /// The session was handed over by another daemon. One that was refused is not known any more.
+  void NoteHandedOver(SessionNumber number);
+
+  /// Ends those chosen that may end now. @return how many are left.
+  std::size_t EndSessions(const std::function<bool(const CallerSession&)>& chosen, EndWhen when,
+                          common::Instant now);
+
   void Tick(common::Instant now);
 
   /// Ends sessions that rest; with `all`, also those in a transaction.
@@ -164,8 +178,6 @@
   void Abandon(Session& session, common::Instant now);
 
   // Time.
-  /// Ends those without an operation that are chosen.
-  void EndSessions(const std::function<bool(const Session&)>& chosen, common::Instant now);
   void CheckOperation(Session& session, common::Instant now);
   void CheckTransaction(Session& session, common::Instant now);
   bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
--- a/src/proxy/dispatcher_access.cc
+++ b/src/proxy/dispatcher_access.cc
@@ -29,12 +29,16 @@
   const access::work work = WorkOf(session);
   const std::string& service = session.operation->route.service;
   if (NeedsPrimary(session)) {
-    // A primary that lets work through again soon is waited for; one that is closed is replaced if
-    // another instance can take its place.
+    // A primary that lets work through again soon is waited for. So is one that is closed if it
+    // should not lead: another takes its place. One that should lead stays, and what it may not run
+    // nobody will.
     const Backend* primary = backends_.Find(groups_.UsablePrimary(service, now));
     const access::answer answer =
         primary == nullptr ? access::answer() : access_.judge(primary->Entry(), work, now);
-    if (answer.outcome == access::verdict::later) {
+    const bool stays =
+        answer.outcome == access::verdict::closed &&
+        access_.judge_leader(primary->Entry(), now).fitness == model::LeaderFitness::kFit;
+    if (answer.outcome == access::verdict::later || stays) {
       return answer;
     }
   }
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -168,30 +168,40 @@
 }
 
 void Dispatcher::CloseResting(bool all, common::Instant now) {
-  EndSessions([all](const Session& session) { return all || !session.transaction.open; }, now);
+  EndSessions([](const Session&) { return true; }, all ? EndWhen::kAnswered : EndWhen::kResting,
+              now);
 }
 
 void Dispatcher::EndResting(const std::string& service, common::Instant now) {
   EndSessions(
       [&](const Session& session) {
         const model::Route* route = RouteOf(session);
-        return !session.transaction.open && route != nullptr && route->service == service;
+        return route != nullptr && route->service == service;
       },
-      now);
+      EndWhen::kResting, now);
 }
 
-void Dispatcher::EndSessions(const std::function<bool(const Session&)>& chosen,
-                             common::Instant now) {
+std::size_t Dispatcher::EndSessions(const std::function<bool(const CallerSession&)>& chosen,
+                                    EndWhen when, common::Instant now) {
+  std::size_t left = 0;
   std::vector<SessionNumber> ending;
   for (const auto& [number, session] : sessions_) {
-    if (!session.operation && chosen(session)) {
+    if (!chosen(session)) {
+      continue;
+    }
+    const bool answered = !session.operation;
+    const bool rests = answered && !session.transaction.open;
+    if (rests || when == EndWhen::kAtOnce || (answered && when == EndWhen::kAnswered)) {
       ending.push_back(number);
+    } else {
+      ++left;
     }
   }
   for (const SessionNumber number : ending) {
     outbox_.Emit(CloseSession{number});
     SessionClosed(number, now);
   }
+  return left;
 }
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -53,6 +53,8 @@
 
 Proxy::Proxy(ProxySettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
+      regions_(regions::region_directory(settings_.regions)),
+      region_rule_(regions_),
       admission_(settings_.tenants),
       allocator_(settings_.tenants),
       peers_(settings_.name, settings_.incarnation),
@@ -65,8 +67,9 @@
       store_lease_(settings_, groups_, roles_, outbox_),
       prover_(settings_, admission_, outbox_),
       dispatcher_(settings_, backends_, groups_, admission_, access_, outbox_),
-      relay_(settings_, roles_, peers_, view_, admission_, dispatcher_, outbox_),
+      relay_(settings_, roles_, peers_, view_, admission_, regions_, dispatcher_, outbox_),
       random_(seed) {
+  access_.add(region_rule_);
   backends_.SetObserver(&dispatcher_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
     if (seed_peer != settings_.peer) {
@@ -247,6 +250,7 @@
   admission_.set_configuration(configuration.version, configuration.tenants);
   allocator_.set_tenants(configuration.tenants, now);
   UpdateRoles(now);
+  ApplyRegions(now);
   dispatcher_.SetConfiguration(&catalog_.Configuration(), now);
   relay_.SetConfiguration(&catalog_.Configuration(), now);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -29,6 +29,8 @@
 #include "proxy/proxy_settings.h"
 #include "proxy/session_relay.h"
 #include "proxy/store_lease.h"
+#include "regions/region_policy.h"
+#include "regions/region_rule.h"
 #include "relay/role_map.h"
 #include "tenants/admission.h"
 #include "tenants/rate_allocator.h"
@@ -118,6 +120,8 @@
   };
   void Apply(const CatalogUpdate& update, common::Instant now);
   void ApplyConfiguration(common::Instant now);
+  /// Takes the regions of a new configuration's routes and tenants.
+  void ApplyRegions(common::Instant now);
   void UpdateRoles(common::Instant now);
   /// Ends sessions of services that this daemon has not owned for a while.
   /// @return true if this daemon needs not ask the store by itself: one that follows the store
@@ -182,6 +186,8 @@
   ProxySettings settings_;
   Outbox outbox_;
   access::rule_set access_;
+  regions::region_policy regions_;
+  regions::region_rule region_rule_;
   tenants::admission admission_;
   tenants::rate_allocator allocator_;
   PeerTable peers_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -29,6 +29,7 @@
   bool session_reset = true;       // a connection's values are those of its session
   bool tenant_connections = true;  // a connection serves one tenant
   bool unknown_outcomes = true;    // a write whose answer is lost is not sent again
+  bool allowed_regions = true;     // work stays in the regions where it may run
 };
 
 /// What a deployment tolerates beyond a starting instance's rate (model::WarmUp), in any second.
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -10,7 +10,9 @@
 constexpr common::Duration kStalenessMargin{30'000};
 /// Left of the drain limit, for statements on their way when it is reached.
 constexpr common::Duration kDrainMargin{1'500'000};
-constexpr double kOtherZoneUs = 12'000;   // time of the way and price of the bytes
+constexpr double kOtherZoneUs = 12'000;  // time of the way and price of the bytes
+/// The same of another region: on the users' sites regions are 12 ms apart one way, zones 3 ms.
+constexpr double kOtherRegionUs = 30'000;
 constexpr double kPrimaryUs = 8'000;      // the primary is left to writes
 constexpr double kLaggingUs = 1'000'000;  // tried only if nothing else is left
 constexpr double kCrowdedUs = 30'000;
@@ -43,7 +45,8 @@
 }
 
 bool ReadPlacement::TakesWork(const Backend& backend, common::Instant now) const {
-  const common::Duration usable = drain_limit_ - std::min(kDrainMargin, drain_limit_);
+  const common::Duration usable =
+      settings_.drain_limit - std::min(kDrainMargin, settings_.drain_limit);
   const bool leaves = backend.draining_since || backend.gone_since;
   const common::Instant since =
       std::min(backend.draining_since.value_or(now), backend.gone_since.value_or(now));
@@ -51,13 +54,20 @@
   return !left && !backend.Unreachable() && !backend.Silent(now);
 }
 
+double ReadPlacement::WayCost(const std::string& zone) const {
+  if (zone == settings_.zone) {
+    return 0;
+  }
+  const auto region = settings_.regions.find(zone);
+  const bool other_region = region != settings_.regions.end() && region->second != settings_.region;
+  return other_region ? kOtherRegionUs : kOtherZoneUs;
+}
+
 double ReadPlacement::Cost(const Backend& backend, common::Instant now) const {
   const double slots = std::max<double>(1, backend.Entry().slots);
   const auto busy = static_cast<double>(backend.Busy());
   double cost = backend.LatencyUs() * (1 + busy / slots);
-  if (backend.Entry().zone != zone_) {
-    cost += kOtherZoneUs;
-  }
+  cost += WayCost(backend.Entry().zone);
   if (now < backend.AvoidUntil()) {
     cost += kCrowdedUs;
   }
--- a/src/proxy/read_placement.h
+++ b/src/proxy/read_placement.h
@@ -38,10 +38,7 @@
  public:
   ReadPlacement(const ProxySettings& settings, const BackendSet& backends,
                 const access::rule_set& access)
-      : zone_(settings.zone),
-        drain_limit_(settings.drain_limit),
-        backends_(backends),
-        access_(access) {}
+      : settings_(settings), backends_(backends), access_(access) {}
 
   /// @param usable_primary empty if there is none now. @return places in order of cost; behind
   /// them those that take only what the others have no room for.
@@ -64,14 +61,15 @@
   bool TakesWork(const Backend& backend, common::Instant now) const;
 
  private:
+  /// @return what the way to a zone adds to the cost.
+  double WayCost(const std::string& zone) const;
   double Cost(const Backend& backend, common::Instant now) const;
   /// @return the place, without regard to the access rules; nothing if the read can't run there.
   std::optional<Placement> PlaceAt(const Backend& backend, bool primary,
                                    const std::optional<Requirement>& required,
                                    common::Instant now) const;
 
-  const std::string& zone_;
-  common::Duration drain_limit_;
+  const ProxySettings& settings_;
   const BackendSet& backends_;
   const access::rule_set& access_;
 };
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "regions/region_rule.h"
+
 namespace valvekeel::proxy {
 namespace {
 
@@ -18,12 +20,15 @@
 
 SessionRelay::SessionRelay(const ProxySettings& settings, const relay::role_map& roles,
                            const PeerTable& peers, const membership::live_view& view,
-                           const tenants::admission& admission, Dispatcher& dispatcher,
+                           const tenants::admission& admission,
+                           const regions::region_policy& regions, Dispatcher& dispatcher,
                            Outbox& outbox)
-    : roles_(roles),
+    : zone_(settings.zone),
+      roles_(roles),
       peers_(peers),
       view_(view),
       admission_(admission),
+      regions_(regions),
       dispatcher_(dispatcher),
       outbox_(outbox),
       sessions_(settings.zone, roles, *this) {}
@@ -57,11 +62,15 @@
     started_[session] = {database, key, origin.least_configuration, now};
     return;
   }
-  if (origin.handed_over && LacksProof(database, now)) {
-    outbox_.Emit(CloseSession{session});  // without an error: another owner may have proof
+  if (origin.handed_over) {
+    Take(session, {database, key, origin.least_configuration, now}, now);
     return;
   }
-  if (!origin.handed_over && BelongsElsewhere(database)) {
+  if (BelongsElsewhere(database)) {
+    if (!regions_.allows_anywhere(database, admission_.tenant_of(key))) {
+      RefuseOutside(session, database);
+      return;
+    }
     relayed_[session] = {database, key, 0, now};
     sessions_.start(session, ServiceOf(database), admission_.tenant_of(key), now);
     return;
@@ -69,6 +78,64 @@
   dispatcher_.SessionStarted(session, database, key, now);
 }
 
+void SessionRelay::RefuseOutside(SessionNumber session, const std::string& database) {
+  outbox_.Log("session_refused",
+              {{"database", database},
+               {"reason", regions::OUTSIDE_REGIONS},
+               {"version", std::to_string(configuration_->version)}},
+              LogLevel::kWarning);
+  outbox_.Emit(CloseSession{
+      session, true, model::ErrorCode::kBusy,
+      "retry_after_ms=" + Milliseconds(regions::COME_BACK) + " " + regions::OUTSIDE_REGIONS});
+}
+
+void SessionRelay::Take(SessionNumber session, const Start& start, common::Instant now) {
+  const bool outside = !MayHold(start.database, start.key, zone_);
+  if (outside) {
+    outbox_.Log("relayed_session_declined",
+                {{"session", std::to_string(session)}, {"reason", regions::OUTSIDE_REGIONS}},
+                LogLevel::kWarning);
+  }
+  if (outside || LacksProof(start.database, now)) {
+    outbox_.Emit(CloseSession{session});  // without an error: another owner may take it
+    return;
+  }
+  dispatcher_.SessionStarted(session, start.database, start.key, now);
+  dispatcher_.NoteHandedOver(session);
+}
+
+bool SessionRelay::MayHold(const std::string& database, const tenants::key_digest& key,
+                           const std::string& zone) const {
+  return !regions_.active() || regions_.allows(database, admission_.tenant_of(key), zone);
+}
+
+bool SessionRelay::may_hold(relay::session_number session, const std::string& zone) const {
+  const Start& start = relayed_.at(session);
+  return MayHold(start.database, start.key, zone);
+}
+
+void SessionRelay::RegionsChanged(common::Instant now) {
+  sessions_.regions_changed(now);
+  outside_since_ = outside_since_.value_or(now);
+  EndOutside(now);
+}
+
+void SessionRelay::EndOutside(common::Instant now) {
+  if (!outside_since_) {
+    return;
+  }
+  const common::Duration since = now - *outside_since_;
+  const EndWhen when = since >= relay::MOVE_DEADLINE ? EndWhen::kAtOnce
+                       : since >= relay::MOVE_LIMIT  ? EndWhen::kAnswered
+                                                     : EndWhen::kResting;
+  const auto outside = [this](const CallerSession& session) {
+    return session.handed_over && !MayHold(session.database, session.key, zone_);
+  };
+  if (dispatcher_.EndSessions(outside, when, now) == 0) {
+    outside_since_.reset();
+  }
+}
+
 void SessionRelay::SessionClosed(SessionNumber session) {
   started_.erase(session);
   relayed_.erase(session);
@@ -87,12 +154,13 @@
   for (const SessionNumber session : ready) {
     const Start start = started_.at(session);
     started_.erase(session);
-    dispatcher_.SessionStarted(session, start.database, start.key, now);
+    Take(session, start, now);
   }
 }
 
 void SessionRelay::Tick(common::Instant now) {
   sessions_.tick(now);
+  EndOutside(now);
   std::vector<SessionNumber> late;
   for (const auto& [session, start] : started_) {
     if (now >= start.arrived + kConfigurationLimit) {
@@ -102,6 +170,7 @@
   for (const SessionNumber session : late) {
     outbox_.Log("relayed_session_declined",
                 {{"session", std::to_string(session)},
+                 {"reason", "configuration not in force"},
                  {"needed_version", std::to_string(started_.at(session).least_configuration)}},
                 LogLevel::kWarning);
     started_.erase(session);
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -3,11 +3,13 @@
 // Carries relay::relayed_sessions out by actions, and holds sessions that another daemon handed
 // over until the configuration they need is in force here.
 //
-// Owns: the relayed sessions, and those handed over that wait. Invariant: a session that was handed
-// over is never handed on. Pure. Thread: its host's.
+// Owns: the relayed sessions, and those handed over. Invariant: a session that was handed over is
+// never handed on, and is served here only while its requests may be held here. Pure. Thread: its
+// host's.
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "membership/live_view.h"
@@ -15,6 +17,7 @@
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
+#include "regions/region_policy.h"
 #include "relay/relayed_sessions.h"
 #include "relay/role_map.h"
 
@@ -31,10 +34,13 @@
  public:
   SessionRelay(const ProxySettings& settings, const relay::role_map& roles, const PeerTable& peers,
                const membership::live_view& view, const tenants::admission& admission,
-               Dispatcher& dispatcher, Outbox& outbox);
+               const regions::region_policy& regions, Dispatcher& dispatcher, Outbox& outbox);
 
   void SetConfiguration(const model::Configuration* configuration, common::Instant now);
 
+  /// To be called after a configuration that changed where work may run.
+  void RegionsChanged(common::Instant now);
+
   void SessionStarted(SessionNumber session, const std::string& database,
                       const tenants::key_digest& key, const SessionOrigin& origin,
                       common::Instant now);
@@ -54,6 +60,7 @@
 
   bool alive(const std::string& daemon, common::Instant now) const override;
   bool stays(const std::string& daemon, common::Instant now) const override;
+  bool may_hold(relay::session_number session, const std::string& zone) const override;
   void open_link(relay::session_number session, const std::string& owner) override;
   void close_link(relay::session_number session) override;
   void serve_here(relay::session_number session, common::Instant now) override;
@@ -70,22 +77,35 @@
     common::Instant arrived{0};
   };
 
+  /// Refuses a session whose work may run in no region, before it asks any daemon for anything.
+  void RefuseOutside(SessionNumber session, const std::string& database);
+  /// Serves a session that was handed over, or declines it.
+  void Take(SessionNumber session, const Start& start, common::Instant now);
+  /// @return true if daemons of the zone may hold requests of the database's callers.
+  bool MayHold(const std::string& database, const tenants::key_digest& key,
+               const std::string& zone) const;
+  /// Ends sessions handed over whose requests may not be held here any more.
+  void EndOutside(common::Instant now);
   bool HeardLately(const std::string& daemon, common::Instant now) const;
   bool BelongsElsewhere(const std::string& database) const;
   /// @return true if callers of the database can't be admitted here for want of proof.
   bool LacksProof(const std::string& database, common::Instant now) const;
   std::string ServiceOf(const std::string& database) const;
 
+  const std::string& zone_;  // of this daemon
   const relay::role_map& roles_;
   const PeerTable& peers_;
   const membership::live_view& view_;
   const tenants::admission& admission_;
+  const regions::region_policy& regions_;
   Dispatcher& dispatcher_;
   Outbox& outbox_;
   const model::Configuration* configuration_ = nullptr;
   relay::relayed_sessions sessions_;
   std::map<SessionNumber, Start> relayed_;  // first messages of relayed sessions
   std::map<SessionNumber, Start> started_;  // handed over, waiting for their configuration
+  /// Since when sessions handed over may be here whose requests may not be held here.
+  std::optional<common::Instant> outside_since_;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -170,6 +170,7 @@
   attempt.id = std::string("r") + std::to_string(next_attempt_++);
   attempt.session = caller->session;
   attempt.service = caller->service;
+  attempt.database = caller->route.database;
   attempt.consistency = caller->route.consistency;
   attempt.max_staleness = caller->route.max_staleness;
   attempt.began = cluster_.Surroundings().Now();
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -36,14 +36,26 @@
   return static_cast<std::uint16_t>(kFirst + std::hash<std::string>()(original) % kPorts);
 }
 
+std::map<std::string, std::string> RegionsOf(const ClusterShape& shape) {
+  std::map<std::string, std::string> regions;
+  for (std::size_t zone = 0; shape.regions > 0 && zone < shape.zones; ++zone) {
+    regions[ZoneName(zone)] = RegionName(zone % shape.regions);
+  }
+  return regions;
+}
+
 }  // namespace
 
 std::string ZoneName(std::size_t number) { return std::string("zone-") + std::to_string(number); }
 
+std::string RegionName(std::size_t number) {
+  return std::string("region-") + std::to_string(number);
+}
+
 std::string TenantName(std::size_t number) { return "tenant-" + std::to_string(number); }
 
 Cluster::Cluster(std::uint64_t seed, const ClusterShape& shape)
-    : world_(seed), history_(world_), store_(world_), shape_(shape) {
+    : world_(seed), history_(world_), store_(world_), shape_(shape), regions_(RegionsOf(shape)) {
   configuration_.version = 1;
   configuration_.transaction_idle = std::chrono::seconds(3);
   for (std::size_t number = 0; number < shape_.groups; ++number) {
@@ -51,6 +63,12 @@
     auto group = std::make_unique<DatabaseGroup>(world_, history_, service, shape_.group);
     DatabaseGroup* made = group.get();
     made->keys = shape_.tenants > 0 ? &keys_ : nullptr;
+    if (shape_.regions > 0) {
+      group->on_statement = [this](const CallerAttempt& attempt, const SimulatedInstance& instance,
+                                   const std::string& daemon) {
+        CheckRegion(attempt, ZoneOfInstance(instance.id), daemon);
+      };
+    }
     group->on_change = [this, made] { AnnounceAll(*made); };
     groups_.emplace(service, std::move(group));
     configuration_.services[service] = {service,
@@ -79,9 +97,48 @@
 }
 
 void Cluster::WriteConfiguration() {
+  regions_.Note(configuration_, world_.Now());
   store_.Put(Collection::kConfiguration, "main", configuration_);
 }
 
+std::map<std::string, std::string> Cluster::Regions() const { return RegionsOf(shape_); }
+
+std::string Cluster::ZoneOfInstance(const std::string& instance) const {
+  return ZoneName(std::hash<std::string>()(instance) % shape_.zones);
+}
+
+void Cluster::LimitRoute(const std::string& database, const std::vector<std::string>& regions) {
+  configuration_.routes.at(database).allowed_regions = regions;
+  ChangeConfiguration();
+}
+
+void Cluster::LimitTenant(const std::string& tenant, const std::vector<std::string>& regions) {
+  configuration_.tenants.at(tenant).allowed_regions = regions;
+  ChangeConfiguration();
+}
+
+DaemonHost* Cluster::DaemonNamed(const std::string& name) {
+  for (const auto& daemon : daemons_) {
+    if (daemon->Name() == name) {
+      return daemon.get();
+    }
+  }
+  return nullptr;
+}
+
+void Cluster::CheckRegion(const CallerAttempt& attempt, const std::string& zone,
+                          const std::string& daemon) {
+  DaemonHost* deciding = DaemonNamed(daemon);
+  std::optional<std::uint64_t> known;
+  if (deciding != nullptr && deciding->Alive()) {
+    known = deciding->Decisions()->CatalogView().Configuration().version;
+  }
+  if (!regions_.Allows(attempt, zone, known)) {
+    world_.Report("HOME", attempt.id + " of " + attempt.database + " " + attempt.key + " is in " +
+                              zone + ", sent by " + daemon);
+  }
+}
+
 void Cluster::MakeTenants() {
   constexpr std::size_t kKeysOfTenant = 2;
   for (std::size_t number = 0; number < shape_.tenants; ++number) {
@@ -137,7 +194,7 @@
   entry.id = instance.id;
   entry.service = group.Service();
   entry.address = {"10.128.0.1", AddressPort(instance.id)};
-  entry.zone = ZoneName(std::hash<std::string>()(instance.id) % shape_.zones);
+  entry.zone = ZoneOfInstance(instance.id);
   entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
   entry.draining = instance.draining;
   entry.primary = instance.primary;
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -13,6 +13,7 @@
 #include "proxysim/database_group.h"
 #include "proxysim/history.h"
 #include "proxysim/key_history.h"
+#include "proxysim/region_checker.h"
 #include "proxysim/store.h"
 #include "proxysim/world.h"
 
@@ -22,6 +23,7 @@
 struct ClusterShape {
   std::size_t daemons = 6;
   std::size_t zones = 3;
+  std::size_t regions = 0;  // over which the zones are spread; 0: regions are not told
   std::size_t groups = 3;
   GroupShape group;
   proxy::Mechanisms mechanisms;
@@ -57,6 +59,20 @@
   /// Writes a further version of the configuration.
   void ChangeConfiguration();
 
+  /// Limits a route's or a tenant's work to regions, by a further version of the configuration.
+  void LimitRoute(const std::string& database, const std::vector<std::string>& regions);
+  void LimitTenant(const std::string& tenant, const std::vector<std::string>& regions);
+
+  /// @return the region of each zone; empty where regions are not told.
+  std::map<std::string, std::string> Regions() const;
+
+  /// @return the zone where an instance stands.
+  std::string ZoneOfInstance(const std::string& instance) const;
+
+  /// Reports HOME if a daemon has sent an attempt to a zone where it may not be.
+  void CheckRegion(const CallerAttempt& attempt, const std::string& zone,
+                   const std::string& daemon);
+
   /// Writes an instance's entry as it would itself.
   void Announce(const DatabaseGroup& group, const SimulatedInstance& instance);
 
@@ -72,12 +88,14 @@
   void WriteConfiguration();
   void GiveKey(const std::string& key, const std::string& tenant);
   void MakeTenants();
+  DaemonHost* DaemonNamed(const std::string& name);
 
   World world_;
   History history_;
   KeyHistory keys_;
   SimulatedStore store_;
   ClusterShape shape_;
+  RegionChecker regions_;
   model::Configuration configuration_;
   std::map<std::string, std::unique_ptr<DatabaseGroup>> groups_;
   std::vector<std::unique_ptr<DaemonHost>> daemons_;
@@ -89,6 +107,9 @@
 /// @return the name of a zone.
 std::string ZoneName(std::size_t number);
 
+/// @return the name of a region.
+std::string RegionName(std::size_t number);
+
 /// @return the name of a tenant.
 std::string TenantName(std::size_t number);
 
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -33,6 +33,8 @@
     proxy::ProxySettings settings;
     settings.name = name_;
     settings.zone = zone_;
+    settings.regions = cluster_.Regions();
+    settings.region = settings.regions.empty() ? "" : settings.regions.at(zone_);
     settings.mechanisms = cluster_.Shape().mechanisms;
     settings.incarnation = life;
     settings.peer = address_;
@@ -133,6 +135,7 @@
 void DaemonHost::Command(proxy::SessionNumber number, const proxy::CallerCommand& command) {
   const auto relay = relays_.find(number);
   if (relay != relays_.end()) {
+    CheckHolder(*relay->second.owner, command.request_id);
     ToOwner(relay->second, [session = relay->second.owner_session, command](DaemonHost& owner) {
       owner.Command(session, command);
     });
@@ -142,6 +145,13 @@
   });
 }
 
+void DaemonHost::CheckHolder(const DaemonHost& owner, const std::string& request_id) {
+  const CallerAttempt* attempt = cluster_.Record().Find(request_id);
+  if (cluster_.Shape().regions > 0 && attempt != nullptr) {
+    cluster_.CheckRegion(*attempt, owner.Zone(), name_);
+  }
+}
+
 void DaemonHost::CloseSession(proxy::SessionNumber number) {
   callers_.erase(number);
   starts_.erase(number);
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -62,6 +62,7 @@
   bool Alive() const { return proxy_ != nullptr; }
   bool Ready() const { return Alive() && ready_; }
   const std::string& Name() const { return name_; }
+  const std::string& Zone() const { return zone_; }
   const common::Endpoint& Address() const { return address_; }
   proxy::Proxy* Decisions() { return proxy_.get(); }
   const TrafficCounters& Traffic() const { return traffic_; }
@@ -79,6 +80,8 @@
   std::uint64_t Life() const { return life_; }
 
  private:
+  /// Checks that an owner may hold a caller's request.
+  void CheckHolder(const DaemonHost& owner, const std::string& request_id);
   /// Gives a relayed session's owner an event after the network's delay, if it is reached.
   void ToOwner(const RelayLink& link, std::function<void(DaemonHost& owner)> event);
   /// @return the port over which an owner answers to a relayed session of this daemon.
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -105,6 +105,9 @@
   /// Told when the list of instances or what they say of themselves changes.
   const KeyHistory* keys = nullptr;  // checked against, if set
   std::function<void()> on_change;
+  /// Called with each statement that runs, and the daemon that sent it, if set.
+  std::function<void(const CallerAttempt&, const SimulatedInstance&, const std::string& daemon)>
+      on_statement;
 
  private:
   struct PendingCommit {
--- a/src/proxysim/history.h
+++ b/src/proxysim/history.h
@@ -22,6 +22,7 @@
   std::string id;
   std::uint64_t session = 0;
   std::string service;
+  std::string database;
   model::Consistency consistency = model::Consistency::kPrimary;
   common::Duration max_staleness{0};
   common::Instant began{0};
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -25,7 +25,9 @@
 const std::string kStore = "store";
 const std::string kPlatform = "platform";
 
-constexpr std::size_t kKeyChanges = 8;  // of a day with tenants
+constexpr std::size_t kKeyChanges = 8;     // of a day with tenants
+constexpr std::size_t kRegionChanges = 8;  // of a day with regions
+constexpr std::size_t kRegions = 2;
 
 /// Draws and carries out the faults of one day.
 class FaultInjector {
@@ -49,7 +51,34 @@
     (this->*kFaults[world_.Below(kKinds)])();
   }
 
+  /// Cuts everything in one region off from the other, and the other from the store or not.
+  void CutRegions() {
+    const std::map<std::string, std::string> regions = cluster_.Regions();
+    std::map<std::string, std::vector<std::string>> parties;
+    for (const auto& daemon : cluster_.Daemons()) {
+      parties[regions.at(daemon->Zone())].push_back(daemon->Name());
+    }
+    for (const auto& [service, group] : cluster_.Groups()) {
+      for (const auto& [id, instance] : group->Instances()) {
+        parties[regions.at(cluster_.ZoneOfInstance(id))].push_back(id);
+      }
+    }
+    if (world_.Chance(kStoreInOneRegion)) {
+      parties[RegionName(0)].insert(parties[RegionName(0)].end(), {kStore, kPlatform});
+    }
+    Tell("cut the regions");
+    const Duration length = Length();
+    for (const std::string& near : parties[RegionName(0)]) {
+      for (const std::string& far : parties[RegionName(1)]) {
+        world_.CutBoth(near, far);
+        world_.After(length, [this, near, far] { world_.HealBoth(near, far); });
+      }
+    }
+  }
+
  private:
+  static constexpr double kStoreInOneRegion = 0.5;
+
   Duration Length() { return world_.Between(kShortest, kLongest); }
 
   DaemonHost& AnyDaemon() { return *cluster_.Daemons()[world_.Below(cluster_.Daemons().size())]; }
@@ -328,6 +357,62 @@
   World& world_;
 };
 
+/// Limits routes and tenants to regions by turns.
+class RegionChanges {
+ public:
+  explicit RegionChanges(Cluster& cluster) : cluster_(cluster), world_(cluster.Surroundings()) {}
+
+  /// Draws limits for some route or tenant.
+  void Change() {
+    const std::size_t tenants = cluster_.Shape().tenants;
+    if (tenants > 0 && world_.Chance(kOfTenant)) {
+      cluster_.LimitTenant(TenantName(world_.Below(tenants)), Draw());
+      return;
+    }
+    const model::Configuration configuration = cluster_.CurrentConfiguration();
+    auto route = configuration.routes.begin();
+    std::advance(route, world_.Below(configuration.routes.size()));
+    cluster_.LimitRoute(route->first, Draw());
+  }
+
+  /// Limits each service's routes to a region where it has an instance, and no tenant.
+  void Settle() {
+    for (std::size_t tenant = 0; tenant < cluster_.Shape().tenants; ++tenant) {
+      cluster_.LimitTenant(TenantName(tenant), {});
+    }
+    const model::Configuration configuration = cluster_.CurrentConfiguration();
+    for (const auto& [database, route] : configuration.routes) {
+      cluster_.LimitRoute(database, {RegionOfService(route.service)});
+    }
+  }
+
+ private:
+  static constexpr double kOfTenant = 0.4;
+
+  std::vector<std::string> Draw() {
+    std::vector<std::string> regions;
+    for (std::size_t region = 0; region < kRegions; ++region) {
+      if (world_.Chance(0.5)) {
+        regions.push_back(RegionName(region));
+      }
+    }
+    return regions;
+  }
+
+  std::string RegionOfService(const std::string& service) {
+    const std::map<std::string, std::string> regions = cluster_.Regions();
+    for (const auto& [id, instance] : cluster_.Groups().at(service)->Instances()) {
+      if (instance.alive && !instance.draining) {
+        return regions.at(cluster_.ZoneOfInstance(id));
+      }
+    }
+    return RegionName(0);
+  }
+
+  Cluster& cluster_;
+  World& world_;
+};
+
 void AddTenants(const ScenarioOptions& options, ClusterShape& shape) {
   constexpr std::size_t kTenants = 4;
   if (!options.tenants) {
@@ -338,7 +423,7 @@
   shape.tenancy.revocation_limit = options.key_proof ? kRevocationLimit : Duration(0);
 }
 
-ClusterShape ShapeOf(const ScenarioOptions& options) {
+ClusterShape DrawnShape(const ScenarioOptions& options) {
   ClusterShape shape;
   shape.mechanisms = options.mechanisms;
   AddTenants(options, shape);
@@ -364,6 +449,15 @@
   return shape;
 }
 
+ClusterShape ShapeOf(const ScenarioOptions& options) {
+  ClusterShape shape = DrawnShape(options);
+  if (options.regions) {
+    shape.regions = kRegions;
+    shape.zones = std::max(shape.zones, kRegions);
+  }
+  return shape;
+}
+
 double ServedAtEnd(const Callers& callers, Instant end) {
   const auto last =
       static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(end).count());
@@ -410,6 +504,17 @@
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
     world.After(at, [&changes] { changes.Begin(); });
   }
+  RegionChanges regions(cluster);
+  if (options.regions) {
+    for (std::size_t change = 0; change < kRegionChanges; ++change) {
+      const Duration at = world.Between(Duration(0), options.calm_before + options.troubled);
+      world.After(at, [&regions] { regions.Change(); });
+    }
+    const Duration cut = options.calm_before + world.Between(Duration(0), options.troubled);
+    world.After(cut, [&injector] { injector.CutRegions(); });
+    world.After(options.calm_before + options.troubled + kLongest,
+                [&regions] { regions.Settle(); });
+  }
   const Instant end =
       world.Now() + options.calm_before + options.troubled + kLongest + options.calm_after;
   callers.StopAt(end);
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -22,6 +22,7 @@
   std::size_t faults = 6;
   std::size_t sessions = 40;
   bool draw_shape = false;  // draws numbers of daemons, zones, instances, replicas
+  bool regions = false;     // two regions; routes and tenants are limited to them by turns
   bool tenants = false;     // callers have keys, which are taken away and passed on
   bool key_proof = true;    // off: daemons need no proof that keys are in force
   bool large = false;       // many daemons before few connections: sessions are relayed
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -54,10 +54,59 @@
   return best;
 }
 
-std::string relayed_sessions::choose(const relayed_session& session, common::Instant now) const {
-  const std::string near =
-      this->pick(this->roles.owners_in(session.service, this->zone), session, now);
-  return near.empty() ? this->pick(this->roles.owners(session.service), session, now) : near;
+relayed_sessions::place relayed_sessions::choose(session_number number,
+                                                 const relayed_session& session,
+                                                 common::Instant now) const {
+  const bool may_stay = this->port.may_hold(number, this->zone);
+  if (may_stay) {
+    const std::string near =
+        this->pick(this->roles.owners_in(session.service, this->zone), session, now);
+    if (!near.empty()) {
+      return {near, this->zone};
+    }
+  }
+  return this->choose_elsewhere(number, session, !may_stay, now);
+}
+
+relayed_sessions::place relayed_sessions::choose_elsewhere(session_number number,
+                                                           const relayed_session& session,
+                                                           bool sent_away,
+                                                           common::Instant now) const {
+  std::vector<std::string> zones;
+  std::vector<std::string> owners;
+  std::map<std::string, std::string> zone_of;
+  for (const auto& [zone, of_zone] : this->roles.owners_by_zone(session.service)) {
+    if (!this->port.may_hold(number, zone)) {
+      continue;
+    }
+    zones.push_back(zone);
+    owners.insert(owners.end(), of_zone.begin(), of_zone.end());
+    for (const std::string& owner : of_zone) {
+      zone_of[owner] = zone;
+    }
+  }
+  if (!sent_away || session.tenant.empty()) {
+    const std::string owner = this->pick(owners, session, now);
+    return {owner, zone_of[owner]};
+  }
+  // Whole zones are sent away for good, not only when owners are lost: their tenants are spread.
+  for (const std::string& zone : this->spread(std::move(zones), session.tenant)) {
+    const std::string owner =
+        this->pick(this->roles.owners_in(session.service, zone), session, now);
+    if (!owner.empty()) {
+      return {owner, zone};
+    }
+  }
+  return {};
+}
+
+std::vector<std::string> relayed_sessions::spread(std::vector<std::string> zones,
+                                                  const std::string& tenant) const {
+  const std::string origin = this->zone + "/" + tenant;
+  std::sort(zones.begin(), zones.end(), [&](const std::string& a, const std::string& b) {
+    return common::StableHash(origin, a) > common::StableHash(origin, b);
+  });
+  return zones;
 }
 
 void relayed_sessions::start(session_number session, const std::string& service,
@@ -72,7 +121,8 @@
 
 void relayed_sessions::hand_over(session_number number, relayed_session& session,
                                  common::Instant now) {
-  const std::string owner = this->choose(session, now);
+  const place chosen = this->choose(number, session, now);
+  const std::string& owner = chosen.owner;
   if (owner.empty()) {
     ++this->counts.served_here;
     this->port.note("session_served_here", number, session.service, "");
@@ -82,6 +132,10 @@
     return;
   }
   session.owner = owner;
+  session.owner_zone = chosen.zone;
+  session.sent_away = !this->port.may_hold(number, this->zone);
+  session.returns = false;
+  session.outside_since.reset();
   session.opened = now;
   session.tried.insert(owner);
   ++this->sessions_by_owner[owner];
@@ -121,7 +175,10 @@
     --relayed.unanswered;
   }
   const bool leaving = this->closing || !this->port.stays(relayed.owner, now);
-  if (leaving && relayed.rests()) {
+  if (relayed.misplaced() && must_move(relayed, now)) {
+    ++this->counts.moved;
+    this->end(session);
+  } else if (leaving && relayed.rests()) {
     this->end(session);
   }
 }
@@ -185,7 +242,61 @@
   }
 }
 
+bool relayed_sessions::must_move(const relayed_session& session, common::Instant now) {
+  if (session.rests()) {
+    return true;
+  }
+  if (!session.outside_since) {
+    return false;
+  }
+  const bool waits = session.unanswered == 0;
+  return now >= *session.outside_since + (waits ? MOVE_LIMIT : MOVE_DEADLINE);
+}
+
+void relayed_sessions::regions_changed(common::Instant now) {
+  for (auto& [number, session] : this->sessions) {
+    const bool outside = !this->port.may_hold(number, session.owner_zone);
+    session.returns = session.sent_away && this->port.may_hold(number, this->zone);
+    if (!outside) {
+      session.outside_since.reset();
+    } else if (!session.outside_since) {
+      session.outside_since = now;
+      this->port.note("relay_owner_outside_regions", number, session.service, session.owner);
+    }
+    this->any_misplaced = this->any_misplaced || session.misplaced();
+  }
+  this->end_misplaced(now);
+}
+
+void relayed_sessions::end_misplaced(common::Instant now) {
+  if (!this->any_misplaced) {
+    return;
+  }
+  this->any_misplaced = false;
+  std::vector<session_number> early;
+  std::vector<session_number> ending;
+  for (const auto& [number, session] : this->sessions) {
+    if (!session.misplaced()) {
+      continue;
+    }
+    if (!session.is_accepted && session.commands == 0) {
+      early.push_back(number);
+    } else if (must_move(session, now)) {
+      ending.push_back(number);
+    } else {
+      this->any_misplaced = true;
+    }
+  }
+  for (const session_number number : early) {
+    this->port.close_link(number);
+    this->link_ended(number, now);
+  }
+  this->counts.moved += ending.size();
+  this->end_all(ending);
+}
+
 void relayed_sessions::tick(common::Instant now) {
+  this->end_misplaced(now);
   std::set<std::string> lost_owners;
   std::set<std::string> leaving_owners;
   this->note_owners(now, lost_owners, leaving_owners);
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -2,17 +2,19 @@
  * @file Callers' sessions that another daemon serves.
  *
  * A daemon that doesn't own a service hands each of its sessions to an owner, in its own zone if
- * there is one, and passes the bytes on both ways. Only what decides about such a session is here:
- * which owner, when to try the next, when to end the session.
+ * there is one that may hold it, and passes the bytes on both ways. Only what decides about such a
+ * session is here: which owner, when to try the next, when to end the session.
  *
  * Owns: what is known of each relayed session. Invariant: a session is handed to another owner only
- * as long as no command of it was passed on, so nothing runs twice. Pure. Thread: its host's.
+ * as long as no command of it was passed on, so nothing runs twice; it is handed to no zone that
+ * may not hold it. Pure. Thread: its host's.
  */
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +27,15 @@
 
 using session_number = std::uint64_t;
 
+/**
+ * Time from a change of regions until a session that its owner may no longer hold ends with the
+ * answer under way, also within a transaction. A configuration has to be in force 5 s after it was
+ * made, and reaches a daemon within 2 s.
+ */
+inline constexpr common::Duration MOVE_LIMIT{1'500'000};
+/** The same until it ends whatever is under way: a caller may send without awaiting answers. */
+inline constexpr common::Duration MOVE_DEADLINE{2'500'000};
+
 /** What the decisions about relayed sessions need from their surroundings. */
 class relay_port {
  public:
@@ -36,6 +47,9 @@
   /** @return true if the daemon is heard, and is not about to stop. */
   virtual bool stays(const std::string& daemon, common::Instant now) const = 0;
 
+  /** @return true if daemons of the zone may get the session's requests. */
+  virtual bool may_hold(session_number session, const std::string& zone) const = 0;
+
   /** Opens a link to an owner and passes on what the caller has sent so far. */
   virtual void open_link(session_number session, const std::string& owner) = 0;
 
@@ -59,6 +73,7 @@
   std::uint64_t retried = 0;      // handed to another owner before they were accepted
   std::uint64_t served_here = 0;  // for want of an owner
   std::uint64_t lost = 0;         // ended because the owner did
+  std::uint64_t moved = 0;        // ended because they belong to an owner of another region now
 };
 
 class relayed_sessions {
@@ -91,6 +106,13 @@
 
   void caller_closed(session_number session);
 
+  /**
+   * The regions where work may run have changed. A session whose owner may no longer hold it is
+   * handed on, or ends as it rests, or else after a while; one that was sent away from this zone
+   * and needs not be any more ends as it rests.
+   */
+  void regions_changed(common::Instant now);
+
   void tick(common::Instant now);
 
   /** From now on each session ends as soon as it rests. */
@@ -108,6 +130,10 @@
     std::string service;
     std::string tenant;
     std::string owner;
+    std::string owner_zone;
+    bool sent_away = false;                        // this daemon's zone may not hold it
+    bool returns = false;                          // sent away, and needs not be any more
+    std::optional<common::Instant> outside_since;  // the owner's zone may not hold it
     common::Instant opened{0};
     bool is_accepted = false;
     std::size_t unanswered = 0;
@@ -115,12 +141,26 @@
     model::TransactionState state = model::TransactionState::kIdle;
     std::set<std::string> tried;
 
+    bool misplaced() const { return this->returns || this->outside_since.has_value(); }
     bool rests() const {
       return this->unanswered == 0 && this->state == model::TransactionState::kIdle;
     }
   };
 
-  std::string choose(const relayed_session& session, common::Instant now) const;
+  /** An owner and its zone; both empty if there is none. */
+  struct place {
+    std::string owner;
+    std::string zone;
+  };
+
+  place choose(session_number number, const relayed_session& session, common::Instant now) const;
+  /** @return an owner of another zone that may hold the session. */
+  place choose_elsewhere(session_number number, const relayed_session& session, bool sent_away,
+                         common::Instant now) const;
+  /** @return the zones in the order in which sessions of the tenant try them from here. */
+  std::vector<std::string> spread(std::vector<std::string> zones, const std::string& tenant) const;
+  /** @return true if an accepted session ends now because it belongs elsewhere. */
+  static bool must_move(const relayed_session& session, common::Instant now);
   /** @return the owners that can take the session. */
   std::vector<std::string> usable(const std::vector<std::string>& owners,
                                   const relayed_session& session, common::Instant now) const;
@@ -134,6 +174,7 @@
   void note_owners(common::Instant now, std::set<std::string>& lost,
                    std::set<std::string>& leaving) const;
   void end_all(const std::vector<session_number>& numbers);
+  void end_misplaced(common::Instant now);
 
   std::string zone;
   const role_map& roles;
@@ -141,6 +182,7 @@
   std::map<session_number, relayed_session> sessions;
   std::map<std::string, std::size_t> sessions_by_owner;
   std::size_t unaccepted = 0;  // sessions that no owner has accepted yet
+  bool any_misplaced = false;  // some session belongs to another owner's region
   relay_counters counts;
   bool closing = false;
 };
--- a/src/relay/role_map.cc
+++ b/src/relay/role_map.cc
@@ -14,6 +14,7 @@
 constexpr const char* OWNER_POOL = "owner pool";
 constexpr std::size_t GUEST_CONNECTIONS = 1;
 const std::vector<std::string> NOBODY;
+const std::map<std::string, std::vector<std::string>> NOBODY_ANYWHERE;
 
 /** @return the first of the members: large machines first, then by a hash that all daemons share.
  */
@@ -206,6 +207,12 @@
   return owners == roles->owners_by_zone.end() ? NOBODY : owners->second;
 }
 
+const std::map<std::string, std::vector<std::string>>& role_map::owners_by_zone(
+    const std::string& service) const {
+  const service_roles* roles = this->find(service);
+  return roles == nullptr ? NOBODY_ANYWHERE : roles->owners_by_zone;
+}
+
 const std::vector<std::string>& role_map::owners(const std::string& service) const {
   const service_roles* roles = this->find(service);
   return roles == nullptr ? NOBODY : roles->all_owners;
--- a/src/relay/role_map.h
+++ b/src/relay/role_map.h
@@ -98,6 +98,10 @@
   const std::vector<std::string>& owners_in(const std::string& service,
                                             const std::string& zone) const;
 
+  /** @return the owners by zone; nobody where every daemon connects by itself. */
+  const std::map<std::string, std::vector<std::string>>& owners_by_zone(
+      const std::string& service) const;
+
   /** @return the owners of all zones. */
   const std::vector<std::string>& owners(const std::string& service) const;
 
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "proxy/dispatcher.h"
@@ -26,9 +27,11 @@
     return {found->second, kReason, this->come_back};
   }
 
-  access::leader_answer judge_leader(const model::InstanceEntry& /*instance*/,
+  access::leader_answer judge_leader(const model::InstanceEntry& instance,
                                      common::Instant /*now*/) const override {
-    return {};
+    return {this->leaving.contains(instance.id) ? model::LeaderFitness::kUnfit
+                                                : model::LeaderFitness::kFit,
+            kReason};
   }
 
   void note_sent(const model::InstanceEntry& instance, std::size_t requests,
@@ -37,6 +40,7 @@
   }
 
   std::map<std::string, access::verdict> verdicts;
+  std::set<std::string> leaving;  // should not lead
   std::map<std::string, std::size_t> sent;
   common::Duration come_back{400'000};
 };
@@ -172,12 +176,25 @@
 TEST_CASE("A write waits for a primary that is to be replaced", "[proxy][access]") {
   AccessFixture fixture;
   fixture.rule.verdicts["p"] = access::verdict::closed;
+  fixture.rule.leaving = {"p"};
   fixture.Ask(model::CommandKind::kWrite);
   fixture.dispatcher.Tick(kStart + kMillisecond);
   CHECK(fixture.Taken<AnswerCaller>().empty());
   CHECK(fixture.rule.sent.empty());
 }
 
+TEST_CASE("A write is refused at once if its primary is closed for it and stays the primary",
+          "[proxy][access]") {
+  AccessFixture fixture;
+  fixture.rule.verdicts["p"] = access::verdict::closed;
+  fixture.Ask(model::CommandKind::kWrite);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error_text == "retry_after_ms=400 kept away");
+  CHECK(fixture.rule.sent.empty());
+}
+
 TEST_CASE("A transaction at an instance that closes is rolled back, and its end is told so",
           "[proxy][access]") {
   AccessFixture fixture;
--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -39,8 +39,8 @@
     }
     roles.update(members, members.size(), {{"group", 8}});
     settings.zone = "zone";
-    relay =
-        std::make_unique<SessionRelay>(settings, roles, peers, view, admission, dispatcher, outbox);
+    relay = std::make_unique<SessionRelay>(settings, roles, peers, view, admission, regions,
+                                           dispatcher, outbox);
   }
 
   static relay::role_policy Policy() {
@@ -80,6 +80,7 @@
   GroupSet groups{settings, backends, roles, outbox};
   tenants::admission admission{settings.tenants};
   access::rule_set access;
+  regions::region_policy regions{regions::region_directory({})};
   Dispatcher dispatcher{settings, backends, groups, admission, access, outbox};
   std::unique_ptr<SessionRelay> relay;
 };
@@ -157,4 +158,89 @@
   CHECK(closed->error == model::ErrorCode::kUnknownDatabase);
 }
 
+/// A daemon whose zone lies in "south", and a route that may run in the regions given.
+struct RegionsFixture : RelayFixture {
+  RegionsFixture(const std::string& self, const std::vector<std::string>& allowed)
+      : RelayFixture(self) {
+    regions =
+        regions::region_policy(regions::region_directory({{"zone", "south"}, {"far", "north"}}));
+    configuration = ConfigurationOf(5);
+    SetAllowed(allowed);
+    Configure(configuration);
+  }
+
+  void SetAllowed(const std::vector<std::string>& allowed) {
+    configuration.routes["ledger"].allowed_regions = allowed;
+    regions.set_configuration(configuration);
+  }
+
+  void HandOver() { relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 5}, kStart); }
+
+  model::Configuration configuration;
+};
+
+TEST_CASE("A session that may not leave for an owner is served where its caller is",
+          "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Other(), {"north"});
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  CHECK_FALSE(fixture.relay->Relays(kSession));
+  CHECK(fixture.Taken<AcceptSession>());
+}
+
+TEST_CASE("A session that may run nowhere is refused at once with a time to come back",
+          "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Other(), {"abroad"});
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed);
+  CHECK(closed->error == model::ErrorCode::kBusy);
+  CHECK(closed->error_text == "retry_after_ms=1000 outside its regions");
+  CHECK_FALSE(fixture.relay->Relays(kSession));
+}
+
+TEST_CASE("An owner declines a session whose requests it may not hold", "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Owner(), {"north"});
+  fixture.HandOver();
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed);
+  CHECK_FALSE(closed->with_error);
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
+TEST_CASE("An owner declines by the configuration that a session waited for", "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Owner(), {});
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 6}, kStart);
+  fixture.configuration.version = 6;
+  fixture.SetAllowed({"north"});
+  fixture.Configure(fixture.configuration);
+  CHECK(fixture.Taken<CloseSession>());
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
+TEST_CASE("An owner ends the sessions handed over that it may no longer hold", "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Owner(), {"south"});
+  fixture.HandOver();
+  REQUIRE(fixture.Taken<AcceptSession>());
+  model::Command begin;
+  begin.kind = model::CommandKind::kBegin;
+  fixture.dispatcher.CommandReceived(kSession, {"r1", begin}, kStart);
+  fixture.SetAllowed({"north"});
+  fixture.relay->RegionsChanged(kStart);
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT - Duration(1));
+  CHECK_FALSE(fixture.Taken<CloseSession>());
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT);
+  CHECK(fixture.Taken<CloseSession>());
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
+TEST_CASE("A session of a caller of this daemon stays when regions change", "[proxy][regions]") {
+  RegionsFixture fixture(RelayFixture::Owner(), {"south"});
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  REQUIRE(fixture.Taken<AcceptSession>());
+  fixture.SetAllowed({"north"});
+  fixture.relay->RegionsChanged(kStart);
+  fixture.relay->Tick(kStart + relay::MOVE_DEADLINE);
+  CHECK_FALSE(fixture.Taken<CloseSession>());
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -20,6 +20,9 @@
   bool stays(const std::string& daemon, common::Instant) const override {
     return !this->dead.contains(daemon) && !this->leaving.contains(daemon);
   }
+  bool may_hold(session_number, const std::string& zone) const override {
+    return !this->closed_zones.contains(zone);
+  }
   void open_link(session_number, const std::string& owner) override {
     this->opened.push_back(owner);
   }
@@ -30,6 +33,7 @@
 
   std::set<std::string> dead;
   std::set<std::string> leaving;
+  std::set<std::string> closed_zones;
   std::vector<std::string> opened;
   int served_here = 0;
   int ended = 0;
@@ -164,4 +168,142 @@
   CHECK(test.port.ended == 2);
 }
 
+TEST_CASE("A session whose own zone may not hold it goes to an owner of a zone that may",
+          "[relay][regions]") {
+  fixture test;
+  test.port.closed_zones = {"a"};
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  CHECK(test.port.opened == std::vector<std::string>{test.far()});
+}
+
+TEST_CASE("A lost owner is followed by none in a zone that may not hold the session",
+          "[relay][regions]") {
+  fixture test;
+  test.port.closed_zones = {"b"};
+  test.sessions.start(SESSION, "ledger", "tenant", NOW);
+  test.sessions.link_ended(SESSION, NOW);
+  CHECK(test.port.opened == std::vector<std::string>{test.near()});
+  CHECK(test.port.served_here == 1);
+}
+
+TEST_CASE("An owner that declines is followed by none in a zone that may not hold the session",
+          "[relay][regions]") {
+  fixture test;
+  test.port.closed_zones = {"a"};
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.tick(NOW + LONG);
+  CHECK(test.port.opened == std::vector<std::string>{test.far()});
+  CHECK(test.port.served_here == 1);
+}
+
+TEST_CASE("A session that no zone may hold is served where its caller is", "[relay][regions]") {
+  fixture test;
+  test.port.closed_zones = {"a", "b"};
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  CHECK(test.port.opened.empty());
+  CHECK(test.port.served_here == 1);
+}
+
+TEST_CASE("Tenants sent to other zones are spread over these, each to the same owner",
+          "[relay][regions]") {
+  fixture test;
+  role_policy policy;
+  policy.most_meshed_daemons = 1;
+  policy.owners_per_zone = 1;
+  test.roles = role_map("self", policy);
+  test.roles.update({{"self", "a", true}, {"a1", "a", true}, {"b1", "b", true}, {"c1", "c", true}},
+                    4, {{"ledger", 4}});
+  test.port.closed_zones = {"a"};
+  std::set<std::string> of_all;
+  for (session_number tenant = 0; tenant < 20; ++tenant) {
+    test.port.opened.clear();
+    for (session_number number = 0; number < 4; ++number) {
+      test.sessions.start(tenant * 4 + number, "ledger", "t" + std::to_string(tenant), NOW);
+    }
+    const std::set<std::string> owners(test.port.opened.begin(), test.port.opened.end());
+    CHECK(owners.size() == 1);
+    of_all.insert(owners.begin(), owners.end());
+  }
+  CHECK(of_all == std::set<std::string>{"b1", "c1"});
+}
+
+TEST_CASE("A session whose owner may no longer hold it ends as it rests", "[relay][regions]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.command_sent(SESSION);
+  test.port.closed_zones = {"a"};
+  test.sessions.regions_changed(NOW);
+  test.sessions.tick(NOW);
+  CHECK(test.port.ended == 0);
+  test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW);
+  CHECK(test.port.ended == 1);
+  CHECK(test.sessions.counters().moved == 1);
+}
+
+TEST_CASE("A transaction at an owner that may no longer hold it ends within a limit",
+          "[relay][regions]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.command_sent(SESSION);
+  test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
+  test.port.closed_zones = {"a"};
+  test.sessions.regions_changed(NOW);
+  test.sessions.tick(NOW + MOVE_LIMIT - common::Duration(1));
+  CHECK(test.port.ended == 0);
+  test.sessions.tick(NOW + MOVE_LIMIT);
+  CHECK(test.port.ended == 1);
+}
+
+TEST_CASE("A caller that never awaits its answers is ended at the deadline", "[relay][regions]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.command_sent(SESSION);
+  test.port.closed_zones = {"a"};
+  test.sessions.regions_changed(NOW);
+  test.sessions.tick(NOW + MOVE_LIMIT);
+  CHECK(test.port.ended == 0);
+  test.sessions.tick(NOW + MOVE_DEADLINE);
+  CHECK(test.port.ended == 1);
+}
+
+TEST_CASE("A session not accepted yet is handed on when its owner may not hold it",
+          "[relay][regions]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.port.closed_zones = {"a"};
+  test.sessions.regions_changed(NOW);
+  CHECK(test.port.opened == std::vector<std::string>{test.near(), test.far()});
+  CHECK(test.port.ended == 0);
+}
+
+TEST_CASE("A session sent away comes back when its own zone may hold it, as it rests",
+          "[relay][regions]") {
+  fixture test;
+  test.port.closed_zones = {"a"};
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.command_sent(SESSION);
+  test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
+  test.port.closed_zones.clear();
+  test.sessions.regions_changed(NOW);
+  test.sessions.tick(NOW + MOVE_DEADLINE);
+  CHECK(test.port.ended == 0);  // it may stay where it is
+  test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW + MOVE_DEADLINE);
+  CHECK(test.port.ended == 1);
+}
+
+TEST_CASE("A change of regions that concerns a session's owner in nothing leaves it",
+          "[relay][regions]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.port.closed_zones = {"b"};
+  test.sessions.regions_changed(NOW);
+  test.sessions.tick(NOW + MOVE_DEADLINE);
+  CHECK(test.port.ended == 0);
+}
+
 }  // namespace valvekeel::relay
