--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -66,7 +66,7 @@
     if (shape_.regions > 0) {
       group->on_statement = [this](const CallerAttempt& attempt, const SimulatedInstance& instance,
                                    const std::string& daemon) {
-        CheckRegion(attempt, ZoneOfInstance(instance.id), daemon);
+        CheckRegion(attempt, ZoneOfInstance(instance.id), "run", daemon);
       };
     }
     group->on_change = [this, made] { AnnounceAll(*made); };
@@ -126,7 +126,7 @@
   return nullptr;
 }
 
-void Cluster::CheckRegion(const CallerAttempt& attempt, const std::string& zone,
+void Cluster::CheckRegion(const CallerAttempt& attempt, const std::string& zone, const char* what,
                           const std::string& daemon) {
   DaemonHost* deciding = DaemonNamed(daemon);
   std::optional<std::uint64_t> known;
@@ -134,8 +134,8 @@
     known = deciding->Decisions()->CatalogView().Configuration().version;
   }
   if (!regions_.Allows(attempt, zone, known)) {
-    world_.Report("HOME", attempt.id + " of " + attempt.database + " " + attempt.key + " is in " +
-                              zone + ", sent by " + daemon);
+    world_.Report("HOME", attempt.id + " of " + attempt.database + " " + attempt.key + " is " +
+                              what + " in " + zone + ", sent by " + daemon);
   }
 }
 
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -70,7 +70,8 @@
   std::string ZoneOfInstance(const std::string& instance) const;
 
   /// Reports HOME if a daemon has sent an attempt to a zone where it may not be.
-  void CheckRegion(const CallerAttempt& attempt, const std::string& zone,
+  /// @param what is done with it there
+  void CheckRegion(const CallerAttempt& attempt, const std::string& zone, const char* what,
                    const std::string& daemon);
 
   /// Writes an instance's entry as it would itself.
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -148,7 +148,7 @@
 void DaemonHost::CheckHolder(const DaemonHost& owner, const std::string& request_id) {
   const CallerAttempt* attempt = cluster_.Record().Find(request_id);
   if (cluster_.Shape().regions > 0 && attempt != nullptr) {
-    cluster_.CheckRegion(*attempt, owner.Zone(), name_);
+    cluster_.CheckRegion(*attempt, owner.Zone(), "held", name_);
   }
 }
 
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -1,6 +1,8 @@
 #include "proxysim/scenario.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 namespace valvekeel::proxysim {
 namespace {
@@ -151,6 +153,84 @@
   CHECK(first_broken(true, shared_connections) != 0);
 }
 
+TEST_CASE("Work stays in its regions while these change and are cut off from each other",
+          "[proxysim][regions]") {
+  constexpr std::uint64_t kRegionSeeds = 12;
+  std::size_t relayed = 0;
+  for (std::uint64_t seed = 1; seed <= kRegionSeeds; ++seed) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.regions = true;
+    options.tenants = seed % 2 == 0;
+    options.large = seed % 4 == 0;
+    options.faults = 8;
+    INFO("seed " << seed);
+    const ScenarioResult result = RunScenario(options);
+    CHECK(result.violations.empty());
+    CHECK(result.succeeded > 0);
+    relayed += result.relayed;
+  }
+  CHECK(relayed > 0);
+}
+
+TEST_CASE("Without regions in the decisions their checker fails", "[proxysim][regions]") {
+  // At an instance and at a daemon that holds a request alike.
+  for (const std::string where : {"run in", "held in"}) {
+    ScenarioOptions options;
+    options.seed = 4;
+    options.regions = true;
+    options.tenants = true;
+    options.large = true;
+    options.mechanisms.allowed_regions = false;
+    const std::string violations = Violations(options);
+    INFO(where);
+    CHECK(violations.find(where) != std::string::npos);
+    CHECK(violations.find("HOME") != std::string::npos);
+  }
+}
+
+TEST_CASE("Primaries outside their regions are replaced before traffic, and then stay",
+          "[proxysim][regions]") {
+  constexpr std::uint64_t kMostSeeds = 8;
+  constexpr common::Duration kBeforeTraffic{14'000'000};
+  std::size_t replaced = 0;
+  for (std::uint64_t seed = 1; seed <= kMostSeeds; ++seed) {
+    ClusterShape shape;
+    shape.zones = 4;
+    shape.regions = 2;
+    shape.groups = 8;
+    shape.daemons = seed % 2 == 0 ? 24 : 6;
+    shape.first_start = true;
+    Cluster cluster(seed, shape);
+    const std::string home = RegionName(seed % 2);
+    for (const auto& [database, route] : cluster.CurrentConfiguration().routes) {
+      cluster.LimitRoute(database, {home});
+    }
+    cluster.Surroundings().RunUntil(kBeforeTraffic);
+    std::map<std::string, std::string> settled;
+    for (const auto& [service, group] : cluster.Groups()) {
+      const auto lies_at_home = [&](const std::string& id) {
+        return cluster.Regions().at(cluster.ZoneOfInstance(id)) == home;
+      };
+      const auto& instances = group->Instances();
+      const bool may = std::any_of(instances.begin(), instances.end(),
+                                   [&](const auto& each) { return lies_at_home(each.first); });
+      INFO("seed " << seed << " " << service);
+      REQUIRE(group->Primary() != nullptr);
+      CHECK(lies_at_home(group->Primary()->id) == may);
+      CHECK(group->Primary()->term <= 2);
+      replaced += group->Primary()->term - 1;
+      settled[service] = group->Primary()->id;
+    }
+    cluster.Surroundings().RunUntil(kBeforeTraffic * 3);
+    for (const auto& [service, group] : cluster.Groups()) {
+      CHECK(group->Primary()->id == settled[service]);
+    }
+    CHECK(cluster.Surroundings().Violations().empty());
+  }
+  CHECK(replaced > 0);
+}
+
 TEST_CASE("The same seed gives the same day", "[proxysim]") {
   ScenarioOptions options;
   options.seed = 5;
