Regions for operators: metrics, log events, explain; tests of the dispatcher with the rule

Cause: nothing told how many sessions move or are refused, and a transaction that a rule ended was explained as a success. Change: valvekeel_barred_total, valvekeel_sessions_outside_regions_total, outcome moved; relayed_sessions_moving; explain knows transaction_barred and regions_changed.

--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -21,7 +21,8 @@
   const bool of_service = !service.empty() && Field(line, "service") == service;
   const bool of_instance = !instance.empty() && Field(line, "instance") == instance;
   const bool of_store = line.event == "store_lost" || line.event == "thawed" ||
-                        line.event == "keys_unproven" || line.event == "configuration_in_force";
+                        line.event == "keys_unproven" || line.event == "configuration_in_force" ||
+                        line.event == "regions_changed";
   return (of_service || of_instance || of_store) && Field(line, "request").empty();
 }
 
@@ -61,6 +62,10 @@
   if (last.event == "request_turned_away") {
     return TurnedAwayCause(last);
   }
+  if (last.event == "transaction_barred") {
+    return "its transaction was rolled back, nothing is kept: " + Field(last, "instance") +
+           " may not run it any more: " + Field(last, "reason");
+  }
   if (last.event != "request_failed") {
     return "it was " + last.event + " at " + Field(last, "instance") +
            "; no failure of it is on record, so it succeeded or its caller left";
@@ -73,7 +78,8 @@
   for (auto line = account.context.rbegin(); line != account.context.rend(); ++line) {
     const bool tells = line->event == "primary_lost" || line->event == "instance_lost" ||
                        line->event == "failover_started" || line->event == "store_lost" ||
-                       line->event == "instance_draining" || line->event == "thawed";
+                       line->event == "instance_draining" || line->event == "thawed" ||
+                       line->event == "regions_changed";
     if (tells) {
       cause += "; before that " + line->event;
       const std::string reason = Field(*line, "reason");
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -114,6 +114,14 @@
         static_cast<double>(relayed.retried));
   Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner",
         {{"outcome", "served_here"}}, static_cast<double>(relayed.served_here));
+  Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner", {{"outcome", "moved"}},
+        static_cast<double>(relayed.moved));
+  Gauge("valvekeel_sessions_outside_regions_total", "Sessions that no region may run", {},
+        static_cast<double>(proxy.Relay().RefusedOutside()));
+  for (const auto& [reason, count] : counters.barred) {
+    Gauge("valvekeel_barred_total", "Requests refused or ended by rules on where work may run",
+          {{"reason", reason}}, static_cast<double>(count));
+  }
   Gauge("valvekeel_relayed_sessions_total", "Sessions handed to an owner", {{"outcome", "lost"}},
         static_cast<double>(relayed.lost));
   Gauge("valvekeel_coordinates", "1 if this daemon may replace primaries", {},
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -84,6 +84,7 @@
                {"reason", regions::OUTSIDE_REGIONS},
                {"version", std::to_string(configuration_->version)}},
               LogLevel::kWarning);
+  ++refused_outside_;
   outbox_.Emit(CloseSession{
       session, true, model::ErrorCode::kBusy,
       "retry_after_ms=" + Milliseconds(regions::COME_BACK) + " " + regions::OUTSIDE_REGIONS});
@@ -115,7 +116,10 @@
 }
 
 void SessionRelay::RegionsChanged(common::Instant now) {
-  sessions_.regions_changed(now);
+  const std::size_t moving = sessions_.regions_changed(now);
+  if (moving > 0) {
+    outbox_.Log("relayed_sessions_moving", {{"sessions", std::to_string(moving)}});
+  }
   outside_since_ = outside_since_.value_or(now);
   EndOutside(now);
 }
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -51,6 +51,8 @@
 
   relay::relayed_sessions& Sessions() { return sessions_; }
   const relay::relayed_sessions& Sessions() const { return sessions_; }
+  /// @return how many sessions were refused because no region may run them.
+  std::uint64_t RefusedOutside() const { return refused_outside_; }
   std::size_t SessionCount() const { return sessions_.size() + started_.size(); }
 
   /// @return true if a session that was handed over waits for a later configuration.
@@ -106,6 +108,7 @@
   std::map<SessionNumber, Start> started_;  // handed over, waiting for their configuration
   /// Since when sessions handed over may be here whose requests may not be held here.
   std::optional<common::Instant> outside_since_;
+  std::uint64_t refused_outside_ = 0;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -253,7 +253,8 @@
   return now >= *session.outside_since + (waits ? MOVE_LIMIT : MOVE_DEADLINE);
 }
 
-void relayed_sessions::regions_changed(common::Instant now) {
+std::size_t relayed_sessions::regions_changed(common::Instant now) {
+  std::size_t moving = 0;
   for (auto& [number, session] : this->sessions) {
     const bool outside = !this->port.may_hold(number, session.owner_zone);
     session.returns = session.sent_away && this->port.may_hold(number, this->zone);
@@ -261,11 +262,12 @@
       session.outside_since.reset();
     } else if (!session.outside_since) {
       session.outside_since = now;
-      this->port.note("relay_owner_outside_regions", number, session.service, session.owner);
     }
-    this->any_misplaced = this->any_misplaced || session.misplaced();
+    moving += session.misplaced() ? 1 : 0;
   }
+  this->any_misplaced = moving > 0;
   this->end_misplaced(now);
+  return moving;
 }
 
 void relayed_sessions::end_misplaced(common::Instant now) {
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -110,8 +110,10 @@
    * The regions where work may run have changed. A session whose owner may no longer hold it is
    * handed on, or ends as it rests, or else after a while; one that was sent away from this zone
    * and needs not be any more ends as it rests.
+   *
+   * @return the number of sessions that have to move
    */
-  void regions_changed(common::Instant now);
+  std::size_t regions_changed(common::Instant now);
 
   void tick(common::Instant now);
 
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -60,6 +60,33 @@
   CHECK(cause.find("come back in 120 ms") != std::string::npos);
 }
 
+TEST_CASE("A request outside its regions leads to the configuration that set them", "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":2,\"seq\":8,\"mono_ms\":90,\"process\":\"d1\",\"event\":\"regions_changed\","
+      "\"version\":\"7\",\"limited\":\"true\"}\n"
+      "{\"life\":2,\"seq\":9,\"mono_ms\":99,\"process\":\"d1\",\"event\":\"request_failed\","
+      "\"request\":\"r1\",\"error\":\"busy\",\"reason\":\"retry_after_ms=1000 outside its "
+      "regions\","
+      "\"service\":\"g\"}\n",
+      logs);
+  const Account account = Explain(logs, "r1");
+  CHECK(account.cause.find("outside its regions") != std::string::npos);
+  CHECK(account.cause.find("before that regions_changed") != std::string::npos);
+  REQUIRE(account.context.size() == 1);
+}
+
+TEST_CASE("A transaction ended by a rule on where work may run is explained by it", "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"life\":2,\"seq\":9,\"mono_ms\":99,\"process\":\"d1\",\"event\":\"transaction_barred\","
+      "\"request\":\"r1\",\"instance\":\"i-1\",\"reason\":\"outside its regions\"}\n",
+      logs);
+  const std::string cause = Explain(logs, "r1").cause;
+  CHECK(cause.find("nothing is kept") != std::string::npos);
+  CHECK(cause.find("i-1 may not run it any more: outside its regions") != std::string::npos);
+}
+
 TEST_CASE("A request that no line names has no invented cause", "[explain]") {
   LogSet logs;
   ReadLog(kLog, logs);
--- /dev/null
+++ b/tests/proxy/dispatcher_regions_test.cc
@@ -0,0 +1,220 @@
+// Regions as callers meet them: the dispatcher with the real rule.
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "proxy/dispatcher.h"
+#include "regions/region_rule.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Instant kStart{10'000'000};
+constexpr common::Duration kMillisecond{1'000};
+constexpr SessionNumber kCaller = 1;
+
+/// One daemon before a primary "p" in "north" and a replica "r" in "south", with a caller of
+/// the tenant "baker".
+struct RegionsFixture {
+  RegionsFixture() {
+    settings.mechanisms.read_lease = false;
+    settings.tenants.keys_required = true;
+    access.add(rule);
+    backends.SetObserver(&dispatcher);
+    backends.SetConnectionLimit("ledger", 10, false);
+    configuration.version = 1;
+    configuration.services["ledger"].name = "ledger";
+    configuration.tenants["baker"].name = "baker";
+    configuration.tenants["baker"].keys = {tenants::digest_of("key")};
+    model::Route route;
+    route.database = "orders";
+    route.service = "ledger";
+    route.consistency = model::Consistency::kBoundedStaleness;
+    route.max_staleness = std::chrono::seconds(2);
+    route.timeout = std::chrono::seconds(1);
+    route.target_latency = std::chrono::milliseconds(200);
+    configuration.routes["orders"] = route;
+    Configure();
+    for (const std::string id : {"p", "r"}) {
+      model::InstanceEntry entry;
+      entry.id = id;
+      entry.service = "ledger";
+      entry.slots = 6;
+      entry.primary = id == "p";
+      entry.zone = id == "p" ? "n" : "s";
+      backends.SetEntry(entry, kStart);
+    }
+    GroupState& group = groups.Get("ledger", kStart);
+    group.lease.Renew({1, "p", kStart});
+    group.history.Add({kStart, {1, 1}});
+    dispatcher.SessionStarted(kCaller, "orders", tenants::digest_of("key"), kStart);
+    outbox.Take();
+  }
+
+  void Configure() {
+    admission.set_configuration(configuration.version, configuration.tenants);
+    policy.set_configuration(configuration);
+    dispatcher.SetConfiguration(&configuration, kStart);
+  }
+
+  void Limit(const std::vector<std::string>& of_route, const std::vector<std::string>& of_tenant) {
+    ++configuration.version;
+    configuration.routes["orders"].allowed_regions = of_route;
+    configuration.tenants["baker"].allowed_regions = of_tenant;
+    Configure();
+  }
+
+  template <typename Kind>
+  std::vector<Kind> Taken() {
+    std::vector<Kind> found;
+    for (const Action& action : outbox.Take()) {
+      if (const auto* kind = std::get_if<Kind>(&action)) {
+        found.push_back(*kind);
+      }
+    }
+    return found;
+  }
+
+  void Ask(model::CommandKind kind) {
+    model::Command command;
+    command.kind = kind;
+    command.arguments = "k";
+    dispatcher.CommandReceived(kCaller, {"r" + std::to_string(++requests), command}, kStart);
+  }
+
+  /// Opens connections that were asked for.
+  /// @return the instance that the only request went to, empty if there was not exactly one.
+  std::string SentTo() {
+    std::vector<SendRequests> sent;
+    for (auto actions = outbox.Take(); !actions.empty(); actions = outbox.Take()) {
+      for (const Action& action : actions) {
+        if (const auto* opening = std::get_if<OpenConnection>(&action)) {
+          instances[opening->connection] = opening->instance;
+          backends.Opened(opening->connection, kStart);
+        } else if (const auto* request = std::get_if<SendRequests>(&action)) {
+          sent.push_back(*request);
+        }
+      }
+    }
+    connection = sent.empty() ? 0 : sent.front().connection;
+    return sent.size() == 1 ? instances[connection] : "";
+  }
+
+  /// Opens a transaction that reads at the primary.
+  void OpenTransaction() {
+    Ask(model::CommandKind::kBegin);
+    Ask(model::CommandKind::kRead);
+    REQUIRE(SentTo() == "p");
+    model::Reply reply;
+    reply.succeeded = true;
+    reply.state = model::TransactionState::kOpen;
+    backends.Answered(connection, reply, kStart);  // BEGIN
+    backends.Answered(connection, reply, kStart);  // READ
+    outbox.Take();
+  }
+
+  ProxySettings settings;
+  Outbox outbox;
+  relay::role_map roles{"d", {}};
+  BackendSet backends{outbox};
+  GroupSet groups{settings, backends, roles, outbox};
+  tenants::admission admission{settings.tenants};
+  regions::region_policy policy{regions::region_directory({{"n", "north"}, {"s", "south"}})};
+  regions::region_rule rule{policy};
+  access::rule_set access;
+  Dispatcher dispatcher{settings, backends, groups, admission, access, outbox};
+  model::Configuration configuration;
+  std::map<ConnectionNumber, std::string> instances;  // by connection
+  ConnectionNumber connection = 0;                    // of the last request
+  int requests = 0;
+};
+
+}  // namespace
+
+TEST_CASE("A read goes to an instance in its tenant's region", "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.Limit({}, {"north"});
+  fixture.Ask(model::CommandKind::kRead);
+  CHECK(fixture.SentTo() == "p");
+}
+
+TEST_CASE("What a route's and a tenant's regions leave nothing for is refused at once",
+          "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.Limit({"north"}, {"south"});
+  fixture.Ask(model::CommandKind::kRead);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kBusy);
+  CHECK(answers.front().reply.error_text == "retry_after_ms=1000 outside its regions");
+  CHECK(fixture.dispatcher.Counters().barred.at(regions::OUTSIDE_REGIONS) == 1);
+}
+
+TEST_CASE("A write of a tenant whose region the primary is not to lead in is refused at once",
+          "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.Limit({}, {"south"});
+  fixture.Ask(model::CommandKind::kWrite);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto answers = fixture.Taken<AnswerCaller>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kBusy);
+}
+
+TEST_CASE("A write waits for a primary outside the route's region to be replaced",
+          "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.Limit({"south"}, {});
+  fixture.Ask(model::CommandKind::kWrite);
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  CHECK(fixture.Taken<AnswerCaller>().empty());
+  CHECK(fixture.Taken<SendRequests>().empty());
+}
+
+TEST_CASE("A tenant's regions that shrink while a transaction is open end it at its next statement",
+          "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.OpenTransaction();
+  fixture.Limit({}, {"south"});
+  fixture.Ask(model::CommandKind::kRead);
+  CHECK(fixture.Taken<SendRequests>().empty());
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  std::vector<AnswerCaller> answers;
+  std::vector<SendRequests> sent;
+  for (const Action& action : fixture.outbox.Take()) {
+    if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+      answers.push_back(*answer);
+    } else if (const auto* request = std::get_if<SendRequests>(&action)) {
+      sent.push_back(*request);
+    }
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front().reply.error == model::ErrorCode::kAborted);
+  REQUIRE(sent.size() == 1);
+  CHECK(std::get<model::SessionRequest>(sent.front().requests.front()).command.kind ==
+        model::CommandKind::kRollback);
+}
+
+TEST_CASE("A route's regions that shrink while a transaction rests roll it back",
+          "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.OpenTransaction();
+  fixture.Limit({"south"}, {});
+  fixture.dispatcher.Tick(kStart + kMillisecond);
+  const auto sent = fixture.Taken<SendRequests>();
+  REQUIRE(sent.size() == 1);
+  CHECK(std::get<model::SessionRequest>(sent.front().requests.front()).command.kind ==
+        model::CommandKind::kRollback);
+}
+
+TEST_CASE("A transaction goes on where the new regions still let it", "[proxy][regions]") {
+  RegionsFixture fixture;
+  fixture.OpenTransaction();
+  fixture.Limit({"north", "south"}, {"north"});
+  fixture.Ask(model::CommandKind::kRead);
+  CHECK(fixture.SentTo() == "p");
+}
+
+}  // namespace valvekeel::proxy
--- a/tests/proxy/read_placement_test.cc
+++ b/tests/proxy/read_placement_test.cc
@@ -49,6 +49,21 @@
 
 }  // namespace
 
+TEST_CASE("An instance of another region comes behind one of another zone", "[proxy][regions]") {
+  PlacementFixture fixture;
+  fixture.Add("c", "abroad");
+  fixture.settings.region = "home";
+  fixture.settings.regions = {{"near", "home"}, {"far", "home"}, {"abroad", "other"}};
+  fixture.group.history.Add({kStart, Position{1, 40}});
+  const auto places = fixture.placement.Candidates(fixture.group, "p", {"c", "b", "a"},
+                                                   Bounded(kStart + Duration(100'000)),
+                                                   {fixture.route, ""}, kStart);
+  REQUIRE(places.size() == 3);
+  CHECK(places[0].instance == "a");
+  CHECK(places[1].instance == "b");
+  CHECK(places[2].instance == "c");
+}
+
 TEST_CASE("A replica of the own zone comes first, with the position it must hold", "[proxy]") {
   PlacementFixture fixture;
   fixture.group.history.Add({kStart, Position{1, 40}});
