A connection whose BEGIN was refused for the last time is free again

Cause: an operation that opens a transaction and was refused as lagging 30 times ended without releasing its connection, which the transaction did not hold yet: it stayed taken for good. Ruled out: the region rule (no such refusals there). Change: released in Refused as well.

--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -429,6 +429,7 @@
     session.transaction.failed = reply.state == model::TransactionState::kFailed;
     if (reply.state == model::TransactionState::kIdle) {
       EndTransaction(session, now);
+      connection.session.reset();  // it is not the transaction's yet if its BEGIN was refused
     }
   } else {
     connection.session.reset();
--- a/tests/proxy/dispatcher_tenants_test.cc
+++ b/tests/proxy/dispatcher_tenants_test.cc
@@ -265,4 +265,26 @@
   CHECK(fixture.ErrorAnswered() == model::ErrorCode::kDenied);
 }
 
+TEST_CASE("A connection whose BEGIN was refused for the last time is free again", "[proxy]") {
+  constexpr int kMostAnswers = 40;  // an operation is tried 30 times
+  DispatcherFixture fixture;
+  fixture.dispatcher.SessionStarted(kNorth, "orders", kNorthKey, kStart);
+  fixture.Ask(kNorth, model::CommandKind::kBegin, kStart);
+  fixture.Ask(kNorth, model::CommandKind::kRead, kStart);
+  const auto opened = fixture.Taken<OpenConnection>();
+  REQUIRE(opened.size() == 1);
+  const ConnectionNumber number = opened.front().connection;
+  fixture.backends.Opened(number, kStart);
+  model::Reply lagging;
+  lagging.error = model::ErrorCode::kLagging;
+  int answered = 0;
+  for (; answered < kMostAnswers && fixture.Taken<AnswerCaller>().empty(); ++answered) {
+    fixture.backends.Answered(number, lagging, kStart);
+  }
+  REQUIRE(answered < kMostAnswers);
+  const Connection* connection = fixture.backends.FindConnection(number);
+  REQUIRE(connection != nullptr);
+  CHECK_FALSE(connection->session);
+}
+
 }  // namespace valvekeel::proxy
