A given-up replacement does not undo another's of the same primary

Ruled out: the lease by a majority's answers (instrumented: no such round was confirmed), heartbeats of others. Change: an attempt keeps what the record said before its claim; given up, it writes that back, and leaves the fences if a candidate had been named.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -107,14 +107,33 @@
                      Actions& actions) {
   actions.emplace_back(AttemptNote{"giving_up", reason});
   if (!promotion_sent_once_) {
-    ResumeOthers(view, actions);
+    // Cut off from a primary that another coordinator has promoted meanwhile, this daemon must not
+    // undo what keeps the old one from being taken for the newest: fences, and the record's word.
+    const bool promoted = MayBeReplaced() && !earlier_.candidate.empty();
+    if (!promoted) {
+      ResumeOthers(view, actions);
+    }
     if (leadership_.MayWrite(now) && leadership_.IsHolder()) {
-      actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {}, now)});
+      const model::AttemptRecord left = MayBeReplaced() ? earlier_ : model::AttemptRecord{};
+      actions.emplace_back(WriteRecord{leadership_.Prepare(service_, left, now)});
     }
   }
   Enter(Step::kGivenUp, now);
 }
 
+void Attempt::NoteEarlier() {
+  const auto found = leadership_.Record().attempts.find(service_);
+  if (found == leadership_.Record().attempts.end()) {
+    return;
+  }
+  const auto rank = [](const model::AttemptRecord& entry) {
+    return std::pair(entry.replaced_term, !entry.candidate.empty());
+  };
+  if (rank(earlier_) < rank(found->second)) {
+    earlier_ = found->second;
+  }
+}
+
 void Attempt::Claim(common::Instant now, Actions& actions) {
   if (write_done_) {
     Enter(Step::kFence, now);
@@ -130,6 +149,7 @@
     }
     return;
   }
+  NoteEarlier();
   actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, ""}, now)});
 }
 
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -144,6 +144,10 @@
   void GiveUp(const GroupView& view, const std::string& reason, common::Instant now,
               Actions& actions);
   void Claim(common::Instant now, Actions& actions);
+  /// Keeps what the record tells of the service now: the claim is about to be written over it.
+  void NoteEarlier();
+  /// @return true if another replacement of the same primary was begun before, and perhaps done.
+  bool MayBeReplaced() const { return earlier_.replaced_term >= old_term_; }
   void Fence(const GroupView& view, common::Instant now, Actions& actions);
   void AwaitRelease(const GroupView& view, common::Instant now, Actions& actions);
   void Record(const GroupView& view, common::Instant now, Actions& actions);
@@ -165,6 +169,7 @@
   Leadership& leadership_;
   Step step_ = Step::kClaim;
   common::Instant entered_{0};
+  model::AttemptRecord earlier_;  // what the record told of the service before this attempt
   common::Term old_term_ = 0;
   common::Term fence_term_ = 0;
   bool another_leads_ = false;
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -329,4 +329,26 @@
   CHECK(fixture.promotions.empty());
 }
 
+TEST_CASE("An attempt that is given up does not undo another's replacement of the same primary",
+          "[failover]") {
+  // proxysim --regions, seed 146: cut off from the primary that another coordinator had promoted, a
+  // daemon gave up, took the record's entry away, and the old primary's lease was renewed (STALE).
+  AttemptFixture fixture;
+  model::LeadershipRecord record;
+  record.holder = "other.1";
+  record.token = 4;
+  record.attempts["group"] = {1, "b"};
+  fixture.leadership.Seen(record, 1, fixture.now - std::chrono::seconds(10));  // long vacant
+  fixture.last_revision = 1;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})}};
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+  REQUIRE(fixture.leadership.Record().holder == "me.1");
+  REQUIRE(fixture.leadership.Record().attempts.contains("group"));
+  CHECK(fixture.leadership.Record().attempts.at("group") == model::AttemptRecord{1, "b"});
+  CHECK(std::none_of(fixture.controls.begin(), fixture.controls.end(), [](const auto& control) {
+    return control.request.kind == model::ControlKind::kResumeReplication;
+  }));
+}
+
 }  // namespace valvekeel::failover
