Replicas are counted by the word of daemons that connect to them

Ruled out: unreachable replicas (all answered). Change: FailoverDriver::KnownReplicas takes the reports of daemons that watch the group.

--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -233,7 +233,8 @@
 std::size_t FailoverDriver::KnownReplicas(const std::string& service, common::Instant now) const {
   std::size_t most = 0;
   for (const auto& [address, peer] : peers_.All()) {
-    if (!peers_.Alive(peer, now)) {
+    // Who does not connect to the instances does not learn that one has ended.
+    if (!peers_.Alive(peer, now) || !roles_.watches(service, peer.name)) {
       continue;
     }
     for (const GroupReport& report : peer.last.groups) {
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -98,6 +98,29 @@
   }
 }
 
+TEST_CASE("Seeds with regions that broke a rule once keep it now", "[proxysim][regions]") {
+  // 42, 73: connections whose BEGIN was refused stayed taken (RECOVER); 42 also: a replacement by
+  // plan was tried at the pace of a lost primary. 146: a given-up replacement cleared the record's
+  // word on one that was done (STALE).
+  for (const std::uint64_t seed : {42, 73, 146}) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.faults = 8;
+    options.draw_shape = true;
+    options.regions = true;
+    INFO("seed " << seed);
+    CHECK(Violations(options).empty());
+  }
+  // 83: daemons that don't connect to a group counted replicas that had ended (RECOVER).
+  ScenarioOptions options;
+  options.seed = 83;
+  options.faults = 8;
+  options.large = true;
+  options.tenants = true;
+  options.regions = true;
+  CHECK(Violations(options).empty());
+}
+
 TEST_CASE("Without a mechanism its checker fails", "[proxysim]") {
   proxy::Mechanisms no_lease;
   no_lease.read_lease = false;
