--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -114,8 +114,7 @@
       ResumeOthers(view, actions);
     }
     if (leadership_.MayWrite(now) && leadership_.IsHolder()) {
-      const model::AttemptRecord left = MayBeReplaced() ? earlier_ : model::AttemptRecord{};
-      actions.emplace_back(WriteRecord{leadership_.Prepare(service_, left, now)});
+      actions.emplace_back(WriteRecord{leadership_.Prepare(service_, LeftBehind(), now)});
     }
   }
   Enter(Step::kGivenUp, now);
@@ -134,6 +133,12 @@
   }
 }
 
+model::AttemptRecord Attempt::LeftBehind() const {
+  // Whatever led before the primary is replaced: daemons cut off since must not be told otherwise.
+  const common::Term replaced = old_term_ - 1;
+  return earlier_.replaced_term >= replaced ? earlier_ : model::AttemptRecord{replaced, ""};
+}
+
 void Attempt::Claim(common::Instant now, Actions& actions) {
   if (write_done_) {
     Enter(Step::kFence, now);
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -146,6 +146,8 @@
   void Claim(common::Instant now, Actions& actions);
   /// Keeps what the record tells of the service now: the claim is about to be written over it.
   void NoteEarlier();
+  /// @return what the record should tell of the service once this attempt is given up.
+  model::AttemptRecord LeftBehind() const;
   /// @return true if another replacement of the same primary was begun before, and perhaps done.
   bool MayBeReplaced() const { return earlier_.replaced_term >= old_term_; }
   void Fence(const GroupView& view, common::Instant now, Actions& actions);
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -300,7 +300,9 @@
       stale && group.lease.Holds(now) && leadership_.Settled(now) && store_connected_;
   if (certain && leadership_.MayWrite(now) && groups_.IsProber(group.service)) {
     outbox_.Log("failover_entry_dropped", {{"service", group.service}});
-    Do(group, failover::WriteRecord{leadership_.Prepare(group.service, {}, now)}, now);
+    // All earlier terms stay replaced: daemons cut off since may still hold one.
+    const model::AttemptRecord earlier{group.lease.Newest().term - 1, ""};
+    Do(group, failover::WriteRecord{leadership_.Prepare(group.service, earlier, now)}, now);
   }
 }
 
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -351,4 +351,16 @@
   }));
 }
 
+TEST_CASE("An attempt that is given up leaves word of the terms replaced before", "[failover]") {
+  // proxysim --regions --large, seed 1006: daemons cut off with an earlier term renewed its lease
+  // by a record that a given-up attempt had cleared (STALE).
+  AttemptFixture fixture;
+  fixture.view.term = 3;
+  fixture.answers = {{"a", AttemptFixture::Replica({3, 38}, 3)}};
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+  REQUIRE(fixture.leadership.Record().attempts.contains("group"));
+  CHECK(fixture.leadership.Record().attempts.at("group").replaced_term == 2);
+}
+
 }  // namespace valvekeel::failover
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -111,6 +111,14 @@
     INFO("seed " << seed);
     CHECK(Violations(options).empty());
   }
+  // 1097: a given-up replacement cleared the record's word on an earlier one (STALE).
+  ScenarioOptions heavy;
+  heavy.seed = 1097;
+  heavy.faults = 16;
+  heavy.draw_shape = true;
+  heavy.tenants = true;
+  heavy.regions = true;
+  CHECK(Violations(heavy).empty());
   // 83: daemons that don't connect to a group counted replicas that had ended (RECOVER).
   ScenarioOptions options;
   options.seed = 83;
