Waiting operations: fair order among tenants, forecast of the wait, time to come back

Cause: a tenant at many times its rate and small ones waited in one line; who could not be served in time was held until the end of its hold time, untried; all refused callers were told the same 250 ms. Change: src/waiting holds the decisions (fair_queue, wait_forecast, come_back, service_queues); the dispatcher takes its order from it and asks it after each tick's pump. requests.early_refusal switches the refusals off; order and time to come back stay. Ruled out: rates from limits in flight over latencies, see docs/design/waiting-work.md.

--- a/src/host/host_settings.cc
+++ b/src/host/host_settings.cc
@@ -174,6 +174,10 @@
               "share of the target latency for which a statement may wait for an instance", 0.0,
               10.0, out.proxy.hold_fraction,
               [&out](double value) { out.proxy.hold_fraction = value; });
+  schema.Choice("requests.early_refusal",
+                "whether a statement is refused as soon as its turn is not expected in that time",
+                {"true", "false"}, out.proxy.early_refusal ? "true" : "false",
+                [&out](const std::string& value) { out.proxy.early_refusal = value == "true"; });
   schema.Integer("requests.most_sessions", "sessions", "callers' sessions at once", 1, 1'000'000,
                  static_cast<std::int64_t>(out.most_sessions), [&out](std::int64_t value) {
                    out.most_sessions = static_cast<std::size_t>(value);
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -56,6 +56,8 @@
   bool required_own = false;         // it is the session's own commit
   std::set<std::string> avoided;     // instances that could not serve it
   const char* last_refusal = "no instance";
+  bool waits_for_room = false;               // and for nothing else, when it was last tried
+  std::optional<common::Duration> forecast;  // of its wait, when it was refused
 };
 
 struct Transaction {
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -22,6 +22,9 @@
 
 void Dispatcher::SetConfiguration(const model::Configuration* configuration, common::Instant now) {
   configuration_ = configuration;
+  if (configuration != nullptr) {
+    waiting_.set_tenants(configuration->tenants);
+  }
   const std::set<SessionNumber> starting = std::exchange(starting_, {});
   for (const SessionNumber number : starting) {
     const Session session = *Find(number);
@@ -120,7 +123,7 @@
     session->operation.reset();
   }
   EndTransaction(*session, now);
-  waiting_.erase(number);
+  waiting_.remove(number);
   starting_.erase(number);
   sessions_.erase(number);
 }
@@ -255,7 +258,7 @@
                 settings_.hold_fraction * static_cast<double>(route->target_latency.count())));
   session.operation = std::move(operation);
   if (!TryStart(session, now)) {
-    waiting_.insert(session.number);
+    JoinQueue(session);
   }
 }
 
@@ -291,7 +294,7 @@
                                  common::Instant now) {
   const Operation operation = std::move(*session.operation);
   session.operation.reset();
-  waiting_.erase(session.number);
+  waiting_.remove(session.number);
   const GroupState* group = groups_.Find(operation.route.service);
   outbox_.Log(
       "request_failed",
@@ -302,6 +305,7 @@
        {"instance", operation.instance},
        {"attempts", std::to_string(operation.attempts)},
        {"held_ms", Milliseconds(now - operation.arrived)},
+       {"forecast_ms", operation.forecast ? Milliseconds(*operation.forecast) : ""},
        {"term", group == nullptr ? "" : std::to_string(group->lease.Newest().term)},
        {"lease_age_ms", group == nullptr ? "" : Milliseconds(now - group->lease.Newest().started)}},
       LogLevel::kWarning);
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -21,6 +21,7 @@
 #include "proxy/proxy_settings.h"
 #include "proxy/read_placement.h"
 #include "tenants/admission.h"
+#include "waiting/service_queues.h"
 
 namespace valvekeel::proxy {
 
@@ -32,8 +33,10 @@
   std::uint64_t primary_reads = 0;
   std::uint64_t retries = 0;
   std::uint64_t resent_reads = 0;
-  std::map<std::string, std::uint64_t> errors;  // answered to callers, by code
-  std::map<std::string, std::uint64_t> barred;  // refused or ended by access rules, by reason
+  std::map<std::string, std::uint64_t> errors;        // answered to callers, by code
+  std::map<std::string, std::uint64_t> barred;        // refused or ended by access rules, by reason
+  std::uint64_t refused_early = 0;                    // their turn would not have come in time
+  std::map<std::string, std::uint64_t> held_in_vain;  // refused at the end of their hold, by reason
 };
 
 class Dispatcher : public ConnectionObserver {
@@ -130,6 +133,22 @@
   void FinishWithReply(Session& session, const model::Reply& reply, common::Instant now);
   void EndTransaction(Session& session, common::Instant now);
 
+  // Waiting.
+  /// What the session's operation waits for. Valid while the operation is there.
+  waiting::target TargetOf(const Session& session) const;
+  /// Lets the session's operation wait; nothing changes if it does already.
+  void JoinQueue(const Session& session);
+  /// The session's operation found no instance with room among so many that could serve it.
+  void NoteNoRoom(Session& session, std::size_t places, common::Instant now);
+  /// The session's operation takes an instance's room.
+  void NoteStarted(const Session& session, common::Instant now);
+  /// Refuses those whose turn will not come in time.
+  void RefuseHopeless(common::Instant now);
+  /// Refuses an operation that waited as long as it may.
+  void RefuseHeld(Session& session, common::Instant now);
+  /// Refuses the session's operation as busy and tells the caller when to come back.
+  void RefuseWaiting(Session& session, const std::string& reason, common::Instant now);
+
   // Placement and execution.
   void Pump(common::Instant now);
   bool TryStart(Session& session, common::Instant now);
@@ -180,7 +199,7 @@
   ReadPlacement placement_;
   const model::Configuration* configuration_ = nullptr;
   std::map<SessionNumber, Session> sessions_;
-  std::set<SessionNumber> waiting_;   // with an operation in phase kWaiting
+  waiting::service_queues waiting_;   // sessions with an operation in phase kWaiting
   std::set<SessionNumber> starting_;  // not accepted yet
   bool pumping_ = false;
   bool pump_again_ = false;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -89,21 +89,15 @@
   }
   pumping_ = true;
   while (std::exchange(pump_again_, false)) {
-    std::vector<Session*> order;
-    for (const SessionNumber number : waiting_) {
-      order.push_back(Find(number));
-    }
-    std::sort(order.begin(), order.end(), [](const Session* a, const Session* b) {
-      const auto rank = [](const Session* session) {
-        const Operation& operation = *session->operation;
-        return std::tuple(operation.route.priority, operation.route.target_latency,
-                          operation.arrived, session->number);
-      };
-      return rank(a) < rank(b);
-    });
-    for (Session* session : order) {
-      if (now >= session->operation->not_before && TryStart(*session, now)) {
-        waiting_.erase(session->number);
+    for (const waiting::place& place : waiting_.order()) {
+      Session* session = Find(place.number);
+      if (now < session->operation->not_before) {
+        continue;
+      }
+      if (TryStart(*session, now)) {
+        waiting_.remove(session->number);
+      } else {
+        waiting_.set_for_room(session->number, session->operation->waits_for_room);
       }
     }
   }
@@ -112,6 +106,7 @@
 
 bool Dispatcher::TryStart(Session& session, common::Instant now) {
   Operation& operation = *session.operation;
+  operation.waits_for_room = false;
   const Transaction& transaction = session.transaction;
   const tenants::admission_result found = Identify(session, operation.route, now);
   if (!StillAdmitted(session, found)) {
@@ -137,6 +132,7 @@
   const std::vector<Placement> places = Places(session, now);
   if (places.empty()) {
     operation.last_refusal = NeedsPrimary(session) ? "no usable primary" : "no fresh instance";
+    waiting_.note_no_place(TargetOf(session), now);
     return false;
   }
   const bool all_avoided = std::all_of(places.begin(), places.end(), [&](const Placement& place) {
@@ -154,6 +150,7 @@
     return TakesStatement(*backends_.Find(place.instance), operation, now);
   });
   operation.last_refusal = any_takes ? "no free connection" : "instances are busy";
+  NoteNoRoom(session, places.size(), now);
   OpenFor(session, places, now);
   const common::Duration longest_wait = operation.hold_until - operation.arrived;
   if (now >= operation.arrived + longest_wait * kCrowdedOutAfter / kCrowdedOutOf) {
@@ -205,6 +202,7 @@
   if (connection == nullptr) {
     return false;
   }
+  NoteStarted(session, now);
   connection->session = session.number;
   Operation& operation = *session.operation;
   operation.instance = place.instance;
@@ -444,9 +442,10 @@
   operation.last_refusal = reason;
   operation.not_before = now + pause;
   operation.avoided.insert(avoid);
-  waiting_.insert(session.number);
+  operation.waits_for_room = false;
+  JoinQueue(session);
   if (pause == common::Duration(0) && TryStart(session, now)) {
-    waiting_.erase(session.number);
+    waiting_.remove(session.number);
   }
 }
 
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -53,8 +53,7 @@
       return;
     }
     if (now >= std::min(operation.hold_until, operation.deadline)) {
-      FinishWithError(session, model::ErrorCode::kBusy,
-                      std::string(kComeBack) + operation.last_refusal, now);
+      RefuseHeld(session, now);
     }
     return;
   }
@@ -155,6 +154,7 @@
   }
   NoteUnansweredWrites(now);
   Pump(now);
+  RefuseHopeless(now);
 }
 
 std::set<std::string> Dispatcher::ServicesInUse() const {
--- /dev/null
+++ b/src/proxy/dispatcher_waiting.cc
@@ -0,0 +1,80 @@
+// What the decisions on waiting (waiting/service_queues.h) mean for operations: who is refused,
+// and when its caller should come back.
+
+#include <algorithm>
+
+#include "proxy/dispatcher.h"
+#include "waiting/come_back.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr const char* kRefusedEarly = "refused early: ";
+
+common::Instant HoldEnd(const Operation& operation) {
+  return std::min(operation.hold_until, operation.deadline);
+}
+
+}  // namespace
+
+waiting::target Dispatcher::TargetOf(const Session& session) const {
+  const waiting::need needs = NeedsPrimary(session) ? waiting::need::primary : waiting::need::any;
+  return {session.operation->route.service, needs};
+}
+
+void Dispatcher::JoinQueue(const Session& session) {
+  const Operation& operation = *session.operation;
+  waiting::waiter waiter;
+  waiter.number = session.number;
+  waiter.tenant = operation.tenant;
+  waiter.priority = operation.route.priority;
+  waiter.target_latency = operation.route.target_latency;
+  waiter.arrived = operation.arrived;
+  waiter.hold_until = HoldEnd(operation);
+  const waiting::target target = TargetOf(session);
+  waiter.needs = target.needs;
+  waiting_.add(target.service, waiter, operation.waits_for_room);
+}
+
+void Dispatcher::NoteNoRoom(Session& session, std::size_t places, common::Instant now) {
+  // Of a read that was sent and not answered it is not known that it did not run.
+  session.operation->waits_for_room = session.operation->resends == 0;
+  waiting_.note_blocked(TargetOf(session), places, now);
+}
+
+void Dispatcher::NoteStarted(const Session& session, common::Instant now) {
+  const Operation& operation = *session.operation;
+  waiting_.note_started(TargetOf(session),
+                        {session.number, operation.route.priority, operation.tenant}, now);
+}
+
+void Dispatcher::RefuseHopeless(common::Instant now) {
+  if (!settings_.early_refusal) {
+    return;
+  }
+  for (const waiting::hopeless& found : waiting_.find_hopeless(now)) {
+    Session* session = Find(found.number);
+    session->operation->forecast = found.likely_wait;
+    ++counters_.refused_early;
+    RefuseWaiting(*session, std::string(kRefusedEarly) + session->operation->last_refusal, now);
+  }
+}
+
+void Dispatcher::RefuseHeld(Session& session, common::Instant now) {
+  Operation& operation = *session.operation;
+  ++counters_.held_in_vain[operation.last_refusal];
+  if (operation.waits_for_room) {
+    operation.forecast = waiting_.likely_wait(TargetOf(session), now);
+  }
+  RefuseWaiting(session, operation.last_refusal, now);
+}
+
+void Dispatcher::RefuseWaiting(Session& session, const std::string& reason, common::Instant now) {
+  const Operation& operation = *session.operation;
+  const common::Duration hold = HoldEnd(operation) - operation.arrived;
+  const common::Duration pause = waiting::come_back(operation.forecast, hold, session.number);
+  FinishWithError(session, model::ErrorCode::kBusy,
+                  "retry_after_ms=" + Milliseconds(pause) + " " + reason, now);
+}
+
+}  // namespace valvekeel::proxy
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -77,6 +77,8 @@
   /// Share of the target latency for which a statement may wait for an instance before it is
   /// refused.
   double hold_fraction = 0.25;
+  /// A statement whose turn will not come within that time is refused before it is over.
+  bool early_refusal = true;
   tenants::tenant_policy tenants;
   /// From an evacuation's acknowledgement until nothing is sent to the zone's instances; 0:
   /// operators evacuate no zones, and the store is not asked for it.
--- /dev/null
+++ b/src/waiting/service_queues.h
@@ -0,0 +1,119 @@
+/**
+ * @file All operations that wait at this daemon: their order, and who waits in vain.
+ *
+ * Owns: a queue (fair_queue.h) and forecasts (wait_forecast.h) for each service. Invariant: a
+ * number waits once, for one service. Pure. Thread: its host's.
+ */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/time.h"
+#include "waiting/fair_queue.h"
+#include "waiting/tenant_weights.h"
+#include "waiting/wait_forecast.h"
+
+namespace valvekeel::waiting {
+
+/** The instances that an operation waits for. */
+struct target {
+  const std::string& service;
+  need needs = need::any;
+};
+
+/** An operation that started. */
+struct starter {
+  waiter_number number = 0;
+  std::uint32_t priority = 0;
+  const std::string& tenant;
+};
+
+/** A waiter whose turn will not come in time. */
+struct hopeless {
+  waiter_number number = 0;
+  common::Duration likely_wait{0};
+};
+
+class service_queues {
+ public:
+  service_queues() = default;
+  service_queues(const service_queues&) = delete;
+  service_queues& operator=(const service_queues&) = delete;
+
+  /** Takes the tenants of a new configuration; who waits keeps its weight. */
+  void set_tenants(const std::map<std::string, tenants::tenant>& tenants) {
+    this->weights.set_tenants(tenants);
+  }
+
+  /**
+   * Adds a waiter; one that waits already stays where it is.
+   *
+   * @param for_room  it waits for nothing but room at an instance
+   */
+  void add(const std::string& service, const waiter& added, bool for_room);
+
+  /** Takes a waiter out, if it waits. */
+  void remove(waiter_number number);
+
+  bool empty() const { return this->entries.empty(); }
+  std::size_t size() const { return this->entries.size(); }
+
+  /** A waiter was tried again. @param for_room  as in add */
+  void set_for_room(waiter_number number, bool for_room);
+
+  /**
+   * An operation started.
+   *
+   * @param started  of a waiter that is to be removed next, or one that never waited
+   */
+  void note_started(const target& at, const starter& started, common::Instant now);
+
+  /** An operation found no room. @param places  see wait_forecast::note_blocked */
+  void note_blocked(const target& at, std::size_t places, common::Instant now);
+
+  /** No instance may serve an operation. For one that needs the primary, this is a gap. */
+  void note_no_place(const target& at, common::Instant now);
+
+  /** @return all waiters, service by service, each in the order in which they should be tried.
+   * Valid until the next call. */
+  const std::vector<place>& order();
+
+  /** @return who should be refused now since its turn will not come in time, in order. Valid until
+   * the next call. */
+  const std::vector<hopeless>& find_hopeless(common::Instant now);
+
+  /** @return how long an operation that came now would wait; nothing if that is not known. */
+  std::optional<common::Duration> likely_wait(const target& at, common::Instant now) const;
+
+ private:
+  struct service_queue {
+    explicit service_queue(const tenant_weights& weights) : queue(weights) {}
+
+    fair_queue queue;
+    std::array<wait_forecast, 2> forecasts;       // by need
+    std::array<std::size_t, 2> counts_by_need{};  // of the waiters
+  };
+  struct entry {
+    service_queue* queue = nullptr;
+    waiter waits;
+    bool for_room = false;
+  };
+
+  service_queue& queue_of(const std::string& service);
+  void append_hopeless(const service_queue& of, common::Instant now);
+
+  tenant_weights weights;
+  std::map<std::string, service_queue> queues;
+  std::unordered_map<waiter_number, entry> entries;
+  std::vector<place> order_made;  // kept for its memory
+  std::vector<place> places_looked_at;
+  std::vector<hopeless> hopeless_found;
+};
+
+}  // namespace valvekeel::waiting
--- /dev/null
+++ b/tests/waiting/service_queues_test.cc
@@ -0,0 +1,137 @@
+// Who waits in vain, by service and by what is waited for.
+
+#include "waiting/service_queues.h"
+
+#include <catch2/catch.hpp>
+
+namespace valvekeel::waiting {
+namespace {
+
+constexpr common::Duration MILLISECOND{1'000};
+constexpr common::Duration TICK = 10 * MILLISECOND;
+constexpr common::Duration HOLD = 100 * MILLISECOND;
+const std::string SERVICE = "ledger";
+
+/** Queues of a service that has started 50 operations a second for 2 s while others waited. */
+struct queues_fixture {
+  explicit queues_fixture(need needs = need::any) : at{SERVICE, needs} {
+    add();
+    for (int tick = 0; tick < 200; ++tick) {
+      now += TICK;
+      if (tick % 2 == 0) {
+        queues.note_started(at, {0, 0, ""}, now);
+      }
+      queues.note_blocked(at, 3, now);
+    }
+    queues.remove(1);
+  }
+
+  waiter_number add(bool for_room = true) {
+    waiter added;
+    added.number = ++last;
+    added.arrived = now;
+    added.hold_until = now + HOLD;
+    added.needs = at.needs;
+    queues.add(SERVICE, added, for_room);
+    return added.number;
+  }
+
+  service_queues queues;
+  target at;
+  common::Instant now{10'000'000};
+  waiter_number last = 0;
+};
+
+}  // namespace
+
+TEST_CASE("Who stands too far back is refused, and only who does", "[waiting]") {
+  queues_fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add();
+  }
+  const auto& found = fixture.queues.find_hopeless(fixture.now);
+  // 50 a second for 0.1 s: 5 start on the mean, 10 with luck.
+  REQUIRE(found.size() > 28);
+  REQUIRE(found.size() < 34);
+  CHECK(found.front().number == 42 - found.size());
+  CHECK(found.front().likely_wait > HOLD);
+}
+
+TEST_CASE("Those refused make no one wait", "[waiting]") {
+  queues_fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add();
+  }
+  const auto& found = fixture.queues.find_hopeless(fixture.now);
+  CHECK(found.front().likely_wait == found.back().likely_wait);
+}
+
+TEST_CASE("What waits for other things than room is neither refused nor counted", "[waiting]") {
+  queues_fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add(false);
+  }
+  CHECK(fixture.queues.find_hopeless(fixture.now).empty());
+  fixture.add();
+  CHECK(fixture.queues.find_hopeless(fixture.now).empty());
+}
+
+TEST_CASE("A waiter that is tried again counts as what it waits for now", "[waiting]") {
+  queues_fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.queues.set_for_room(fixture.add(false), true);
+  }
+  CHECK_FALSE(fixture.queues.find_hopeless(fixture.now).empty());
+}
+
+TEST_CASE("What reads show is not held against the primary's waiters", "[waiting]") {
+  queues_fixture fixture;
+  fixture.at.needs = need::primary;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add();
+  }
+  CHECK(fixture.queues.find_hopeless(fixture.now).empty());
+}
+
+TEST_CASE("The queue that formed in a primary's gap is not refused after it", "[waiting]") {
+  queues_fixture fixture(need::primary);
+  fixture.queues.note_no_place(fixture.at, fixture.now);
+  fixture.now += 700 * MILLISECOND;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add();
+  }
+  fixture.queues.note_blocked(fixture.at, 1, fixture.now);
+  CHECK(fixture.queues.find_hopeless(fixture.now).empty());
+}
+
+TEST_CASE("A read that finds no fresh replica is no gap for others", "[waiting]") {
+  queues_fixture fixture;
+  fixture.queues.note_no_place(fixture.at, fixture.now);
+  CHECK(fixture.queues.likely_wait(fixture.at, fixture.now));
+}
+
+TEST_CASE("Services do not wait for each other", "[waiting]") {
+  queues_fixture fixture;
+  for (int i = 0; i < 40; ++i) {
+    fixture.add();
+  }
+  const std::string other = "archive";
+  CHECK_FALSE(fixture.queues.likely_wait({other, need::any}, fixture.now));
+}
+
+TEST_CASE("A waiter that is added again keeps its place", "[waiting]") {
+  queues_fixture fixture;
+  const waiter_number first = fixture.add();
+  fixture.add();
+  waiter again;
+  again.number = first;
+  again.priority = 9;
+  fixture.queues.add(SERVICE, again, true);
+  CHECK(fixture.queues.size() == 2);
+  CHECK(fixture.queues.order().front().number == first);
+  fixture.queues.remove(first);
+  fixture.queues.remove(first);
+  CHECK(fixture.queues.size() == 1);
+}
+
+}  // namespace valvekeel::waiting
