--- /dev/null
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -0,0 +1,224 @@
+// What the decisions on waiting mean for callers: who starts next, who is refused before its hold
+// time is over, and when it is told to come back.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "proxy/dispatcher.h"
+#include "waiting/come_back.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+constexpr common::Instant kStart{10'000'000};
+constexpr common::Duration kMillisecond{1'000};
+constexpr common::Duration kAnswerTime = 2 * kTick;
+constexpr common::Duration kTargetLatency{400'000};  // a quarter of it is the hold time
+const tenants::key_digest kLargeKey = tenants::digest_of("large-key");
+const tenants::key_digest kSmallKey = tenants::digest_of("small-key");
+
+/// One daemon with one connection to one instance, which is a connection of the large tenant's.
+struct WaitingFixture {
+  explicit WaitingFixture(bool early_refusal = true) {
+    settings.early_refusal = early_refusal;
+    settings.mechanisms.read_lease = false;
+    settings.tenants.keys_required = true;
+    backends.SetObserver(&dispatcher);
+    backends.SetConnectionLimit("ledger", 1, false);
+    model::InstanceEntry entry;
+    entry.id = "i-1";
+    entry.service = "ledger";
+    entry.primary = true;
+    backends.SetEntry(entry, kStart);
+    groups.Get("ledger", kStart).lease.Renew({1, "i-1", kStart});
+    configuration.version = 1;
+    configuration.services["ledger"].name = "ledger";
+    configuration.tenants["large"] = {"large", {kLargeKey}};
+    configuration.tenants["small"] = {"small", {kSmallKey}};
+    model::Route route;
+    route.database = "orders";
+    route.service = "ledger";
+    route.timeout = std::chrono::seconds(5);
+    route.target_latency = kTargetLatency;
+    configuration.routes["orders"] = route;
+    admission.set_configuration(1, configuration.tenants);
+    dispatcher.SetConfiguration(&configuration, kStart);
+    REQUIRE(backends.OpenFor("large", *backends.Find("i-1"), kStart));
+    NoteActions();
+  }
+
+  /// A new session asks. @return its number.
+  SessionNumber Ask(const tenants::key_digest& key,
+                    model::CommandKind kind = model::CommandKind::kRead) {
+    const SessionNumber session = ++sessions;
+    dispatcher.SessionStarted(session, "orders", key, now);
+    model::Command command;
+    command.kind = kind;
+    command.arguments = "k";
+    dispatcher.CommandReceived(session, {std::to_string(session), command}, now);
+    NoteActions();
+    return session;
+  }
+
+  /// The statement at the instance is answered, if there is one.
+  void AnswerRunning() {
+    if (running.empty()) {
+      return;
+    }
+    model::Reply reply;
+    reply.succeeded = true;
+    const ConnectionNumber connection = *running.begin();
+    running.erase(running.begin());
+    backends.Answered(connection, reply, now);
+    NoteActions();
+  }
+
+  void Tick() {
+    now += kTick;
+    dispatcher.Tick(now);
+    NoteActions();
+  }
+
+  /// A large tenant asks for four times what the instance can do.
+  void Overload(common::Duration time) {
+    for (const common::Instant end = now + time; now < end;) {
+      for (common::Duration passed{0}; passed < kAnswerTime; passed += kTick) {
+        Ask(kLargeKey);
+        Ask(kLargeKey);
+        Tick();
+      }
+      AnswerRunning();
+    }
+  }
+
+  /// Notes what was sent and refused; connections open at once.
+  void NoteActions() {
+    for (const Action& action : outbox.Take()) {
+      if (const auto* sent = std::get_if<SendRequests>(&action)) {
+        running.insert(sent->connection);
+        const auto& request = std::get<model::SessionRequest>(sent->requests.front());
+        started.push_back(std::stoul(request.request_id));
+      }
+      if (const auto* opened = std::get_if<OpenConnection>(&action)) {
+        opening.push_back(opened->connection);
+      }
+      const auto* answer = std::get_if<AnswerCaller>(&action);
+      if (answer != nullptr && !answer->reply.succeeded) {
+        refusals.push_back(*answer);
+      }
+    }
+    for (const ConnectionNumber connection : std::exchange(opening, {})) {
+      backends.Opened(connection, now);
+      NoteActions();
+    }
+  }
+
+  std::size_t RefusedWith(const std::string& reason) const {
+    return static_cast<std::size_t>(
+        std::count_if(refusals.begin(), refusals.end(), [&](const AnswerCaller& refusal) {
+          return refusal.reply.error == model::ErrorCode::kBusy &&
+                 refusal.reply.error_text.find(reason) != std::string::npos;
+        }));
+  }
+
+  ProxySettings settings;
+  Outbox outbox;
+  relay::role_map roles{"d", {}};
+  BackendSet backends{outbox};
+  GroupSet groups{settings, backends, roles, outbox};
+  tenants::admission admission{settings.tenants};
+  access::rule_set access;
+  Dispatcher dispatcher{settings, backends, groups, admission, access, outbox};
+  model::Configuration configuration;
+  common::Instant now = kStart;
+  SessionNumber sessions = 0;
+  std::set<ConnectionNumber> running;
+  std::vector<ConnectionNumber> opening;
+  std::vector<SessionNumber> started;
+  std::vector<AnswerCaller> refusals;
+};
+
+}  // namespace
+
+TEST_CASE("A small tenant's statement does not wait for a large one's backlog",
+          "[proxy][waiting]") {
+  WaitingFixture fixture;
+  for (int i = 0; i < 6; ++i) {
+    fixture.Ask(kLargeKey);
+  }
+  const SessionNumber small = fixture.Ask(kSmallKey);
+  fixture.AnswerRunning();
+  fixture.AnswerRunning();
+  REQUIRE(fixture.started.size() == 3);
+  CHECK(fixture.started.back() == small);
+}
+
+TEST_CASE("What stands too far back is refused at the next tick", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  fixture.Overload(std::chrono::seconds(1));
+  fixture.refusals.clear();
+  const std::uint64_t before = fixture.dispatcher.Counters().refused_early;
+  for (int i = 0; i < 30; ++i) {
+    fixture.Ask(kLargeKey);
+  }
+  fixture.Tick();
+  CHECK(fixture.RefusedWith(" refused early: no free connection") >= 20);
+  CHECK(fixture.dispatcher.Counters().refused_early - before ==
+        fixture.RefusedWith("refused early"));
+}
+
+TEST_CASE("Without early refusal a statement is held to the end", "[proxy][waiting]") {
+  WaitingFixture fixture(false);
+  fixture.Overload(std::chrono::seconds(1));
+  fixture.refusals.clear();
+  const SessionNumber last = fixture.Ask(kLargeKey);
+  const common::Instant end = fixture.now + kTargetLatency / 4;
+  while (fixture.now + kTick < end) {
+    fixture.Tick();
+  }
+  const auto of_last = [&](const AnswerCaller& refusal) { return refusal.session == last; };
+  CHECK(std::none_of(fixture.refusals.begin(), fixture.refusals.end(), of_last));
+  fixture.Tick();
+  CHECK(std::any_of(fixture.refusals.begin(), fixture.refusals.end(), of_last));
+  CHECK(fixture.dispatcher.Counters().refused_early == 0);
+  CHECK(fixture.dispatcher.Counters().held_in_vain.contains("no free connection"));
+}
+
+TEST_CASE("An overloaded instance keeps its place in the queue filled", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  fixture.Overload(std::chrono::seconds(2));
+  // Nothing is lost by refusing: one statement ran after the other all the time.
+  const auto possible = static_cast<std::size_t>(std::chrono::seconds(2) / kAnswerTime);
+  CHECK(fixture.started.size() >= possible);
+}
+
+TEST_CASE("Writes that wait for a primary are not refused early", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  fixture.Overload(std::chrono::seconds(1));
+  fixture.groups.Get("ledger", fixture.now).lease.Renew({2, "", fixture.now});
+  fixture.refusals.clear();
+  for (int i = 0; i < 30; ++i) {
+    fixture.Ask(kLargeKey, model::CommandKind::kWrite);
+  }
+  fixture.Tick();
+  fixture.Tick();
+  CHECK(fixture.RefusedWith("refused early") == 0);
+}
+
+TEST_CASE("Callers held in vain are told different times to come back", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  for (int i = 0; i < 3; ++i) {
+    fixture.Ask(kLargeKey);
+  }
+  const common::Instant end = fixture.now + kTargetLatency / 4;
+  while (fixture.now < end) {
+    fixture.Tick();
+  }
+  REQUIRE(fixture.refusals.size() == 2);
+  CHECK(fixture.refusals.front().reply.error_text != fixture.refusals.back().reply.error_text);
+}
+
+}  // namespace valvekeel::proxy
