--- a/apps/valvekeel.cc
+++ b/apps/valvekeel.cc
@@ -3,6 +3,7 @@
 //   valvekeel check HISTORY     holds a history against what must always hold
 //   valvekeel report HISTORY    prints the figures of a history
 //   valvekeel status HOST:PORT  prints the state of a daemon
+//   valvekeel replay-waiting TRACE  plays load through the decisions on waiting work
 //   valvekeel explain REQUEST LOG...  accounts for one request from the daemons' logs
 //   valvekeel --summary explain LOG... sums up the daemons' logs
 
@@ -33,6 +34,8 @@
     "                     exit 1 on a violation, 2 if it cannot be read\n"
     "  report HISTORY     print the figures of a history\n"
     "  status HOST:PORT   print the state of a daemon\n"
+    "  replay-waiting TRACE  play a trace of load through the earlier and the present\n"
+    "                     decisions on waiting work; exit 1 if an expected outcome is missed\n"
     "  explain REQUEST LOG...  account for one request from the daemons' logs, - for\n"
     "                     standard input; exit 1 if no line names it\n"
     "  explain --summary LOG...  refusals by reason, service, daemon and window of\n"
@@ -55,6 +58,7 @@
       {"check", valvekeel::operator_tools::RunCheck},
       {"report", valvekeel::operator_tools::RunReport},
       {"status", valvekeel::operator_tools::RunStatus},
+      {"replay-waiting", valvekeel::operator_tools::RunReplayWaiting},
   };
   const bool explains = words.size() > 2 && std::string(words[1]) == "explain";
   if (explains && absl::GetFlag(FLAGS_summary)) {
--- a/src/operator/commands.h
+++ b/src/operator/commands.h
@@ -31,4 +31,8 @@
 int RunSummary(const std::vector<std::string>& paths, std::chrono::seconds window,
                OutputFormat format);
 
+/// Plays a trace of load through the decisions on waiting, and through the earlier ones. A finding
+/// is an outcome that the trace expects and the decisions do not bring about.
+int RunReplayWaiting(const std::string& path, OutputFormat format);
+
 }  // namespace valvekeel::operator_tools
