--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -88,6 +88,8 @@
   std::deque<CallerCommand> queue;
   common::Position own_commit;  // last acknowledged commit of the session
   common::Instant own_commit_at{0};
+  /// Arrival of the first of the operations that were refused since the last success.
+  std::optional<common::Instant> refused_since;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -325,6 +325,7 @@
     ++counters_.errors[model::ErrorCodeName(reply.error)];
   } else {
     ++counters_.succeeded;
+    session.refused_since.reset();
   }
   session.transaction.last_active = now;
   outbox_.Emit(AnswerCaller{session.number, reply, times});
--- a/src/proxy/dispatcher_waiting.cc
+++ b/src/proxy/dispatcher_waiting.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr const char* kRefusedEarly = "refused early: ";
+/// Time in which refusals of one session, without a success between, count as attempts of one
+/// request: the shortest deadline of the callers that try again.
+constexpr common::Duration kRetryMemory{2'000'000};
 
 common::Instant HoldEnd(const Operation& operation) {
   return std::min(operation.hold_until, operation.deadline);
@@ -71,8 +74,15 @@
 
 void Dispatcher::RefuseWaiting(Session& session, const std::string& reason, common::Instant now) {
   const Operation& operation = *session.operation;
-  const common::Duration hold = HoldEnd(operation) - operation.arrived;
-  const common::Duration pause = waiting::come_back(operation.forecast, hold, session.number);
+  const bool tries_again = session.refused_since && now < *session.refused_since + kRetryMemory;
+  session.refused_since = tries_again ? *session.refused_since : operation.arrived;
+  waiting::refused_attempt refused;
+  refused.session = session.number;
+  refused.since_first = now - *session.refused_since;
+  refused.hold = HoldEnd(operation) - operation.arrived;
+  refused.target_latency = operation.route.target_latency;
+  refused.likely_wait = operation.forecast;
+  const common::Duration pause = waiting::come_back(refused);
   FinishWithError(session, model::ErrorCode::kBusy,
                   "retry_after_ms=" + Milliseconds(pause) + " " + reason, now);
 }
--- a/src/waiting/come_back.cc
+++ b/src/waiting/come_back.cc
@@ -12,20 +12,27 @@
 /** Steps in which the times of callers that are refused together differ. */
 constexpr std::uint64_t SPREAD_STEPS = 1'024;
 
-common::Duration pause_for(const std::optional<common::Duration>& likely_wait,
-                           common::Duration hold) {
-  if (!likely_wait) {
+/** @return true if an attempt after the pause may start in time for the target latency, even if it
+ * waits for the whole of its hold time again. The pause is stretched by a half in the mean. */
+bool still_in_time(const refused_attempt& refused, common::Duration pause) {
+  const common::Duration start = refused.since_first + pause * 3 / 2 + refused.hold;
+  const double latest = START_SHARE * static_cast<double>(refused.target_latency.count());
+  return static_cast<double>(start.count()) <= latest;
+}
+
+common::Duration pause_for(const refused_attempt& refused) {
+  if (!refused.likely_wait) {
     return USUAL_COME_BACK;
   }
-  return std::clamp(*likely_wait - hold, SHORTEST_COME_BACK, LONGEST_COME_BACK);
+  const common::Duration pause = std::max(*refused.likely_wait - refused.hold, SHORTEST_COME_BACK);
+  return still_in_time(refused, pause) ? std::min(pause, LATE_COME_BACK) : LATE_COME_BACK;
 }
 
 }  // namespace
 
-common::Duration come_back(const std::optional<common::Duration>& likely_wait,
-                           common::Duration hold, std::uint64_t session) {
-  const common::Duration pause = pause_for(likely_wait, hold);
-  const auto step = static_cast<std::int64_t>(common::MixHash(session) % SPREAD_STEPS);
+common::Duration come_back(const refused_attempt& refused) {
+  const common::Duration pause = pause_for(refused);
+  const auto step = static_cast<std::int64_t>(common::MixHash(refused.session) % SPREAD_STEPS);
   return pause + pause * step / static_cast<std::int64_t>(SPREAD_STEPS);
 }
 
--- a/src/waiting/replay.cc
+++ b/src/waiting/replay.cc
@@ -9,6 +9,7 @@
 #include <queue>
 #include <utility>
 
+#include "common/stable_hash.h"
 #include "waiting/come_back.h"
 #include "waiting/service_queues.h"
 
@@ -21,6 +22,11 @@
 /** Time that all refused callers were told before. */
 constexpr common::Duration STANDING_COME_BACK{250'000};
 constexpr std::size_t NEEDS = 2;
+/** Callers come up to so many steps later than told, as their links and timers have it. Without
+ * this all that return do so at a tick, and the phase decides who is served. */
+constexpr std::uint64_t MOST_DELAY_STEPS = 20;
+/** More than the attempts of a caller. */
+constexpr std::uint64_t ATTEMPTS_COUNTED = 64;
 
 /** One caller through all its attempts. */
 struct caller {
@@ -222,17 +228,38 @@
     outcome& of = this->outcome_of(refused);
     ++of.refusals;
     of.refusal_time += now - refused.attempt_at;
-    const common::Duration pause =
-        this->is_fair() ? come_back(likely_wait, refused.asks->hold, number) : STANDING_COME_BACK;
+    const common::Duration pause = this->pause_of(number, likely_wait, now);
     const bool again = refused.attempts <= this->played.retries &&
                        now + pause < refused.asks->at + this->played.deadline;
     if (again) {
-      this->coming.push({now + pause, number});
+      this->coming.push({now + pause + this->delay_of(number), number});
     } else {
       ++of.refused;
     }
   }
 
+  /** @return the time that a refused caller is told. */
+  common::Duration pause_of(std::size_t number, const std::optional<common::Duration>& likely_wait,
+                            common::Instant now) const {
+    if (!this->is_fair()) {
+      return STANDING_COME_BACK;
+    }
+    const caller& told = this->callers.at(number);
+    refused_attempt attempt;
+    attempt.session = number;
+    attempt.since_first = now - told.asks->at;
+    attempt.hold = told.asks->hold;
+    attempt.target_latency = told.asks->target_latency;
+    attempt.likely_wait = likely_wait;
+    return come_back(attempt);
+  }
+
+  /** @return how much later than told a caller comes. */
+  common::Duration delay_of(std::size_t number) const {
+    const std::uint64_t attempt = number * ATTEMPTS_COUNTED + this->callers.at(number).attempts;
+    return STEP * static_cast<std::int64_t>(common::MixHash(attempt) % MOST_DELAY_STEPS);
+  }
+
   const trace& played;
   policy by;
   service_queues queues;
