--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -56,6 +56,18 @@
   return cause;
 }
 
+/// @return what the daemon expected of the wait of a request that it refused; empty if nothing.
+std::string ForecastCause(const LogLine& line) {
+  const std::string forecast = Field(line, "forecast_ms");
+  if (forecast.empty()) {
+    return "";
+  }
+  const bool early = Field(line, "reason").find("refused early") != std::string::npos;
+  return std::string("; ") +
+         (early ? "its turn was expected in " : "one that came then would have waited for ") +
+         forecast + " ms, it had waited for " + Field(line, "held_ms") + " ms";
+}
+
 std::string CauseOf(const Account& account) {
   const LogLine& last = account.own.back();
   if (last.event == "request_turned_away") {
@@ -66,6 +78,7 @@
            "; no failure of it is on record, so it succeeded or its caller left";
   }
   std::string cause = Meaning(Field(last, "error")) + ": " + Field(last, "reason");
+  cause += ForecastCause(last);
   const std::string instance = Field(last, "instance");
   if (!instance.empty()) {
     cause += " (last instance " + instance + ")";
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -105,6 +105,12 @@
         static_cast<double>(proxy.Dispatch().SessionCount()));
   Gauge("valvekeel_waiting", "Statements waiting for an instance", {},
         static_cast<double>(proxy.Dispatch().WaitingCount()));
+  const std::string refused_waiting = "valvekeel_refused_waiting_total";
+  const std::string help = "Statements refused that waited for an instance";
+  Gauge(refused_waiting, help, {{"reason", "early"}}, static_cast<double>(counters.refused_early));
+  for (const auto& [reason, count] : counters.held_in_vain) {
+    Gauge(refused_waiting, help, {{"reason", reason}}, static_cast<double>(count));
+  }
   const relay::relay_counters& relayed = proxy.Relay().Sessions().counters();
   Gauge("valvekeel_relayed_sessions", "Sessions that another daemon serves", {},
         static_cast<double>(proxy.Relay().Sessions().size()));
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -34,6 +34,19 @@
   CHECK(nlohmann::json::parse(FormatJson(account, 2)).at("lines").size() == 2);
 }
 
+TEST_CASE("A request refused early is told by the wait that was expected", "[explain]") {
+  LogSet logs;
+  ReadLog(
+      "{\"seq\":1,\"mono_ms\":90,\"process\":\"d1\",\"event\":\"request_failed\","
+      "\"request\":\"r1\",\"error\":\"busy\",\"held_ms\":\"9\",\"forecast_ms\":\"340\","
+      "\"reason\":\"retry_after_ms=120 refused early: no free connection\"}\n",
+      logs);
+  const std::string cause = Explain(logs, "r1").cause;
+  CHECK(cause.find("nothing ran") != std::string::npos);
+  CHECK(cause.find("refused early: no free connection; its turn was expected in 340 ms, it had "
+                   "waited for 9 ms") != std::string::npos);
+}
+
 TEST_CASE("Lines of an earlier life of the process are no context", "[explain]") {
   LogSet logs;
   ReadLog(
--- /dev/null
+++ b/tests/waiting/replay_test.cc
@@ -0,0 +1,104 @@
+// Loads at their worst, replayed: what the decisions on waiting gain over the earlier ones.
+
+#include "waiting/replay.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+
+namespace valvekeel::waiting {
+namespace {
+
+trace load(const std::string& name) {
+  std::ifstream file(std::string(VALVEKEEL_WAITING_TRACES) + "/" + name + ".trace");
+  REQUIRE(file);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  const auto parsed = parse_trace(text);
+  REQUIRE(common::IsOk(parsed));
+  return common::ValueOf(parsed);
+}
+
+/** Requires all that the trace expects of the present decisions, and that the earlier ones miss. */
+void check_gain(const std::string& name) {
+  const trace played = load(name);
+  REQUIRE_FALSE(played.expectations.empty());
+  for (const expected_outcome& each : unmet(played, replay(played, policy::fair))) {
+    FAIL_CHECK(name << " misses " << each.figure << " of " << each.tenant);
+  }
+  CHECK(unmet(played, replay(played, policy::standing)).size() == played.expectations.size());
+}
+
+}  // namespace
+
+TEST_CASE("A tenant at seven times its rate takes nothing from small ones", "[waiting]") {
+  check_gain("large-tenant");
+}
+
+TEST_CASE("Callers of a service that lost an instance are served in time or told at once",
+          "[waiting]") {
+  check_gain("lost-instance-short-work");
+}
+
+TEST_CASE("A queue behind a lost instance is short enough to be served", "[waiting]") {
+  const trace played = load("lost-instance");
+  const replay_result fair = replay(played, policy::fair);
+  CHECK(unmet(played, fair).empty());
+  const replay_result standing = replay(played, policy::standing);
+  CHECK(total(fair).in_time > total(standing).in_time);
+  CHECK(total(fair).held_in_vain < total(standing).held_in_vain / 4);
+}
+
+TEST_CASE("Callers that were refused together are all served in the end", "[waiting]") {
+  check_gain("return-at-once");
+}
+
+TEST_CASE("What waits in a primary's gap is served after it", "[waiting]") {
+  check_gain("primary-gap");
+}
+
+TEST_CASE("A trace that cannot be read names the line", "[waiting]") {
+  const auto unknown = parse_trace("callers 2 2000\n\ndepart 3\n");
+  REQUIRE_FALSE(common::IsOk(unknown));
+  CHECK(common::ErrorOf(unknown).line == 3);
+  for (const std::string line :
+       {"arrive x ledger any - 0 200 100 40", "arrive 0..10/0 ledger any - 0 200 100 40",
+        "arrive 0 ledger all - 0 200 100 40", "capacity 0 ledger any -1", "capacity 0 ledger any",
+        "expect * late about 3"}) {
+    CHECK_FALSE(common::IsOk(parse_trace(line)));
+  }
+}
+
+TEST_CASE("What is written of a trace is read again", "[waiting]") {
+  const arrival came{common::Instant(1'500),
+                     "ledger",
+                     need::primary,
+                     "",
+                     2,
+                     common::Duration(200'000),
+                     common::Duration(100'000),
+                     common::Duration(40'500)};
+  const capacity_change change{common::Instant(2'000), "ledger", need::any, 12};
+  const auto parsed = parse_trace(format(came) + "\n" + format(change) + "\n");
+  REQUIRE(common::IsOk(parsed));
+  const trace& read = common::ValueOf(parsed);
+  REQUIRE(read.arrivals.size() == 1);
+  REQUIRE(read.capacities.size() == 1);
+  CHECK(format(read.arrivals.front()) == format(came));
+  CHECK(format(read.capacities.front()) == format(change));
+}
+
+TEST_CASE("A series of arrivals and a crowd are written in a line", "[waiting]") {
+  const auto parsed =
+      parse_trace("arrive 0..100/10 ledger any - 0 200 100 40\narrive 50+7 ledger any - 0 2 1 4\n");
+  REQUIRE(common::IsOk(parsed));
+  CHECK(common::ValueOf(parsed).arrivals.size() == 17);
+}
+
+TEST_CASE("An expected figure that does not exist is missed", "[waiting]") {
+  const auto parsed = parse_trace("expect * speed at_least 0\nexpect nobody late at_most 3\n");
+  REQUIRE(common::IsOk(parsed));
+  const trace& played = common::ValueOf(parsed);
+  CHECK(unmet(played, replay(played, policy::fair)).size() == 2);
+}
+
+}  // namespace valvekeel::waiting
