--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -8,6 +8,7 @@
 #include <absl/flags/usage.h>
 
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <string>
@@ -23,6 +24,9 @@
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
 ABSL_FLAG(std::vector<std::string>, control_cost, {},
           "instead of days: what control costs deployments of these sizes, e.g. 30,100,300");
+ABSL_FLAG(std::uint64_t, sessions, 40, "callers at once");
+ABSL_FLAG(std::string, load_trace, "",
+          "file for the load of the last day's busiest daemon, for valvekeel replay-waiting");
 ABSL_FLAG(bool, print_log, false, "print the daemons' log lines");
 
 namespace {
@@ -98,14 +102,19 @@
     valvekeel::proxysim::ScenarioOptions options;
     options.seed = seed;
     options.faults = absl::GetFlag(FLAGS_faults);
+    options.sessions = absl::GetFlag(FLAGS_sessions);
     options.draw_shape = absl::GetFlag(FLAGS_draw_shape);
     options.large = absl::GetFlag(FLAGS_large);
     options.print_log = absl::GetFlag(FLAGS_print_log);
+    options.record_load = !absl::GetFlag(FLAGS_load_trace).empty();
     const auto result = valvekeel::proxysim::RunScenario(options);
     attempts += result.attempts;
     succeeded += result.succeeded;
     promotions += result.promotions;
     relayed += result.relayed;
+    if (options.record_load) {
+      std::ofstream(absl::GetFlag(FLAGS_load_trace)) << result.load_trace;
+    }
     std::map<std::string, bool> broken;
     for (const auto& violation : result.violations) {
       broken[violation.rule] = true;
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -292,6 +292,7 @@
 
 void Dispatcher::FinishWithError(Session& session, model::ErrorCode code, const std::string& reason,
                                  common::Instant now) {
+  ObserveOperation(session, *session.operation, now);
   const Operation operation = std::move(*session.operation);
   session.operation.reset();
   waiting_.remove(session.number);
@@ -318,6 +319,7 @@
 
 void Dispatcher::FinishWithReply(Session& session, const model::Reply& reply, common::Instant now) {
   const Operation& operation = *session.operation;
+  ObserveOperation(session, operation, now);
   const StatementTimes times{operation.route.consistency, operation.sent - operation.arrived,
                              now - operation.sent};
   session.operation.reset();
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -21,6 +21,7 @@
 #include "proxy/proxy_settings.h"
 #include "proxy/read_placement.h"
 #include "tenants/admission.h"
+#include "waiting/recorder.h"
 #include "waiting/service_queues.h"
 
 namespace valvekeel::proxy {
@@ -65,6 +66,9 @@
   /// Ends the sessions of a service that rest.
   void EndResting(const std::string& service, common::Instant now);
 
+  /// Tells an observer of the load from now on. @param observer nothing: nobody any more.
+  void SetLoadObserver(waiting::load_observer* observer) { load_observer_ = observer; }
+
   /// From now on each session ends as soon as it rests.
   void StartClosing() { closing_ = true; }
 
@@ -142,6 +146,10 @@
   void NoteNoRoom(Session& session, std::size_t places, common::Instant now);
   /// The session's operation takes an instance's room.
   void NoteStarted(const Session& session, common::Instant now);
+  /// Tells the observer of an operation that ends.
+  void ObserveOperation(const Session& session, const Operation& operation, common::Instant now);
+  /// Tells the observer what the instances' limits allow.
+  void ObserveCapacity(common::Instant now);
   /// Refuses those whose turn will not come in time.
   void RefuseHopeless(common::Instant now);
   /// Refuses an operation that waited as long as it may.
@@ -199,6 +207,7 @@
   ReadPlacement placement_;
   const model::Configuration* configuration_ = nullptr;
   std::map<SessionNumber, Session> sessions_;
+  waiting::load_observer* load_observer_ = nullptr;
   waiting::service_queues waiting_;   // sessions with an operation in phase kWaiting
   std::set<SessionNumber> starting_;  // not accepted yet
   bool pumping_ = false;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -155,6 +155,7 @@
   NoteUnansweredWrites(now);
   Pump(now);
   RefuseHopeless(now);
+  ObserveCapacity(now);
 }
 
 std::set<std::string> Dispatcher::ServicesInUse() const {
--- a/src/proxy/dispatcher_waiting.cc
+++ b/src/proxy/dispatcher_waiting.cc
@@ -51,6 +51,45 @@
                         {session.number, operation.route.priority, operation.tenant}, now);
 }
 
+void Dispatcher::ObserveOperation(const Session& session, const Operation& operation,
+                                  common::Instant now) {
+  const bool sent = operation.phase != OperationPhase::kWaiting;
+  const bool in_transaction = sent && operation.attempts == 0;  // where the room was taken before
+  if (load_observer_ == nullptr || in_transaction) {
+    return;
+  }
+  waiting::arrival came;
+  came.at = operation.arrived;
+  came.service = operation.route.service;
+  came.needs = TargetOf(session).needs;
+  came.tenant = operation.tenant;
+  came.priority = operation.route.priority;
+  came.target_latency = operation.route.target_latency;
+  came.hold = HoldEnd(operation) - operation.arrived;
+  came.work = sent ? now - operation.sent : common::Duration(0);
+  load_observer_->note_operation(came);
+}
+
+void Dispatcher::ObserveCapacity(common::Instant now) {
+  if (load_observer_ == nullptr) {
+    return;
+  }
+  std::map<std::string, std::size_t> slots;
+  std::map<std::string, std::size_t> slots_at_primary;
+  for (const auto& [id, backend] : backends_.All()) {
+    const std::string& service = backend.Entry().service;
+    const bool usable = placement_.TakesWork(backend, now);
+    const std::size_t limit = usable ? static_cast<std::size_t>(backend.InFlightLimit()) : 0;
+    slots[service] += limit;
+    slots_at_primary[service] += groups_.UsablePrimary(service, now) == id ? limit : 0;
+  }
+  for (const auto& [service, count] : slots) {
+    load_observer_->note_capacity({now, service, waiting::need::any, count});
+    load_observer_->note_capacity(
+        {now, service, waiting::need::primary, slots_at_primary[service]});
+  }
+}
+
 void Dispatcher::RefuseHopeless(common::Instant now) {
   if (!settings_.early_refusal) {
     return;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -90,6 +90,9 @@
   /// @return time until the next tick: kTick, or longer for a daemon with nothing at hand.
   common::Duration TickPause() const;
 
+  /// Tells an observer of the load from now on; it outlives this object.
+  void SetLoadObserver(waiting::load_observer* observer) { dispatcher_.SetLoadObserver(observer); }
+
   std::vector<Action> TakeActions() { return outbox_.Take(); }
 
   bool Ready() const { return ready_; }
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -29,6 +29,7 @@
   std::size_t tenants = 0;         // 0: callers need no keys
   tenants::tenant_policy tenancy;  // in force if there are tenants
   bool first_start = false;        // of the whole deployment
+  bool record_load = false;        // the daemons' load, to be replayed
   bool encode_messages = false;    // the bytes of heartbeats are counted
 };
 
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -43,6 +43,9 @@
     settings.tenants = cluster_.Shape().tenancy;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
+    if (cluster_.Shape().record_load) {
+      proxy_->SetLoadObserver(&load_);
+    }
     Tick(life);
   });
 }
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -15,6 +15,7 @@
 #include "proxysim/database_group.h"
 #include "proxysim/store.h"
 #include "proxysim/world.h"
+#include "waiting/recorder.h"
 
 namespace valvekeel::proxysim {
 
@@ -65,6 +66,8 @@
   const common::Endpoint& Address() const { return address_; }
   proxy::Proxy* Decisions() { return proxy_.get(); }
   const TrafficCounters& Traffic() const { return traffic_; }
+  /// @return the load over all lives, if it is recorded.
+  const waiting::trace_recorder& Load() const { return load_; }
 
   // Callers.
   void OpenSession(proxy::SessionNumber number, const SessionStart& start, CallerPort port);
@@ -115,6 +118,7 @@
   common::Endpoint address_;
   std::unique_ptr<proxy::Proxy> proxy_;
   std::uint64_t life_ = 0;
+  waiting::trace_recorder load_;
   TrafficCounters traffic_;
   bool frozen_ = false;
   bool ready_ = false;
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -391,7 +391,9 @@
 
 ScenarioResult RunScenario(const ScenarioOptions& options) {
   ScenarioResult result;
-  Cluster cluster(options.seed, ShapeOf(options));
+  ClusterShape shape = ShapeOf(options);
+  shape.record_load = options.record_load;
+  Cluster cluster(options.seed, shape);
   World& world = cluster.Surroundings();
   if (options.print_log) {
     cluster.on_log = [&world](const std::string& daemon, const proxy::LogEvent& event) {
@@ -423,6 +425,13 @@
       result.relayed += daemon->Decisions()->Relay().Sessions().counters().started;
     }
   }
+  if (options.record_load) {
+    const auto busiest = std::max_element(cluster.Daemons().begin(), cluster.Daemons().end(),
+                                          [](const auto& a, const auto& b) {
+                                            return a->Load().operations() < b->Load().operations();
+                                          });
+    result.load_trace = (*busiest)->Load().text();
+  }
   result.violations = world.Violations();
   result.attempts = cluster.Record().Attempts();
   result.succeeded = cluster.Record().Succeeded();
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -26,7 +26,8 @@
   bool key_proof = true;    // off: daemons need no proof that keys are in force
   bool large = false;       // many daemons before few connections: sessions are relayed
   proxy::Mechanisms mechanisms;
-  bool print_log = false;  // prints the daemons' log lines
+  bool record_load = false;  // of the daemons, for ScenarioResult::load_trace
+  bool print_log = false;    // prints the daemons' log lines
 };
 
 struct ScenarioResult {
@@ -36,6 +37,7 @@
   std::size_t succeeded = 0;
   std::size_t promotions = 0;
   std::size_t relayed = 0;   // sessions handed over by daemons that live at the end
+  std::string load_trace;    // of the daemon with the most operations (waiting/trace.h)
   double served_at_end = 0;  // share of the operations of the last seconds
 };
 
--- /dev/null
+++ b/src/waiting/recorder.h
@@ -0,0 +1,64 @@
+/**
+ * @file Records the load of a daemon as a trace (trace.h) that can be replayed.
+ *
+ * What is recorded is an approximation: a statement that never ran is given the mean work of those
+ * that did, a transaction counts as its first statement, capacity is what the limits in flight
+ * allowed. Attempts of one caller are not told apart.
+ *
+ * Owns: what was seen. Invariant: times in the trace begin with the first event. Pure. Thread: its
+ * host's.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/time.h"
+#include "waiting/trace.h"
+
+namespace valvekeel::waiting {
+
+/** Hears of load. */
+class load_observer {
+ public:
+  load_observer() = default;
+  load_observer(const load_observer&) = delete;
+  load_observer& operator=(const load_observer&) = delete;
+  virtual ~load_observer() = default;
+
+  /** An operation ended. @param came  with the time it ran for; 0 if it never started */
+  virtual void note_operation(const arrival& came) = 0;
+
+  /** So many statements may run at once now; told again and again. */
+  virtual void note_capacity(const capacity_change& seen) = 0;
+};
+
+class trace_recorder : public load_observer {
+ public:
+  void note_operation(const arrival& came) override;
+  void note_capacity(const capacity_change& seen) override;
+
+  std::size_t operations() const { return this->arrivals.size(); }
+
+  /** @return the trace. */
+  std::string text() const;
+
+ private:
+  /** Time that operations ran for. */
+  struct work_sum {
+    common::Duration time{0};
+    std::int64_t count = 0;
+  };
+  using kind = std::pair<std::string, need>;  // service and need
+
+  std::vector<arrival> arrivals;
+  std::vector<capacity_change> capacities;
+  std::map<kind, std::size_t> newest_capacity;
+  std::map<kind, work_sum> worked;
+  std::optional<common::Instant> first;
+};
+
+}  // namespace valvekeel::waiting
--- a/tests/proxy/dispatcher_waiting_test.cc
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -221,4 +221,25 @@
   CHECK(fixture.refusals.front().reply.error_text != fixture.refusals.back().reply.error_text);
 }
 
+TEST_CASE("The load is told to who observes it", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  waiting::trace_recorder recorder;
+  fixture.dispatcher.SetLoadObserver(&recorder);
+  fixture.Ask(kLargeKey);
+  const SessionNumber in_transaction = fixture.Ask(kSmallKey, model::CommandKind::kBegin);
+  fixture.Tick();
+  fixture.AnswerRunning();
+  fixture.dispatcher.SessionClosed(in_transaction, fixture.now);
+  const auto parsed = waiting::parse_trace(recorder.text());
+  REQUIRE(common::IsOk(parsed));
+  const waiting::trace& trace = common::ValueOf(parsed);
+  REQUIRE(trace.arrivals.size() == 1);
+  CHECK(trace.arrivals.front().tenant == "large");
+  CHECK(trace.arrivals.front().needs == waiting::need::primary);
+  CHECK(trace.arrivals.front().work == kTick);
+  CHECK(trace.arrivals.front().hold == kTargetLatency / 4);
+  REQUIRE(trace.capacities.size() == 2);
+  CHECK(trace.capacities.front().slots == 2);
+}
+
 }  // namespace valvekeel::proxy
