--- a/src/waiting/trace.cc
+++ b/src/waiting/trace.cc
@@ -160,12 +160,12 @@
 };
 
 const std::map<std::string, line_kind>& line_kinds() {
-  static const std::map<std::string, line_kind> kinds = {{"tenant", {4, take_tenant}},
+  static const std::map<std::string, line_kind> KINDS = {{"tenant", {4, take_tenant}},
                                                          {"callers", {3, take_callers}},
                                                          {"capacity", {5, take_capacity}},
                                                          {"arrive", {9, take_arrival}},
                                                          {"expect", {5, take_expectation}}};
-  return kinds;
+  return KINDS;
 }
 
 }  // namespace
--- a/tests/proxy/dispatcher_waiting_test.cc
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -63,6 +63,15 @@
     return session;
   }
 
+  /// A session asks once more.
+  void AskAgain(SessionNumber session) {
+    model::Command command;
+    command.kind = model::CommandKind::kRead;
+    command.arguments = "k";
+    dispatcher.CommandReceived(session, {std::to_string(session), command}, now);
+    NoteActions();
+  }
+
   /// The statement at the instance is answered, if there is one.
   void AnswerRunning() {
     if (running.empty()) {
@@ -221,6 +230,29 @@
   CHECK(fixture.refusals.front().reply.error_text != fixture.refusals.back().reply.error_text);
 }
 
+TEST_CASE("A caller that was refused before is told to come back later", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  const auto pause_of = [&](SessionNumber session) {
+    const auto refusal =
+        std::find_if(fixture.refusals.rbegin(), fixture.refusals.rend(),
+                     [&](const AnswerCaller& each) { return each.session == session; });
+    REQUIRE(refusal != fixture.refusals.rend());
+    const std::string text = refusal->reply.error_text;
+    return std::chrono::milliseconds(std::stol(text.substr(text.find('=') + 1)));
+  };
+  fixture.Overload(std::chrono::seconds(1));
+  const SessionNumber first = fixture.refusals.back().session;
+  CHECK(pause_of(first) < waiting::LATE_COME_BACK);
+  for (common::Duration passed{0}; passed < kTargetLatency; passed += kTick) {
+    fixture.Tick();
+  }
+  fixture.AnswerRunning();
+  fixture.Overload(kTargetLatency);
+  fixture.AskAgain(first);
+  fixture.Overload(kTargetLatency / 2);
+  CHECK(pause_of(first) >= waiting::LATE_COME_BACK);
+}
+
 TEST_CASE("The load is told to who observes it", "[proxy][waiting]") {
   WaitingFixture fixture;
   waiting::trace_recorder recorder;
