--- a/tests/proxy/dispatcher_waiting_test.cc
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -243,14 +243,31 @@
   fixture.Overload(std::chrono::seconds(1));
   const SessionNumber first = fixture.refusals.back().session;
   CHECK(pause_of(first) < waiting::LATE_COME_BACK);
-  for (common::Duration passed{0}; passed < kTargetLatency; passed += kTick) {
-    fixture.Tick();
+  fixture.Overload(kTargetLatency / 2);
+  for (int i = 0; i < 5; ++i) {
+    fixture.Ask(kLargeKey);
   }
-  fixture.AnswerRunning();
-  fixture.Overload(kTargetLatency);
+  fixture.now += kMillisecond;  // behind those
   fixture.AskAgain(first);
+  const SessionNumber other = fixture.Ask(kLargeKey);
   fixture.Overload(kTargetLatency / 2);
   CHECK(pause_of(first) >= waiting::LATE_COME_BACK);
+  CHECK(pause_of(other) < waiting::LATE_COME_BACK);
+}
+
+TEST_CASE("A read that was sent and not answered is not refused early", "[proxy][waiting]") {
+  WaitingFixture fixture;
+  fixture.Overload(std::chrono::seconds(1));
+  const SessionNumber sent = fixture.started.back();
+  const std::uint64_t before = fixture.dispatcher.Counters().resent_reads;
+  while (fixture.dispatcher.Counters().resent_reads == before) {
+    fixture.Ask(kLargeKey);
+    fixture.Tick();
+  }
+  fixture.Tick();
+  const auto of_sent = [&](const AnswerCaller& refusal) { return refusal.session == sent; };
+  CHECK(fixture.RefusedWith("refused early") > 0);
+  CHECK(std::none_of(fixture.refusals.begin(), fixture.refusals.end(), of_sent));
 }
 
 TEST_CASE("The load is told to who observes it", "[proxy][waiting]") {
--- a/tests/waiting/wait_forecast_test.cc
+++ b/tests/waiting/wait_forecast_test.cc
@@ -117,6 +117,15 @@
   CHECK_FALSE(service.forecast.expect(FAR_BACK, service.now));
 }
 
+TEST_CASE("An instance that was away and comes back is noticed", "[waiting]") {
+  crowded_service service;
+  service.run(std::chrono::seconds(2), 20 * MILLISECOND);
+  service.run(PLACES_MEMORY + 2 * TICK, 30 * MILLISECOND, 1, PLACES - 1);
+  CHECK(service.forecast.expect(FAR_BACK, service.now));
+  service.forecast.note_blocked(PLACES, service.now);
+  CHECK_FALSE(service.forecast.expect(FAR_BACK, service.now));
+}
+
 TEST_CASE("An operation with fewer instances to choose from changes nothing", "[waiting]") {
   crowded_service service;
   service.run(std::chrono::seconds(2), 20 * MILLISECOND);
