--- a/tests/proxy/dispatcher_waiting_test.cc
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -261,10 +261,13 @@
   const SessionNumber sent = fixture.started.back();
   const std::uint64_t before = fixture.dispatcher.Counters().resent_reads;
   while (fixture.dispatcher.Counters().resent_reads == before) {
+    fixture.Ask(kLargeKey);
     fixture.Ask(kLargeKey);
     fixture.Tick();
   }
-  fixture.Tick();
+  for (int i = 0; i < 5; ++i) {
+    fixture.Tick();
+  }
   const auto of_sent = [&](const AnswerCaller& refusal) { return refusal.session == sent; };
   CHECK(fixture.RefusedWith("refused early") > 0);
   CHECK(std::none_of(fixture.refusals.begin(), fixture.refusals.end(), of_sent));
