--- a/src/proxy/dispatcher_waiting.cc
+++ b/src/proxy/dispatcher_waiting.cc
@@ -96,6 +96,11 @@
   }
   for (const waiting::hopeless& found : waiting_.find_hopeless(now)) {
     Session* session = Find(found.number);
+    const bool waits = session != nullptr && session->operation &&
+                       session->operation->phase == OperationPhase::kWaiting;
+    if (!waits) {
+      continue;  // another's refusal gave it room
+    }
     session->operation->forecast = found.likely_wait;
     ++counters_.refused_early;
     RefuseWaiting(*session, std::string(kRefusedEarly) + session->operation->last_refusal, now);
