--- a/tests/host/host_settings_test.cc
+++ b/tests/host/host_settings_test.cc
@@ -47,6 +47,16 @@
   CHECK(settings.proxy.seed_peers[0] == common::Endpoint{"10.2.0.6", 7440});
 }
 
+TEST_CASE("Early refusal is on unless it is switched off", "[host]") {
+  const TemporaryFile file(kValid);
+  const auto usual = LoadHostSettings(file.path, {});
+  REQUIRE(common::IsOk(usual));
+  CHECK(common::ValueOf(usual).proxy.early_refusal);
+  const auto loaded = LoadHostSettings(file.path, {"requests.early_refusal=false"});
+  REQUIRE(common::IsOk(loaded));
+  CHECK_FALSE(common::ValueOf(loaded).proxy.early_refusal);
+}
+
 TEST_CASE("Every fault of the settings is told at once", "[host]") {
   const TemporaryFile file(
       "[daemon]\nname = \"d1\"\nzone = 3\nzoone = \"x\"\n[listen]\n"
--- a/tests/proxy/dispatcher_waiting_test.cc
+++ b/tests/proxy/dispatcher_waiting_test.cc
@@ -114,6 +114,10 @@
       if (const auto* opened = std::get_if<OpenConnection>(&action)) {
         opening.push_back(opened->connection);
       }
+      const auto* logged = std::get_if<LogEvent>(&action);
+      if (logged != nullptr && std::string(logged->event) == "request_failed") {
+        failures.push_back(*logged);
+      }
       const auto* answer = std::get_if<AnswerCaller>(&action);
       if (answer != nullptr && !answer->reply.succeeded) {
         refusals.push_back(*answer);
@@ -148,6 +152,7 @@
   std::vector<ConnectionNumber> opening;
   std::vector<SessionNumber> started;
   std::vector<AnswerCaller> refusals;
+  std::vector<LogEvent> failures;
 };
 
 }  // namespace
@@ -177,6 +182,12 @@
   CHECK(fixture.RefusedWith(" refused early: no free connection") >= 20);
   CHECK(fixture.dispatcher.Counters().refused_early - before ==
         fixture.RefusedWith("refused early"));
+  const auto& fields = fixture.failures.back().fields;
+  const auto forecast = std::find_if(fields.begin(), fields.end(), [](const auto& field) {
+    return std::string(field.first) == "forecast_ms";
+  });
+  REQUIRE(forecast != fields.end());
+  CHECK(std::stol(forecast->second) > 100);
 }
 
 TEST_CASE("Without early refusal a statement is held to the end", "[proxy][waiting]") {
