--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -21,6 +21,8 @@
 #include "proxy/proxy_settings.h"
 #include "proxy/read_placement.h"
 #include "tenants/admission.h"
+#include "waiting/recorder.h"
+#include "waiting/service_queues.h"
 
 namespace valvekeel::proxy {
 
@@ -32,8 +34,10 @@
   std::uint64_t primary_reads = 0;
   std::uint64_t retries = 0;
   std::uint64_t resent_reads = 0;
-  std::map<std::string, std::uint64_t> errors;  // answered to callers, by code
-  std::map<std::string, std::uint64_t> barred;  // refused or ended by access rules, by reason
+  std::map<std::string, std::uint64_t> errors;        // answered to callers, by code
+  std::map<std::string, std::uint64_t> barred;        // refused or ended by access rules, by reason
+  std::uint64_t refused_early = 0;                    // their turn would not have come in time
+  std::map<std::string, std::uint64_t> held_in_vain;  // refused at the end of their hold, by reason
 };
 
 /// How long the end of a session waits.
@@ -76,6 +80,9 @@
   /// Ends the sessions of a service that rest.
   void EndResting(const std::string& service, common::Instant now);
 
+  /// Tells an observer of the load from now on. @param observer nothing: nobody any more.
+  void SetLoadObserver(waiting::load_observer* observer) { load_observer_ = observer; }
+
   /// From now on each session ends as soon as it rests.
   void StartClosing() { closing_ = true; }
 
@@ -152,6 +159,26 @@
   void FinishWithReply(Session& session, const model::Reply& reply, common::Instant now);
   void EndTransaction(Session& session, common::Instant now);
 
+  // Waiting.
+  /// What the session's operation waits for. Valid while the operation is there.
+  waiting::target TargetOf(const Session& session) const;
+  /// Lets the session's operation wait; nothing changes if it does already.
+  void JoinQueue(const Session& session);
+  /// The session's operation found no instance with room among so many that could serve it.
+  void NoteNoRoom(Session& session, std::size_t places, common::Instant now);
+  /// The session's operation takes an instance's room.
+  void NoteStarted(const Session& session, common::Instant now);
+  /// Tells the observer of an operation that ends.
+  void ObserveOperation(const Session& session, const Operation& operation, common::Instant now);
+  /// Tells the observer what the instances' limits allow.
+  void ObserveCapacity(common::Instant now);
+  /// Refuses those whose turn will not come in time.
+  void RefuseHopeless(common::Instant now);
+  /// Refuses an operation that waited as long as it may.
+  void RefuseHeld(Session& session, common::Instant now);
+  /// Refuses the session's operation as busy and tells the caller when to come back.
+  void RefuseWaiting(Session& session, const std::string& reason, common::Instant now);
+
   // Placement and execution.
   void Pump(common::Instant now);
   bool TryStart(Session& session, common::Instant now);
@@ -200,7 +227,8 @@
   ReadPlacement placement_;
   const model::Configuration* configuration_ = nullptr;
   std::map<SessionNumber, Session> sessions_;
-  std::set<SessionNumber> waiting_;   // with an operation in phase kWaiting
+  waiting::load_observer* load_observer_ = nullptr;
+  waiting::service_queues waiting_;   // sessions with an operation in phase kWaiting
   std::set<SessionNumber> starting_;  // not accepted yet
   bool pumping_ = false;
   bool pump_again_ = false;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -53,8 +53,7 @@
       return;
     }
     if (now >= std::min(operation.hold_until, operation.deadline)) {
-      FinishWithError(session, model::ErrorCode::kBusy,
-                      std::string(kComeBack) + operation.last_refusal, now);
+      RefuseHeld(session, now);
     }
     return;
   }
@@ -156,6 +155,8 @@
   }
   NoteUnansweredWrites(now);
   Pump(now);
+  RefuseHopeless(now);
+  ObserveCapacity(now);
 }
 
 std::set<std::string> Dispatcher::ServicesInUse() const {
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -33,6 +33,7 @@
   tenants::tenant_policy tenancy;        // in force if there are tenants
   common::Duration evacuation_limit{0};  // 0: no zone is evacuated
   bool first_start = false;              // of the whole deployment
+  bool record_load = false;              // the daemons' load, to be replayed
   bool encode_messages = false;          // the bytes of heartbeats are counted
 };
 
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -29,7 +29,8 @@
   bool warm_up = false;      // instances that start are cold for a while
   bool regions = false;      // two regions; routes and tenants are limited to them by turns
   proxy::Mechanisms mechanisms;
-  bool print_log = false;  // prints the daemons' log lines
+  bool record_load = false;  // of the daemons, for ScenarioResult::load_trace
+  bool print_log = false;    // prints the daemons' log lines
 };
 
 struct ScenarioResult {
@@ -40,6 +41,7 @@
   std::size_t promotions = 0;
   std::size_t evacuations = 0;
   std::size_t relayed = 0;   // sessions handed over by daemons that live at the end
+  std::string load_trace;    // of the daemon with the most operations (waiting/trace.h)
   double served_at_end = 0;  // share of the operations of the last seconds
 };
 
