Who does not know all members of a group confirms no primary by a round of its own

Daemons that began to watch a group behind the cut knew one of its three instances, from the list of their first second (revision 12 of 135): the old primary was the majority of the members they knew, and they read there 2 s after another had been promoted. Ruled out: the read lease of those who watched all along (let go at 25.67); the record (it named the replacement from 25.65 on). Change: rounds of a group begin once all instances were listed, from the newest state, since the daemon began to watch it; it lists them once if no watch brings them within 150 ms.

--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -18,6 +18,9 @@
 constexpr common::Duration kLeaselessLimit{500'000};
 /// Time for a new primary, unreachable before it led, to be reached.
 constexpr common::Duration kNewPrimaryGrace{1'200'000};
+/// Time for a watch of the store that has just begun to show all members: it counts as settled
+/// after 100 ms (metadata::CollectionFollower).
+constexpr common::Duration kMembersPatience{150'000};
 /// Time after the group was first seen in which it is not judged.
 constexpr common::Duration kSettling{1'500'000};
 /// An unlisted member that can't be reached is left out of the count after this time.
@@ -33,6 +36,7 @@
   const auto [found, added] = groups_.try_emplace(service);
   if (added) {
     found->second.service = service;
+    found->second.watched_since = now;
     found->second.known_since = now;
     found->second.lease_held_at = now;
   }
@@ -283,7 +287,23 @@
   return targets;
 }
 
+void GroupSet::NoteMembersKnown(common::Instant as_of) {
+  for (auto& [service, state] : groups_) {
+    state.members_known = state.members_known || (state.watched && as_of >= state.watched_since);
+  }
+}
+
+bool GroupSet::LacksMembers(common::Instant now) const {
+  return std::any_of(groups_.begin(), groups_.end(), [&](const auto& group) {
+    const GroupState& state = group.second;
+    return state.watched && !state.members_known && now >= state.watched_since + kMembersPatience;
+  });
+}
+
 void GroupSet::StartRound(GroupState& state, common::Instant now) {
+  if (!state.members_known) {
+    return;
+  }
   state.round_at = now;
   const bool old = now >= state.lease.Newest().started + kAskAllAge;
   const std::vector<std::string> targets = RoundTargets(state, old, now);
@@ -405,6 +425,8 @@
   if (watched == std::exchange(state.watched, watched)) {
     return;
   }
+  state.watched_since = now;
+  state.members_known = false;
   // An opinion needs a while of looking.
   state.lost = false;
   state.known_since = now;
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -42,7 +42,11 @@
   std::set<std::string> departed;  // whose departure is covered by `floor`
   common::Position floor;          // a promoted replica must hold at least this
   bool watched = true;             // this daemon connects to the instances
-  bool lost = false;               // this daemon's opinion
+  common::Instant watched_since{0};
+  /// All members were known at some instant since then. Else the group may look smaller than it is,
+  /// and a majority of it be none.
+  bool members_known = false;
+  bool lost = false;  // this daemon's opinion
 };
 
 class GroupSet {
@@ -100,6 +104,13 @@
   /// @return the longest time since a watched group's lease was renewed.
   common::Duration OldestConfirmation(common::Instant now) const;
 
+  /// All instances are known that the store lists, as of an instant.
+  void NoteMembersKnown(common::Instant as_of);
+
+  /// @return true if some watched group's members may not all be known, although a watch of the
+  /// store would have shown them by now.
+  bool LacksMembers(common::Instant now) const;
+
   /// Leases are held only by registered daemons: a promoter waits for those alone.
   void SetRegistered(bool registered) { registered_ = registered; }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -434,6 +434,15 @@
   outbox_.Emit(FetchCatalog{*fetching_, settings_.seed_catalogs[index]});
 }
 
+void Proxy::LearnMembers(common::Instant now) {
+  if (groups_.LacksMembers(now)) {
+    catalog_.RefreshInstances(now);
+  }
+  if (const auto as_of = catalog_.InstancesFreshAsOf(now)) {
+    groups_.NoteMembersKnown(*as_of);
+  }
+}
+
 bool Proxy::InstancesKnown() const {
   // Who hands sessions to owners needs to know these alone.
   const bool relays = large_ && !roles_.meshed();
@@ -530,6 +539,7 @@
   AdvanceEvacuations(now);
   AdvanceRates(now);
   groups_.Tick(now);
+  LearnMembers(now);
   failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
   dispatcher_.Tick(now);
   relay_.Tick(now);
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -65,12 +65,6 @@
     auto group = std::make_unique<DatabaseGroup>(world_, history_, service, shape_.group);
     DatabaseGroup* made = group.get();
     made->keys = shape_.tenants > 0 ? &keys_ : nullptr;
-    if (shape_.regions > 0) {
-      group->on_statement = [this](const CallerAttempt& attempt, const SimulatedInstance& instance,
-                                   const std::string& daemon) {
-        CheckRegion(attempt, ZoneOfInstance(instance.id), "run", daemon);
-      };
-    }
     group->on_change = [this, made] { AnnounceAll(*made); };
     if (shape_.evacuation_limit.count() > 0) {
       group->on_work = [this](const std::string& instance, const std::string& daemon) {
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -250,6 +250,21 @@
   });
 }
 
+void DaemonHost::CheckRegions(const std::string& instance,
+                              const std::vector<model::InstanceRequest>& requests) {
+  if (cluster_.Shape().regions == 0) {
+    return;
+  }
+  for (const model::InstanceRequest& request : requests) {
+    const auto* statement = std::get_if<model::SessionRequest>(&request);
+    const bool runs = statement != nullptr && model::RunsOnInstance(statement->command.kind);
+    const CallerAttempt* attempt = runs ? cluster_.Record().Find(statement->request_id) : nullptr;
+    if (attempt != nullptr) {
+      cluster_.CheckRegion(*attempt, cluster_.ZoneOfInstance(instance), "run", name_);
+    }
+  }
+}
+
 void DaemonHost::Do(const proxy::SendRequests& action) {
   const auto found = connections_.find(action.connection);
   if (found == connections_.end() || !cluster_.Surroundings().Reaches(name_, found->second)) {
@@ -257,6 +272,7 @@
   }
   World& world = cluster_.Surroundings();
   const std::string instance = found->second;
+  CheckRegions(instance, action.requests);
   // One delay for all, so that they arrive in order.
   const std::uint64_t key = KeyOf(action.connection);
   world.After(world.Delay(), [this, instance, action, key] {
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -97,6 +97,10 @@
   std::uint64_t KeyOf(proxy::ConnectionNumber number) const;
   void Tick(std::uint64_t life);
   void Drain();
+  /// Holds callers' statements that are sent to an instance against the regions in force here: by
+  /// the time that they run this daemon may know a newer configuration.
+  void CheckRegions(const std::string& instance,
+                    const std::vector<model::InstanceRequest>& requests);
   void Do(const proxy::OpenConnection& action);
   void Do(const proxy::SendRequests& action);
   void Do(const proxy::CloseConnection& action);
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -339,9 +339,6 @@
     return reply;
   }
   CheckKey(connection, *attempt);
-  if (on_statement) {
-    on_statement(*attempt, instance, connection.daemon);
-  }
   CheckConnection(instance, connection, *attempt);
   const bool lost_lead =
       connection.state != TransactionState::kIdle && !connection.read_only && !instance.primary;
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -115,9 +115,6 @@
   std::function<void()> on_change;
   /// Told of each of the callers' requests that arrives, if set.
   std::function<void(const std::string& instance, const std::string& daemon)> on_work;
-  /// Called with each statement that runs, and the daemon that sent it, if set.
-  std::function<void(const CallerAttempt&, const SimulatedInstance&, const std::string& daemon)>
-      on_statement;
 
  private:
   struct PendingCommit {
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -1,5 +1,6 @@
 #include "proxy/group_set.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace valvekeel::proxy {
@@ -26,6 +27,7 @@
     backends.SetConnectionLimit("group", 2);
     groups.SetRegistered(true);
     groups.Get("group", kStart).lease.Renew({1, "p", kStart});
+    groups.NoteMembersKnown(kStart);
   }
 
   /// Lets an instance end: unlisted and unreachable.
@@ -41,6 +43,13 @@
   GroupSet groups{settings, backends, roles, outbox};
 };
 
+class NoObserver : public ConnectionObserver {
+ public:
+  void OnAnswer(Backend&, Connection&, const Outstanding&, const model::Reply&, Instant) override {}
+  void OnLost(Backend&, Connection&, Instant) override {}
+  void OnCapacity(Instant) override {}
+};
+
 model::LeadershipRecord Begun(common::Term replaced_term) {
   model::LeadershipRecord record;
   record.attempts["group"] = {replaced_term, "a"};
@@ -151,4 +160,54 @@
   CHECK(fixture.groups.Reports(false, kStart + kLongAgo).size() == 1);
 }
 
+TEST_CASE("Who does not know all members of a group confirms no primary by a round of its own",
+          "[proxy]") {
+  // Found on the bench (two regions, a zone cut off): daemons that began to watch a group behind
+  // the cut knew one of its three instances, from a list of long ago: the old primary was its
+  // majority.
+  ProxySettings settings;
+  Outbox outbox;
+  const relay::role_map roles{"me", {}};
+  NoObserver observer;
+  BackendSet backends{outbox};
+  backends.SetObserver(&observer);
+  GroupSet groups{settings, backends, roles, outbox};
+  model::InstanceEntry entry;
+  entry.id = "p";
+  entry.service = "group";
+  backends.SetEntry(entry, kStart);
+  backends.SetConnectionLimit("group", 2);
+  backends.Open(*backends.Find("p"), kStart);
+  const auto opened = outbox.Take();
+  const ConnectionNumber connection = std::get<OpenConnection>(opened.back()).connection;
+  backends.Opened(connection, kStart);
+  groups.SetRegistered(true);
+  groups.Get("group", kStart);
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.status = model::InstanceStatus{};
+  reply.status->primary = true;
+  reply.status->term = 1;
+  const auto ask = [&](Instant now) {
+    groups.AskNow("group", now);
+    const auto actions = outbox.Take();
+    const bool asked = std::any_of(actions.begin(), actions.end(), [](const Action& action) {
+      return std::holds_alternative<SendRequests>(action);
+    });
+    if (asked) {
+      backends.Answered(connection, reply, now);
+    }
+    return asked;
+  };
+  CHECK_FALSE(ask(kStart));
+  CHECK_FALSE(groups.LacksMembers(kStart));
+  CHECK(groups.LacksMembers(kStart + Duration(200'000)));
+  groups.NoteMembersKnown(kStart - Duration(1));
+  CHECK_FALSE(ask(kStart + Duration(200'000)));
+  CHECK(groups.UsablePrimary("group", kStart + Duration(200'000)).empty());
+  groups.NoteMembersKnown(kStart);
+  CHECK(ask(kStart + Duration(200'000)));
+  CHECK(groups.UsablePrimary("group", kStart + Duration(200'000)) == "p");
+}
+
 }  // namespace valvekeel::proxy
