Members are noted before a list is asked again; tests follow

Cause: a group that has just learned its members asked for one more list in the same tick. Change: the other order; a group seen for the first time may use any answer of this life, one that begins to be watched needs an answer since.

--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -33,7 +33,6 @@
   const auto [found, added] = groups_.try_emplace(service);
   if (added) {
     found->second.service = service;
-    found->second.watched_since = now;
     found->second.known_since = now;
     found->second.lease_held_at = now;
   }
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -435,12 +435,12 @@
 }
 
 void Proxy::LearnMembers() {
-  if (groups_.LacksMembers()) {
-    catalog_.RelistInstances();
-  }
   if (const auto as_of = catalog_.InstancesShownAsOf()) {
     groups_.NoteMembersKnown(*as_of);
   }
+  if (groups_.LacksMembers()) {
+    catalog_.RelistInstances();
+  }
 }
 
 bool Proxy::InstancesKnown() const {
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -183,6 +183,11 @@
   backends.Opened(connection, kStart);
   groups.SetRegistered(true);
   groups.Get("group", kStart);
+  backends.SetConnectionLimit("group", 1, false);
+  groups.Tick(kStart - Duration(2));
+  backends.SetConnectionLimit("group", 1);
+  groups.Tick(kStart);
+  outbox.Take();
   model::Reply reply;
   reply.succeeded = true;
   reply.status = model::InstanceStatus{};
