--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -76,7 +76,7 @@
   /// refused.
   double hold_fraction = 0.25;
   /// A statement whose turn will not come within that time is refused before it is over.
-  bool early_refusal = true;
+  bool early_refusal = false;
   tenants::tenant_policy tenants;
   /// From an evacuation's acknowledgement until nothing is sent to the zone's instances; 0:
   /// operators evacuate no zones, and the store is not asked for it.
