What two reviews of the joined parts found, as far as it was mended

Change, each with a test that failed before it (run: three of three without the changes in src/proxy and src/failover; the test of a lone daemon was not run without its change): - a statement that waits to go on with a transaction ends with it (a COMMIT could succeed in an empty one); - a claim keeps the candidate of an earlier replacement of the same primary on record; - a daemon that does not know all members neither calls a primary lost for want of a lease nor replaces one; - a daemon that has been alone for long is no majority for a cold instance.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -155,7 +155,10 @@
     return;
   }
   NoteEarlier();
-  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, ""}, now)});
+  // Whom an earlier replacement of the same primary chose stays on record: it may lead, and the
+  // next attempt must know if this one ends without a word.
+  const std::string& chosen = MayBeReplaced() ? earlier_.candidate : std::string();
+  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, chosen}, now)});
 }
 
 bool Attempt::Feasible(const GroupView& view) {
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -498,6 +498,10 @@
     outbox_.Log("transaction_lost",
                 {{"request", session->transaction.begin_id}, {"instance", backend.Entry().id}},
                 LogLevel::kWarning);
+    if (session->operation) {
+      // It waited, unsent, to go on with what is lost now.
+      FinishWithError(*session, model::ErrorCode::kAborted, "the connection was lost", now);
+    }
     return;
   }
   Operation& operation = *session->operation;
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -270,7 +270,7 @@
     Wish& wish = wishes_.try_emplace(name, Wish{now, need}).first->second;
     wish.need = need;
     const bool allowed = store_connected && now >= not_before_[name] && IsTurn(wish, now) &&
-                         now >= group->known_since + kAcquaintance &&
+                         now >= group->known_since + kAcquaintance && group->members_known &&
                          !(need.better_than && now < planned_pauses_[name].until);
     if (!allowed) {
       continue;
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -346,7 +346,9 @@
   if (primary != nullptr && primary->Unreachable() && !looks_again) {
     return "unreachable";
   }
-  if (!state.lease.Holds(now) && now >= state.lease_held_at + kLeaselessLimit) {
+  // Who does not know all members asks for no lease, so the want of one says nothing.
+  const bool leaseless = state.members_known && !state.lease.Holds(now);
+  if (leaseless && now >= state.lease_held_at + kLeaselessLimit) {
     return "no lease";
   }
   if (state.writes_stalled) {
--- a/src/proxy/proxy_warm_up.cc
+++ b/src/proxy/proxy_warm_up.cc
@@ -49,6 +49,7 @@
 warm_up::hearing Proxy::HeardDaemons(common::Instant now) const {
   warm_up::hearing heard;
   heard.alive = LiveMembers(now).size();
+  heard.listed = catalog_.Daemons().size();
   heard.lately =
       large_ ? view_.live_within(kHeardLately, now) : peers_.HeardWithin(kHeardLately, now) + 1;
   for (const auto& [address, peer] : peers_.All()) {
--- a/src/warm_up/holder.cc
+++ b/src/warm_up/holder.cc
@@ -9,7 +9,9 @@
 bool is_in_majority(const hearing& heard) {
   const bool hears = 2 * heard.alive >= heard.lately;
   const bool is_heard = 2 * heard.direct_hearing >= heard.direct;
-  return hears && is_heard;
+  // Cut off for long, a daemon has forgotten whom it heard; the store's list has not.
+  const bool alone = heard.alive <= 1 && heard.listed > 2;
+  return hears && is_heard && !alone;
 }
 
 const std::string* first_sender(const std::vector<std::string>& senders,
--- a/src/warm_up/holder.h
+++ b/src/warm_up/holder.h
@@ -40,6 +40,7 @@
   std::size_t lately = 0;          // that were heard in the last seconds
   std::size_t direct = 0;          // that this one exchanges messages with, and hears
   std::size_t direct_hearing = 0;  // of those, who confirm that they hear this one
+  std::size_t listed = 0;          // that the store has named, this one included
 };
 
 /** Names of the daemons that may send work, by service. */
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -363,4 +363,26 @@
   CHECK(fixture.leadership.Record().attempts.at("group").replaced_term == 2);
 }
 
+TEST_CASE("Whom an earlier replacement chose stays on record when the next is claimed",
+          "[failover]") {
+  // Found by review: the claim of a second attempt cleared the name; if that attempt ended without
+  // a further write, the third took the old primary for one that nobody had replaced.
+  AttemptFixture fixture;
+  model::LeadershipRecord earlier;
+  earlier.holder = "other.1";
+  earlier.token = 1;
+  earlier.sequence = 1;
+  earlier.attempts["group"] = {1, "b"};
+  fixture.leadership.Seen(earlier, 7, fixture.now);
+  fixture.now += std::chrono::seconds(3);
+  std::optional<model::LeadershipRecord> claimed;
+  for (const AttemptAction& action : fixture.attempt.Advance(fixture.view, fixture.now)) {
+    if (const auto* write = std::get_if<WriteRecord>(&action)) {
+      claimed = write->write.record;
+    }
+  }
+  REQUIRE(claimed);
+  CHECK(claimed->attempts.at("group") == model::AttemptRecord{1, "b"});
+}
+
 }  // namespace valvekeel::failover
--- a/tests/proxy/dispatcher_access_test.cc
+++ b/tests/proxy/dispatcher_access_test.cc
@@ -389,4 +389,36 @@
   CHECK(fixture.SentTo() == fixture.connections["p"]);
 }
 
+TEST_CASE("A statement that waits to go on with a transaction ends when its connection is lost",
+          "[proxy][access]") {
+  // Found by review: it was placed anew, in a new transaction, and an empty COMMIT succeeded.
+  AccessFixture fixture;
+  fixture.Ask(model::CommandKind::kBegin);
+  fixture.Ask(model::CommandKind::kRead);
+  const ConnectionNumber connection = fixture.SentTo();
+  model::Reply reply;
+  reply.succeeded = true;
+  reply.state = model::TransactionState::kOpen;
+  fixture.backends.Answered(connection, reply, kStart);  // BEGIN
+  fixture.backends.Answered(connection, reply, kStart);  // READ
+  fixture.rule.verdicts["p"] = access::verdict::later;
+  fixture.rule.come_back = kMillisecond;
+  fixture.Ask(model::CommandKind::kCommit);
+  fixture.outbox.Take();
+  fixture.rule.verdicts.clear();
+  fixture.backends.Closed(connection, kStart + kMillisecond);
+  fixture.dispatcher.Tick(kStart + 2 * kMillisecond);
+  std::size_t sent = 0;
+  std::optional<model::Reply> answer;
+  for (const Action& action : fixture.outbox.Take()) {
+    sent += std::holds_alternative<SendRequests>(action) ? 1 : 0;
+    if (const auto* told = std::get_if<AnswerCaller>(&action)) {
+      answer = told->reply;
+    }
+  }
+  CHECK(sent == 0);
+  REQUIRE(answer);
+  CHECK(answer->error == model::ErrorCode::kAborted);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -215,4 +215,16 @@
   CHECK(groups.UsablePrimary("group", kStart + Duration(200'000)) == "p");
 }
 
+TEST_CASE("Who does not know all members takes no primary for lost for want of a lease",
+          "[proxy]") {
+  GroupFixture fixture;
+  fixture.groups.Find("group")->members_known = false;
+  fixture.groups.Tick(kStart);
+  fixture.groups.Tick(kStart + kLongAgo);
+  CHECK_FALSE(fixture.groups.Find("group")->lost);
+  fixture.groups.NoteMembersKnown(kStart + kLongAgo);
+  fixture.groups.Tick(kStart + kLongAgo);
+  CHECK(fixture.groups.Find("group")->lost);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/warm_up/holder_test.cc
+++ b/tests/warm_up/holder_test.cc
@@ -137,4 +137,11 @@
   CHECK_FALSE(fixture.role.is_holder("archive", INSTANCE, fixture.now));
 }
 
+TEST_CASE("A daemon that has been alone for long is no majority of those that the store names",
+          "[warm_up]") {
+  CHECK(is_in_majority({1, 1, 0, 0, 1}));
+  CHECK_FALSE(is_in_majority({1, 1, 0, 0, 24}));
+  CHECK(is_in_majority({20, 24, 3, 3, 24}));
+}
+
 }  // namespace valvekeel::warm_up
