A claim does not take back what the record tells of a later term

Daemons cut off with a lease of term 2 might have renewed it by that record. Ruled out: only dropping the candidate in that case: the term would still be lowered. Change: such a claim leaves the entry as it is, and raises the record's sequence alone.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -155,10 +155,11 @@
     return;
   }
   NoteEarlier();
-  // Whom an earlier replacement of the same primary chose stays on record: it may lead, and the
-  // next attempt must know if this one ends without a word.
-  const std::string& chosen = MayBeReplaced() ? earlier_.candidate : std::string();
-  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, {old_term_, chosen}, now)});
+  // What an earlier replacement of this primary, or of a later one, has left on record stays there:
+  // its candidate may lead, and the next attempt must know if this one ends without a word.
+  const model::AttemptRecord claim =
+      MayBeReplaced() ? earlier_ : model::AttemptRecord{old_term_, ""};
+  actions.emplace_back(WriteRecord{leadership_.Prepare(service_, claim, now)});
 }
 
 bool Attempt::Feasible(const GroupView& view) {
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -385,4 +385,24 @@
   CHECK(claimed->attempts.at("group") == model::AttemptRecord{1, "b"});
 }
 
+TEST_CASE("A claim does not take back what the record tells of a later term", "[failover]") {
+  // This daemon knows term 1; another has replaced the primary of term 2 since.
+  AttemptFixture fixture;
+  model::LeadershipRecord later;
+  later.holder = "other.1";
+  later.token = 1;
+  later.sequence = 1;
+  later.attempts["group"] = {2, "b"};
+  fixture.leadership.Seen(later, 7, fixture.now);
+  fixture.now += std::chrono::seconds(3);
+  std::optional<model::LeadershipRecord> claimed;
+  for (const AttemptAction& action : fixture.attempt.Advance(fixture.view, fixture.now)) {
+    if (const auto* write = std::get_if<WriteRecord>(&action)) {
+      claimed = write->write.record;
+    }
+  }
+  REQUIRE(claimed);
+  CHECK(claimed->attempts.at("group") == model::AttemptRecord{2, "b"});
+}
+
 }  // namespace valvekeel::failover
