Sight: log lines tell who ended a session or a link, and why

Cause sought: requests without an answer around planned stops. The log could not tell a link that its owner closed from one that this daemon gave up, nor whether the end of the process cut anybody off. Change: a stream keeps the reason of its end; relay_lost and relay_retried carry it, with the commands unanswered, whether a transaction was open and the time since the last command; sessions_ended and relayed_sessions_ended name what this daemon ends by itself and why; ended, the last line of a planned stop, counts callers and commands that the end cuts off. No decision is changed.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -192,6 +192,7 @@
     return true;
   }
   if (const auto* command = std::get_if<proxy::CallerCommand>(&message)) {
+    ++caller.unanswered;
     if (caller.link) {
       caller.link->expect_answer();
     }
@@ -319,6 +320,15 @@
   return {kNotFoundStatus, "", "text/plain", {}};
 }
 
+void ProxyHost::LogEnd() {
+  std::size_t unanswered = 0;
+  for (const auto& [number, caller] : callers_) {
+    unanswered += caller.unanswered;
+  }
+  Log("ended", {{"callers", std::to_string(callers_.size())},
+                {"commands_unanswered", std::to_string(unanswered)}});
+}
+
 void ProxyHost::Drain() {
   if (draining_) {
     return;
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -57,6 +57,7 @@
     std::unique_ptr<CallerCodec> codec;
     bool started = false;
     bool accepted = false;
+    std::size_t unanswered = 0;  // commands
     proxy::SessionOrigin origin;
     std::string unaccepted;  // all bytes until the session is accepted, for an owner
     std::unique_ptr<relay_link::owner_link> link;  // to the owner that serves the session
@@ -90,6 +91,10 @@
   void ScheduleTick();
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
+  static void NoteAnswered(Caller& caller);
+  /// Tells the log whom the end of the process cuts off.
+  void LogEnd();
+
   /// Carries out what the decision code asks for.
   void Drain();
   void Do(const proxy::OpenConnection& action);
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -19,6 +19,12 @@
 
 }  // namespace
 
+void ProxyHost::NoteAnswered(Caller& caller) {
+  if (caller.unanswered > 0) {
+    --caller.unanswered;
+  }
+}
+
 /// Brings what an owner sends to the session's caller and to the decision code.
 class ProxyHost::OwnerEvents : public relay_link::owner_events {
  public:
@@ -37,6 +43,10 @@
   void on_declined() override { host_.proxy_.RelayDeclined(session_); }
 
   void on_answer(const model::Reply& reply) override {
+    const auto found = host_.callers_.find(session_);
+    if (found != host_.callers_.end()) {
+      NoteAnswered(found->second);
+    }
     host_.proxy_.RelayAnswered(session_, reply.state, common::SteadyNow());
     host_.Drain();
   }
@@ -48,8 +58,8 @@
     }
   }
 
-  void on_ended() override {
-    host_.proxy_.RelayEnded(session_, common::SteadyNow());
+  void on_ended(const std::string& reason) override {
+    host_.proxy_.RelayEnded(session_, reason, common::SteadyNow());
     host_.Drain();
   }
 
@@ -113,6 +123,7 @@
   const auto found = callers_.find(action.session);
   if (found != callers_.end()) {
     found->second.stream->Send(found->second.codec->EncodeReply(action.reply));
+    NoteAnswered(found->second);
   }
 }
 
@@ -238,7 +249,7 @@
   log_.Flush();
   const auto timer = std::make_shared<asio::steady_timer>(loop_, kFlushBeforeExit);
   timer->async_wait([this, timer](const asio::error_code&) {
-    log_.Flush();
+    LogEnd();
     loop_.stop();
   });
 }
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -91,7 +92,7 @@
                               return;
                             }
                             if (error) {
-                              self->Fail();
+                              self->Fail(error);
                               return;
                             }
                             if (self->bytes_) {
@@ -108,7 +109,7 @@
     return false;
   }
   if (waiting_.size() + bytes.size() > kMostWaiting) {
-    Fail();
+    Fail(asio::error::no_buffer_space);
     return false;
   }
   if (waiting_.empty()) {
@@ -129,7 +130,7 @@
   const std::size_t sent = error ? 0 : socket_.write_some(asio::buffer(waiting_), error);
   if (error && error != asio::error::would_block && error != asio::error::try_again) {
     auto self = shared_from_this();
-    asio::post(timer_.get_executor(), [self] { self->Fail(); });
+    asio::post(timer_.get_executor(), [self, error] { self->Fail(error); });
     return;
   }
   waiting_.erase(0, error ? 0 : sent);
@@ -150,7 +151,7 @@
                         return;
                       }
                       if (fault) {
-                        self->Fail();
+                        self->Fail(fault);
                       } else if (!self->waiting_.empty()) {
                         self->Write();
                       } else if (self->close_after_flush_) {
@@ -159,10 +160,11 @@
                     });
 }
 
-void Stream::Fail() {
+void Stream::Fail(const asio::error_code& fault) {
   if (!open_) {
     return;
   }
+  end_reason_ = fault == asio::error::eof ? "closed by the other side" : fault.message();
   // The handler may hold the last reference to this object.
   auto self = shared_from_this();
   const ClosedHandler closed = std::move(closed_);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <array>
+#include <asio/error_code.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -51,13 +52,16 @@
 
   bool Open() const { return open_; }
 
+  /// @return why the connection ended, in words for a log; empty if this side ended it.
+  const std::string& EndReason() const { return end_reason_; }
+
   /// Longest time that sent bytes may stay unacknowledged. @param milliseconds 0 for the system's.
   void SetUserTimeout(unsigned milliseconds);
 
  private:
   void Read();
   void Write();
-  void Fail();
+  void Fail(const asio::error_code& fault);
   void ApplyOptions();
 
   asio::ip::tcp::socket socket_;
@@ -69,6 +73,7 @@
   bool write_in_progress_ = false;
   bool close_after_flush_ = false;
   unsigned user_timeout_ms_ = 0;
+  std::string end_reason_;
   BytesHandler bytes_;
   ClosedHandler closed_;
 };
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -68,9 +68,9 @@
   /// The session was handed over by another daemon. One that was refused is not known any more.
   void NoteHandedOver(SessionNumber number);
 
-  /// Ends those chosen that may end now. @return how many are left.
+  /// Ends those chosen that may end now. @param reason for the log. @return how many are left.
   std::size_t EndSessions(const std::function<bool(const CallerSession&)>& chosen, EndWhen when,
-                          common::Instant now);
+                          const char* reason, common::Instant now);
 
   void Tick(common::Instant now);
 
@@ -217,6 +217,8 @@
   void CheckTransaction(Session& session, common::Instant now);
   bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
   void NoteUnansweredWrites(common::Instant now);
+  /// Tells the log of sessions that this daemon ends by itself.
+  void NoteEnding(const std::vector<SessionNumber>& ending, const char* reason);
 
   const ProxySettings& settings_;
   BackendSet& backends_;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -171,7 +171,7 @@
 
 void Dispatcher::CloseResting(bool all, common::Instant now) {
   EndSessions([](const Session&) { return true; }, all ? EndWhen::kAnswered : EndWhen::kResting,
-              now);
+              "the daemon stops", now);
 }
 
 void Dispatcher::EndResting(const std::string& service, common::Instant now) {
@@ -180,11 +180,31 @@
         const model::Route* route = RouteOf(session);
         return route != nullptr && route->service == service;
       },
-      EndWhen::kResting, now);
+      EndWhen::kResting, "owned by other daemons", now);
+}
+
+void Dispatcher::NoteEnding(const std::vector<SessionNumber>& ending, const char* reason) {
+  if (ending.empty()) {
+    return;
+  }
+  std::size_t unanswered = 0;
+  std::size_t in_transaction = 0;
+  std::size_t handed_over = 0;
+  for (const SessionNumber number : ending) {
+    const Session& session = sessions_.at(number);
+    unanswered += session.operation ? 1 : 0;
+    in_transaction += session.transaction.open ? 1 : 0;
+    handed_over += session.handed_over ? 1 : 0;
+  }
+  outbox_.Log("sessions_ended", {{"reason", reason},
+                                 {"sessions", std::to_string(ending.size())},
+                                 {"handed_over", std::to_string(handed_over)},
+                                 {"in_transaction", std::to_string(in_transaction)},
+                                 {"unanswered", std::to_string(unanswered)}});
 }
 
 std::size_t Dispatcher::EndSessions(const std::function<bool(const CallerSession&)>& chosen,
-                                    EndWhen when, common::Instant now) {
+                                    EndWhen when, const char* reason, common::Instant now) {
   std::size_t left = 0;
   std::vector<SessionNumber> ending;
   for (const auto& [number, session] : sessions_) {
@@ -199,6 +219,7 @@
       ++left;
     }
   }
+  NoteEnding(ending, reason);
   for (const SessionNumber number : ending) {
     outbox_.Emit(CloseSession{number});
     SessionClosed(number, now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -59,7 +59,8 @@
   void RelayAccepted(SessionNumber session);
   void RelayDeclined(SessionNumber session);
   void RelayAnswered(SessionNumber session, model::TransactionState state, common::Instant now);
-  void RelayEnded(SessionNumber session, common::Instant now);
+  /// @param reason why the link ended, for the log.
+  void RelayEnded(SessionNumber session, const std::string& reason, common::Instant now);
 
   /// @return true if another daemon serves the session.
   bool Relays(SessionNumber session) const { return relay_.Relays(session); }
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -135,7 +135,7 @@
   const auto outside = [this](const CallerSession& session) {
     return session.handed_over && !MayHold(session.database, session.key, zone_);
   };
-  if (dispatcher_.EndSessions(outside, when, now) == 0) {
+  if (dispatcher_.EndSessions(outside, when, regions::OUTSIDE_REGIONS, now) == 0) {
     outside_since_.reset();
   }
 }
@@ -225,9 +225,21 @@
   outbox_.Emit(CloseSession{session});
 }
 
-void SessionRelay::note(const char* event, relay::session_number session,
-                        const std::string& service, const std::string& owner) {
-  outbox_.Log(event, {{"session", std::to_string(session)}, {"service", service}, {"owner", owner}},
+void SessionRelay::note_ending(std::size_t sessions, const char* reason) {
+  outbox_.Log("relayed_sessions_ended",
+              {{"sessions", std::to_string(sessions)}, {"reason", reason}});
+}
+
+void SessionRelay::note(const relay::relay_note& note) {
+  outbox_.Log(note.event,
+              {{"session", std::to_string(note.session)},
+               {"service", note.service},
+               {"owner", note.owner},
+               {"reason", note.reason},
+               {"accepted", note.is_accepted ? "true" : "false"},
+               {"unanswered", std::to_string(note.unanswered)},
+               {"in_transaction", note.in_transaction ? "true" : "false"},
+               {"waited_ms", Milliseconds(note.waited)}},
               LogLevel::kWarning);
 }
 
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -67,8 +67,8 @@
   void close_link(relay::session_number session) override;
   void serve_here(relay::session_number session, common::Instant now) override;
   void end_caller(relay::session_number session) override;
-  void note(const char* event, relay::session_number session, const std::string& service,
-            const std::string& owner) override;
+  void note(const relay::relay_note& note) override;
+  void note_ending(std::size_t sessions, const char* reason) override;
 
  private:
   /// A session's first message.
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -377,7 +377,7 @@
   port.closed = [this, number, link] {
     FromOwner(number, link, [this, number] {
       relays_.erase(number);
-      proxy_->RelayEnded(number, cluster_.Surroundings().Now());
+      proxy_->RelayEnded(number, "closed by the other side", cluster_.Surroundings().Now());
     });
   };
   return port;
@@ -396,7 +396,7 @@
   if (!owner->Alive()) {
     FromOwner(action.session, link, [this, number = action.session] {
       relays_.erase(number);
-      proxy_->RelayEnded(number, cluster_.Surroundings().Now());
+      proxy_->RelayEnded(number, "not connected: refused", cluster_.Surroundings().Now());
     });
     return;
   }
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -12,6 +12,8 @@
 /** Time for an owner to accept a session. */
 constexpr common::Duration ACCEPT_LIMIT{400'000};
 
+constexpr const char* STOPPING = "the daemon stops";
+
 }  // namespace
 
 relayed_sessions::relayed_sessions(std::string zone, const role_map& roles, relay_port& port)
@@ -125,7 +127,7 @@
   const std::string& owner = chosen.owner;
   if (owner.empty()) {
     ++this->counts.served_here;
-    this->port.note("session_served_here", number, session.service, "");
+    this->port.note({"session_served_here", number, session.service});
     --this->unaccepted;
     this->sessions.erase(number);
     this->port.serve_here(number, now);
@@ -155,11 +157,12 @@
   this->accepted(session);
 }
 
-void relayed_sessions::command_sent(session_number session) {
+void relayed_sessions::command_sent(session_number session, common::Instant now) {
   const auto found = this->sessions.find(session);
   if (found != this->sessions.end()) {
     ++found->second.unanswered;
     ++found->second.commands;
+    found->second.last_command = now;
   }
 }
 
@@ -183,7 +186,18 @@
   }
 }
 
-void relayed_sessions::link_ended(session_number session, common::Instant now) {
+void relayed_sessions::note(const char* event, session_number number,
+                            const relayed_session& session, const std::string& reason,
+                            common::Instant now) {
+  const bool in_transaction = session.state != model::TransactionState::kIdle;
+  const common::Duration waited =
+      session.commands == 0 ? common::Duration(0) : now - session.last_command;
+  this->port.note({event, number, session.service, session.owner, reason, session.is_accepted,
+                   session.unanswered, in_transaction, waited});
+}
+
+void relayed_sessions::link_ended(session_number session, const std::string& reason,
+                                  common::Instant now) {
   const auto found = this->sessions.find(session);
   if (found == this->sessions.end()) {
     return;
@@ -192,13 +206,13 @@
   if (!relayed.is_accepted && relayed.commands == 0) {
     --this->sessions_by_owner[relayed.owner];
     ++this->counts.retried;
-    this->port.note("relay_retried", session, relayed.service, relayed.owner);
+    this->note("relay_retried", session, relayed, reason, now);
     this->hand_over(session, relayed, now);
     return;
   }
   if (!relayed.rests()) {
     ++this->counts.lost;
-    this->port.note("relay_lost", session, relayed.service, relayed.owner);
+    this->note("relay_lost", session, relayed, reason, now);
   }
   this->end(session);
 }
@@ -216,7 +230,10 @@
   this->port.end_caller(number);
 }
 
-void relayed_sessions::end_all(const std::vector<session_number>& numbers) {
+void relayed_sessions::end_all(const std::vector<session_number>& numbers, const char* reason) {
+  if (!numbers.empty()) {
+    this->port.note_ending(numbers.size(), reason);
+  }
   for (const session_number number : numbers) {
     this->end(number);
   }
@@ -291,10 +308,10 @@
   }
   for (const session_number number : early) {
     this->port.close_link(number);
-    this->link_ended(number, now);
+    this->link_ended(number, "its owner may not hold it", now);
   }
   this->counts.moved += ending.size();
-  this->end_all(ending);
+  this->end_all(ending, "their owners' region");
 }
 
 void relayed_sessions::tick(common::Instant now) {
@@ -305,21 +322,21 @@
   if (this->unaccepted == 0 && lost_owners.empty() && leaving_owners.empty()) {
     return;
   }
-  std::vector<session_number> broken;
+  std::vector<std::pair<session_number, const char*>> broken;
   std::vector<session_number> leaving;
   for (const auto& [number, session] : this->sessions) {
     const bool late = !session.is_accepted && now >= session.opened + ACCEPT_LIMIT;
     if (late || lost_owners.contains(session.owner)) {
-      broken.push_back(number);
+      broken.emplace_back(number, late ? "not accepted in time" : "its owner is not heard");
     } else if (session.is_accepted && session.rests() && leaving_owners.contains(session.owner)) {
       leaving.push_back(number);
     }
   }
-  for (const session_number number : broken) {
+  for (const auto& [number, reason] : broken) {
     this->port.close_link(number);
-    this->link_ended(number, now);
+    this->link_ended(number, reason, now);
   }
-  this->end_all(leaving);
+  this->end_all(leaving, "the owner stops");
 }
 
 void relayed_sessions::start_closing() {
@@ -330,7 +347,7 @@
       resting.push_back(number);
     }
   }
-  this->end_all(resting);
+  this->end_all(resting, STOPPING);
 }
 
 void relayed_sessions::close_idle() {
@@ -340,7 +357,7 @@
       idle.push_back(number);
     }
   }
-  this->end_all(idle);
+  this->end_all(idle, STOPPING);
 }
 
 }  // namespace valvekeel::relay
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -36,6 +36,19 @@
 /** The same until it ends whatever is under way: a caller may send without awaiting answers. */
 inline constexpr common::Duration MOVE_DEADLINE{2'500'000};
 
+/** What became of a relayed session, for the log. */
+struct relay_note {
+  const char* event = "";
+  session_number session = 0;
+  std::string service;
+  std::string owner;
+  std::string reason;          // why its link ended
+  bool is_accepted = false;    // by the owner
+  std::size_t unanswered = 0;  // commands that were passed on
+  bool in_transaction = false;
+  common::Duration waited{0};  // since the last command was passed on
+};
+
 /** What the decisions about relayed sessions need from their surroundings. */
 class relay_port {
  public:
@@ -63,8 +76,10 @@
   virtual void end_caller(session_number session) = 0;
 
   /** Tells the log what became of a session. */
-  virtual void note(const char* event, session_number session, const std::string& service,
-                    const std::string& owner) = 0;
+  virtual void note(const relay_note& note) = 0;
+
+  /** Tells the log of sessions that are about to be ended while no answer is awaited. */
+  virtual void note_ending(std::size_t sessions, const char* reason) = 0;
 };
 
 /** Counters for metrics. */
@@ -96,13 +111,17 @@
   void declined(session_number session);
 
   /** A command of the caller was passed on. */
-  void command_sent(session_number session);
+  void command_sent(session_number session, common::Instant now);
 
   /** An answer was passed back. */
   void answered(session_number session, model::TransactionState state, common::Instant now);
 
-  /** The link ended, or could not be opened. */
-  void link_ended(session_number session, common::Instant now);
+  /**
+   * The link ended, or could not be opened.
+   *
+   * @param reason  for the log
+   */
+  void link_ended(session_number session, const std::string& reason, common::Instant now);
 
   void caller_closed(session_number session);
 
@@ -140,6 +159,7 @@
     bool is_accepted = false;
     std::size_t unanswered = 0;
     std::uint64_t commands = 0;
+    common::Instant last_command{0};
     model::TransactionState state = model::TransactionState::kIdle;
     std::set<std::string> tried;
 
@@ -170,12 +190,15 @@
                    common::Instant now) const;
   std::string least_used(const std::vector<std::string>& owners) const;
   void hand_over(session_number number, relayed_session& session, common::Instant now);
+  /** Tells the log what became of a session whose link ended. */
+  void note(const char* event, session_number number, const relayed_session& session,
+            const std::string& reason, common::Instant now);
   void forget(session_number number);
   void end(session_number number);
   /** Finds the owners of sessions that are lost, and those that are about to stop. */
   void note_owners(common::Instant now, std::set<std::string>& lost,
                    std::set<std::string>& leaving) const;
-  void end_all(const std::vector<session_number>& numbers);
+  void end_all(const std::vector<session_number>& numbers, const char* reason);
   void end_misplaced(common::Instant now);
 
   std::string zone;
--- a/src/relay_link/owner_link.cc
+++ b/src/relay_link/owner_link.cc
@@ -35,17 +35,17 @@
       } else if (const auto* reply = std::get_if<model::Reply>(&message)) {
         this->events->on_answer(*reply);
       } else if (std::holds_alternative<host::InstanceFault>(message)) {
-        this->end();
+        this->end("the owner sent what can't be read");
         return;
       }
     }
   }
 
-  void end() {
+  void end(const std::string& reason) {
     const auto self = this->shared_from_this();
     if (!std::exchange(this->closed, true)) {
       this->stream->Close();
-      this->events->on_ended();
+      this->events->on_ended(reason);
     }
   }
 };
@@ -73,10 +73,13 @@
         }
         kept->connected = true;
         kept->stream->Start([kept](std::string_view bytes) { kept->take(bytes); },
-                            [kept] { kept->end(); });
+                            [kept] { kept->end(kept->stream->EndReason()); });
         kept->stream->Send(std::exchange(kept->unsent, {}));
       },
-      [kept](net::ConnectFault) { kept->end(); });
+      [kept](net::ConnectFault fault) {
+        kept->end(fault == net::ConnectFault::kRefused ? "not connected: refused"
+                                                       : "not connected: timed out");
+      });
 }
 
 void owner_link::send(std::string_view bytes) {
--- a/src/relay_link/owner_link.h
+++ b/src/relay_link/owner_link.h
@@ -35,8 +35,12 @@
   /** Bytes for the caller; they come before the events that they stand for. */
   virtual void on_bytes(std::string_view bytes) = 0;
 
-  /** The connection ended, or could not be opened. */
-  virtual void on_ended() = 0;
+  /**
+   * The connection ended, or could not be opened.
+   *
+   * @param reason  in words for a log
+   */
+  virtual void on_ended(const std::string& reason) = 0;
 };
 
 class owner_link {
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -10,6 +10,7 @@
 constexpr common::Instant NOW{1'000'000};
 constexpr common::Duration LONG{1'000'000};
 constexpr session_number SESSION = 7;
+constexpr const char* ENDED = "closed by the other side";
 
 /** Notes what it is asked for. */
 class recording_port : public relay_port {
@@ -29,7 +30,8 @@
   void close_link(session_number) override {}
   void serve_here(session_number, common::Instant) override { ++this->served_here; }
   void end_caller(session_number) override { ++this->ended; }
-  void note(const char*, session_number, const std::string&, const std::string&) override {}
+  void note(const relay_note&) override {}
+  void note_ending(std::size_t, const char*) override {}
 
   std::set<std::string> dead;
   std::set<std::string> leaving;
@@ -96,7 +98,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.declined(SESSION);
-  test.sessions.link_ended(SESSION, NOW);
+  test.sessions.link_ended(SESSION, ENDED, NOW);
   CHECK(test.port.opened.size() == 1);
   CHECK(test.port.ended == 1);
 }
@@ -104,9 +106,9 @@
 TEST_CASE("An owner that ends before it accepts is followed by the next", "[relay]") {
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
-  test.sessions.link_ended(SESSION, NOW);
+  test.sessions.link_ended(SESSION, ENDED, NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near(), test.far()});
-  test.sessions.link_ended(SESSION, NOW);
+  test.sessions.link_ended(SESSION, ENDED, NOW);
   CHECK(test.port.served_here == 1);
   CHECK_FALSE(test.sessions.contains(SESSION));
 }
@@ -122,8 +124,8 @@
   // It might run twice.
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
-  test.sessions.command_sent(SESSION);
-  test.sessions.link_ended(SESSION, NOW);
+  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.link_ended(SESSION, ENDED, NOW);
   CHECK(test.port.opened.size() == 1);
   CHECK(test.port.ended == 1);
   CHECK(test.sessions.counters().lost == 1);
@@ -133,7 +135,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.port.dead.insert(test.near());
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 1);
@@ -143,14 +145,14 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.port.leaving.insert(test.near());
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 0);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 0);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW);
   CHECK(test.port.ended == 1);
 }
@@ -161,7 +163,7 @@
   test.sessions.start(SESSION + 1, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
   test.sessions.accepted(SESSION + 1);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.sessions.start_closing();
   CHECK(test.port.ended == 1);
   test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW);
@@ -181,7 +183,7 @@
   fixture test;
   test.port.closed_zones = {"b"};
   test.sessions.start(SESSION, "ledger", "tenant", NOW);
-  test.sessions.link_ended(SESSION, NOW);
+  test.sessions.link_ended(SESSION, ENDED, NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near()});
   CHECK(test.port.served_here == 1);
 }
@@ -231,7 +233,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
   test.sessions.tick(NOW);
@@ -246,7 +248,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
@@ -260,7 +262,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
   test.sessions.tick(NOW + MOVE_LIMIT);
@@ -285,7 +287,7 @@
   test.port.closed_zones = {"a"};
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION);
+  test.sessions.command_sent(SESSION, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.port.closed_zones.clear();
   test.sessions.regions_changed(NOW);
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -30,7 +30,7 @@
   void on_declined() override { this->seen.declined = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
   void on_bytes(std::string_view bytes) override { this->seen.bytes += bytes; }
-  void on_ended() override { this->seen.ended = true; }
+  void on_ended(const std::string&) override { this->seen.ended = true; }
 
  private:
   record& seen;
