--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -4,6 +4,8 @@
 // passed every check. Thread: any (values only).
 #pragma once
 
+#include <unistd.h>
+
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +29,7 @@
   std::size_t most_sessions = 3000;
   common::Duration connect_timeout{500'000};
   runtime::LogLimits log;
+  int log_descriptor = STDOUT_FILENO;  // that tests set: no setting of the daemon reaches it
 };
 
 /// @param path settings file in TOML. @param overrides texts "section.name=value".
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,7 +1,5 @@
 #include "host/proxy_host.h"
 
-#include <unistd.h>
-
 #include <random>
 #include <utility>
 
@@ -25,7 +23,8 @@
       settings_(std::move(settings)),
       adapter_(adapter),
       proxy_(settings_.proxy, std::random_device{}()),
-      log_(STDOUT_FILENO, settings_.proxy.name, settings_.proxy.incarnation, settings_.log),
+      log_(settings_.log_descriptor, settings_.proxy.name, settings_.proxy.incarnation,
+           settings_.log),
       callers_listener_(loop,
                         [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); }),
       handover_listener_(
