A process that has decided to end takes nothing more

Cause: after the decision the host went on for 150 ms with its listeners open and all sessions served, so that answers and log lines could leave; whoever came within that time was accepted, read and then cut off. Ruled out: ending at once. Change: in the turn of the decision both listeners close, callers and links are read no more, and callers that have not begun end; the process leaves as soon as all answers and log lines have left it, within 600 ms. Asking to end twice is ending once. - A stream takes bytes from the system only in the turn that hands them on (a wait, then a read): a read under way could not be called back, and would take a request after the decision. - CloseAfterFlush reads no more: a command that crosses the end of a session was read and thrown away, and the end of input (a caller that half-closes) cut off the answer that was still leaving. - A connection that was accepted before Close and not handed on yet is dropped, as the listener's invariant says. Conclusion: between the decision and the end nothing is read; what was answered leaves.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,5 +1,6 @@
 #include "host/proxy_host.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,8 @@
 constexpr int kNotReadyStatus = 503;
 constexpr int kNotFoundStatus = 404;
 constexpr const char* kMetricsPath = "/metrics";
+/// Connections that are remembered before the closed ones among them are looked for.
+constexpr std::size_t kFewStreams = 64;
 /// Bytes of a caller kept for an owner until its session is accepted.
 constexpr std::size_t kMostUnaccepted = std::size_t{64} << 10U;
 
@@ -86,6 +89,9 @@
     }
     proxy_.Tick(common::SteadyNow());
     Drain();
+    if (ending_) {
+      return;
+    }
     log_.Flush();
     ScheduleTick();
   });
@@ -93,6 +99,7 @@
 
 void ProxyHost::AddCaller(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
+  Remember(stream);
   const proxy::SessionNumber number = AddSession(stream, {});
   if (number != 0) {
     stream->Start([this, number](std::string_view bytes) { CallerBytes(number, bytes); },
@@ -100,6 +107,14 @@
   }
 }
 
+void ProxyHost::Remember(const std::shared_ptr<net::Stream>& stream) {
+  if (streams_.size() >= most_streams_) {
+    std::erase_if(streams_, [](const auto& each) { return each.expired(); });
+    most_streams_ = std::max(kFewStreams, 2 * streams_.size());
+  }
+  streams_.push_back(stream);
+}
+
 proxy::SessionNumber ProxyHost::AddSession(const std::shared_ptr<net::Stream>& stream,
                                            const proxy::SessionOrigin& origin) {
   auto codec = adapter_.NewCallerCodec();
@@ -121,6 +136,7 @@
   asio::error_code error;
   const std::string daemon = socket.remote_endpoint(error).address().to_string();
   auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
+  Remember(stream);
   struct Arrival {
     std::string line;
     proxy::SessionNumber number = 0;
@@ -329,7 +345,7 @@
 }
 
 void ProxyHost::Drain() {
-  if (draining_) {
+  if (draining_ || ending_) {
     return;
   }
   draining_ = true;
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/endpoint.h"
 #include "host/codec.h"
@@ -92,6 +93,12 @@
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
   static void NoteAnswered(Caller& caller);
+  /// Remembers a connection over which callers' requests come, until it is closed.
+  void Remember(const std::shared_ptr<net::Stream>& stream);
+  /// Takes nothing from anybody from now on.
+  void StopTaking();
+  /// Ends the process once all that was sent to callers has left it, or the time for it is over.
+  void EndWhenSent(common::Instant limit);
   /// Tells the log whom the end of the process cuts off.
   void LogEnd();
 
@@ -132,9 +139,13 @@
   asio::steady_timer tick_;
   std::map<proxy::SessionNumber, Caller> callers_;
   std::map<proxy::ConnectionNumber, InstanceConnection> instances_;
+  /// Callers' connections and those that sessions are handed over on, some closed meanwhile.
+  std::vector<std::weak_ptr<net::Stream>> streams_;
+  std::size_t most_streams_ = 0;  // then the closed ones are forgotten
   proxy::SessionNumber next_session_ = 1;
   bool ready_ = false;
   bool draining_ = false;
+  bool ending_ = false;  // the decision code has asked for the end
 };
 
 }  // namespace valvekeel::host
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -1,5 +1,6 @@
 // Carries out what the decision code asks for.
 
+#include <algorithm>
 #include <utility>
 
 #include "host/catalog_copy_json.h"
@@ -11,7 +12,11 @@
 
 constexpr unsigned kInstanceUserTimeoutMs = 4000;
 constexpr common::Duration kFetchTimeout{500'000};
-constexpr common::Duration kFlushBeforeExit{150'000};
+/// Longest time for answers to leave the process after the decision to end: two thirds of what the
+/// decision code leaves until the process is killed (900 ms).
+constexpr common::Duration kSendBeforeExit{600'000};
+/// How often it is looked whether they have.
+constexpr common::Duration kSentInterval{5'000};
 
 const char* LevelName(proxy::LogLevel level) {
   return level == proxy::LogLevel::kWarning ? "warning" : "info";
@@ -246,11 +251,45 @@
 
 void ProxyHost::Do(const proxy::Exit& action) {
   static_cast<void>(action);
-  log_.Flush();
-  const auto timer = std::make_shared<asio::steady_timer>(loop_, kFlushBeforeExit);
-  timer->async_wait([this, timer](const asio::error_code&) {
+  if (std::exchange(ending_, true)) {
+    return;
+  }
+  StopTaking();
+  EndWhenSent(common::SteadyNow() + kSendBeforeExit);
+}
+
+void ProxyHost::StopTaking() {
+  // In the turn of the decision: with 150 ms between, callers were taken and served whom the end of
+  // the process then cut off.
+  callers_listener_.Close();
+  handover_listener_.Close();
+  tick_.cancel();
+  for (const auto& each : streams_) {
+    if (const auto stream = each.lock()) {
+      stream->CloseAfterFlush();
+    }
+  }
+  for (auto& [number, caller] : callers_) {
+    caller.link.reset();
+  }
+}
+
+void ProxyHost::EndWhenSent(common::Instant limit) {
+  const bool sent = std::none_of(streams_.begin(), streams_.end(), [](const auto& each) {
+    const auto stream = each.lock();
+    return stream && stream->Open();
+  });
+  const bool logged = log_.Flush();
+  if ((sent && logged) || common::SteadyNow() >= limit) {
     LogEnd();
     loop_.stop();
+    return;
+  }
+  tick_.expires_after(kSentInterval);
+  tick_.async_wait([this, limit](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      EndWhenSent(limit);
+    }
   });
 }
 
--- a/src/net/listener.cc
+++ b/src/net/listener.cc
@@ -43,7 +43,8 @@
 
 void Listener::Accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
+    // A connection that was accepted just before Close ends with its socket.
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
       return;
     }
     if (!error) {
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -81,27 +81,44 @@
 void Stream::Start(BytesHandler bytes, ClosedHandler closed) {
   bytes_ = std::move(bytes);
   closed_ = std::move(closed);
+  asio::error_code ignored;  // what ails the socket shows when it is read
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
 void Stream::Read() {
+  // Bytes are taken from the system only in the turn that hands them on, so that none are read
+  // after StopReading: a read that is under way could not be called back.
   auto self = shared_from_this();
-  socket_.async_read_some(asio::buffer(input_),
-                          [self](const asio::error_code& error, std::size_t count) {
-                            if (!self->open_) {
-                              return;
-                            }
-                            if (error) {
-                              self->Fail(error);
-                              return;
-                            }
-                            if (self->bytes_) {
-                              self->bytes_(std::string_view(self->input_.data(), count));
-                            }
-                            if (self->open_) {
-                              self->Read();
-                            }
-                          });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [self](const asio::error_code& error) {
+    if (!self->open_ || !self->reading_) {
+      return;
+    }
+    if (error) {
+      self->Fail(error);
+      return;
+    }
+    self->ReadSome();
+  });
+}
+
+void Stream::ReadSome() {
+  asio::error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(input_), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    Read();
+    return;
+  }
+  if (error) {
+    Fail(error);
+    return;
+  }
+  if (bytes_) {
+    bytes_(std::string_view(input_.data(), count));
+  }
+  if (open_ && reading_) {
+    Read();
+  }
 }
 
 bool Stream::Send(std::string bytes) {
@@ -175,6 +192,8 @@
 }
 
 void Stream::CloseAfterFlush() {
+  // What came now would be answered by nobody, and the other side's end would cut off what waits.
+  StopReading();
   close_after_flush_ = true;
   if (!write_in_progress_ && waiting_.empty()) {
     Close();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -41,10 +41,13 @@
   /// Starts to read. @param closed called once if the other side or an error ends the connection.
   void Start(BytesHandler bytes, ClosedHandler closed);
 
+  /// Reads no more: what comes from now on stays with the system. What was sent still leaves.
+  void StopReading() { reading_ = false; }
+
   /// Sends bytes in order. @return false if too much waits already: the connection is closed then.
   bool Send(std::string bytes);
 
-  /// Ends the connection once what was sent has left.
+  /// Reads no more, and ends the connection once what was sent has left.
   void CloseAfterFlush();
 
   /// Ends the connection at once.
@@ -59,7 +62,9 @@
   void SetUserTimeout(unsigned milliseconds);
 
  private:
+  /// Waits until there is something to read.
   void Read();
+  void ReadSome();
   void Write();
   void Fail(const asio::error_code& fault);
   void ApplyOptions();
@@ -70,6 +75,7 @@
   std::string writing_;
   std::string waiting_;
   bool open_ = false;
+  bool reading_ = true;
   bool write_in_progress_ = false;
   bool close_after_flush_ = false;
   unsigned user_timeout_ms_ = 0;
