Relay: what comes over a link, how it ends and what was passed on are told

Interfaces for the sessions that another daemon serves, no decision changes: - each read of an owner's bytes is told, with whether it ends with a whole message (owner_spoke); - the end of a link says whether the link ever was open (link_end); - the kinds of commands that were passed on are kept until their answers (under_way); - the port can answer a command with an error, and refuse a caller that was not accepted yet.

--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -87,6 +87,9 @@
 
   /// Takes bytes. @return the messages that are whole; nothing follows an InstanceFault.
   virtual std::vector<InstanceMessage> Decode(std::string_view bytes) = 0;
+
+  /// @return true if the bytes taken so far end with a whole message.
+  virtual bool BetweenMessages() const = 0;
 };
 
 /// The metadata store.
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -58,8 +58,12 @@
     }
   }
 
-  void on_ended(const std::string& reason) override {
-    host_.proxy_.RelayEnded(session_, reason, common::SteadyNow());
+  void on_read(bool between_messages) override {
+    host_.proxy_.RelayHeard(session_, between_messages, common::SteadyNow());
+  }
+
+  void on_ended(const std::string& reason, bool was_open) override {
+    host_.proxy_.RelayEnded(session_, {reason, was_open}, common::SteadyNow());
     host_.Drain();
   }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -101,7 +101,7 @@
 void Proxy::CommandReceived(SessionNumber session, const CallerCommand& command,
                             common::Instant now) {
   if (relay_.Relays(session)) {
-    relay_.Sessions().command_sent(session, now);
+    relay_.Sessions().command_sent(session, command.command.kind, now);
     return;
   }
   dispatcher_.CommandReceived(session, command, now);
@@ -116,8 +116,12 @@
   relay_.Sessions().answered(session, state, now);
 }
 
-void Proxy::RelayEnded(SessionNumber session, const std::string& reason, common::Instant now) {
-  relay_.Sessions().link_ended(session, reason, now);
+void Proxy::RelayHeard(SessionNumber session, bool between_messages, common::Instant now) {
+  relay_.Sessions().owner_spoke(session, between_messages, now);
+}
+
+void Proxy::RelayEnded(SessionNumber session, const relay::link_end& end, common::Instant now) {
+  relay_.Sessions().link_ended(session, end, now);
 }
 
 void Proxy::SessionClosed(SessionNumber session, common::Instant now) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -59,8 +59,9 @@
   void RelayAccepted(SessionNumber session);
   void RelayDeclined(SessionNumber session);
   void RelayAnswered(SessionNumber session, model::TransactionState state, common::Instant now);
-  /// @param reason why the link ended, for the log.
-  void RelayEnded(SessionNumber session, const std::string& reason, common::Instant now);
+  /// @param between_messages what the caller has of the owner now ends with a whole message.
+  void RelayHeard(SessionNumber session, bool between_messages, common::Instant now);
+  void RelayEnded(SessionNumber session, const relay::link_end& end, common::Instant now);
 
   /// @return true if another daemon serves the session.
   bool Relays(SessionNumber session) const { return relay_.Relays(session); }
--- a/src/proxy/session_relay.cc
+++ b/src/proxy/session_relay.cc
@@ -220,6 +220,22 @@
   dispatcher_.SessionStarted(session, start.database, start.key, now);
 }
 
+void SessionRelay::answer(relay::session_number session, model::ErrorCode error,
+                          const std::string& text) {
+  model::Reply reply;
+  reply.error = error;
+  reply.error_text = text;
+  // Whatever was open ends with the owner's side of the session.
+  reply.state = model::TransactionState::kIdle;
+  outbox_.Emit(AnswerCaller{session, reply, std::nullopt});
+}
+
+void SessionRelay::refuse(relay::session_number session, model::ErrorCode error,
+                          const std::string& text) {
+  relayed_.erase(session);
+  outbox_.Emit(CloseSession{session, true, error, text});
+}
+
 void SessionRelay::end_caller(relay::session_number session) {
   relayed_.erase(session);
   outbox_.Emit(CloseSession{session});
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -66,6 +66,10 @@
   void open_link(relay::session_number session, const std::string& owner) override;
   void close_link(relay::session_number session) override;
   void serve_here(relay::session_number session, common::Instant now) override;
+  void answer(relay::session_number session, model::ErrorCode error,
+              const std::string& text) override;
+  void refuse(relay::session_number session, model::ErrorCode error,
+              const std::string& text) override;
   void end_caller(relay::session_number session) override;
   void note(const relay::relay_note& note) override;
   void note_ending(std::size_t sessions, const char* reason) override;
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -357,6 +357,7 @@
   CallerPort port;
   port.accepted = [this, number, link] {
     FromOwner(number, link, [this, number] {
+      proxy_->RelayHeard(number, true, cluster_.Surroundings().Now());
       proxy_->RelayAccepted(number);
       const auto caller = callers_.find(number);
       if (caller != callers_.end()) {
@@ -366,6 +367,7 @@
   };
   port.answer = [this, number, link](const model::Reply& reply) {
     FromOwner(number, link, [this, number, reply] {
+      proxy_->RelayHeard(number, true, cluster_.Surroundings().Now());
       const auto caller = callers_.find(number);
       if (caller != callers_.end()) {
         const auto answer = caller->second.answer;
@@ -377,7 +379,7 @@
   port.closed = [this, number, link] {
     FromOwner(number, link, [this, number] {
       relays_.erase(number);
-      proxy_->RelayEnded(number, "closed by the other side", cluster_.Surroundings().Now());
+      proxy_->RelayEnded(number, {"closed by the other side"}, cluster_.Surroundings().Now());
     });
   };
   return port;
@@ -396,7 +398,7 @@
   if (!owner->Alive()) {
     FromOwner(action.session, link, [this, number = action.session] {
       relays_.erase(number);
-      proxy_->RelayEnded(number, "not connected: refused", cluster_.Surroundings().Now());
+      proxy_->RelayEnded(number, {"not connected: refused", false}, cluster_.Surroundings().Now());
     });
     return;
   }
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -157,15 +157,25 @@
   this->accepted(session);
 }
 
-void relayed_sessions::command_sent(session_number session, common::Instant now) {
+void relayed_sessions::command_sent(session_number session, model::CommandKind kind,
+                                    common::Instant now) {
   const auto found = this->sessions.find(session);
   if (found != this->sessions.end()) {
-    ++found->second.unanswered;
+    found->second.under_way.push_back({kind, now});
     ++found->second.commands;
     found->second.last_command = now;
   }
 }
 
+void relayed_sessions::owner_spoke(session_number session, bool between_messages,
+                                   common::Instant now) {
+  const auto found = this->sessions.find(session);
+  if (found != this->sessions.end()) {
+    found->second.between_messages = between_messages;
+    this->spoke[found->second.owner] = now;
+  }
+}
+
 void relayed_sessions::answered(session_number session, model::TransactionState state,
                                 common::Instant now) {
   const auto found = this->sessions.find(session);
@@ -174,8 +184,8 @@
   }
   relayed_session& relayed = found->second;
   relayed.state = state;
-  if (relayed.unanswered > 0) {
-    --relayed.unanswered;
+  if (!relayed.under_way.empty()) {
+    relayed.under_way.pop_front();
   }
   const bool leaving = this->closing || !this->port.stays(relayed.owner, now);
   if (relayed.misplaced() && must_move(relayed, now)) {
@@ -193,10 +203,10 @@
   const common::Duration waited =
       session.commands == 0 ? common::Duration(0) : now - session.last_command;
   this->port.note({event, number, session.service, session.owner, reason, session.is_accepted,
-                   session.unanswered, in_transaction, waited});
+                   session.under_way.size(), in_transaction, waited});
 }
 
-void relayed_sessions::link_ended(session_number session, const std::string& reason,
+void relayed_sessions::link_ended(session_number session, const link_end& end,
                                   common::Instant now) {
   const auto found = this->sessions.find(session);
   if (found == this->sessions.end()) {
@@ -206,13 +216,13 @@
   if (!relayed.is_accepted && relayed.commands == 0) {
     --this->sessions_by_owner[relayed.owner];
     ++this->counts.retried;
-    this->note("relay_retried", session, relayed, reason, now);
+    this->note("relay_retried", session, relayed, end.reason, now);
     this->hand_over(session, relayed, now);
     return;
   }
   if (!relayed.rests()) {
     ++this->counts.lost;
-    this->note("relay_lost", session, relayed, reason, now);
+    this->note("relay_lost", session, relayed, end.reason, now);
   }
   this->end(session);
 }
@@ -266,7 +276,7 @@
   if (!session.outside_since) {
     return false;
   }
-  const bool waits = session.unanswered == 0;
+  const bool waits = session.under_way.empty();
   return now >= *session.outside_since + (waits ? MOVE_LIMIT : MOVE_DEADLINE);
 }
 
@@ -308,7 +318,7 @@
   }
   for (const session_number number : early) {
     this->port.close_link(number);
-    this->link_ended(number, "its owner may not hold it", now);
+    this->link_ended(number, {"its owner may not hold it"}, now);
   }
   this->counts.moved += ending.size();
   this->end_all(ending, "their owners' region");
@@ -334,7 +344,7 @@
   }
   for (const auto& [number, reason] : broken) {
     this->port.close_link(number);
-    this->link_ended(number, reason, now);
+    this->link_ended(number, {reason}, now);
   }
   this->end_all(leaving, "the owner stops");
 }
@@ -353,7 +363,7 @@
 void relayed_sessions::close_idle() {
   std::vector<session_number> idle;
   for (const auto& [number, session] : this->sessions) {
-    if (session.unanswered == 0) {
+    if (session.under_way.empty()) {
       idle.push_back(number);
     }
   }
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "model/command.h"
 #include "model/reply.h"
 #include "relay/role_map.h"
 
@@ -36,6 +38,12 @@
 /** The same until it ends whatever is under way: a caller may send without awaiting answers. */
 inline constexpr common::Duration MOVE_DEADLINE{2'500'000};
 
+/** How a link to an owner ended. */
+struct link_end {
+  std::string reason;    // in words for the log
+  bool was_open = true;  // false: nothing was sent to the owner
+};
+
 /** What became of a relayed session, for the log. */
 struct relay_note {
   const char* event = "";
@@ -72,6 +80,12 @@
   /** Serves the session here: no owner can be had. */
   virtual void serve_here(session_number session, common::Instant now) = 0;
 
+  /** Answers the caller's oldest command under way with an error. */
+  virtual void answer(session_number session, model::ErrorCode error, const std::string& text) = 0;
+
+  /** Ends the connection of a caller that was not accepted yet, with an error. */
+  virtual void refuse(session_number session, model::ErrorCode error, const std::string& text) = 0;
+
   /** Ends the caller's connection. */
   virtual void end_caller(session_number session) = 0;
 
@@ -111,17 +125,20 @@
   void declined(session_number session);
 
   /** A command of the caller was passed on. */
-  void command_sent(session_number session, common::Instant now);
-
-  /** An answer was passed back. */
-  void answered(session_number session, model::TransactionState state, common::Instant now);
+  void command_sent(session_number session, model::CommandKind kind, common::Instant now);
 
   /**
-   * The link ended, or could not be opened.
+   * Bytes of the owner were passed back.
    *
-   * @param reason  for the log
+   * @param between_messages  what the caller has now ends with a whole message
    */
-  void link_ended(session_number session, const std::string& reason, common::Instant now);
+  void owner_spoke(session_number session, bool between_messages, common::Instant now);
+
+  /** An answer was passed back. */
+  void answered(session_number session, model::TransactionState state, common::Instant now);
+
+  /** The link ended, or could not be opened. */
+  void link_ended(session_number session, const link_end& end, common::Instant now);
 
   void caller_closed(session_number session);
 
@@ -147,6 +164,12 @@
   const relay_counters& counters() const { return this->counts; }
 
  private:
+  /** A command that was passed on. */
+  struct passed_command {
+    model::CommandKind kind = model::CommandKind::kInvalid;
+    common::Instant sent{0};
+  };
+
   struct relayed_session {
     std::string service;
     std::string tenant;
@@ -157,7 +180,8 @@
     std::optional<common::Instant> outside_since;  // the owner's zone may not hold it
     common::Instant opened{0};
     bool is_accepted = false;
-    std::size_t unanswered = 0;
+    std::deque<passed_command> under_way;  // not answered yet, the oldest first
+    bool between_messages = true;          // the owner's bytes so far end with a whole message
     std::uint64_t commands = 0;
     common::Instant last_command{0};
     model::TransactionState state = model::TransactionState::kIdle;
@@ -165,7 +189,7 @@
 
     bool misplaced() const { return this->returns || this->outside_since.has_value(); }
     bool rests() const {
-      return this->unanswered == 0 && this->state == model::TransactionState::kIdle;
+      return this->under_way.empty() && this->state == model::TransactionState::kIdle;
     }
   };
 
@@ -206,8 +230,9 @@
   relay_port& port;
   std::map<session_number, relayed_session> sessions;
   std::map<std::string, std::size_t> sessions_by_owner;
-  std::size_t unaccepted = 0;  // sessions that no owner has accepted yet
-  bool any_misplaced = false;  // some session belongs to another owner's region
+  std::map<std::string, common::Instant> spoke;  // when bytes of an owner came last, by owner
+  std::size_t unaccepted = 0;                    // sessions that no owner has accepted yet
+  bool any_misplaced = false;                    // some session belongs to another owner's region
   relay_counters counts;
   bool closing = false;
 };
--- a/src/relay_link/owner_link.cc
+++ b/src/relay_link/owner_link.cc
@@ -35,17 +35,21 @@
       } else if (const auto* reply = std::get_if<model::Reply>(&message)) {
         this->events->on_answer(*reply);
       } else if (std::holds_alternative<host::InstanceFault>(message)) {
+        this->events->on_read(false);
         this->end("the owner sent what can't be read");
         return;
       }
     }
+    if (!this->closed) {
+      this->events->on_read(this->codec->BetweenMessages());
+    }
   }
 
   void end(const std::string& reason) {
     const auto self = this->shared_from_this();
     if (!std::exchange(this->closed, true)) {
       this->stream->Close();
-      this->events->on_ended(reason);
+      this->events->on_ended(reason, this->connected);
     }
   }
 };
--- a/src/relay_link/owner_link.h
+++ b/src/relay_link/owner_link.h
@@ -35,12 +35,20 @@
   /** Bytes for the caller; they come before the events that they stand for. */
   virtual void on_bytes(std::string_view bytes) = 0;
 
+  /**
+   * All that was read at once has been passed back.
+   *
+   * @param between_messages  it ends with a whole message
+   */
+  virtual void on_read(bool between_messages) = 0;
+
   /**
    * The connection ended, or could not be opened.
    *
    * @param reason  in words for a log
+   * @param was_open  false: nothing was sent to the owner
    */
-  virtual void on_ended(const std::string& reason) = 0;
+  virtual void on_ended(const std::string& reason, bool was_open) = 0;
 };
 
 class owner_link {
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -10,6 +10,7 @@
 constexpr common::Instant NOW{1'000'000};
 constexpr common::Duration LONG{1'000'000};
 constexpr session_number SESSION = 7;
+constexpr auto READ = model::CommandKind::kRead;
 constexpr const char* ENDED = "closed by the other side";
 
 /** Notes what it is asked for. */
@@ -29,6 +30,13 @@
   }
   void close_link(session_number) override {}
   void serve_here(session_number, common::Instant) override { ++this->served_here; }
+  void answer(session_number, model::ErrorCode error, const std::string&) override {
+    this->answers.push_back(error);
+  }
+  void refuse(session_number, model::ErrorCode error, const std::string&) override {
+    this->refusals.push_back(error);
+    ++this->ended;
+  }
   void end_caller(session_number) override { ++this->ended; }
   void note(const relay_note&) override {}
   void note_ending(std::size_t, const char*) override {}
@@ -37,6 +45,8 @@
   std::set<std::string> leaving;
   std::set<std::string> closed_zones;
   std::vector<std::string> opened;
+  std::vector<model::ErrorCode> answers;
+  std::vector<model::ErrorCode> refusals;
   int served_here = 0;
   int ended = 0;
 };
@@ -98,7 +108,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.declined(SESSION);
-  test.sessions.link_ended(SESSION, ENDED, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
   CHECK(test.port.opened.size() == 1);
   CHECK(test.port.ended == 1);
 }
@@ -106,9 +116,9 @@
 TEST_CASE("An owner that ends before it accepts is followed by the next", "[relay]") {
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
-  test.sessions.link_ended(SESSION, ENDED, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near(), test.far()});
-  test.sessions.link_ended(SESSION, ENDED, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
   CHECK(test.port.served_here == 1);
   CHECK_FALSE(test.sessions.contains(SESSION));
 }
@@ -124,8 +134,8 @@
   // It might run twice.
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
-  test.sessions.command_sent(SESSION, NOW);
-  test.sessions.link_ended(SESSION, ENDED, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
   CHECK(test.port.opened.size() == 1);
   CHECK(test.port.ended == 1);
   CHECK(test.sessions.counters().lost == 1);
@@ -135,7 +145,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.port.dead.insert(test.near());
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 1);
@@ -145,14 +155,14 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.port.leaving.insert(test.near());
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 0);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.sessions.tick(NOW);
   CHECK(test.port.ended == 0);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW);
   CHECK(test.port.ended == 1);
 }
@@ -163,7 +173,7 @@
   test.sessions.start(SESSION + 1, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
   test.sessions.accepted(SESSION + 1);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.sessions.start_closing();
   CHECK(test.port.ended == 1);
   test.sessions.answered(SESSION, model::TransactionState::kIdle, NOW);
@@ -183,7 +193,7 @@
   fixture test;
   test.port.closed_zones = {"b"};
   test.sessions.start(SESSION, "ledger", "tenant", NOW);
-  test.sessions.link_ended(SESSION, ENDED, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
   CHECK(test.port.opened == std::vector<std::string>{test.near()});
   CHECK(test.port.served_here == 1);
 }
@@ -233,7 +243,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
   test.sessions.tick(NOW);
@@ -248,7 +258,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
@@ -262,7 +272,7 @@
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.port.closed_zones = {"a"};
   test.sessions.regions_changed(NOW);
   test.sessions.tick(NOW + MOVE_LIMIT);
@@ -287,7 +297,7 @@
   test.port.closed_zones = {"a"};
   test.sessions.start(SESSION, "ledger", "", NOW);
   test.sessions.accepted(SESSION);
-  test.sessions.command_sent(SESSION, NOW);
+  test.sessions.command_sent(SESSION, READ, NOW);
   test.sessions.answered(SESSION, model::TransactionState::kOpen, NOW);
   test.port.closed_zones.clear();
   test.sessions.regions_changed(NOW);
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -19,6 +19,8 @@
   bool declined = false;
   bool accepted = false;
   bool ended = false;
+  bool was_open = false;
+  bool between_messages = true;
   std::vector<model::Reply> answers;
   std::string bytes;
 };
@@ -30,7 +32,11 @@
   void on_declined() override { this->seen.declined = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
   void on_bytes(std::string_view bytes) override { this->seen.bytes += bytes; }
-  void on_ended(const std::string&) override { this->seen.ended = true; }
+  void on_read(bool between_messages) override { this->seen.between_messages = between_messages; }
+  void on_ended(const std::string&, bool was_open) override {
+    this->seen.ended = true;
+    this->seen.was_open = was_open;
+  }
 
  private:
   record& seen;
