Test: a forced end closes sessions without a word

A daemon with 0.9 s left until it is killed has a write, a read, a statement in a transaction, a COMMIT and a queued command under way, and a write that waits for an instance.

Fails as run: proxy_stop_test.cc:198: Refusals(1): {} == { in doubt, busy }, and the same for the other four sessions (199 to 202, 207, 209): no command is answered, no session is ended by the decision code.

--- /dev/null
+++ b/tests/proxy/proxy_stop_test.cc
@@ -0,0 +1,215 @@
+// The planned stop of a daemon, as its callers see it.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "proxy/proxy.h"
+
+namespace valvekeel::proxy {
+namespace {
+
+using common::Duration;
+using common::Instant;
+
+constexpr Instant kStart{100'000'000};
+constexpr Duration kMillisecond{1'000};
+/// Longer than any test: nothing ends for want of time.
+constexpr std::chrono::minutes kAges{10};
+
+/// A daemon that is alone before a service with one instance and one without any. The store answers
+/// at once, the instance tells that it leads and is at work on all else.
+struct StoppingDaemon {
+  StoppingDaemon() : proxy(MakeSettings(), 1) {
+    configuration.version = 1;
+    for (const std::string name : {"ledger", "vacant"}) {
+      configuration.services[name].name = name;
+      configuration.services[name].max_connections = 30;
+      model::Route& route = configuration.routes[name];
+      route.database = name;
+      route.service = name;
+      route.timeout = kAges;
+      route.target_latency = kAges;
+    }
+    entry.id = "a";
+    entry.service = "ledger";
+    entry.slots = 100;
+    entry.primary = true;
+    Run(3'000 * kMillisecond);
+  }
+
+  static ProxySettings MakeSettings() {
+    ProxySettings settings;
+    settings.name = "self";
+    settings.zone = "near";
+    settings.incarnation = 7;
+    settings.peer = {"10.0.0.1", 7440};
+    settings.mechanisms.read_lease = false;
+    return settings;
+  }
+
+  void Run(Duration time) {
+    for (const Instant end = now + time; now < end; now += kTick) {
+      proxy.Tick(now);
+      TakeActions();
+    }
+  }
+
+  void TakeActions() {
+    for (auto actions = proxy.TakeActions(); !actions.empty(); actions = proxy.TakeActions()) {
+      for (const Action& action : actions) {
+        if (const auto* read = std::get_if<ReadCatalog>(&action)) {
+          Answer(*read);
+        } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+          proxy.ConnectionOpened(open->connection, now);
+        } else if (const auto* sent = std::get_if<SendRequests>(&action)) {
+          TakeRequests(*sent);
+        } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+          answers[answer->session].push_back(answer->reply);
+        } else if (const auto* accepted = std::get_if<AcceptSession>(&action)) {
+          ends.erase(accepted->session);
+        } else if (const auto* end = std::get_if<CloseSession>(&action)) {
+          ends[end->session] = *end;
+        }
+        after_exit += exits;
+        exits += std::holds_alternative<Exit>(action) ? 1 : 0;
+      }
+    }
+  }
+
+  void TakeRequests(const SendRequests& sent) {
+    for (const model::InstanceRequest& request : sent.requests) {
+      if (const auto* statement = std::get_if<model::SessionRequest>(&request)) {
+        running[statement->request_id] = sent.connection;
+        continue;
+      }
+      model::Reply reply;
+      reply.succeeded = true;
+      reply.status = model::InstanceStatus{true, 1, {1, 1}};
+      proxy.Answered(sent.connection, reply, now);
+    }
+  }
+
+  void Answer(const ReadCatalog& read) {
+    if (read.read.after_revision) {
+      return;  // nothing changes
+    }
+    metadata::ReadResult result{metadata::ReadStatus::kOk, 5, {}};
+    if (read.read.collection == model::Collection::kConfiguration) {
+      result.objects.push_back({"main", 2, false, configuration});
+    } else if (read.read.collection == model::Collection::kInstances) {
+      result.objects.push_back({"a", 3, false, entry});
+    }
+    proxy.CatalogRead(read.call, result, now);
+  }
+
+  void Open(SessionNumber session, const std::string& database = "ledger") {
+    proxy.SessionStarted(session, database, {}, {}, now);
+    TakeActions();
+  }
+
+  void Ask(SessionNumber session, model::CommandKind kind, const std::string& id) {
+    model::Command command;
+    command.kind = kind;
+    command.arguments = "k";
+    proxy.CommandReceived(session, {id, command}, now);
+    TakeActions();
+  }
+
+  /// The instance answers a statement.
+  void Finish(const std::string& id, model::TransactionState state) {
+    model::Reply reply;
+    reply.succeeded = true;
+    reply.state = state;
+    proxy.Answered(running.at(id), reply, now);
+    TakeActions();
+  }
+
+  void Stop() {
+    proxy.Stop(now);
+    TakeActions();
+  }
+
+  /// @return the codes of the session's refusals.
+  std::vector<model::ErrorCode> Refusals(SessionNumber session) {
+    std::vector<model::ErrorCode> codes;
+    for (const model::Reply& reply : answers[session]) {
+      if (!reply.succeeded) {
+        codes.push_back(reply.error);
+      }
+    }
+    return codes;
+  }
+
+  Proxy proxy;
+  model::Configuration configuration;
+  model::InstanceEntry entry;
+  Instant now = kStart;
+  std::map<SessionNumber, std::vector<model::Reply>> answers;
+  std::map<SessionNumber, CloseSession> ends;
+  std::map<std::string, ConnectionNumber> running;  // by request
+  int exits = 0;
+  int after_exit = 0;  // actions that came too late to be carried out
+};
+
+using Codes = std::vector<model::ErrorCode>;
+
+}  // namespace
+
+TEST_CASE("Each command that a forced end cuts short is answered with what is known of it",
+          "[proxy][stop]") {
+  // 0.9 s before the process is killed a daemon ends with whatever is under way. Its callers'
+  // connections were closed without a word, so that none of them could know whether to ask again.
+  StoppingDaemon daemon;
+  daemon.Open(1);
+  daemon.Open(2);
+  daemon.Open(3);
+  daemon.Open(4, "vacant");
+  daemon.Open(5);
+  daemon.Ask(1, model::CommandKind::kWrite, "write");
+  daemon.Ask(1, model::CommandKind::kWrite, "behind it");
+  daemon.Ask(2, model::CommandKind::kRead, "read");
+  for (const SessionNumber session : {3, 5}) {
+    const std::string number = std::to_string(session);
+    daemon.Ask(session, model::CommandKind::kBegin, "begin " + number);
+    daemon.Ask(session, model::CommandKind::kWrite, "first " + number);
+    daemon.Run(10 * kMillisecond);
+    daemon.Finish("begin " + number, model::TransactionState::kOpen);
+    daemon.Finish("first " + number, model::TransactionState::kOpen);
+  }
+  daemon.Ask(3, model::CommandKind::kWrite, "second");
+  daemon.Ask(5, model::CommandKind::kCommit, "commit");
+  daemon.Ask(4, model::CommandKind::kWrite, "waits");
+  daemon.Run(100 * kMillisecond);
+  REQUIRE(daemon.running.contains("write"));
+  REQUIRE(daemon.running.contains("read"));
+  REQUIRE(daemon.running.contains("second"));
+  REQUIRE(daemon.running.contains("commit"));
+  REQUIRE_FALSE(daemon.running.contains("waits"));
+  daemon.Stop();
+  daemon.Run(5'050 * kMillisecond);
+  REQUIRE(daemon.exits == 0);
+  CHECK(daemon.ends.empty());
+  daemon.Run(100 * kMillisecond);
+  REQUIRE(daemon.exits == 1);
+
+  CHECK(daemon.Refusals(1) == Codes{model::ErrorCode::kInDoubt, model::ErrorCode::kBusy});
+  CHECK(daemon.Refusals(2) == Codes{model::ErrorCode::kTimeout});
+  CHECK(daemon.Refusals(3) == Codes{model::ErrorCode::kAborted});
+  CHECK(daemon.Refusals(4) == Codes{model::ErrorCode::kBusy});
+  CHECK(daemon.Refusals(5) == Codes{model::ErrorCode::kInDoubt});
+  for (const SessionNumber session : {1, 4}) {
+    const auto& told = daemon.answers[session];
+    const bool not_run =
+        !told.empty() && told.back().error_text == "retry_after_ms=250 not run: the daemon stops";
+    CHECK(not_run);
+  }
+  CHECK(daemon.ends.size() == 5);
+  CHECK_FALSE(daemon.running.contains("behind it"));
+  CHECK_FALSE(daemon.running.contains("waits"));
+  CHECK(daemon.after_exit == 0);
+}
+
+}  // namespace valvekeel::proxy
