A forced end answers each command that it cuts short

Cause: 0.9 s before the kill a daemon ended with whatever was under way; nothing told its callers. Change: before it asks for the end, the decision code answers and ends every session it serves. An operation that was sent gets the code that it gets when its time is over (in doubt where something may have committed, aborted in a transaction, timeout for a read that may have run); what waited, or was queued behind, gets busy with retry_after_ms, and "not run" where that is so. Nothing is begun from then on: a connection freed by the end would have started another operation. Conclusion: sessions resting in a transaction are closed as before. Commands that were passed on to an owner are not answered here.

--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -112,7 +112,11 @@
     }
     const CallerCommand command = std::move(current->queue.front());
     current->queue.pop_front();
-    Run(*current, command, now);
+    if (ended_) {
+      AnswerError(*current, model::ErrorCode::kBusy, kNotRun);
+    } else {
+      Run(*current, command, now);
+    }
   }
   Session* current = Find(number);
   const bool rests = current != nullptr && !current->operation && !current->transaction.open;
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -47,6 +47,10 @@
   kAtOnce,
 };
 
+/// For a command that was read and not run when the daemon ends. The pause is that of a session
+/// that comes too early: the caller's next attempt goes to another daemon.
+inline constexpr const char* kNotRun = "retry_after_ms=250 not run: the daemon stops";
+
 class Dispatcher : public ConnectionObserver {
  public:
   Dispatcher(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
@@ -86,6 +90,10 @@
   /// From now on each session ends as soon as it rests.
   void StartClosing() { closing_ = true; }
 
+  /// Ends all sessions, and nothing runs from now on. Each command that has no answer yet gets one
+  /// that tells what is known of it.
+  void EndAll(common::Instant now);
+
   std::size_t SessionCount() const { return sessions_.size(); }
 
   /// @return the services of the sessions served here.
@@ -217,6 +225,10 @@
   void CheckTransaction(Session& session, common::Instant now);
   bool ResendDue(const Session& session, const Backend& backend, common::Instant now) const;
   void NoteUnansweredWrites(common::Instant now);
+  /// Answers an operation that can't go on, by what may have become of it.
+  void CutShort(Session& session, const char* reason, common::Instant now);
+  /// Answers an operation that the end of the daemon cuts short.
+  void EndOperation(Session& session, common::Instant now);
   /// Tells the log of sessions that this daemon ends by itself.
   void NoteEnding(const std::vector<SessionNumber>& ending, const char* reason);
 
@@ -235,6 +247,7 @@
   bool pumping_ = false;
   bool pump_again_ = false;
   bool closing_ = false;
+  bool ended_ = false;  // nothing is begun any more
   DispatchCounters counters_;
 };
 
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -84,7 +84,7 @@
 
 void Dispatcher::Pump(common::Instant now) {
   pump_again_ = true;
-  if (pumping_) {
+  if (pumping_ || ended_) {
     return;
   }
   pumping_ = true;
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -15,6 +15,7 @@
 constexpr double kUsualLatencies = 4;  // latencies of the instance that are waited at least
 constexpr common::Duration kIdleSlack{200'000};
 constexpr const char* kComeBack = "retry_after_ms=250 ";
+constexpr const char* kStops = "the daemon stops";
 
 }  // namespace
 
@@ -79,11 +80,14 @@
   if (now < operation.deadline && !replaced) {
     return;
   }
+  CutShort(session, replaced ? "the primary is lost" : "the statement's time is over", now);
+}
+
+void Dispatcher::CutShort(Session& session, const char* reason, common::Instant now) {
   const bool committed = MayHaveCommitted(session);
   const bool in_transaction = session.transaction.open;
-  const bool sent = operation.phase == OperationPhase::kRunning;
+  const bool sent = session.operation->phase == OperationPhase::kRunning;
   Abandon(session, now);
-  const char* reason = replaced ? "the primary is lost" : "the statement's time is over";
   if (committed) {
     FinishWithError(session, model::ErrorCode::kInDoubt, reason, now);
   } else if (in_transaction) {
@@ -171,7 +175,37 @@
 
 void Dispatcher::CloseResting(bool all, common::Instant now) {
   EndSessions([](const Session&) { return true; }, all ? EndWhen::kAnswered : EndWhen::kResting,
-              "the daemon stops", now);
+              kStops, now);
+}
+
+void Dispatcher::EndOperation(Session& session, common::Instant now) {
+  const Operation& operation = *session.operation;
+  const bool waits = operation.phase == OperationPhase::kWaiting;
+  const bool begun = session.transaction.open && !waits;
+  if (begun || operation.phase == OperationPhase::kRunning) {
+    CutShort(session, kStops, now);
+    return;
+  }
+  // A read may have been sent before without an answer; a write is not sent again.
+  const std::uint32_t sent_before = operation.attempts - (waits ? 0 : 1);
+  const bool ran = sent_before > 0 && !IsWrite(session);
+  Abandon(session, now);
+  FinishWithError(session, model::ErrorCode::kBusy, ran ? std::string(kComeBack) + kStops : kNotRun,
+                  now);
+}
+
+void Dispatcher::EndAll(common::Instant now) {
+  ended_ = true;
+  std::vector<SessionNumber> busy;
+  for (const auto& [number, session] : sessions_) {
+    if (session.operation) {
+      busy.push_back(number);
+    }
+  }
+  for (const SessionNumber number : busy) {
+    EndOperation(sessions_.at(number), now);
+  }
+  EndSessions([](const Session&) { return true; }, EndWhen::kAtOnce, kStops, now);
 }
 
 void Dispatcher::EndResting(const std::string& service, common::Instant now) {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -504,6 +504,7 @@
   if (done || now >= exit_at) {
     exited_ = true;
     outbox_.Log("stopped", {{"sessions_left", std::to_string(sessions)}});
+    dispatcher_.EndAll(now);
     outbox_.Emit(Exit{});
   }
 }
