Test: a session that begins while a daemon closes is ended before its first command

Fails as run: proxy_stop_test.cc:233: CHECK( daemon.ends.empty() ): false (two sessions begun 2.4 s after the stop signal are ended within 60 ms, before their callers can speak); :235: 0 == 1 (the first command is answered by nobody); :245: a session that begins when only last answers are awaited is not refused.

--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -214,4 +214,43 @@
   CHECK(daemon.after_exit == 0);
 }
 
+TEST_CASE("A session that begins while a daemon closes is served or refused and nothing between",
+          "[proxy][stop]") {
+  // A daemon that was told to stop ends its sessions as they rest from 2.3 s on, and goes on taking
+  // new ones. Such a session was accepted and ended by the next tick, 10 ms at most, as one that
+  // rests: its first command crossed the end, was read by nobody, and the caller could not know.
+  StoppingDaemon daemon;
+  daemon.Open(1);
+  daemon.Ask(1, model::CommandKind::kWrite, "long");  // keeps the daemon from its end
+  daemon.Run(10 * kMillisecond);
+  REQUIRE(daemon.running.contains("long"));
+  daemon.Stop();
+  daemon.Run(2'400 * kMillisecond);
+
+  daemon.Open(2);
+  daemon.Open(3);
+  daemon.Run(60 * kMillisecond);  // until the caller's first command comes
+  CHECK(daemon.ends.empty());
+  daemon.Ask(2, model::CommandKind::kSet, "first");
+  CHECK(daemon.answers[2].size() == 1);
+  CHECK(daemon.ends.contains(2));
+  daemon.Run(60 * kMillisecond);
+  CHECK(daemon.ends.contains(3));  // its caller says nothing
+  CHECK_FALSE(daemon.ends[3].with_error);
+
+  // Too late for a command to come before only last answers are awaited, and then until the end.
+  for (const SessionNumber session : {4, 5}) {
+    daemon.Run(400 * kMillisecond);
+    daemon.Open(session);
+    REQUIRE(daemon.ends.contains(session));
+    CHECK(daemon.ends[session].with_error);
+    CHECK(daemon.ends[session].error == model::ErrorCode::kBusy);
+    CHECK(daemon.ends[session].error_text == "retry_after_ms=250 the daemon stops");
+  }
+  REQUIRE(daemon.exits == 0);
+  daemon.Finish("long", model::TransactionState::kIdle);
+  daemon.Run(20 * kMillisecond);
+  CHECK(daemon.exits == 1);
+}
+
 }  // namespace valvekeel::proxy
