A session that begins while a daemon closes is served once or refused

Cause: from 2.3 s after the stop signal each tick ended the sessions that rest, also those accepted less than 10 ms before; their first commands crossed the end and were read by nobody. Change: a session gets 100 ms from its start for its first command (four round trips between the farthest regions) before it is ended as resting; the answer to that command ends it as before. When this time would reach beyond that of the transactions, and from then on, a session is refused at its start, busy with retry_after_ms; one handed over is declined without an error, so that another owner takes it. Ruled out: refusing from the stop signal on: the health check still says ready to some callers then, and a refusal costs each an attempt. Conclusion: sessions that the daemon relays itself still end by relayed_sessions::start_closing, which knows no such time.

--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -50,6 +50,13 @@
 /// For a command that was read and not run when the daemon ends. The pause is that of a session
 /// that comes too early: the caller's next attempt goes to another daemon.
 inline constexpr const char* kNotRun = "retry_after_ms=250 not run: the daemon stops";
+/// The same for a caller whose session can't begin or go on.
+inline constexpr const char* kGoElsewhere = "retry_after_ms=250 the daemon stops";
+
+/// Time for a caller's first command to come after its session was accepted: four round trips
+/// between regions of the users' sites, which are 12 ms apart one way. An owner in another region
+/// gets it after two.
+inline constexpr common::Duration kFirstCommandTime{100'000};
 
 class Dispatcher : public ConnectionObserver {
  public:
@@ -78,7 +85,8 @@
 
   void Tick(common::Instant now);
 
-  /// Ends sessions that rest; with `all`, also those in a transaction.
+  /// Ends sessions that rest, but for those whose first command may be on its way; with `all`, also
+  /// these and those in a transaction.
   void CloseResting(bool all, common::Instant now);
 
   /// Ends the sessions of a service that rest.
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -174,8 +174,11 @@
 }
 
 void Dispatcher::CloseResting(bool all, common::Instant now) {
-  EndSessions([](const Session&) { return true; }, all ? EndWhen::kAnswered : EndWhen::kResting,
-              kStops, now);
+  // Ended by the next tick, a session that was just accepted loses its first command on the way.
+  const auto chosen = [&](const Session& session) {
+    return all || now >= session.started + kFirstCommandTime;
+  };
+  EndSessions(chosen, all ? EndWhen::kAnswered : EndWhen::kResting, kStops, now);
 }
 
 void Dispatcher::EndOperation(Session& session, common::Instant now) {
@@ -190,8 +193,7 @@
   const std::uint32_t sent_before = operation.attempts - (waits ? 0 : 1);
   const bool ran = sent_before > 0 && !IsWrite(session);
   Abandon(session, now);
-  FinishWithError(session, model::ErrorCode::kBusy, ran ? std::string(kComeBack) + kStops : kNotRun,
-                  now);
+  FinishWithError(session, model::ErrorCode::kBusy, ran ? kGoElsewhere : kNotRun, now);
 }
 
 void Dispatcher::EndAll(common::Instant now) {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -32,6 +32,7 @@
 constexpr common::Duration kStopNotice{2'300'000};
 /// Part of the stop's time that open transactions get.
 constexpr int kTransactionShare = 2;
+constexpr const char* kStops = "the daemon stops";
 /// Left of the stop's time when the process ends whatever is open.
 constexpr common::Duration kExitReserve{900'000};
 /// Time between two ticks after which this daemon takes itself to have stood still.
@@ -92,6 +93,10 @@
 void Proxy::SessionStarted(SessionNumber session, const std::string& database,
                            const tenants::key_digest& key, const SessionOrigin& origin,
                            common::Instant now) {
+  if (TooLateForSessions(now)) {
+    RefuseSession(session, database, origin);
+    return;
+  }
   if (origin.handed_over) {
     NoteConfigurationAhead(origin.daemon, origin.least_configuration, now);
   }
@@ -482,12 +487,34 @@
   SendHeartbeats(Receivers::kPartners, TellsAll(), now);
 }
 
+common::Instant Proxy::TransactionsUntil() const {
+  return *stopping_since_ + settings_.stop_grace / kTransactionShare;
+}
+
+bool Proxy::TooLateForSessions(common::Instant now) const {
+  // Each that is accepted has its whole time for a first command.
+  return stopping_since_ && now >= TransactionsUntil() - kFirstCommandTime;
+}
+
+void Proxy::RefuseSession(SessionNumber session, const std::string& database,
+                          const SessionOrigin& origin) {
+  if (origin.handed_over) {
+    outbox_.Log("relayed_session_declined",
+                {{"session", std::to_string(session)}, {"reason", kStops}});
+    outbox_.Emit(CloseSession{session});  // without an error: another owner may take it
+    return;
+  }
+  outbox_.Log("session_refused", {{"database", database},
+                                  {"reason", kStops},
+                                  {"version", std::to_string(catalog_.Configuration().version)}});
+  outbox_.Emit(CloseSession{session, true, model::ErrorCode::kBusy, kGoElsewhere});
+}
+
 void Proxy::AdvanceStop(common::Instant now) {
   if (!stopping_since_ || exited_) {
     return;
   }
-  const common::Instant transactions_until =
-      *stopping_since_ + settings_.stop_grace / kTransactionShare;
+  const common::Instant transactions_until = TransactionsUntil();
   const common::Instant notice_until =
       *stopping_since_ + std::min(kStopNotice, settings_.stop_grace / kTransactionShare);
   const common::Instant exit_at = *stopping_since_ + settings_.stop_grace - kExitReserve;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -214,6 +214,13 @@
   /// @return true if instances of all services that this daemon connects to are known.
   bool InstancesKnown() const;
   void AdvanceStop(common::Instant now);
+  /// @return the end of the time that open transactions get; a stop must have been asked for.
+  common::Instant TransactionsUntil() const;
+  /// @return true if a session that begins now could not be served.
+  bool TooLateForSessions(common::Instant now) const;
+  /// Turns a new session away, so that its caller goes elsewhere.
+  void RefuseSession(SessionNumber session, const std::string& database,
+                     const SessionOrigin& origin);
   double Jitter();
 
   ProxySettings settings_;
