Test: the daemon that passes commands on ends a session at rest, not its owner

Fails as run ([relay],[relay_link],[proxy]: 163 cases, 161 passed, 2 failed): relayed_sessions_test.cc:373: CHECK( test.port.ended == 1 ), 0 == 1: the relaying daemon leaves it to a former owner to end its sessions. session_relay_test.cc:271: CHECK_FALSE( fixture.Taken<CloseSession>() ), !{?}: an owner ends at once what rests outside its regions, though the next command may be on the link.

With them a case for the order of answer and close over a lost link, which passes.

--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -99,6 +99,32 @@
   CHECK(fixture.relay->Relays(kSession));
 }
 
+TEST_CASE("A caller whose link is lost gets the answer before the close", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  fixture.relay->Sessions().accepted(kSession);
+  fixture.relay->Sessions().command_sent(kSession, model::CommandKind::kWrite, kStart);
+  static_cast<void>(fixture.outbox.Take());
+  fixture.relay->Sessions().link_ended(kSession, {"closed by the other side"}, kStart);
+  std::vector<const Action*> sent;
+  const std::vector<Action> actions = fixture.outbox.Take();
+  for (const Action& action : actions) {
+    if (!std::holds_alternative<LogEvent>(action)) {
+      sent.push_back(&action);
+    }
+  }
+  REQUIRE(sent.size() == 3);
+  CHECK(std::holds_alternative<CloseRelay>(*sent[0]));
+  const auto* answer = std::get_if<AnswerCaller>(sent[1]);
+  REQUIRE(answer != nullptr);
+  CHECK_FALSE(answer->reply.succeeded);
+  CHECK(answer->reply.error == model::ErrorCode::kInDoubt);
+  CHECK(answer->reply.state == model::TransactionState::kIdle);
+  CHECK(std::holds_alternative<CloseSession>(*sent[2]));
+}
+
 TEST_CASE("The owner serves its sessions itself", "[proxy]") {
   RelayFixture fixture(RelayFixture::Owner());
   const model::Configuration configuration = ConfigurationOf(5);
@@ -233,6 +259,21 @@
   CHECK(fixture.dispatcher.SessionCount() == 0);
 }
 
+TEST_CASE("An owner leaves it to the other daemon to end in time what rests outside its regions",
+          "[proxy][regions]") {
+  // The next command may be on the link already: only the daemon that passes it on knows.
+  RegionsFixture fixture(RelayFixture::Owner(), {"south"});
+  fixture.HandOver();
+  REQUIRE(fixture.Taken<AcceptSession>());
+  fixture.SetAllowed({"north"});
+  fixture.relay->RegionsChanged(kStart);
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT - Duration(1));
+  CHECK_FALSE(fixture.Taken<CloseSession>());
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT);
+  CHECK(fixture.Taken<CloseSession>());
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
 TEST_CASE("A session of a caller of this daemon stays when regions change", "[proxy][regions]") {
   RegionsFixture fixture(RelayFixture::Owner(), {"south"});
   fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -11,6 +11,8 @@
 constexpr common::Duration LONG{1'000'000};
 /** Without a byte of an owner that is out of view, while a command waits. */
 constexpr common::Duration SILENCE{650'000};
+/** With an owner that has ceased to be one. */
+constexpr common::Duration GUESTS{1'000'000};
 constexpr session_number SESSION = 7;
 constexpr auto READ = model::CommandKind::kRead;
 constexpr const char* ENDED = "closed by the other side";
@@ -71,6 +73,20 @@
                        6, {{"ledger", 8}});
   }
 
+  /** The daemon is no longer among those that may own services. */
+  void lose_owner(const std::string& daemon) {
+    std::vector<member> members;
+    for (const char* name : {"self", "a1", "a2"}) {
+      if (name != daemon) {
+        members.push_back({name, "a", true});
+      }
+    }
+    for (const char* name : {"b1", "b2", "b3"}) {
+      members.push_back({name, "b", true});
+    }
+    this->roles.update(members, 6, {{"ledger", 8}});
+  }
+
   std::string near() const { return this->roles.owners_in("ledger", "a").front(); }
   std::string far() const { return this->roles.owners_in("ledger", "b").front(); }
 
@@ -334,6 +350,50 @@
   CHECK(test.port.ended == 1);
 }
 
+TEST_CASE("A session leaves an owner that has ceased to be one as it rests", "[relay]") {
+  // The owner itself ended such sessions, which it saw resting while their next command was on the
+  // link: 103, 77 and 58 commands in three runs of planned stops found the link "closed by the
+  // other side", most within 4 ms. Only who passes the commands on knows that none is under way.
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.start(SESSION + 1, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.accepted(SESSION + 1);
+  test.sessions.command_sent(SESSION + 1, READ, NOW);
+  const std::string former = test.near();
+  test.sessions.tick(NOW);
+  CHECK(test.port.ended == 0);
+
+  test.lose_owner(former);
+  REQUIRE(test.near() != former);
+  test.sessions.tick(NOW + GUESTS);
+  test.sessions.tick(NOW + 2 * GUESTS - common::Duration(1));
+  CHECK(test.port.ended == 0);
+  test.sessions.tick(NOW + 2 * GUESTS);
+  CHECK(test.port.ended == 1);
+  CHECK_FALSE(test.sessions.contains(SESSION));
+
+  // The other ends with its answer.
+  test.sessions.answered(SESSION + 1, model::TransactionState::kIdle, NOW + 2 * GUESTS);
+  CHECK(test.port.ended == 2);
+}
+
+TEST_CASE("A session stays with an owner that is one again in time", "[relay]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  const std::string former = test.near();
+  const role_map before = test.roles;
+  test.lose_owner(former);
+  test.sessions.tick(NOW);
+  test.roles = before;
+  test.sessions.tick(NOW + GUESTS - common::Duration(1));
+  test.lose_owner(former);
+  test.sessions.tick(NOW + GUESTS);
+  test.sessions.tick(NOW + 2 * GUESTS - common::Duration(1));
+  CHECK(test.port.ended == 0);
+}
+
 TEST_CASE("A planned stop ends resting sessions, others as they come to rest", "[relay]") {
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
