--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -99,6 +99,32 @@
   CHECK(fixture.relay->Relays(kSession));
 }
 
+TEST_CASE("A caller whose link is lost gets the answer before the close", "[proxy]") {
+  RelayFixture fixture(RelayFixture::Other());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  fixture.relay->Sessions().accepted(kSession);
+  fixture.relay->Sessions().command_sent(kSession, model::CommandKind::kWrite, kStart);
+  static_cast<void>(fixture.outbox.Take());
+  fixture.relay->Sessions().link_ended(kSession, {"closed by the other side"}, kStart);
+  std::vector<const Action*> sent;
+  const std::vector<Action> actions = fixture.outbox.Take();
+  for (const Action& action : actions) {
+    if (!std::holds_alternative<LogEvent>(action)) {
+      sent.push_back(&action);
+    }
+  }
+  REQUIRE(sent.size() == 3);
+  CHECK(std::holds_alternative<CloseRelay>(*sent[0]));
+  const auto* answer = std::get_if<AnswerCaller>(sent[1]);
+  REQUIRE(answer != nullptr);
+  CHECK_FALSE(answer->reply.succeeded);
+  CHECK(answer->reply.error == model::ErrorCode::kInDoubt);
+  CHECK(answer->reply.state == model::TransactionState::kIdle);
+  CHECK(std::holds_alternative<CloseSession>(*sent[2]));
+}
+
 TEST_CASE("The owner serves its sessions itself", "[proxy]") {
   RelayFixture fixture(RelayFixture::Owner());
   const model::Configuration configuration = ConfigurationOf(5);
@@ -158,6 +184,24 @@
   CHECK(closed->error == model::ErrorCode::kUnknownDatabase);
 }
 
+TEST_CASE("A daemon that ceased to own a service ends its own callers' sessions first", "[proxy]") {
+  // Who handed a session over ends it; only later this daemon does, should the other not.
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  fixture.relay->SessionStarted(kSession + 1, "ledger", kKey, {true, {"e", 0}, 5}, kStart);
+  REQUIRE(fixture.dispatcher.SessionCount() == 2);
+  static_cast<void>(fixture.outbox.Take());
+  fixture.dispatcher.EndResting("group", false, kStart);
+  const auto closed = fixture.Taken<CloseSession>();
+  REQUIRE(closed);
+  CHECK(closed->session == kSession);
+  CHECK(fixture.dispatcher.SessionCount() == 1);
+  fixture.dispatcher.EndResting("group", true, kStart);
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
 /// A daemon whose zone lies in "south", and a route that may run in the regions given.
 struct RegionsFixture : RelayFixture {
   RegionsFixture(const std::string& self, const std::vector<std::string>& allowed)
@@ -233,6 +277,21 @@
   CHECK(fixture.dispatcher.SessionCount() == 0);
 }
 
+TEST_CASE("An owner leaves it to the other daemon to end in time what rests outside its regions",
+          "[proxy][regions]") {
+  // The next command may be on the link already: only the daemon that passes it on knows.
+  RegionsFixture fixture(RelayFixture::Owner(), {"south"});
+  fixture.HandOver();
+  REQUIRE(fixture.Taken<AcceptSession>());
+  fixture.SetAllowed({"north"});
+  fixture.relay->RegionsChanged(kStart);
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT - Duration(1));
+  CHECK_FALSE(fixture.Taken<CloseSession>());
+  fixture.relay->Tick(kStart + relay::MOVE_LIMIT);
+  CHECK(fixture.Taken<CloseSession>());
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
 TEST_CASE("A session of a caller of this daemon stays when regions change", "[proxy][regions]") {
   RegionsFixture fixture(RelayFixture::Owner(), {"south"});
   fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
