Relayed sessions get time for a first command in a planned stop, and an answer at a forced end

Cause: start_closing ended whatever rested at each tick, and the end of the process cut off commands that were passed on. Change: an accepted session without a command yet has the time that a session served here has; one that no owner has accepted yet waits for that. At a forced end all relayed sessions end with what is known of their commands (relay/lost_commands); the links close with them, so that owners roll back what is open. Conclusion: both kinds of sessions end alike.

--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -542,7 +542,7 @@
     exited_ = true;
     outbox_.Log("stopped", {{"sessions_left", std::to_string(sessions)}});
     dispatcher_.EndAll(now);
-    relay_.Sessions().close_all(now);
+    relay_.Sessions().close_all();
     outbox_.Emit(Exit{});
   }
 }
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -459,12 +459,13 @@
 }
 
 void relayed_sessions::start_closing(common::Duration first_command_time, common::Instant now) {
-  static_cast<void>(first_command_time);
-  static_cast<void>(now);
   this->closing = true;
   std::vector<session_number> resting;
   for (const auto& [number, session] : this->sessions) {
-    if (session.rests()) {
+    // Ended by the next tick, within 10 ms, a session that was just accepted loses its first
+    // command.
+    const bool awaited = session.commands == 0 && now < session.accepted_at + first_command_time;
+    if (session.is_accepted && session.rests() && !awaited) {
       resting.push_back(number);
     }
   }
@@ -481,6 +482,12 @@
   this->end_all(idle, STOPPING);
 }
 
-void relayed_sessions::close_all(common::Instant now) { static_cast<void>(now); }
+void relayed_sessions::close_all() {
+  std::vector<session_number> all;
+  for (const auto& [number, session] : this->sessions) {
+    all.push_back(number);
+  }
+  this->end_all(all, STOPPING);
+}
 
 }  // namespace valvekeel::relay
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -178,7 +178,7 @@
   void close_idle();
 
   /** Ends every session; callers are told what is known of their commands under way. */
-  void close_all(common::Instant now);
+  void close_all();
 
   bool contains(session_number session) const { return this->sessions.contains(session); }
   std::size_t size() const { return this->sessions.size(); }
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -442,7 +442,7 @@
   test.sessions.command_sent(SESSION, model::CommandKind::kWrite, NOW);
   test.sessions.start(SESSION + 1, "ledger", "", NOW);
   test.sessions.accepted(SESSION + 1, NOW);
-  test.sessions.close_all(NOW);
+  test.sessions.close_all();
   CHECK(test.port.answers == std::vector{model::ErrorCode::kInDoubt});
   CHECK(test.port.ended == 2);
   CHECK(test.sessions.size() == 0);
