The host forgets closed connections at each tick, not after twice as many

Cause: a weak reference keeps a stream's memory, 8 KB of input each, and closed ones stayed until there were twice as many as at the last look: after a burst of 1,000 sessions up to 16 MB, reckoned, not measured. Change: strong references, and a look at each tick in which more than 64 connections beyond the sessions are remembered. [host]: 7 cases pass. Conclusion: bounded by the sessions.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,6 +1,5 @@
 #include "host/proxy_host.h"
 
-#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -14,7 +13,7 @@
 constexpr int kNotReadyStatus = 503;
 constexpr int kNotFoundStatus = 404;
 constexpr const char* kMetricsPath = "/metrics";
-/// Connections that are remembered before the closed ones among them are looked for.
+/// Connections that are remembered beside those of sessions before closed ones are looked for.
 constexpr std::size_t kFewStreams = 64;
 /// Bytes of a caller kept for an owner until its session is accepted.
 constexpr std::size_t kMostUnaccepted = std::size_t{64} << 10U;
@@ -93,6 +92,7 @@
       return;
     }
     log_.Flush();
+    ForgetClosedStreams();
     ScheduleTick();
   });
 }
@@ -107,12 +107,13 @@
   }
 }
 
-void ProxyHost::Remember(const std::shared_ptr<net::Stream>& stream) {
-  if (streams_.size() >= most_streams_) {
-    std::erase_if(streams_, [](const auto& each) { return each.expired(); });
-    most_streams_ = std::max(kFewStreams, 2 * streams_.size());
+void ProxyHost::Remember(const std::shared_ptr<net::Stream>& stream) { streams_.push_back(stream); }
+
+void ProxyHost::ForgetClosedStreams() {
+  // Each holds 8 KB: a burst of sessions must not leave that behind.
+  if (streams_.size() > callers_.size() + kFewStreams) {
+    std::erase_if(streams_, [](const auto& each) { return !each->Open(); });
   }
-  streams_.push_back(stream);
 }
 
 proxy::SessionNumber ProxyHost::AddSession(const std::shared_ptr<net::Stream>& stream,
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -95,6 +95,7 @@
   static void NoteAnswered(Caller& caller);
   /// Remembers a connection over which callers' requests come, until it is closed.
   void Remember(const std::shared_ptr<net::Stream>& stream);
+  void ForgetClosedStreams();
   /// Takes nothing from anybody from now on.
   void StopTaking();
   /// Ends the process once all that was sent to callers has left it, or the time for it is over.
@@ -140,8 +141,7 @@
   std::map<proxy::SessionNumber, Caller> callers_;
   std::map<proxy::ConnectionNumber, InstanceConnection> instances_;
   /// Callers' connections and those that sessions are handed over on, some closed meanwhile.
-  std::vector<std::weak_ptr<net::Stream>> streams_;
-  std::size_t most_streams_ = 0;  // then the closed ones are forgotten
+  std::vector<std::shared_ptr<net::Stream>> streams_;
   proxy::SessionNumber next_session_ = 1;
   bool ready_ = false;
   bool draining_ = false;
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -268,10 +268,8 @@
   callers_listener_.Close();
   handover_listener_.Close();
   tick_.cancel();
-  for (const auto& each : streams_) {
-    if (const auto stream = each.lock()) {
-      stream->CloseAfterFlush();
-    }
+  for (const auto& stream : streams_) {
+    stream->CloseAfterFlush();
   }
   for (auto& [number, caller] : callers_) {
     caller.link.reset();
@@ -279,10 +277,8 @@
 }
 
 void ProxyHost::EndWhenSent(common::Instant limit) {
-  const bool sent = std::none_of(streams_.begin(), streams_.end(), [](const auto& each) {
-    const auto stream = each.lock();
-    return stream && stream->Open();
-  });
+  const bool sent = std::none_of(streams_.begin(), streams_.end(),
+                                 [](const auto& stream) { return stream->Open(); });
   const bool logged = log_.Flush();
   if ((sent && logged) || common::SteadyNow() >= limit) {
     LogEnd();
