--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -22,7 +22,7 @@
 /// A daemon that is alone before a service with one instance and one without any. The store answers
 /// at once, the instance tells that it leads and is at work on all else.
 struct StoppingDaemon {
-  StoppingDaemon() : proxy(MakeSettings(), 1) {
+  explicit StoppingDaemon(bool has_store = true) : proxy(MakeSettings(), 1), has_store(has_store) {
     configuration.version = 1;
     for (const std::string name : {"ledger", "vacant"}) {
       configuration.services[name].name = name;
@@ -95,8 +95,8 @@
   }
 
   void Answer(const ReadCatalog& read) {
-    if (read.read.after_revision) {
-      return;  // nothing changes
+    if (read.read.after_revision || !has_store) {
+      return;  // nothing changes, or nobody answers
     }
     metadata::ReadResult result{metadata::ReadStatus::kOk, 5, {}};
     if (read.read.collection == model::Collection::kConfiguration) {
@@ -146,6 +146,7 @@
   }
 
   Proxy proxy;
+  bool has_store;
   model::Configuration configuration;
   model::InstanceEntry entry;
   Instant now = kStart;
@@ -253,4 +254,18 @@
   CHECK(daemon.exits == 1);
 }
 
+TEST_CASE("A session that waits for a configuration is told of the stop", "[proxy][stop]") {
+  // It was counted as one that rests, and its caller's connection closed without a word.
+  StoppingDaemon daemon(false);
+  daemon.Stop();
+  daemon.Run(2'000 * kMillisecond);
+  daemon.Open(1);
+  daemon.Ask(1, model::CommandKind::kWrite, "queued");
+  daemon.Run(500 * kMillisecond);
+  REQUIRE(daemon.ends.contains(1));
+  CHECK(daemon.ends[1].with_error);
+  CHECK(daemon.ends[1].error == model::ErrorCode::kBusy);
+  CHECK(daemon.ends[1].error_text == "retry_after_ms=250 the daemon stops");
+}
+
 }  // namespace valvekeel::proxy
