A connection ends when its last answer was taken, not when it was handed to the system

Cause: closed over input that nobody has read, a socket is reset, and the system drops what it has not delivered. A session that ends at a planned stop has such input whenever its caller's next command crosses the end. Ruled out: reading that input and throwing it away until the caller closes: the process would have read a request that it answers never. Change: CloseAfterFlush closes the sending side and waits until the other side has acknowledged all (the kernel's count of unacknowledged bytes, looked at every 5 ms), then closes. It is bounded (10 s; it was not bounded at all for a caller that never reads), and the closed handler is not called after it: HttpServer counted a connection down twice when it failed with its last response unsent. Conclusion: an answer that was given arrives although a command crosses it; the command itself stays unread.

--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -1,6 +1,8 @@
 #include "net/stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <asio/buffer.hpp>
@@ -13,6 +15,8 @@
 
 /// Bytes that may wait for a peer that does not read.
 constexpr std::size_t kMostWaiting = std::size_t{4} << 20U;
+/// How often it is looked whether the other side has all: a round trip within a region.
+constexpr std::chrono::milliseconds kTakenInterval{5};
 
 }  // namespace
 
@@ -153,7 +157,7 @@
   waiting_.erase(0, error ? 0 : sent);
   if (waiting_.empty()) {
     if (close_after_flush_) {
-      Close();
+      CloseWhenTaken();
     }
     return;
   }
@@ -172,7 +176,7 @@
                       } else if (!self->waiting_.empty()) {
                         self->Write();
                       } else if (self->close_after_flush_) {
-                        self->Close();
+                        self->CloseWhenTaken();
                       }
                     });
 }
@@ -191,13 +195,46 @@
   }
 }
 
-void Stream::CloseAfterFlush() {
+void Stream::CloseAfterFlush(std::chrono::milliseconds limit) {
+  if (!open_ || close_after_flush_) {
+    return;
+  }
   // What came now would be answered by nobody, and the other side's end would cut off what waits.
   StopReading();
+  closed_ = nullptr;
   close_after_flush_ = true;
+  flush_until_ = std::chrono::steady_clock::now() + limit;
+  timer_.expires_at(flush_until_);
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      self->Close();
+    }
+  });
   if (!write_in_progress_ && waiting_.empty()) {
+    CloseWhenTaken();
+  }
+}
+
+void Stream::CloseWhenTaken() {
+  // Over unread input the system resets a connection and drops what it has not delivered: 2 MiB of
+  // 6 went so on the loopback.
+  if (!Unacknowledged() || std::chrono::steady_clock::now() >= flush_until_) {
     Close();
+    return;
   }
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  timer_.expires_after(kTakenInterval);
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
+    if (!cancelled && self->open_) {
+      self->CloseWhenTaken();
+    }
+  });
+}
+
+bool Stream::Unacknowledged() {
+  int bytes = 0;
+  return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 void Stream::Close() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -20,6 +20,10 @@
 
 namespace valvekeel::net {
 
+/// Longest time for the other side to take the last answers: as for callers, whose longest
+/// deadlines are seconds.
+inline constexpr std::chrono::milliseconds kFlushLimit{10'000};
+
 /// Why a connection could not be opened.
 enum class ConnectFault { kRefused, kTimedOut };
 
@@ -47,8 +51,10 @@
   /// Sends bytes in order. @return false if too much waits already: the connection is closed then.
   bool Send(std::string bytes);
 
-  /// Reads no more, and ends the connection once what was sent has left.
-  void CloseAfterFlush();
+  /// Reads no more, and ends the connection once the other side has what was sent. The closed
+  /// handler is not called any more. @param limit longest time for that: the other side may never
+  /// read.
+  void CloseAfterFlush(std::chrono::milliseconds limit = kFlushLimit);
 
   /// Ends the connection at once.
   void Close();
@@ -68,6 +74,10 @@
   void Write();
   void Fail(const asio::error_code& fault);
   void ApplyOptions();
+  /// Closes the connection as soon as the other side has all.
+  void CloseWhenTaken();
+  /// @return true if something was sent that the other side has not acknowledged.
+  bool Unacknowledged();
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
@@ -78,6 +88,7 @@
   bool reading_ = true;
   bool write_in_progress_ = false;
   bool close_after_flush_ = false;
+  std::chrono::steady_clock::time_point flush_until_;
   unsigned user_timeout_ms_ = 0;
   std::string end_reason_;
   BytesHandler bytes_;
--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::seconds kLimit{20};
 constexpr std::chrono::milliseconds kTurn{1};
+constexpr std::chrono::milliseconds kFlushTime{50};
 /// Three of them are more than the system takes for a caller that does not read; two may wait.
 constexpr std::size_t kPartBytes = std::size_t{2} << 20U;
 
@@ -84,4 +85,12 @@
   CHECK(side.closed == 0);
 }
 
+TEST_CASE("A caller that never reads holds a connection that ends for a limited time", "[net]") {
+  EndingSide side;
+  side.stream->CloseAfterFlush(kFlushTime);
+  CHECK(side.stream->Open());
+  CHECK(side.RunUntil([&] { return !side.stream->Open(); }));
+  CHECK(side.closed == 0);
+}
+
 }  // namespace valvekeel::net
