A session that waits for a configuration is refused, not closed, when the daemon stops

Cause: a session that was not accepted yet has no command in progress, so it counted as resting, whatever it had queued. Change: its end carries busy with retry_after_ms. One handed over that has sent nothing yet still ends without an error: another owner takes it.

--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -257,7 +257,12 @@
   }
   NoteEnding(ending, reason);
   for (const SessionNumber number : ending) {
-    outbox_.Emit(CloseSession{number});
+    const Session& session = sessions_.at(number);
+    // Before it is accepted, one that was handed over is taken by another owner if it ends unheard.
+    const bool untold = !session.accepted && !(session.handed_over && session.queue.empty());
+    outbox_.Emit(untold ? CloseSession{number, true, model::ErrorCode::kBusy,
+                                       std::string(kComeBack) + reason}
+                        : CloseSession{number});
     SessionClosed(number, now);
   }
   return left;
