Soak: a stand-in instance forgets a read-only transaction at its end

Cause: the stand-in of an instance kept `BEGIN READ` as a mark of the connection: after COMMIT, a write outside a transaction on the same connection was refused with READONLY by a primary. Pooled connections live long, so one of them refused writes for good. Change: the end of a transaction clears the mark, as it clears the others.

--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -191,7 +191,7 @@
             raise Refusal("LAGGING")
 
     def end(self):
-        self.open = self.failed = False
+        self.open = self.failed = self.read_only = False
         self.writes = []
 
     async def put(self, request_id, rest):
