Soak: planned work alone, and a check on requests that get no answer

What was lacking: the soak's callers came back slowly and to any daemon, its stops came one at a time, and nothing looked at a request whose connection ended with neither an answer nor a refusal. So it was green while callers lost requests beside planned stops. Change: `--planned` draws rolls of stops (1, 2 or 3 at a time, 0.9 to 1.4 s apart, also just while the daemon has a request at an instance), SIGHUP or a second SIGTERM during a stop, configurations also in quick succession, and replacements of primaries, all overlapping and without a fault. Its callers keep their session to the end and come back at once, half of them to one daemon alone; some rest, some are in transactions, some go on at once. A fifth of the statements takes 20 to 120 ms. Each statement has an id of its own. UNANSWERED: a request counts once its whole line was written on an open, accepted connection. It breaks the rule if an instance got it, or if its connection ended later than 0.2 s after it, unless the instance broke off or the route's timeout had passed. Standstills of the soak itself are taken off. What is cut off at once and never reaches an instance is a figure. With faults it is a figure alone. Ruled out: judging at the close; an owner may pass a request on after its caller is gone (7 ms later in one case), so it is judged at the end.

--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import hashlib
+import random
 import time
 
 TICK_SECONDS = 0.004
 PROMOTE_SECONDS = 0.2
 DEMOTE_SECONDS = 1.0
 WORK_SECONDS = 0.003
+SLOW_SECONDS = (0.02, 0.12)
 SYNC_POLL_SECONDS = 0.003
 
 
@@ -30,11 +32,13 @@
         self.term = 1
         self.fence = 0
         self.alive = False
+        self.state = "ready"
         self.lag = 0.005
         self.server = None
-        self.connections = set()
+        self.connections = set()  # its sessions
         self.promoting = False
-        self.on_work = None    # called with each request of callers that arrives
+        self.on_work = None    # called with each request of callers that arrives, and its id
+        self.on_break = None   # called with the id of each request that the instance breaks off
 
     def position(self):
         return "%d.%d" % (self.term, len(self.log))
@@ -66,17 +70,18 @@
     async def crash(self):
         self.alive = False
         self.server.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
+        for session in list(self.connections):
+            session.break_off()
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
+        session = Session(self, reader, writer)
+        self.connections.add(session)
         try:
-            await Session(self, reader, writer).run()
+            await session.run()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
-            self.connections.discard(writer)
+            self.connections.discard(session)
             writer.close()
 
 
@@ -88,6 +93,12 @@
         self.values, self.prepared = {}, {}
         self.open = self.failed = self.read_only = False
         self.writes = []
+        self.request_id = None  # of the request at work
+
+    def break_off(self):
+        if self.request_id and self.instance.on_break:
+            self.instance.on_break(self.request_id)
+        self.writer.transport.abort()
 
     def state(self):
         return ("E" if self.failed else "T") if self.open else "I"
@@ -115,8 +126,10 @@
             word, request_id, text = line.split(" ", 2)
             if word != "QUERY":
                 return
+            self.request_id = request_id
             await self.answer(request_id, text)
             await self.writer.drain()
+            self.request_id = None
 
     async def answer(self, request_id, text):
         try:
@@ -139,7 +152,7 @@
         if word in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
             return self.control(word, rest)
         if self.instance.on_work:
-            self.instance.on_work(self.instance)
+            self.instance.on_work(self.instance, request_id)
         if word == "RESET":
             self.values, self.prepared = {}, {}
             return None
@@ -167,7 +180,7 @@
                 raise Refusal("READONLY")
             self.open = True
             return None
-        await asyncio.sleep(WORK_SECONDS)
+        await asyncio.sleep(self.instance.group.work_seconds())
         if word == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in self.prepared:
@@ -222,7 +235,7 @@
                 instance.group.planted != "lost":
             await asyncio.sleep(SYNC_POLL_SECONDS)
             if not instance.alive or not instance.primary or instance.term != term:
-                self.writer.transport.abort()  # nobody knows whether it is kept
+                self.break_off()  # nobody knows whether it is kept
                 raise ConnectionError
 
     def control(self, word, rest):
@@ -252,8 +265,14 @@
         self.service, self.most_connections = service, most_connections
         self.planted = planted  # a fault of the stand-in that the soak must notice
         self.instances = []
+        self.slow_share, self.random = 0.0, random.Random(service)  # of the statements
         self.on_change = lambda: None
 
+    def work_seconds(self):
+        if self.random.random() < self.slow_share:
+            return self.random.uniform(*SLOW_SECONDS)
+        return WORK_SECONDS
+
     def leader(self):
         leaders = [each for each in self.instances if each.primary and each.alive]
         return max(leaders, key=lambda each: each.term, default=None)
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,36 +1,42 @@
 #!/usr/bin/env python3
 """Fault soak: real valvekeel-edge processes before stand-ins, with faults from outside them.
 
-  soak.py BINARY [--seed N] [--seconds S] [--daemons N] [--keep FOLDER]
+  soak.py BINARY [--planned] [--seed N] [--seconds S] [--daemons N] [--keep FOLDER]
 
 Processes are stopped, paused, killed and restarted by signals; connections to instances and the
 store are delayed, reset and silenced by loopback proxies; instances crash; the store refuses, is
 silent, loses answers and forgets. What callers and instances saw is held against the rules. Ends
-only processes that it started. Exits with 1 if a rule was broken or callers were not served again.
+only processes that it started. With --planned there are no faults, but planned work alone, in
+series that overlap: then no request may end without an answer. Exits with 1 if a rule was broken or
+callers were not served again, with 2 if it could not run. Its addresses are fixed: one run only.
 """
 
 import argparse
 import asyncio
+import errno
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from callers import Caller, History  # noqa: E402
+from callers import FRONT_PORT, Caller, History, Persistent  # noqa: E402
 from database import Group, Instance  # noqa: E402
 from link import Link  # noqa: E402
+from planned import Planned  # noqa: E402
 from store import Store  # noqa: E402
+from unanswered import TIMEOUT_SECONDS, Requests  # noqa: E402
 
 SETTINGS = """[daemon]
 name = "{name}"
 zone = "{zone}"
 seeds = ["127.1.0.1:8782", "127.1.0.2:8782"]
 first_start = "{first}"
-stop_grace_ms = 4000
+stop_grace_ms = {grace_ms}
 drain_limit_ms = 7000
 [listen]
 callers = "{host}:8784"
@@ -55,6 +61,11 @@
 CALM_SECONDS = 6
 LAST_SECONDS = 12
 SERVED_AT_END = 0.9
+PLANNED_CALM_SECONDS = 2
+SLOW_SHARE = 0.2  # of the statements beside planned work: some are under way at each stop
+RECOVER_SECONDS = 60  # within which callers of planned work are served, also on a slow machine
+WINDOW_SECONDS = 2
+CLOSE_SECONDS = 0.3  # in which the stand-ins notice that the daemons are gone
 
 
 class Daemon:
@@ -64,10 +75,11 @@
         self.path = os.path.join(folder, "daemon-%d.toml" % number)
         self.log = open(os.path.join(folder, "daemon-%d.log" % number), "ab")
         self.text = dict(name="daemon-%d" % number, zone="zone-%d" % (number % 2), host=self.host,
-                         store=store, meshed=options.meshed,
+                         store=store, meshed=options.meshed, grace_ms=options.grace_ms,
                          evacuation_ms=0 if options.plant == "evacuated"
                          else EVACUATION_SECONDS * 1000)
         self.process = None
+        self.stopped_at = None  # instant of a planned stop's signal, until it serves again
         self.start("true")
 
     def start(self, first="false"):
@@ -90,6 +102,8 @@
         self.random = random.Random(options.seed)
         self.store = Store(options.seed)
         self.history = History()
+        self.requests = Requests()
+        self.extra_routes, self.latency_ms = 0, 250
         self.groups, self.links, self.daemons, self.told = {}, {}, [], []
         self.exits = 0
         self.evacuated = {}  # when, by zone
@@ -97,6 +111,7 @@
         self.end = None
 
     async def start(self):
+        self.check_free()
         self.store.promote = self.promote
         await asyncio.start_server(self.store.serve, "127.2.0.1", 8783)
         self.store_link = Link("127.2.0.2", 8783, "127.2.0.1", 8783)
@@ -108,8 +123,17 @@
             self.daemons.append(Daemon(self.options.binary, self.folder, number, self.options,
                                        "127.2.0.2:8783"))
 
+    def check_free(self):
+        """Raises OSError if a daemon of another run listens."""
+        for number in range(self.options.daemons):
+            for port in (FRONT_PORT, 8785, 8782):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.1.0.%d" % (number + 1), port))
+
     async def add_group(self, service, number):
         group = Group(service, self.options.connections, self.options.plant)
+        group.slow_share = SLOW_SHARE if self.options.planned else 0.0
         self.groups[service] = group
         for index in range(INSTANCES):
             host = "127.3.%d.%d" % (number, index + 1)
@@ -117,6 +141,7 @@
             instance.primary = index == 0
             instance.zone = "zone-%d" % (index % ZONES)
             instance.on_work = self.note_work
+            instance.on_break = self.requests.broken_off.add
             group.instances.append(instance)
             await instance.start()
             link = Link("127.4.%d.%d" % (number, index + 1), 8000, host, 8000)
@@ -132,24 +157,28 @@
                 link = self.links[instance.name]
                 await self.store.put("servers", instance.name, {
                     "service": group.service, "addr": "%s:%d" % (link.host, link.port),
-                    "zone": instance.zone, "version": "v1", "slots": 3, "state": "ready",
+                    "zone": instance.zone, "version": "v1", "slots": 3, "state": instance.state,
                     "warmup_left_ms": 0, "db_role": "primary" if instance.primary else "replica"})
 
     async def configure(self, version):
         kinds = {"primary": ("primary", 0), "bounded": ("bounded_staleness", 1500),
                  "own": ("read_your_writes", 2500)}
         routes = [{"name": service + short, "host": "%s.%s" % (service, short), "kind": kind,
-                   "timeout_ms": 900, "target_latency_ms": 250, "priority": 1, "service": service,
+                   "timeout_ms": int(TIMEOUT_SECONDS * 1000), "priority": 1, "service": service,
+                   "target_latency_ms": self.latency_ms,
                    "max_staleness_ms": staleness}
                   for service in self.groups for short, (kind, staleness) in kinds.items()]
+        routes += [dict(routes[0], name="extra%d" % number, host="%s.extra%d" % (
+            routes[0]["service"], number)) for number in range(self.extra_routes)]
         services = [{"name": service, "max_conns": group.most_connections, "sync_replicas": 1}
                     for service, group in self.groups.items()]
         await self.store.put("config", "main", {"version": version, "routes": routes,
                                                 "services": services,
                                                 "limits": {"tx_idle_ms": 2000}})
 
-    def note_work(self, instance):
-        """Holds a request that arrives against the evacuations."""
+    def note_work(self, instance, request_id):
+        """Notes a request that arrives, and holds it against the evacuations."""
+        self.requests.reach(request_id, instance)
         now = time.monotonic()
         began = self.evacuated.get(instance.zone)
         if began is None or now <= began + EVACUATION_SECONDS:
@@ -307,25 +336,54 @@
         await self.start()
         await asyncio.sleep(4)
         self.end = time.monotonic() + self.options.seconds
-        fronts = [(daemon.host, 8784) for daemon in self.daemons]
-        callers = [Caller(number, self.options.seed, fronts, group, kind, self.history)
+        asyncio.ensure_future(self.requests.watch_clock())
+        habit = Persistent if self.options.planned else Caller
+        callers = [habit(number, self.options.seed, self.daemons, group, kind, self.history,
+                         self.requests)
                    for number, (group, kind) in enumerate(
                        (group, kind) for group in self.groups.values()
                        for kind in ("primary", "bounded", "own")
                        for _ in range(self.options.callers))]
         tasks = [asyncio.ensure_future(each.run(lambda: self.end)) for each in callers]
-        injector = asyncio.ensure_future(self.inject())
-        await asyncio.sleep(self.options.seconds - 4)
-        await injector
-        before = (self.history.done, self.history.failed)
-        await asyncio.sleep(4)
-        done, failed = self.history.done - before[0], self.history.failed - before[1]
+        if self.options.planned:
+            await self.play_planned()
+        else:
+            injector = asyncio.ensure_future(self.inject())
+            await asyncio.sleep(self.options.seconds - 4)
+            await injector
+            done, failed = await self.count(4)
+            self.check_served(done, failed)
         self.end = time.monotonic()
         await asyncio.gather(*tasks)
-        if done < SERVED_AT_END * (done + failed) or done == 0:
+        self.check_logs()
+        self.close()
+        # Stand-ins whose other side is gone are of no interest any more.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        await asyncio.sleep(CLOSE_SECONDS)
+
+    async def play_planned(self):
+        until, self.end = self.end, float("inf")
+        await asyncio.sleep(PLANNED_CALM_SECONDS)
+        await Planned(self).play(until)
+        limit = time.monotonic() + RECOVER_SECONDS
+        done, failed = await self.count(WINDOW_SECONDS)
+        while not self.served(done, failed) and time.monotonic() < limit:
+            done, failed = await self.count(WINDOW_SECONDS)
+        self.check_served(done, failed)
+
+    async def count(self, seconds):
+        """Operations that were done and that failed in the next seconds."""
+        done, failed = self.history.done, self.history.failed
+        await asyncio.sleep(seconds)
+        return self.history.done - done, self.history.failed - failed
+
+    def served(self, done, failed):
+        return done > 0 and done >= SERVED_AT_END * (done + failed)
+
+    def check_served(self, done, failed):
+        if not self.served(done, failed):
             self.history.violations.append("RECOVER: %d done, %d failed at the end" %
                                            (done, failed))
-        self.check_logs()
 
     def check_logs(self):
         """Holds the groups' logs against what callers were told."""
@@ -350,6 +408,8 @@
                 self.history.violations.append("EXIT: daemon-%d ended by itself with %d" % (
                     daemon.number, daemon.process.returncode))
         self.history.violations += self.store.violations
+        if self.options.planned:
+            self.history.violations += self.requests.violations()
 
     def close(self):
         for daemon in self.daemons:
@@ -367,15 +427,24 @@
     parser.add_argument("--connections", type=int, default=34)
     parser.add_argument("--meshed", type=int, default=16, help="most_meshed_daemons")
     parser.add_argument("--callers", type=int, default=4, help="for each service and kind")
-    parser.add_argument("--plant", choices=["", "stale", "lost", "pinned", "evacuated"], default="",
+    parser.add_argument("--planned", action="store_true", help="planned work alone, no faults")
+    parser.add_argument("--plant", default="",
+                        choices=["", "stale", "lost", "pinned", "evacuated", "cut"],
                         help="lets the stand-in break a rule: the soak must say so")
     parser.add_argument("--keep", help="folder for settings and logs")
+    parser.add_argument("--grace_ms", type=int, default=4000, help="stop_grace_ms")
     options = parser.parse_args()
     folder = options.keep or tempfile.mkdtemp(prefix="valvekeel-edge-soak-")
     os.makedirs(folder, exist_ok=True)
     soak = Soak(options, folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         asyncio.run(soak.run())
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+        print("the soak can't run: its fixed addresses are taken by another run: %s" % error)
+        return 2
     finally:
         soak.close()
     history = soak.history
@@ -383,6 +452,7 @@
         print(line)
     for line in history.violations[:20]:
         print("BROKEN " + line)
+    print(soak.requests.summary())
     print("seed %d: %d faults, %d operations done, %d failed %s, %d promotions, %d broken; logs in %s"
           % (options.seed, len(soak.told), history.done, history.failed, history.failures,
              len(soak.store.tokens), len(history.violations), folder))
