--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	scripts/check-open-transaction
 	scripts/soak
 	scripts/edge-soak 60
+	scripts/edge-soak --planned 6
 	scripts/soak-simulator 1000
 
 format: setup
