Soak: says which address another run has taken

Two soaks can't run at once: their addresses are fixed. The second one ended with a trace of the store's stand-in, or played against daemons that an interrupted run had left.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -125,11 +125,15 @@
 
     def check_free(self):
         """Raises OSError if a daemon of another run listens."""
-        for number in range(self.options.daemons):
-            for port in (FRONT_PORT, 8785, 8782):
-                with socket.socket() as probe:
-                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(("127.1.0.%d" % (number + 1), port))
+        addresses = [("127.1.0.%d" % (number + 1), port) for number in range(self.options.daemons)
+                     for port in (FRONT_PORT, 8785, 8782)]
+        for address in addresses:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(address)
+                except OSError as error:
+                    raise OSError(error.errno, "%s:%d: %s" % (*address, error.strerror)) from error
 
     async def add_group(self, service, number):
         group = Group(service, self.options.connections, self.options.plant)
