--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -17,11 +17,18 @@
 #include "proxysim/control_cost.h"
 #include "proxysim/scenario.h"
 
+namespace {
+
+constexpr std::uint64_t kShownViolations = 5;
+
+}  // namespace
+
 ABSL_FLAG(std::uint64_t, first, 1, "first seed");
 ABSL_FLAG(std::uint64_t, seeds, 100, "number of seeds");
 ABSL_FLAG(std::uint64_t, faults, 6, "faults in a day");
 ABSL_FLAG(bool, draw_shape, false, "draw the deployment too");
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
+ABSL_FLAG(bool, planned, false, "no faults: daemons are stopped in rolls, beside configurations");
 ABSL_FLAG(bool, evacuations, false, "zones are evacuated, and taken back");
 ABSL_FLAG(bool, no_evacuation_bound, false, "instances of evacuated zones are only avoided");
 ABSL_FLAG(bool, warm_up, false, "instances that start are to be spared for a while");
@@ -33,12 +40,11 @@
 ABSL_FLAG(std::uint64_t, sessions, 40, "callers at once");
 ABSL_FLAG(std::string, load_trace, "",
           "file for the load of the last day's busiest daemon, for valvekeel replay-waiting");
+ABSL_FLAG(std::uint64_t, shown, kShownViolations, "violations printed of a day");
 ABSL_FLAG(bool, print_log, false, "print the daemons' log lines");
 
 namespace {
 
-constexpr std::size_t kShownViolations = 5;
-
 /// Prints a day that broke a rule.
 void Print(std::uint64_t seed, const valvekeel::proxysim::ScenarioResult& result) {
   std::cout << "seed " << seed << ":\n";
@@ -47,8 +53,8 @@
   }
   std::size_t shown = 0;
   for (const auto& violation : result.violations) {
-    if (++shown > kShownViolations) {
-      std::cout << "  and " << result.violations.size() - kShownViolations << " more\n";
+    if (++shown > absl::GetFlag(FLAGS_shown)) {
+      std::cout << "  and " << result.violations.size() - absl::GetFlag(FLAGS_shown) << " more\n";
       break;
     }
     std::cout << "  " << violation.rule << " at " << violation.at.count() / 1000
@@ -103,6 +109,7 @@
   std::size_t succeeded = 0;
   std::size_t promotions = 0;
   std::size_t relayed = 0;
+  std::size_t stops = 0;
   const std::uint64_t first = absl::GetFlag(FLAGS_first);
   for (std::uint64_t seed = first; seed < first + absl::GetFlag(FLAGS_seeds); ++seed) {
     valvekeel::proxysim::ScenarioOptions options;
@@ -111,6 +118,7 @@
     options.sessions = absl::GetFlag(FLAGS_sessions);
     options.draw_shape = absl::GetFlag(FLAGS_draw_shape);
     options.large = absl::GetFlag(FLAGS_large);
+    options.planned = absl::GetFlag(FLAGS_planned);
     options.evacuations = absl::GetFlag(FLAGS_evacuations);
     options.mechanisms.evacuation_bound = !absl::GetFlag(FLAGS_no_evacuation_bound);
     options.warm_up = absl::GetFlag(FLAGS_warm_up);
@@ -124,6 +132,7 @@
     succeeded += result.succeeded;
     promotions += result.promotions;
     relayed += result.relayed;
+    stops += result.stops;
     if (options.record_load) {
       std::ofstream(absl::GetFlag(FLAGS_load_trace)) << result.load_trace;
     }
@@ -140,8 +149,8 @@
   }
   const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - start;
   std::cout << "days " << absl::GetFlag(FLAGS_seeds) << ", attempts " << attempts << ", succeeded "
-            << succeeded << ", promotions " << promotions << ", relayed " << relayed << ", "
-            << seconds.count() << " s\n";
+            << succeeded << ", promotions " << promotions << ", relayed " << relayed
+            << ", planned stops " << stops << ", " << seconds.count() << " s\n";
   for (const auto& [rule, days] : days_by_rule) {
     std::cout << "days that broke " << rule << ": " << days << "\n";
   }
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -50,12 +50,28 @@
 };
 
 Callers::Callers(Cluster& cluster, std::size_t sessions) : cluster_(cluster) {
+  if (cluster_.Shape().balanced) {
+    std::vector<DaemonHost*> daemons;
+    for (const auto& daemon : cluster_.Daemons()) {
+      daemons.push_back(daemon.get());
+    }
+    balancer_ = std::make_unique<LoadBalancer>(cluster_.Surroundings(), std::move(daemons));
+  }
   for (std::size_t number = 0; number < sessions; ++number) {
     callers_.push_back(std::make_shared<Caller>());
     Connect(callers_.back());
   }
 }
 
+DaemonHost& Callers::ChooseDaemon() {
+  World& world = cluster_.Surroundings();
+  if (balancer_) {
+    return balancer_->Choose(ZoneName(world.Below(cluster_.Shape().zones)));
+  }
+  auto& daemons = cluster_.Daemons();
+  return *daemons[world.Below(daemons.size())];
+}
+
 void Callers::Connect(const std::shared_ptr<Caller>& caller) {
   World& world = cluster_.Surroundings();
   const std::uint64_t epoch = ++caller->epoch;
@@ -63,14 +79,13 @@
   caller->values.clear();
   caller->commands.clear();
   caller->active = false;
-  auto& daemons = cluster_.Daemons();
-  caller->daemon = daemons[world.Below(daemons.size())].get();
+  caller->daemon = &ChooseDaemon();
   const auto configuration = cluster_.CurrentConfiguration();
   auto route = configuration.routes.begin();
   std::advance(route, world.Below(configuration.routes.size()));
   caller->route = route->second;
   caller->service = route->second.service;
-  if (!caller->daemon->Ready()) {
+  if (balancer_ ? !caller->daemon->Alive() : !caller->daemon->Ready()) {
     world.After(kReconnect, [this, caller, epoch] {
       if (epoch == caller->epoch) {
         Connect(caller);
--- a/src/proxysim/callers.h
+++ b/src/proxysim/callers.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "proxysim/cluster.h"
+#include "proxysim/load_balancer.h"
 
 namespace valvekeel::proxysim {
 
@@ -39,6 +40,8 @@
 
   /// @return one of the keys in force; empty where keys are not used.
   std::string ChooseKey();
+  /// @return the daemon for a new connection.
+  DaemonHost& ChooseDaemon();
   void Connect(const std::shared_ptr<Caller>& caller);
   void Think(const std::shared_ptr<Caller>& caller);
   void BeginOperation(const std::shared_ptr<Caller>& caller);
@@ -51,6 +54,7 @@
   SecondSummary& SecondOf(common::Instant at);
 
   Cluster& cluster_;
+  std::unique_ptr<LoadBalancer> balancer_;  // null: callers know at once who is ready
   std::vector<std::shared_ptr<Caller>> callers_;
   std::vector<SecondSummary> seconds_;
   std::map<std::string, std::vector<common::Instant>> writes_;  // successes by service
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -9,7 +9,6 @@
 using model::Collection;
 
 constexpr const char* kPlatform = "platform";
-constexpr const char* kStore = "store";
 constexpr common::Duration kPromotionTimeout{450'000};
 constexpr common::Duration kUnlistAfter{3'600'000};  // three heartbeats of silence
 constexpr std::uint16_t kPeerPort = 7440;
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "proxysim/answer_checker.h"
 #include "proxysim/daemon_host.h"
 #include "proxysim/database_group.h"
 #include "proxysim/evacuation_monitor.h"
@@ -20,6 +21,9 @@
 
 namespace valvekeel::proxysim {
 
+/// The store's name, as a party that others reach or not.
+inline constexpr const char* kStore = "store";
+
 /// Size and figures of a deployment.
 struct ClusterShape {
   std::size_t daemons = 6;
@@ -33,6 +37,7 @@
   tenants::tenant_policy tenancy;        // in force if there are tenants
   common::Duration evacuation_limit{0};  // 0: no zone is evacuated
   bool first_start = false;              // of the whole deployment
+  bool balanced = false;                 // callers are sent by a balancer, which notices late
   bool record_load = false;              // the daemons' load, to be replayed
   bool encode_messages = false;          // the bytes of heartbeats are counted
 };
@@ -45,6 +50,7 @@
 
   World& Surroundings() { return world_; }
   History& Record() { return history_; }
+  AnswerChecker& Answers() { return answers_; }
   SimulatedStore& Store() { return store_; }
   std::vector<std::unique_ptr<DaemonHost>>& Daemons() { return daemons_; }
   std::map<std::string, std::unique_ptr<DatabaseGroup>>& Groups() { return groups_; }
@@ -101,6 +107,7 @@
 
   World world_;
   History history_;
+  AnswerChecker answers_{world_};
   KeyHistory keys_;
   SimulatedStore store_;
   EvacuationMonitor evacuations_{world_};
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -1,5 +1,6 @@
 #include "proxysim/daemon_host.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "proxysim/cluster.h"
@@ -12,6 +13,25 @@
 constexpr common::Duration kFetchTimeout{500'000};
 constexpr common::Duration kStartTime{50'000};
 
+/// What the host does from the decision to end until its process ends.
+enum class AtExit {
+  kGoesOn,      // it accepts and reads as before, all of which the end cuts off
+  kReadsNoMore  // it accepts and reads nothing; what was sent before leaves
+};
+
+/// As the host does (its Do(Exit)): the one place to change with it.
+constexpr AtExit kHostAtExit = AtExit::kGoesOn;
+/// From the decision to end until the process ends, as in the host.
+constexpr common::Duration kExitPause{150'000};
+
+std::string Milliseconds(common::Duration time) { return std::to_string(time.count() / 1000); }
+
+/// @return the time of the arrival of something sent now, after what was sent before.
+common::Instant ArriveAfter(common::Instant& last, common::Instant arrival) {
+  last = std::max(last, arrival);
+  return last;
+}
+
 }  // namespace
 
 DaemonHost::DaemonHost(Cluster& cluster, std::string name, std::string zone,
@@ -47,6 +67,7 @@
     settings.warm_up = cluster_.Shape().group.tolerated;
     settings.first_start = cluster_.Shape().first_start && life_ == 1;
     stopping_ = false;
+    exiting_ = false;
     proxy_ = std::make_unique<proxy::Proxy>(settings, life * 1000 + address_.port);
     if (cluster_.Shape().record_load) {
       proxy_->SetLoadObserver(&load_);
@@ -56,6 +77,11 @@
 }
 
 void DaemonHost::Kill() {
+  cluster_.Surroundings().NoteTrouble(name_);
+  End();
+}
+
+void DaemonHost::End() {
   frozen_ = false;
   ready_ = false;
   held_.clear();
@@ -74,13 +100,43 @@
   // The decision code may be running: it ends with the event that killed it.
   std::shared_ptr<proxy::Proxy> ending = std::move(proxy_);
   cluster_.Surroundings().After(common::Duration(0), [ending] {});
-  for (const auto& [number, port] : callers) {
-    port.closed();
+  for (const auto& [number, caller] : callers) {
+    CheckAnswered(caller, "its process ended");
+    caller.port.closed();
+  }
+}
+
+bool DaemonHost::Reads() const { return !exiting_ || kHostAtExit == AtExit::kGoesOn; }
+
+void DaemonHost::CheckAnswered(const AcceptedCaller& caller, const std::string& how) {
+  const common::Instant now = cluster_.Surroundings().Now();
+  for (const TakenCommand& command : caller.unanswered) {
+    const CallerAttempt* attempt = cluster_.Record().Find(command.id);
+    CutCommand cut;
+    cut.what = command.id + " at " + name_ + ", taken " + Milliseconds(now - command.at) +
+               " ms before: " + how;
+    if (stopping_) {
+      cut.what += ", " + Milliseconds(now - told_to_stop_) + " ms after its stop signal";
+    }
+    if (exiting_) {
+      cut.what += command.at >= decided_to_end_ ? ", taken after the decision to end"
+                                                : ", taken before the decision to end";
+    }
+    cut.parties = {name_, kStore, attempt == nullptr ? "" : attempt->service};
+    if (!caller.owner.empty()) {
+      cut.what += ", relayed to " + caller.owner;
+      cut.parties.push_back(caller.owner);
+    }
+    cluster_.Answers().Cut(cut);
   }
 }
 
 void DaemonHost::Stop() {
   if (proxy_) {
+    if (!stopping_) {
+      told_to_stop_ = cluster_.Surroundings().Now();
+      cluster_.Answers().StopPlanned();
+    }
     stopping_ = true;
     proxy_->Stop(cluster_.Surroundings().Now());
     Drain();
@@ -94,17 +150,21 @@
   return daemon << kDaemonShift | life_ << kLifeShift | number;
 }
 
-void DaemonHost::Freeze() { frozen_ = true; }
+void DaemonHost::Freeze() {
+  frozen_ = true;
+  cluster_.Surroundings().NoteTrouble(name_);
+}
 
 void DaemonHost::Thaw() {
   frozen_ = false;
+  cluster_.Surroundings().NoteTrouble(name_);
   for (auto& event : std::exchange(held_, {})) {
     event();
   }
 }
 
 void DaemonHost::Deliver(std::uint64_t life, std::function<void()> event) {
-  if (life != life_ || !proxy_) {
+  if (life != life_ || !proxy_ || !Reads()) {
     return;
   }
   if (frozen_) {
@@ -126,12 +186,21 @@
 
 void DaemonHost::OpenSession(proxy::SessionNumber number, const SessionStart& start,
                              CallerPort port) {
-  TakeHandover(number, start, {}, std::move(port));
+  Accept(number, start, {}, {std::move(port), true, {}, ""});
 }
 
 void DaemonHost::TakeHandover(proxy::SessionNumber number, const SessionStart& start,
                               const proxy::SessionOrigin& origin, CallerPort port) {
-  callers_[number] = std::move(port);
+  Accept(number, start, origin, {std::move(port), false, {}, ""});
+}
+
+void DaemonHost::Accept(proxy::SessionNumber number, const SessionStart& start,
+                        const proxy::SessionOrigin& origin, AcceptedCaller caller) {
+  if (!Alive() || !Reads()) {
+    caller.port.closed();
+    return;
+  }
+  callers_[number] = std::move(caller);
   starts_[number] = start;
   Deliver(life_, [this, number, start, origin] {
     proxy_->SessionStarted(number, start.database, tenants::digest_of(start.key), origin,
@@ -148,6 +217,10 @@
     });
   }
   Deliver(life_, [this, number, command] {
+    const auto caller = callers_.find(number);
+    if (caller != callers_.end() && caller->second.is_direct) {
+      caller->second.unanswered.push_back({command.request_id, cluster_.Surroundings().Now()});
+    }
     proxy_->CommandReceived(number, command, cluster_.Surroundings().Now());
   });
 }
@@ -303,24 +376,33 @@
 void DaemonHost::Do(const proxy::AcceptSession& action) {
   const auto found = callers_.find(action.session);
   if (found != callers_.end()) {
-    found->second.accepted();
+    found->second.port.accepted();
   }
 }
 
-void DaemonHost::Do(const proxy::AnswerCaller& action) {
-  const auto found = callers_.find(action.session);
-  if (found != callers_.end()) {
-    const auto answer = found->second.answer;
-    answer(action.reply);
+void DaemonHost::Answer(proxy::SessionNumber number, const model::Reply& reply) {
+  const auto found = callers_.find(number);
+  if (found == callers_.end()) {
+    return;
   }
+  if (!found->second.unanswered.empty()) {
+    found->second.unanswered.pop_front();
+  }
+  const auto answer = found->second.port.answer;
+  answer(reply);
 }
 
+void DaemonHost::Do(const proxy::AnswerCaller& action) { Answer(action.session, action.reply); }
+
 void DaemonHost::Do(const proxy::CloseSession& action) {
   const auto found = callers_.find(action.session);
   if (found != callers_.end()) {
-    const auto closed = found->second.closed;
+    const AcceptedCaller caller = found->second;
     callers_.erase(found);
-    closed();
+    if (!action.with_error) {
+      CheckAnswered(caller, caller.owner.empty() ? "it closed the session" : lost_reason_);
+    }
+    caller.port.closed();
   }
 }
 
@@ -329,7 +411,8 @@
   if (!world.Reaches(name_, link.owner->Name())) {
     return;
   }
-  world.After(world.Delay(), [link, event = std::move(event)] {
+  const common::Instant arrival = ArriveAfter(link.last->at_owner, world.Now() + world.Delay());
+  world.After(arrival - world.Now(), [link, event = std::move(event)] {
     if (link.owner->Life() == link.owner_life) {
       event(*link.owner);
     }
@@ -342,7 +425,8 @@
   if (!world.Reaches(link.owner->Name(), name_)) {
     return;
   }
-  world.After(world.Delay(),
+  const common::Instant arrival = ArriveAfter(link.last->from_owner, world.Now() + world.Delay());
+  world.After(arrival - world.Now(),
               [this, life = life_, number, epoch = link.epoch, event = std::move(event)] {
                 Deliver(life, [this, number, epoch, event] {
                   const auto relay = relays_.find(number);
@@ -360,17 +444,13 @@
       proxy_->RelayAccepted(number);
       const auto caller = callers_.find(number);
       if (caller != callers_.end()) {
-        caller->second.accepted();
+        caller->second.port.accepted();
       }
     });
   };
   port.answer = [this, number, link](const model::Reply& reply) {
     FromOwner(number, link, [this, number, reply] {
-      const auto caller = callers_.find(number);
-      if (caller != callers_.end()) {
-        const auto answer = caller->second.answer;
-        answer(reply);
-      }
+      Answer(number, reply);
       proxy_->RelayAnswered(number, reply.state, cluster_.Surroundings().Now());
     });
   };
@@ -393,6 +473,10 @@
   link.owner_session =
       kRelayed * (std::hash<std::string>()(name_) % kRelayed) + (life_ << 24U) + link.epoch;
   relays_[action.session] = link;
+  const auto caller = callers_.find(action.session);
+  if (caller != callers_.end()) {
+    caller->second.owner = owner->Name();
+  }
   if (!owner->Alive()) {
     FromOwner(action.session, link, [this, number = action.session] {
       relays_.erase(number);
@@ -532,15 +616,23 @@
 
 void DaemonHost::Do(const proxy::Exit& action) {
   static_cast<void>(action);
-  cluster_.Surroundings().After(common::Duration(0), [this, life = life_] {
+  exiting_ = true;
+  decided_to_end_ = cluster_.Surroundings().Now();
+  cluster_.Surroundings().After(kExitPause, [this, life = life_] {
     if (life == life_) {
-      Kill();
+      End();
       Start();
     }
   });
 }
 
 void DaemonHost::Do(const proxy::LogEvent& action) {
+  if (std::string(action.event) == "relay_lost") {
+    const auto reason =
+        std::find_if(action.fields.begin(), action.fields.end(),
+                     [](const auto& field) { return std::string(field.first) == "reason"; });
+    lost_reason_ = reason == action.fields.end() ? "" : reason->second;
+  }
   if (cluster_.on_log) {
     cluster_.on_log(name_, action);
   }
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -35,6 +35,20 @@
   std::string key;
 };
 
+/// A command that a daemon has read.
+struct TakenCommand {
+  std::string id;
+  common::Instant at{0};
+};
+
+/// A connection that a daemon has accepted.
+struct AcceptedCaller {
+  CallerPort port;
+  bool is_direct = false;               // else another daemon's, of a relayed session
+  std::deque<TakenCommand> unanswered;  // of direct callers
+  std::string owner;                    // newest that the session was handed to
+};
+
 /// What a daemon has sent over all its lives.
 struct TrafficCounters {
   std::size_t messages = 0;     // heartbeats
@@ -43,11 +57,18 @@
 };
 
 /// A session that another daemon serves.
+///
+/// What is sent on it one way arrives in order.
 struct RelayLink {
+  struct Arrivals {
+    common::Instant at_owner{0};
+    common::Instant from_owner{0};
+  };
   DaemonHost* owner = nullptr;
   std::uint64_t owner_life = 0;
   proxy::SessionNumber owner_session = 0;
   std::uint64_t epoch = 0;  // told apart from earlier links of the session
+  std::shared_ptr<Arrivals> last = std::make_shared<Arrivals>();
 };
 
 class DaemonHost {
@@ -55,6 +76,7 @@
   DaemonHost(Cluster& cluster, std::string name, std::string zone, common::Endpoint address);
 
   void Start();
+  /// Ends the process, unplanned.
   void Kill();
   void Stop();
   void Freeze();
@@ -85,6 +107,15 @@
   std::uint64_t Life() const { return life_; }
 
  private:
+  /// @return false if the process is about to end and reads nothing more.
+  bool Reads() const;
+  /// The process ends.
+  void End();
+  void Accept(proxy::SessionNumber number, const SessionStart& start,
+              const proxy::SessionOrigin& origin, AcceptedCaller caller);
+  void Answer(proxy::SessionNumber number, const model::Reply& reply);
+  /// Tells the checker of commands that the end of their connection cuts off.
+  void CheckAnswered(const AcceptedCaller& caller, const std::string& how);
   /// Checks that an owner may hold a caller's request.
   void CheckHolder(const DaemonHost& owner, const std::string& request_id);
   /// Gives a relayed session's owner an event after the network's delay, if it is reached.
@@ -133,8 +164,12 @@
   bool stopping_ = false;
   bool ready_ = false;
   bool draining_ = false;
+  bool exiting_ = false;  // the decision to end has been made
+  common::Instant told_to_stop_{0};
+  common::Instant decided_to_end_{0};
+  std::string lost_reason_;                 // of the relayed session that was lost last
   std::deque<std::function<void()>> held_;  // while frozen
-  std::map<proxy::SessionNumber, CallerPort> callers_;
+  std::map<proxy::SessionNumber, AcceptedCaller> callers_;
   std::map<proxy::SessionNumber, SessionStart> starts_;  // of the callers' sessions
   std::map<proxy::SessionNumber, RelayLink> relays_;
   std::uint64_t next_link_ = 1;
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -521,6 +521,7 @@
 }
 
 void DatabaseGroup::Crash(const std::string& id, bool silent) {
+  world_.NoteTrouble(service_);
   SimulatedInstance& instance = instances_.at(id);
   instance.alive = false;
   instance.running = 0;
@@ -539,6 +540,7 @@
   if (found == instances_.end() || found->second.alive) {
     return;
   }
+  world_.NoteTrouble(service_);
   SimulatedInstance& instance = found->second;
   instance.alive = true;
   instance.fenced_term = 0;
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -108,7 +108,10 @@
   void RemoveInstance(const std::string& id);
 
   /// Part of the answers of the primary that are lost from now on.
-  void SetLostAnswers(double share) { lost_answers_ = share; }
+  void SetLostAnswers(double share) {
+    world_.NoteTrouble(service_);
+    lost_answers_ = share;
+  }
 
   /// Told when the list of instances or what they say of themselves changes.
   const KeyHistory* keys = nullptr;  // checked against, if set
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -22,13 +22,13 @@
 constexpr Duration kLastSeconds{3'000'000};
 constexpr double kReturnsRenamed = 0.5;
 constexpr double kServedAtEnd = 0.9;
-const std::string kStore = "store";
 const std::string kPlatform = "platform";
 
 constexpr std::size_t kKeyChanges = 8;     // of a day with tenants
 constexpr std::size_t kEvacuations = 3;    // of a day with evacuations
 constexpr std::size_t kRegionChanges = 8;  // of a day with regions
 constexpr std::size_t kRegions = 2;
+constexpr std::size_t kConfigurations = 4;  // of a day of planned stops
 
 /// Draws and carries out the faults of one day.
 class FaultInjector {
@@ -292,6 +292,7 @@
   }
 
   void StoreTrouble() {
+    world_.NoteTrouble(kStore);
     StoreFaults& faults = cluster_.Store().faults;
     switch (world_.Below(5)) {
       case 0:
@@ -317,7 +318,10 @@
         cluster_.Store().Compact();
         return;
     }
-    world_.After(Length(), [this] { cluster_.Store().faults = StoreFaults{}; });
+    world_.After(Length(), [this] {
+      world_.NoteTrouble(kStore);
+      cluster_.Store().faults = StoreFaults{};
+    });
   }
 
   void ReplacePrimary() {
@@ -356,6 +360,57 @@
   std::uint64_t replacements_ = 0;
 };
 
+/// Stops all daemons in rolls, one to three at a time, each batch close after the one before.
+class Rolls {
+ public:
+  Rolls(Cluster& cluster, std::vector<std::string>& told)
+      : cluster_(cluster), world_(cluster.Surroundings()), told_(told) {}
+
+  /// Begins one roll after the other, up to a time.
+  void Begin(Instant until) {
+    until_ = until;
+    StopNext();
+  }
+
+  std::size_t Stops() const { return stops_; }
+
+ private:
+  static constexpr std::size_t kMostAtATime = 3;
+  static constexpr Duration kShortestPause{300'000};
+  static constexpr Duration kLongestPause{4'000'000};
+
+  void StopNext() {
+    if (world_.Now() >= until_) {
+      return;
+    }
+    if (left_.empty()) {
+      for (const auto& daemon : cluster_.Daemons()) {
+        left_.push_back(daemon.get());
+      }
+    }
+    std::string names;
+    for (std::size_t more = 1 + world_.Below(kMostAtATime); more > 0 && !left_.empty(); --more) {
+      const std::size_t drawn = world_.Below(left_.size());
+      DaemonHost& daemon = *left_[drawn];
+      left_.erase(left_.begin() + static_cast<std::ptrdiff_t>(drawn));
+      if (daemon.Runs()) {
+        ++stops_;
+        names += " " + daemon.Name();
+        daemon.Stop();
+      }
+    }
+    told_.push_back(std::to_string(world_.Now().count() / 1000) + " ms: stop" + names);
+    world_.After(world_.Between(kShortestPause, kLongestPause), [this] { StopNext(); });
+  }
+
+  Cluster& cluster_;
+  World& world_;
+  std::vector<std::string>& told_;
+  std::vector<DaemonHost*> left_;  // of the present roll
+  Instant until_{0};
+  std::size_t stops_ = 0;
+};
+
 /// Takes keys away and gives them back, to the same tenant or another.
 class KeyChanges {
  public:
@@ -505,6 +560,7 @@
   AddWarmUp(options, shape);
   shape.mechanisms = options.mechanisms;
   AddTenants(options, shape);
+  shape.balanced = options.planned;
   shape.evacuation_limit = options.evacuations ? kEvacuationLimit : Duration(0);
   if (options.large) {
     World draw(options.seed * 6007);
@@ -577,10 +633,20 @@
   world.RunUntil(std::chrono::seconds(2));
   Callers callers(cluster, options.sessions);
   FaultInjector injector(cluster, result.faults);
-  for (std::size_t fault = 0; fault < options.faults; ++fault) {
+  const std::size_t faults = options.planned ? 0 : options.faults;
+  for (std::size_t fault = 0; fault < faults; ++fault) {
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
     world.After(at, [&injector] { injector.Begin(); });
   }
+  Rolls rolls(cluster, result.faults);
+  if (options.planned) {
+    const Instant until = world.Now() + options.calm_before + options.troubled;
+    world.After(options.calm_before, [&rolls, until] { rolls.Begin(until); });
+    for (std::size_t change = 0; change < kConfigurations; ++change) {
+      const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
+      world.After(at, [&cluster] { cluster.ChangeConfiguration(); });
+    }
+  }
   KeyChanges changes(cluster);
   for (std::size_t change = 0; options.tenants && change < kKeyChanges; ++change) {
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
@@ -624,6 +690,7 @@
   }
   result.violations = world.Violations();
   result.evacuations = evacuations.Count();
+  result.stops = rolls.Stops();
   result.attempts = cluster.Record().Attempts();
   result.succeeded = cluster.Record().Succeeded();
   for (const auto& [service, group] : cluster.Groups()) {
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -27,6 +27,7 @@
   bool evacuations = false;  // operators evacuate zones, and take that back
   bool large = false;        // many daemons before few connections: sessions are relayed
   bool warm_up = false;      // instances that start are cold for a while
+  bool planned = false;      // no faults: daemons are stopped in rolls, beside configurations
   bool regions = false;      // two regions; routes and tenants are limited to them by turns
   proxy::Mechanisms mechanisms;
   bool record_load = false;  // of the daemons, for ScenarioResult::load_trace
@@ -40,6 +41,7 @@
   std::size_t succeeded = 0;
   std::size_t promotions = 0;
   std::size_t evacuations = 0;
+  std::size_t stops = 0;     // planned, of daemons
   std::size_t relayed = 0;   // sessions handed over by daemons that live at the end
   std::string load_trace;    // of the daemon with the most operations (waiting/trace.h)
   double served_at_end = 0;  // share of the operations of the last seconds
--- a/src/proxysim/world.h
+++ b/src/proxysim/world.h
@@ -4,7 +4,9 @@
 // run. Thread: one.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -47,8 +49,16 @@
   common::Duration Delay() { return Between(kLeastDelay, kMostDelay); }
 
   /// Cuts or restores the way from one party to another; a cut is silent.
-  void Cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
-  void Heal(const std::string& from, const std::string& to) { cuts_.erase({from, to}); }
+  void Cut(const std::string& from, const std::string& to) {
+    cuts_.insert({from, to});
+    NoteTrouble(from);
+    NoteTrouble(to);
+  }
+  void Heal(const std::string& from, const std::string& to) {
+    cuts_.erase({from, to});
+    NoteTrouble(from);
+    NoteTrouble(to);
+  }
   void CutBoth(const std::string& a, const std::string& b) {
     Cut(a, b);
     Cut(b, a);
@@ -61,6 +71,18 @@
     return !cuts_.contains({from, to});
   }
 
+  /// Something that was not planned has just begun or ended at a party.
+  void NoteTrouble(const std::string& party) { troubles_[party] = Now(); }
+
+  /// @return true if there is trouble at the party, or was within the time.
+  bool InTrouble(const std::string& party, common::Duration within) const {
+    const auto found = troubles_.find(party);
+    const bool lately = found != troubles_.end() && Now() < found->second + within;
+    return lately || std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& cut) {
+             return cut.first == party || cut.second == party;
+           });
+  }
+
   void Report(std::string rule, std::string detail) {
     violations_.push_back({std::move(rule), std::move(detail), Now()});
   }
@@ -73,6 +95,7 @@
   sim::EventQueue queue_;
   std::mt19937_64 random_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::map<std::string, common::Instant> troubles_;  // newest, by party
   std::vector<Violation> violations_;
 };
 
