--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -20,7 +20,7 @@
 };
 
 /// As the host does (its Do(Exit)): the one place to change with it.
-constexpr AtExit kHostAtExit = AtExit::kGoesOn;
+constexpr AtExit kHostAtExit = AtExit::kReadsNoMore;
 /// From the decision to end until the process ends, as in the host.
 constexpr common::Duration kExitPause{150'000};
 
