Relay: an owner can ask the daemon that handed a session over to end it

Carried only, no owner asks yet. The hand-over line says that the daemon takes a goodbye (an owner sends none to a daemon of an earlier version, and the latter ignores the word). The goodbye is one byte between two messages; owner_link takes it out of what goes to the caller, and passes the same byte on within a message. The relaying daemon then ends the session as it rests.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -146,7 +146,8 @@
       return;
     }
     const std::string rest = arrival->line.substr(end + 1);
-    arrival->number = AddSession(stream_now, {true, {daemon, 0}, handover->least_configuration});
+    arrival->number = AddSession(
+        stream_now, {true, {daemon, 0}, handover->least_configuration, handover->takes_goodbye});
     if (arrival->number != 0 && !rest.empty()) {
       CallerBytes(arrival->number, rest);
     }
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -105,6 +105,7 @@
   void Do(const proxy::CloseSession& action);
   void Do(const proxy::RelaySession& action);
   void Do(const proxy::CloseRelay& action);
+  void Do(const proxy::AskToEnd& action);
   void Do(const proxy::ReadCatalog& action);
   void Do(const proxy::ReadLeadership& action);
   void Do(const proxy::ReadConfiguration& action);
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -51,6 +51,11 @@
     host_.Drain();
   }
 
+  void on_goodbye() override {
+    host_.proxy_.RelayAskedToEnd(session_);
+    host_.Drain();
+  }
+
   void on_bytes(std::string_view bytes) override {
     const auto found = host_.callers_.find(session_);
     if (found != host_.callers_.end()) {
@@ -153,7 +158,7 @@
   caller.link = std::make_unique<relay_link::owner_link>(
       loop_, adapter_.NewInstanceCodec(), std::make_unique<OwnerEvents>(*this, action.session));
   caller.link->open(action.owner, settings_.connect_timeout,
-                    relay::encode({action.least_configuration}) + caller.unaccepted);
+                    relay::encode({action.least_configuration, true}) + caller.unaccepted);
 }
 
 void ProxyHost::Do(const proxy::CloseRelay& action) {
@@ -163,6 +168,13 @@
   }
 }
 
+void ProxyHost::Do(const proxy::AskToEnd& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.stream->Send(std::string(1, relay::GOODBYE));
+  }
+}
+
 void ProxyHost::Do(const proxy::ReadCatalog& action) {
   const proxy::CallNumber call = action.call;
   adapter_.Store().Read(action.read, [this, call](const metadata::ReadResult& result) {
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -89,6 +89,11 @@
   SessionNumber session = 0;
 };
 
+/// Asks the daemon that handed a session over to end it as it rests.
+struct AskToEnd {
+  SessionNumber session = 0;
+};
+
 struct ReadCatalog {
   CallNumber call = 0;
   metadata::ReadCall read;
@@ -151,8 +156,8 @@
 };
 
 using Action = std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession,
-                            AnswerCaller, CloseSession, RelaySession, CloseRelay, ReadCatalog,
-                            ReadLeadership, ReadConfiguration, WriteLeadership, WriteDaemon,
-                            Promote, SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
+                            AnswerCaller, CloseSession, RelaySession, CloseRelay, AskToEnd,
+                            ReadCatalog, ReadLeadership, ReadConfiguration, WriteLeadership,
+                            WriteDaemon, Promote, SendPeer, FetchCatalog, SetReady, Exit, LogEvent>;
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -118,6 +118,8 @@
   relay_.Sessions().answered(session, state, now);
 }
 
+void Proxy::RelayAskedToEnd(SessionNumber session) { relay_.Sessions().asked_to_end(session); }
+
 void Proxy::RelayHeard(SessionNumber session, bool between_messages, common::Instant now) {
   relay_.Sessions().owner_spoke(session, between_messages, now);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -59,6 +59,7 @@
   void RelayAccepted(SessionNumber session);
   void RelayDeclined(SessionNumber session);
   void RelayAnswered(SessionNumber session, model::TransactionState state, common::Instant now);
+  void RelayAskedToEnd(SessionNumber session);
   /// @param between_messages what the caller has of the owner now ends with a whole message.
   void RelayHeard(SessionNumber session, bool between_messages, common::Instant now);
   void RelayEnded(SessionNumber session, const relay::link_end& end, common::Instant now);
--- a/src/proxy/session_relay.h
+++ b/src/proxy/session_relay.h
@@ -28,6 +28,7 @@
   bool handed_over = false;               // by another daemon
   common::Endpoint daemon;                // which
   std::uint64_t least_configuration = 0;  // version that must be in force
+  bool takes_goodbye = false;             // the daemon ends it as it rests if asked to
 };
 
 class SessionRelay : public relay::relay_port {
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -376,6 +376,9 @@
       proxy_->RelayAnswered(number, reply.state, cluster_.Surroundings().Now());
     });
   };
+  port.asked_to_end = [this, number, link] {
+    FromOwner(number, link, [this, number] { proxy_->RelayAskedToEnd(number); });
+  };
   port.closed = [this, number, link] {
     FromOwner(number, link, [this, number] {
       relays_.erase(number);
@@ -402,7 +405,7 @@
     });
     return;
   }
-  const proxy::SessionOrigin origin{true, address_, action.least_configuration};
+  const proxy::SessionOrigin origin{true, address_, action.least_configuration, true};
   ToOwner(link,
           [link, origin, start = starts_[action.session], port = RelayPort(action.session, link)](
               DaemonHost& taker) { taker.TakeHandover(link.owner_session, start, origin, port); });
@@ -418,6 +421,13 @@
   ToOwner(link, [session = link.owner_session](DaemonHost& owner) { owner.CloseSession(session); });
 }
 
+void DaemonHost::Do(const proxy::AskToEnd& action) {
+  const auto found = callers_.find(action.session);
+  if (found != callers_.end()) {
+    found->second.asked_to_end();
+  }
+}
+
 void DaemonHost::Do(const proxy::ReadCatalog& action) {
   ++traffic_.store_calls;
   const std::uint64_t life = life_;
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -27,6 +27,7 @@
   std::function<void(const model::Reply&)> answer;
   std::function<void()> accepted;
   std::function<void()> closed;
+  std::function<void()> asked_to_end;  // of sessions handed over
 };
 
 /// A caller's first message.
@@ -109,6 +110,7 @@
   void Do(const proxy::CloseSession& action);
   void Do(const proxy::RelaySession& action);
   void Do(const proxy::CloseRelay& action);
+  void Do(const proxy::AskToEnd& action);
   void Do(const proxy::ReadCatalog& action);
   void Do(const proxy::ReadLeadership& action);
   void Do(const proxy::ReadConfiguration& action);
--- a/src/relay/handover.cc
+++ b/src/relay/handover.cc
@@ -6,11 +6,14 @@
 namespace {
 
 constexpr const char* CONFIGURATION = "configuration";
+constexpr const char* TAKES_GOODBYE = "goodbye";
 
 }  // namespace
 
 std::string encode(const handover& value) {
-  return nlohmann::json({{CONFIGURATION, value.least_configuration}}).dump() + "\n";
+  const nlohmann::json line = {{CONFIGURATION, value.least_configuration},
+                               {TAKES_GOODBYE, value.takes_goodbye}};
+  return line.dump() + "\n";
 }
 
 std::optional<handover> decode(std::string_view line) {
@@ -20,7 +23,11 @@
   if (!readable) {
     return std::nullopt;
   }
-  return handover{parsed.at(CONFIGURATION).get<std::uint64_t>()};
+  // A daemon of an earlier version does not write it.
+  const auto goodbye = parsed.find(TAKES_GOODBYE);
+  const bool takes_goodbye =
+      goodbye != parsed.end() && goodbye->is_boolean() && goodbye->get<bool>();
+  return handover{parsed.at(CONFIGURATION).get<std::uint64_t>(), takes_goodbye};
 }
 
 }  // namespace valvekeel::relay
--- a/src/relay/handover.h
+++ b/src/relay/handover.h
@@ -19,8 +19,16 @@
 struct handover {
   /** Version of the configuration in force where the session comes from. */
   std::uint64_t least_configuration = 0;
+  /** The daemon ends the session as it rests when it is sent GOODBYE. */
+  bool takes_goodbye = false;
 };
 
+/**
+ * Byte with which an owner asks, between two messages, to end a session as it rests: only the
+ * daemon that passes commands on knows that none is under way. No message begins with it.
+ */
+inline constexpr char GOODBYE = '\x04';
+
 /** Longest line, its end included. */
 inline constexpr std::size_t LONGEST_HANDOVER = 256;
 
--- a/src/relay/relayed_sessions.cc
+++ b/src/relay/relayed_sessions.cc
@@ -147,6 +147,7 @@
   session.returns = false;
   session.outside_since.reset();
   session.former_since.reset();
+  session.is_asked_to_end = false;
   session.opened = now;
   session.tried.insert(owner);
   ++this->sessions_by_owner[owner];
@@ -189,6 +190,17 @@
   }
 }
 
+void relayed_sessions::asked_to_end(session_number session) {
+  const auto found = this->sessions.find(session);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  found->second.is_asked_to_end = true;
+  if (found->second.is_accepted && found->second.rests()) {
+    this->end_all({session}, "the owner asks for it");
+  }
+}
+
 void relayed_sessions::answered(session_number session, model::TransactionState state,
                                 common::Instant now) {
   const auto found = this->sessions.find(session);
@@ -205,8 +217,8 @@
   if (!relayed.under_way.empty()) {
     return;  // the next answers may be among the bytes that the caller has already
   }
-  const bool leaving =
-      this->closing || relayed.is_guest(now) || !this->port.stays(relayed.owner, now);
+  const bool leaving = this->closing || relayed.is_asked_to_end || relayed.is_guest(now) ||
+                       !this->port.stays(relayed.owner, now);
   if (relayed.misplaced() && must_move(relayed, now)) {
     ++this->counts.moved;
     this->end(session);
--- a/src/relay/relayed_sessions.h
+++ b/src/relay/relayed_sessions.h
@@ -148,6 +148,9 @@
    */
   void owner_spoke(session_number session, bool between_messages, common::Instant now);
 
+  /** The owner asks to end the session as it rests. */
+  void asked_to_end(session_number session);
+
   /** An answer was passed back. */
   void answered(session_number session, model::TransactionState state, common::Instant now);
 
@@ -189,6 +192,7 @@
     std::optional<common::Instant> former_since;   // the owner has ceased to own the service
     common::Instant opened{0};
     bool is_accepted = false;
+    bool is_asked_to_end = false;          // by its owner
     std::deque<passed_command> under_way;  // not answered yet, the oldest first
     bool between_messages = true;          // the owner's bytes so far end with a whole message
     std::uint64_t commands = 0;
--- a/src/relay_link/owner_link.cc
+++ b/src/relay_link/owner_link.cc
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "relay/handover.h"
+
 namespace valvekeel::relay_link {
 namespace {
 
@@ -22,6 +24,23 @@
 
   void take(std::string_view bytes) {
     const auto self = this->shared_from_this();
+    std::size_t from = 0;
+    for (std::size_t at = bytes.find(relay::GOODBYE); at != std::string_view::npos;
+         at = bytes.find(relay::GOODBYE, at + 1)) {
+      this->take_messages(bytes.substr(from, at - from));
+      from = at;
+      if (!this->closed && this->codec->BetweenMessages()) {
+        this->events->on_goodbye();
+        ++from;
+      }
+    }
+    this->take_messages(bytes.substr(from));
+  }
+
+  void take_messages(std::string_view bytes) {
+    if (this->closed || bytes.empty()) {
+      return;
+    }
     this->events->on_bytes(bytes);
     for (const host::InstanceMessage& message : this->codec->Decode(bytes)) {
       if (this->closed) {
--- a/src/relay_link/owner_link.h
+++ b/src/relay_link/owner_link.h
@@ -32,6 +32,9 @@
   virtual void on_declined() = 0;
   virtual void on_answer(const model::Reply& reply) = 0;
 
+  /** The owner asks to end the session as it rests. */
+  virtual void on_goodbye() = 0;
+
   /** Bytes for the caller; they come before the events that they stand for. */
   virtual void on_bytes(std::string_view bytes) = 0;
 
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -394,6 +394,21 @@
   CHECK(test.port.ended == 0);
 }
 
+TEST_CASE("A session that its owner asks to end does so as it rests", "[relay]") {
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.start(SESSION + 1, "ledger", "", NOW);
+  test.sessions.accepted(SESSION);
+  test.sessions.accepted(SESSION + 1);
+  test.sessions.command_sent(SESSION + 1, READ, NOW);
+  test.sessions.asked_to_end(SESSION);
+  test.sessions.asked_to_end(SESSION + 1);
+  CHECK(test.port.ended == 1);
+  CHECK_FALSE(test.sessions.contains(SESSION));
+  test.sessions.answered(SESSION + 1, model::TransactionState::kIdle, NOW);
+  CHECK(test.port.ended == 2);
+}
+
 TEST_CASE("A planned stop ends resting sessions, others as they come to rest", "[relay]") {
   fixture test;
   test.sessions.start(SESSION, "ledger", "", NOW);
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -7,6 +7,7 @@
 
 #include "line_protocol.h"
 #include "net/listener.h"
+#include "relay/handover.h"
 
 namespace valvekeel::relay_link {
 namespace {
@@ -18,6 +19,7 @@
 struct record {
   bool declined = false;
   bool accepted = false;
+  int goodbyes = 0;
   bool ended = false;
   bool was_open = false;
   bool between_messages = true;
@@ -31,6 +33,7 @@
   void on_accepted() override { this->seen.accepted = true; }
   void on_declined() override { this->seen.declined = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
+  void on_goodbye() override { ++this->seen.goodbyes; }
   void on_bytes(std::string_view bytes) override { this->seen.bytes += bytes; }
   void on_read(bool between_messages) override { this->seen.between_messages = between_messages; }
   void on_ended(const std::string&, bool was_open) override {
@@ -127,6 +130,19 @@
   }
 }
 
+TEST_CASE("An owner's goodbye is told and not passed back", "[relay_link]") {
+  const std::string before = "READY I -\r\n";
+  const std::string after = "ROW a\x04z\r\nCOMPLETE 1.a\r\nREADY I 3.12\r\n";
+  fixture test(before + relay::GOODBYE + after);
+  test.link->expect_answer();
+  test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+  REQUIRE(test.run_until([&] { return !test.seen.answers.empty(); }));
+  CHECK(test.seen.goodbyes == 1);
+  CHECK(test.seen.bytes == before + after);
+  CHECK(test.seen.between_messages);
+  CHECK_FALSE(test.seen.ended);
+}
+
 TEST_CASE("An owner's refusal goes to the caller", "[relay_link]") {
   const std::string answer = "ERROR DENIED unknown key\r\n";
   fixture test(answer);
