Test: an answer ready at a planned stop of valvekeeld arrives whole

A session at work when the stop begins sends its answer and the farewell, and closes its socket with the caller's next query unread: the reset takes along what the sending side still holds.

--- a/tests/gateway/session_test.cc
+++ b/tests/gateway/session_test.cc
@@ -2,7 +2,15 @@
 
 #include <libpq-fe.h>
 
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -10,6 +18,7 @@
 #include <thread>
 
 #include "gateway/server.h"
+#include "gateway/session_parts.h"
 #include "support/mock_backends.h"
 #include "wire/encoder.h"
 
@@ -37,7 +46,7 @@
     keep_.push_back(NAMED_ALLOW_CALL(backends, NoteUnreachable(_, _)));
     keep_.push_back(NAMED_ALLOW_CALL(backends, Release(_)));
     keep_.push_back(NAMED_ALLOW_CALL(backends, Barrier(_)).LR_RETURN(Return(ConfirmedBarrier())));
-    keep_.push_back(NAMED_ALLOW_CALL(backends, Execute(_)).LR_RETURN(Return(Answer(_1))));
+    keep_.push_back(NAMED_ALLOW_CALL(backends, Execute(_)).LR_RETURN(AnswerInTime(_1)));
   }
 
   ConnectionPointer Connect(const std::string& more = "") const {
@@ -67,6 +76,24 @@
     return reply;
   }
 
+  /// Runs the loop until the condition holds, for a generous time at most.
+  void RunUntil(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
+      loop.run_for(std::chrono::milliseconds(1));
+    }
+    CHECK(condition());
+  }
+
+  asio::awaitable<pool::BatchReply> AnswerInTime(pool::BatchRequest request) {
+    pool::BatchReply reply = Answer(request);
+    if (wait_on != nullptr) {
+      asio::error_code ignored;
+      co_await wait_on->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return reply;
+  }
+
   pool::BatchReply Answer(const pool::BatchRequest& request) {
     requests.push_back(request);
     pool::BatchReply reply;
@@ -76,7 +103,7 @@
     wire::Encoder encoder;
     encoder.CommandComplete("INSERT 0 1");
     pool::StatementAnswer answer;
-    answer.rows = encoder.Take();
+    answer.rows = rows + encoder.Take();
     reply.answers.assign(request.statements.size(), answer);
     return reply;
   }
@@ -86,12 +113,67 @@
   Server server;
   std::uint16_t port = 0;
   std::vector<pool::BatchRequest> requests;
+  std::string rows;                       // before each statement's end, sent on as they are
+  asio::steady_timer* wait_on = nullptr;  // each answer waits for it, if set
   pool::Outcome next_outcome = pool::Outcome::kDone;
 
  private:
   std::vector<std::unique_ptr<trompeloeil::expectation>> keep_;
 };
 
+/// Fits into the sending socket's buffer.
+constexpr std::size_t kBufferedAnswer = std::size_t{64} << 10U;
+
+/// A caller that reads only when it is told to.
+class RawCaller {
+ public:
+  /// @param small_buffer  its side takes next to nothing until it is read
+  RawCaller(asio::io_context& loop, std::uint16_t port, bool small_buffer) : socket_(loop) {
+    socket_.open(asio::ip::tcp::v4());
+    if (small_buffer) {
+      constexpr int kSmallBuffer = 4096;
+      socket_.set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+    }
+    socket_.connect({asio::ip::make_address("127.0.0.1"), port});
+    constexpr std::uint32_t kProtocol = 3U << 16U;
+    SendMessage("", Number(kProtocol) + std::string("user\0alpha\0database\0db\0\0", 24));
+  }
+
+  void SendQuery(const std::string& text) { SendMessage("Q", text + '\0'); }
+
+  /// @return all that comes until the daemon ends the connection, orderly or not.
+  std::string ReadToTheEnd(asio::io_context& loop) {
+    std::string received;
+    bool ended = false;
+    loop.restart();  // it may have run out of work
+    asio::async_read(socket_, asio::dynamic_buffer(received),
+                     [&](const asio::error_code&, std::size_t) { ended = true; });
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!ended && std::chrono::steady_clock::now() < limit) {
+      loop.run_for(std::chrono::milliseconds(1));
+    }
+    CHECK(ended);
+    return received;
+  }
+
+ private:
+  static std::string Number(std::uint32_t number) {
+    std::string bytes;
+    for (const unsigned shift : {24U, 16U, 8U, 0U}) {
+      bytes += static_cast<char>(number >> shift & 0xffU);
+    }
+    return bytes;
+  }
+
+  void SendMessage(const std::string& type, const std::string& body) {
+    constexpr std::size_t kLengthBytes = 4;
+    const auto length = static_cast<std::uint32_t>(body.size() + kLengthBytes);
+    asio::write(socket_, asio::buffer(type + Number(length) + body));
+  }
+
+  asio::ip::tcp::socket socket_;
+};
+
 std::string RunAndTellState(PGconn* connection, const std::string& text) {
   PGresult* result = PQexec(connection, text.c_str());
   const char* state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
@@ -193,6 +275,31 @@
   CHECK(fixture.server.SessionCount() == 0);
 }
 
+TEST_CASE("An answer ready at a planned stop arrives whole however much the caller sends",
+          "[gateway]") {
+  // A session that was at work when the stop began sent its answer and the farewell and closed its
+  // socket at once. What the caller had sent meanwhile was unread, so the close reset the
+  // connection and took along all of the answer that was still in this side's buffer: of 65 KB,
+  // 2257 bytes arrived.
+  SessionFixture fixture;
+  const std::string rows(kBufferedAnswer, 'r');
+  fixture.rows = rows;
+  asio::steady_timer at_work(fixture.loop, std::chrono::hours(1));
+  fixture.wait_on = &at_work;
+  RawCaller caller(fixture.loop, fixture.port, true);
+  caller.SendQuery("SELECT 1");
+  fixture.RunUntil([&] { return fixture.requests.size() == 1; });
+  caller.SendQuery("SELECT 2");  // goes unread: the session is at work on the first
+  fixture.server.Drain();
+  at_work.cancel();
+  fixture.RunUntil([&] { return fixture.server.BusySessions() == 0; });
+  const std::string received = caller.ReadToTheEnd(fixture.loop);
+  INFO(received.size() << " bytes arrived");
+  CHECK(received.find(rows) != std::string::npos);
+  CHECK(received.find(kFarewell) != std::string::npos);
+  CHECK(fixture.requests.size() == 1);
+}
+
 TEST_CASE("Prepared statements go over any connection, unnamed, with their parameters",
           "[gateway]") {
   SessionFixture fixture;
