Test: a planned stop of valvekeeld breaks off no answer that is being sent

While the answer to a Flush message is being sent, the session counts as at rest: the stop writes the farewell in its midst and shuts the sending side.

--- a/tests/gateway/session_test.cc
+++ b/tests/gateway/session_test.cc
@@ -123,6 +123,8 @@
 
 /// Fits into the sending socket's buffer.
 constexpr std::size_t kBufferedAnswer = std::size_t{64} << 10U;
+/// Larger than what the sockets of both sides take at once.
+constexpr std::size_t kLargeAnswer = std::size_t{24} << 20U;
 
 /// A caller that reads only when it is told to.
 class RawCaller {
@@ -141,6 +143,14 @@
 
   void SendQuery(const std::string& text) { SendMessage("Q", text + '\0'); }
 
+  /// Sends a statement, and Flush in place of Sync.
+  void SendFlushed(const std::string& text) {
+    SendMessage("P", '\0' + text + std::string(3, '\0'));
+    SendMessage("B", std::string(8, '\0'));
+    SendMessage("E", std::string(5, '\0'));
+    SendMessage("H", "");
+  }
+
   /// @return all that comes until the daemon ends the connection, orderly or not.
   std::string ReadToTheEnd(asio::io_context& loop) {
     std::string received;
@@ -300,6 +310,24 @@
   CHECK(fixture.requests.size() == 1);
 }
 
+TEST_CASE("A planned stop breaks off no answer that is being sent", "[gateway]") {
+  // The answer to a Flush message was not counted as work in progress while it was being sent: at
+  // a planned stop the farewell went out in its midst and the rest of it never left.
+  SessionFixture fixture;
+  const std::string rows(kLargeAnswer, 'r');
+  fixture.rows = rows;
+  RawCaller caller(fixture.loop, fixture.port, false);
+  caller.SendFlushed("SELECT 1");
+  fixture.RunUntil([&] { return fixture.requests.size() == 1; });
+  fixture.loop.poll();
+  fixture.server.Drain();
+  CHECK(fixture.server.BusySessions() == 1);
+  const std::string received = caller.ReadToTheEnd(fixture.loop);
+  INFO(received.size() << " bytes arrived");
+  CHECK(received.find(rows) != std::string::npos);
+  CHECK(received.find(kFarewell) != std::string::npos);
+}
+
 TEST_CASE("Prepared statements go over any connection, unnamed, with their parameters",
           "[gateway]") {
   SessionFixture fixture;
