A session whose answer is being sent counts as at work at a planned stop

Cause: work was counted by what is known at one moment: `busy_` fell before the answer to a Flush message had been sent (and was never set for the answer to the start of a session). At a planned stop such a session got the farewell in the midst of the answer and its sending side was shut; the stop did not wait for it either.

Ruled out: the answers to Query and Sync, which stay counted until they have been sent.

Change: the session counts as at work while it sends. Whether it is to end is looked at before each message, so also after its start.

--- a/src/gateway/session.cc
+++ b/src/gateway/session.cc
@@ -95,7 +95,11 @@
   }
   const std::string bytes = encoder_.Take();
   asio::error_code error;
+  // A planned stop waits for it: a farewell in its midst broke off an answer of 25 MB after 4 MB
+  // (real sockets, a caller that reads late).
+  sending_ = true;
   co_await asio::async_write(socket_, asio::buffer(bytes), redirect_error(use_awaitable, error));
+  sending_ = false;
   co_return !error;
 }
 
@@ -171,10 +175,11 @@
   const auto self = shared_from_this();
   bool open = co_await Startup();
   while (open) {
-    open = co_await Serve();
-    const bool idle = !Busy() && decoder_.BufferedBytes() == 0;
-    if (open && stopping_ && idle) {
+    // Looked at before each message: the stop may have begun while the last answer was sent.
+    if (stopping_ && Rests()) {
       open = co_await SendFatal(MakeError(common::kAdminShutdown, std::string(kFarewell)));
+    } else {
+      open = co_await Serve();
     }
   }
   if (!route_.transaction_instance.empty()) {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -74,8 +74,8 @@
   /// Closes the socket at once.
   void Close();
 
-  /// @return true while a request or a transaction is in progress.
-  bool Busy() const { return busy_ || !route_.transaction_instance.empty(); }
+  /// @return true while a request or a transaction is in progress, or an answer is being sent.
+  bool Busy() const { return busy_ || sending_ || !route_.transaction_instance.empty(); }
 
   const CancelKey& Key() const { return key_; }
 
@@ -108,6 +108,8 @@
     bool needs_primary = false;  // although its statements only read
   };
 
+  /// @return true if nothing is in progress and no part of a message has come.
+  bool Rests() const { return !Busy() && decoder_.BufferedBytes() == 0; }
   asio::awaitable<bool> ReadMore();
   asio::awaitable<bool> Flush();
   void End();
@@ -157,6 +159,7 @@
   std::string last_request_id_;    // for SHOW valvekeel.request_outcome
   bool skip_until_sync_ = false;
   bool busy_ = false;
+  bool sending_ = false;
   bool stopping_ = false;
   bool ended_ = false;  // the farewell was sent
 };
