Soak: more services before relaying daemons, and how long a daemon that cut off a request has run

A daemon that was not stopped when it cut off a request is reported with the time since its start. Up to 60 broken rules are printed instead of 20.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -56,7 +56,6 @@
 EVACUATION_SECONDS = 5  # from the store's acknowledgement until nothing reaches the zone
 CONTACT_SECONDS = 5     # for which what was disturbed may be late
 ZONES = 3
-SERVICES = 2
 INSTANCES = 3
 CALM_SECONDS = 6
 LAST_SECONDS = 12
@@ -88,6 +87,7 @@
         with open(self.path, "w") as file:
             file.write(SETTINGS.format(first=first, **self.text))
         environment = dict(os.environ, VALVEKEEL_CONFIG=self.path)
+        self.started_at = time.monotonic()
         self.process = subprocess.Popen([self.binary], stdout=self.log, stderr=self.log,
                                         env=environment)
 
@@ -116,7 +116,7 @@
         await asyncio.start_server(self.store.serve, "127.2.0.1", 8783)
         self.store_link = Link("127.2.0.2", 8783, "127.2.0.1", 8783)
         await self.store_link.start()
-        for number in range(SERVICES):
+        for number in range(self.options.services):
             await self.add_group("group%d" % number, number)
         await self.configure(1)
         for number in range(self.options.daemons):
@@ -430,6 +430,7 @@
     parser.add_argument("--daemons", type=int, default=5)
     parser.add_argument("--connections", type=int, default=34)
     parser.add_argument("--meshed", type=int, default=16, help="most_meshed_daemons")
+    parser.add_argument("--services", type=int, default=2)
     parser.add_argument("--callers", type=int, default=4, help="for each service and kind")
     parser.add_argument("--planned", action="store_true", help="planned work alone, no faults")
     parser.add_argument("--plant", default="",
@@ -454,7 +455,7 @@
     history = soak.history
     for line in soak.told:
         print(line)
-    for line in history.violations[:20]:
+    for line in history.violations[:60]:
         print("BROKEN " + line)
     print(soak.requests.summary())
     print("seed %d: %d faults, %d operations done, %d failed %s, %d promotions, %d broken; logs in %s"
--- a/tests/platform/soak/unanswered.py
+++ b/tests/platform/soak/unanswered.py
@@ -30,7 +30,8 @@
     def __init__(self, request_id, daemon):
         self.request_id, self.daemon = request_id, daemon
         self.sent_at = time.monotonic()
-        self.closed_at = self.open_for = self.after_stop = None
+        self.closed_at = self.open_for = None
+        self.age = ""  # of the daemon's stop or start
 
 
 class Requests:
@@ -72,8 +73,9 @@
         now = time.monotonic()
         request.closed_at = now
         request.open_for = now - request.sent_at - self.held_up(request.sent_at, now)
-        if request.daemon.stopped_at is not None:
-            request.after_stop = now - request.daemon.stopped_at
+        stopped, started = request.daemon.stopped_at, request.daemon.started_at
+        request.age = "%.3f s after its start, not stopped" % (now - started) if stopped is None \
+            else "%.3f s after its stop signal" % (now - stopped)
         self.cut.append(request)
 
     def reach(self, request_id, instance):
@@ -96,12 +98,10 @@
 
     def describe(self, request):
         name, at = self.reached.get(request.request_id, (None, None))
-        stop = "with no stop signal" if request.after_stop is None else \
-            "%.3f s after its stop signal" % request.after_stop
         run = "not run" if name is None else "reached %s %.3f s %s the end" % (
             name, abs(request.closed_at - at), "before" if at <= request.closed_at else "after")
         return "%s at daemon-%d, ended %s, %.3f s after it was sent, %s" % (
-            request.request_id, request.daemon.number, stop, request.open_for, run)
+            request.request_id, request.daemon.number, request.age, request.open_for, run)
 
     def summary(self):
         excused = sum(self.excused(each) for each in self.cut)
