Sight: log lines tell who leaves the view of live daemons, and who is a hub

Cause to look: around planned stops daemons gave up owners that were alive ("its owner is not heard", several within 3 ms), and no line told which step took the owners out of the view of live daemons.

28.475 turiec-1 started 28.670 turiec-9 lost turiec-8, -11, -6 0.19 s; the other hub, turiec-2, was up all the while 18.943 orava-1 started 19.164, 19.167 orava-6, -8 lost -16, -10, -5 0.22 s; orava-2 was up 24.176 kysuce-1 started 24.383 kysuce-7 lost -4 0.21 s; kysuce-2 was up 30.265 kysuce-1 started 30.446 kysuce-3 lost -19 0.18 s; kysuce-2 was stopping 15.132 turiec-1 stopping 15.640 turiec-20 lost -10 0.51 s; turiec-2 was down, turiec-18 stopped at 15.268

That daemons 1 and 2 of each zone are the large ones, and so its hubs, is concluded from the owners that list instances at the start: these two are among them in all four zones. So four of five losses follow the START of the first hub, not the stop of a hub: that a stop lies 0.6 to 0.9 s before is chance in a roll with a stop each 0.2 s.

Change: view_change, what an update changed. hub_changed; daemons_lost with the hub whose list misses them. Only daemons that had not said that they stop count, so a planned stop writes no line.

--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -445,8 +445,12 @@
     index[next[at].name] = at;
   }
   for (const auto& [name, at] : this->alive_index) {
-    if (!index.contains(name)) {
-      this->last_alive[name] = now;
+    if (index.contains(name)) {
+      continue;
+    }
+    this->last_alive[name] = now;
+    if (!this->alive[at].stopping) {
+      this->last_change.lost.push_back(name);
     }
   }
   this->alive = std::move(next);
@@ -455,6 +459,8 @@
 }
 
 bool live_view::update(common::Instant now) {
+  const bool was_hub = this->acts_as_hub;
+  this->last_change = {};
   const auto is_over = [&](const auto& each) { return now >= each.second; };
   std::erase_if(this->presumed, is_over);
   std::erase_if(this->introduced, is_over);
@@ -467,7 +473,9 @@
   } else {
     this->adopt_from_hub(now);
   }
+  this->last_change.source = this->adopted_from;
   this->choose_partners(now);
+  this->last_change.hub_changed = was_hub != this->acts_as_hub;
   return this->publish(now);
 }
 
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -31,6 +31,14 @@
   common::Duration hub_interval{500'000};
 };
 
+/** What an update changed, for the log. */
+struct view_change {
+  bool hub_changed = false;  // this daemon became a hub, or ceased to be one
+  /** Daemons that were live before, are not now, and had not said that they stop. */
+  std::vector<std::string> lost;
+  std::string source;  // the hub whose list misses them; empty if it is this daemon's own
+};
+
 class live_view {
  public:
   /** @param self this daemon; the flags follow by set_self. */
@@ -58,6 +66,9 @@
    */
   bool update(common::Instant now);
 
+  /** @return what the last update changed. */
+  const view_change& changed() const { return this->last_change; }
+
   /** @return all live daemons, this one and those that stop included, by zone and name. */
   const std::vector<member>& live() const { return this->alive; }
 
@@ -157,7 +168,8 @@
   std::uint64_t lists_taken = 0;  // counts the lists that came
   std::string adopted_from;       // whose lists `merged` holds, if they are one hub's
   std::uint64_t adopted = 0;      // lists that had come then
-  bool is_stale = true;           // `alive` must be worked out from `merged` anew
+  view_change last_change;
+  bool is_stale = true;  // `alive` must be worked out from `merged` anew
 };
 
 }  // namespace valvekeel::membership
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -167,6 +167,7 @@
   std::vector<relay::member> MembersHeard(common::Instant now) const;
   /// Works out who lives. @return true if that changed.
   void UpdateView(common::Instant now);
+  void LogViewChange();
   void ChoosePartners(common::Instant now);
   void AddPartner(const common::Endpoint& address, const std::string& name, common::Duration pace);
   void TakeView(const common::Endpoint& from, const PeerMessage& message, common::Instant now);
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -23,6 +23,8 @@
 constexpr common::Duration kAheadPause{120'000};
 /// The same in a large deployment, where most daemons list the configuration on news.
 constexpr common::Duration kDistantAheadPause{1'200'000};
+/// Names in a log line on daemons that were lost; the count tells of the rest.
+constexpr std::size_t kMostNamesLogged = 8;
 
 }  // namespace
 
@@ -131,6 +133,25 @@
   catalog_.SetDiscovering(!view_.settled() || (roles_.known() && roles_.coordinates()));
   view_.set_self(HasStore(now), stopping_since_.has_value());
   view_.update(now);
+  LogViewChange();
+}
+
+void Proxy::LogViewChange() {
+  const membership::view_change& change = view_.changed();
+  if (change.hub_changed) {
+    outbox_.Log("hub_changed", {{"acts", view_.is_hub() ? "true" : "false"}});
+  }
+  if (change.lost.empty()) {
+    return;
+  }
+  std::string names;
+  for (std::size_t at = 0; at < std::min(change.lost.size(), kMostNamesLogged); ++at) {
+    names += (at == 0 ? "" : " ") + change.lost[at];
+  }
+  outbox_.Log("daemons_lost", {{"count", std::to_string(change.lost.size())},
+                               {"daemons", names},
+                               {"told_by", change.source},
+                               {"hub", view_.is_hub() ? "true" : "false"}});
 }
 
 void Proxy::TakeView(const common::Endpoint& from, const PeerMessage& message,
