Membership: a hub that has just started does not speak for its zone, a stopping one goes on

Cause: a restarted large daemon was hub at its first update, listed those alone that it had heard, and went before the zone's other hub: clients took its list. A stopping hub ceased at once while its clients still asked it. A hub that took over knew other zones by whichever of their hubs it heard first.

Change: a hub says whether it is informed (it took over with a view, or has been one for 2 s). Who has no view and hears an informed hub of its zone asks it first and becomes a hub after. Who has a view from an informed hub adopts from no other. A stopping hub goes on while it is asked, and its list is the last choice. A new hub takes those listed before, of all zones, for alive for 1.5 s (before: of its own). What a hub told before a silence does not count; zones that a newly adopted hub has not told of yet hold for 2.5 s. The wire has one field more at the end of the view; a message without it counts as informed if it is a hub's.

At rest nothing changes ("A plain daemon's messages at rest ..." passes). The other ten tests of [membership] pass, those over kills and cuts among them.

view_change_test.cc: the hub of its first test says that it is informed, as one in force does; its checks are as they were.

--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -89,12 +89,33 @@
   if (this->has_view) {
     return true;
   }
-  return this->acts_as_hub &&
+  return this->acts_as_hub && !this->registered.empty() && !this->awaits_hubs() &&
          std::any_of(this->contacts.begin(), this->contacts.end(), [](const auto& each) {
            return each.second.is_hub || each.second.asked_us.count() > 0;
          });
 }
 
+bool live_view::awaits_hubs() const {
+  return std::any_of(this->introduced.begin(), this->introduced.end(), [&](const auto& each) {
+    const auto known = this->contacts.find(each.first);
+    if (known == this->contacts.end() || !known->second.heard) {
+      return true;
+    }
+    return known->second.is_hub && known->second.lists.empty();
+  });
+}
+
+bool live_view::is_informed_hub(const contact& each, common::Instant now) {
+  return each.is_hub && each.is_informed && heard_lately(each, now);
+}
+
+bool live_view::defers(common::Instant now) const {
+  return !this->has_view &&
+         std::any_of(this->contacts.begin(), this->contacts.end(), [&](const auto& each) {
+           return each.second.told.zone == this->self.zone && is_informed_hub(each.second, now);
+         });
+}
+
 bool live_view::isolated(common::Instant now) const {
   return this->last_heard && now >= *this->last_heard + VIEW_KEPT;
 }
@@ -124,10 +145,21 @@
   }
   this->last_heard = now;
   contact& from = this->contacts[sender.name];
+  if (from.heard && !heard_lately(from, now)) {
+    // What it told before its silence is out of date, and it may have begun anew.
+    from.lists.clear();
+    ++this->lists_taken;
+  }
   from.told = sender;
   from.heard = now;
   from.interval = interval;
   from.is_hub = message.from_hub;
+  const bool was_informed = std::exchange(from.is_informed, message.informed);
+  if (was_informed && !from.is_informed) {
+    // It began anew: what it told before is out of date.
+    from.lists.clear();
+    ++this->lists_taken;
+  }
   if (message.whole != from.is_whole) {
     // What a hub tells a fellow and what it tells the daemons of its zone don't go together.
     from.lists.clear();
@@ -217,6 +249,16 @@
   return all;
 }
 
+bool live_view::tells_better(const contact& a, const contact& b) {
+  if (a.is_informed != b.is_informed) {
+    return a.is_informed;
+  }
+  if (a.told.stopping != b.told.stopping) {
+    return b.told.stopping;
+  }
+  return goes_first(a.told, b.told);
+}
+
 live_view::zone_members live_view::own_zone_heard(common::Instant now) {
   zone_members members;
   members[this->self.name] = this->self;
@@ -260,9 +302,12 @@
 void live_view::collect_as_hub(common::Instant now) {
   this->adopted_from.clear();
   this->is_stale = true;
+  // Who began with nobody knowing more has heard all by then.
+  this->has_view = this->has_view || now >= this->hub_since.value_or(now) + GREETING;
   std::map<std::string, zone_members> by_zone;
   const zone_members heard = this->own_zone_heard(now);
   by_zone[this->self.zone] = heard;
+  std::set<std::string> told_zones{this->self.zone};
   for (const auto& [name, each] : this->contacts) {
     if (!each.is_hub || each.is_whole || !heard_lately(each, now)) {
       continue;
@@ -272,6 +317,7 @@
       continue;
     }
     this->zone_heard[each.told.zone] = now;
+    told_zones.insert(each.told.zone);
     zone_members& members = by_zone[each.told.zone];
     for (const member& listed : list->second.members) {
       members.emplace(listed.name, listed);
@@ -280,14 +326,24 @@
   for (const std::string& zone : this->zones()) {
     const auto spoken = this->zone_heard.find(zone);
     const bool recent = spoken != this->zone_heard.end() && now < spoken->second + ZONE_SILENCE;
-    if (by_zone.contains(zone) || (recent && this->merged.contains(zone))) {
+    const auto previous = this->merged.find(zone);
+    const bool listed = previous != this->merged.end();
+    zone_members& members = by_zone[zone];
+    if (listed) {
+      const bool silent = !told_zones.contains(zone) && recent;
+      for (const member& each : previous->second.members) {
+        if (silent || this->presumed.contains(each.name)) {
+          members.emplace(each.name, each);
+        }
+      }
+    }
+    if (told_zones.contains(zone) || (listed && recent)) {
       continue;
     }
-    zone_members& members = by_zone[zone];
     for (const auto& [name, until] : this->presumed) {
-      const auto listed = this->registered.find(name);
-      if (now < until && listed != this->registered.end() && listed->second.zone == zone) {
-        members[name] = listed->second;
+      const auto known = this->registered.find(name);
+      if (now < until && known != this->registered.end() && known->second.zone == zone) {
+        members[name] = known->second;
       }
     }
   }
@@ -300,20 +356,47 @@
 }
 
 void live_view::adopt_from_hub(common::Instant now) {
+  // A hub that still thinks of this daemon's last life sends only what has changed since.
+  const auto tells_all = [&](const contact& each) {
+    if (!each.asked || !each.heard) {
+      return false;
+    }
+    const bool covers =
+        std::all_of(this->registered_zones.begin(), this->registered_zones.end(),
+                    [&](const std::string& zone) { return each.lists.contains(zone); });
+    return (covers && *each.heard >= *each.asked) || now >= *each.asked + GREETING;
+  };
   const contact* best = nullptr;
   for (const auto& [name, each] : this->contacts) {
     const bool speaks = each.is_hub && each.is_whole && each.lists.contains(this->self.zone) &&
                         heard_lately(each, now);
-    if (speaks && (best == nullptr || goes_first(each.told, best->told))) {
+    if (speaks && !this->has_view && !tells_all(each)) {
+      continue;
+    }
+    // A hub that has just started has not heard all yet: the view that is there is better.
+    const bool knows_more = each.is_informed || !this->has_view || !this->view_informed;
+    if (speaks && knows_more && (best == nullptr || tells_better(each, *best))) {
       best = &each;
     }
   }
   if (best != nullptr) {
     this->has_view = true;
-    this->zone_heard[this->self.zone] = now;
-    const bool same = this->adopted_from == best->told.name && this->adopted == this->lists_taken;
+    this->view_informed = best->is_informed;
+    for (const auto& [zone, list] : best->lists) {
+      this->zone_heard[zone] = now;
+    }
+    const bool complete = this->merged.size() == best->lists.size();
+    const bool same =
+        complete && this->adopted_from == best->told.name && this->adopted == this->lists_taken;
     if (!same) {
-      this->merged = best->lists;
+      // Zones of which another hub told hold until this one tells of them.
+      std::map<std::string, zone_list> before = std::exchange(this->merged, best->lists);
+      for (auto& [zone, list] : before) {
+        const auto heard = this->zone_heard.find(zone);
+        if (heard != this->zone_heard.end() && now < heard->second + ZONE_SILENCE) {
+          this->merged.emplace(zone, std::move(list));
+        }
+      }
       this->adopted_from = best->told.name;
       this->adopted = this->lists_taken;
       this->is_stale = true;
@@ -325,7 +408,9 @@
   const bool recent = adopted != this->zone_heard.end() && now < adopted->second + VIEW_KEPT;
   if (!this->has_view || !recent) {
     this->has_view = false;
-    this->collect_alone(now);
+    if (!this->defers(now)) {
+      this->collect_alone(now);
+    }
   }
 }
 
@@ -377,22 +462,27 @@
   const bool asked =
       std::any_of(this->contacts.begin(), this->contacts.end(),
                   [&](const auto& each) { return this->is_client(each.second, now); });
-  const bool was_hub =
-      std::exchange(this->acts_as_hub, (among_first || asked) && !this->self.stopping);
+  // A hub that stops goes on for those who still ask it, until they have another.
+  const bool deferring = this->defers(now);
+  const bool was_hub = std::exchange(this->acts_as_hub, (among_first || asked) && !deferring);
   if (this->acts_as_hub && !was_hub) {
     this->hub_since = now;
     // Those whom the last hub heard get time to make themselves heard here.
     for (const auto& [zone, list] : this->merged) {
       this->zone_heard[zone] = now;
     }
-    for (const member& each : this->merged[this->self.zone].members) {
-      if (this->has_view && each.name != this->self.name) {
-        this->presume(each.name, now + TAKE_OVER);
+    // Of other zones it learns by several hubs, each of which hears a part.
+    for (const auto& [zone, list] : this->merged) {
+      for (const member& each : list.members) {
+        if (this->has_view && each.name != this->self.name) {
+          this->presume(each.name, now + TAKE_OVER);
+        }
       }
     }
   }
-  if (was_hub && !this->acts_as_hub) {
+  if (was_hub && !this->acts_as_hub && !deferring) {
     // What was collected holds until another hub tells more.
+    this->view_informed = this->has_view;
     this->has_view = true;
     this->zone_heard[this->self.zone] = now;
   }
@@ -409,6 +499,13 @@
       }
     }
   }
+  if (deferring) {
+    for (const auto& [name, each] : this->contacts) {
+      if (each.told.zone == this->self.zone && is_informed_hub(each, now)) {
+        hubs.push_back(each.told);
+      }
+    }
+  }
   for (const member& hub : hubs) {
     if (hub.name != this->self.name) {
       this->note_asked(hub, now);
@@ -541,6 +638,7 @@
   view_message message;
   message.large = true;
   message.from_hub = this->acts_as_hub;
+  message.informed = this->acts_as_hub && this->has_view;
   message.seeks = this->seeks(now);
   const bool partner = std::any_of(this->partner_list.begin(), this->partner_list.end(),
                                    [&](const member& each) { return each.name == name; });
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -85,7 +85,8 @@
    * there, the seeds of its settings, for the hubs. */
   bool seeks(common::Instant now) const;
 
-  /** @return true if who lives is known from hubs, or by being one for others. */
+  /** @return true if who lives is known from hubs, or by being one for others and having heard the
+   * hubs that this daemon was introduced to. */
   bool settled() const;
 
   /** @return true if a message asks for an introduction. */
@@ -119,6 +120,7 @@
     common::Duration interval{0};
     common::Instant asked_us{0};  // when it last asked this daemon to be its hub
     bool is_hub = false;
+    bool is_informed = false;                   // see view_message
     bool is_whole = false;                      // its lists are about all zones
     std::map<std::string, zone_list> lists;     // that it sent, by zone
     std::map<std::string, std::uint64_t> held;  // digests of ours that it holds, by zone
@@ -127,6 +129,11 @@
   using zone_members = std::map<std::string, member>;
 
   bool isolated(common::Instant now) const;
+  /** @return true if this daemon has yet to learn who lives, and a hub of its zone can tell it. */
+  bool defers(common::Instant now) const;
+  static bool is_informed_hub(const contact& each, common::Instant now);
+  /** @return true if a hub that this daemon was introduced to has not spoken yet. */
+  bool awaits_hubs() const;
   static bool heard_lately(const contact& each, common::Instant now);
   bool suspect(const std::string& name, common::Instant now) const;
   std::vector<member> first_hubs(const std::string& zone, common::Instant now) const;
@@ -135,6 +142,8 @@
   void note_asked(const member& hub, common::Instant now);
   zone_members own_zone_heard(common::Instant now);
   void collect_as_hub(common::Instant now);
+  /** @return true if the first hub's lists are to be preferred. */
+  static bool tells_better(const contact& a, const contact& b);
   void adopt_from_hub(common::Instant now);
   void collect_alone(common::Instant now);
   void add_registered(member daemon, common::Instant now);
@@ -164,7 +173,8 @@
   std::map<std::string, common::Instant> last_alive;
   std::vector<member> partner_list;
   bool acts_as_hub = false;
-  bool has_view = false;          // a hub's lists were adopted once
+  bool has_view = false;       // a hub's lists were adopted once, or enough time has passed as one
+  bool view_informed = false;  // and it came from a hub that was informed
   std::uint64_t lists_taken = 0;  // counts the lists that came
   std::string adopted_from;       // whose lists `merged` holds, if they are one hub's
   std::uint64_t adopted = 0;      // lists that had come then
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -45,6 +45,7 @@
 struct view_message {
   bool asks = false;               // the receiver shall act as the sender's hub
   bool from_hub = false;           // the sender acts as a hub
+  bool informed = false;           // the sender, a hub, knows its zone: it took over with a view
   bool whole = false;              // its lists are about all zones, else only about its own
   bool large = false;              // the deployment is too large for all to hear each other
   bool seeks = false;              // the sender does not know its hubs: introduce them
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -91,7 +91,7 @@
     introduced.push_back(json::array({each.zone, ToJson(each)}));
   }
   return json::array({view.asks, view.from_hub, view.whole, view.large, view.seeks,
-                      std::move(introduced), ToJson(view.held), std::move(lists)});
+                      std::move(introduced), ToJson(view.held), std::move(lists), view.informed});
 }
 
 membership::member MemberFrom(const std::string& zone, const json& value) {
@@ -133,6 +133,8 @@
   for (const json& each : next()) {
     view.lists.push_back(ZoneListFrom(each));
   }
+  // Earlier versions do not send it: their hubs count as they did.
+  view.informed = field < value.size() ? next().get<bool>() : view.from_hub;
   return view;
 }
 
--- a/tests/membership/view_change_test.cc
+++ b/tests/membership/view_change_test.cc
@@ -25,6 +25,7 @@
   view_message message;
   message.large = true;
   message.from_hub = true;
+  message.informed = true;
   message.whole = true;
   message.lists = {{"zone", digest_of(members), members}};
   return message;
