--- a/tests/proxy/peer_table_test.cc
+++ b/tests/proxy/peer_table_test.cc
@@ -107,4 +107,14 @@
         message.interval);
 }
 
+TEST_CASE("Whether a hub is informed passes the wire", "[proxy]") {
+  for (const bool informed : {false, true}) {
+    PeerMessage message = From("b", 9, 1);
+    message.view.from_hub = true;
+    message.view.informed = informed;
+    const auto read = DecodePeerMessage(EncodePeerMessage(message));
+    CHECK(common::ValueOf(read).view.informed == informed);
+  }
+}
+
 }  // namespace valvekeel::proxy
