--- a/tests/platform/soak/short.py
+++ b/tests/platform/soak/short.py
@@ -3,7 +3,7 @@
 
   short.py BINARY REPORT
 
-Seeds are the same in each run. A case fails if a rule was broken or the soak could not run; its text
+Seeds are the same in each run. A case fails if a rule was broken or the soak couldn't run; its text
 has the command, the seed in it, and all that the soak printed.
 """
 
