--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -93,4 +93,46 @@
   CHECK(side.closed == 0);
 }
 
+TEST_CASE("A caller that has reset its connection does not hold it", "[net][review]") {
+  EndingSide side;
+  side.stream->CloseAfterFlush(std::chrono::seconds(2));
+  asio::error_code ignored;
+  side.caller.close(ignored);  // over input that it has not read: the system resets
+  const auto began = std::chrono::steady_clock::now();
+  CHECK(side.RunUntil([&] { return !side.stream->Open(); }));
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
+}
+
+TEST_CASE("A caller that resets once all is with the system does not hold the end", "[net][review]") {
+  // Few bytes: all of them leave the process at once.
+  asio::io_context loop;
+  std::shared_ptr<Stream> stream;
+  Listener listener(loop, [&](asio::ip::tcp::socket socket) {
+    stream = std::make_shared<Stream>(loop, std::move(socket));
+    stream->Start([](std::string_view) {}, [] {});
+  });
+  REQUIRE(listener.Listen({"127.0.0.1", 0}));
+  asio::ip::tcp::socket caller(loop);
+  caller.open(asio::ip::tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect({asio::ip::make_address("127.0.0.1"), listener.Port()});
+  while (!stream) {
+    loop.run_one_for(kTurn);
+  }
+  stream->Send(std::string(std::size_t{64} << 10U, 'x'));
+  stream->CloseAfterFlush(std::chrono::seconds(2));
+  const bool lingers = stream->Open();
+  for (int turn = 0; turn < 20; ++turn) {
+    loop.run_one_for(kTurn);
+  }
+  asio::error_code ignored;
+  caller.close(ignored);
+  const auto began = std::chrono::steady_clock::now();
+  while (stream->Open()) {
+    loop.run_one_for(kTurn);
+  }
+  CHECK(lingers);
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
+}
+
 }  // namespace valvekeel::net
--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -63,7 +63,9 @@
         if (const auto* read = std::get_if<ReadCatalog>(&action)) {
           Answer(*read);
         } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
-          proxy.ConnectionOpened(open->connection, now);
+          if (!refuses_connections) {
+            proxy.ConnectionOpened(open->connection, now);
+          }
         } else if (const auto* sent = std::get_if<SendRequests>(&action)) {
           TakeRequests(*sent);
         } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
@@ -153,6 +155,7 @@
   std::map<SessionNumber, std::vector<model::Reply>> answers;
   std::map<SessionNumber, CloseSession> ends;
   std::map<std::string, ConnectionNumber> running;  // by request
+  bool refuses_connections = false;  // they open for ever
   int exits = 0;
   int after_exit = 0;  // words to callers that came too late to be carried out
 };
@@ -268,4 +271,27 @@
   CHECK(daemon.ends[1].error_text == "retry_after_ms=250 the daemon stops");
 }
 
+TEST_CASE("A statement that was sent once is not said to be unrun", "[proxy][stop][review]") {
+  // The first statement of a transaction goes out again, also a write: it may have been at work.
+  StoppingDaemon daemon;
+  daemon.Open(1);
+  daemon.Ask(1, model::CommandKind::kBegin, "begin");
+  daemon.Ask(1, model::CommandKind::kWrite, "first");
+  daemon.Run(10 * kMillisecond);
+  daemon.Finish("begin", model::TransactionState::kOpen);
+  REQUIRE(daemon.running.contains("first"));
+  daemon.entry.primary = false;  // nobody leads: it can't be sent again
+  daemon.proxy.ConnectionClosed(daemon.running.at("first"), daemon.now);
+  daemon.refuses_connections = true;
+  daemon.TakeActions();
+  daemon.Run(10 * kMillisecond);
+  REQUIRE(daemon.answers[1].size() == 1);
+  daemon.Stop();
+  daemon.Run(5'200 * kMillisecond);
+  REQUIRE(daemon.exits == 1);
+  REQUIRE(daemon.answers[1].size() == 2);
+  CHECK(daemon.answers[1].back().error == model::ErrorCode::kBusy);
+  CHECK(daemon.answers[1].back().error_text != "retry_after_ms=250 not run: the daemon stops");
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -302,4 +302,18 @@
   CHECK_FALSE(fixture.Taken<CloseSession>());
 }
 
+TEST_CASE("A command of a session that waits for a configuration is not lost",
+          "[proxy][review]") {
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration before = ConfigurationOf(5);
+  fixture.Configure(before);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {true, {"e", 0}, 6}, kStart);
+  model::Command set;
+  set.kind = model::CommandKind::kSet;
+  fixture.dispatcher.CommandReceived(kSession, {"r1", set}, kStart);  // as Proxy does
+  const model::Configuration after = ConfigurationOf(6);
+  fixture.Configure(after);
+  CHECK(fixture.Taken<AnswerCaller>());
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/relay/relayed_sessions_test.cc
+++ b/tests/relay/relayed_sessions_test.cc
@@ -586,4 +586,41 @@
   CHECK(test.port.ended == 0);
 }
 
+TEST_CASE("A session that no owner has accepted is told of the end of its daemon", "[relay][review]") {
+  // Its caller waits for the first word. One that waits for a configuration is told that the daemon
+  // stops; this one has its connection closed without a word.
+  fixture idle;
+  idle.sessions.start(SESSION, "ledger", "", NOW);
+  idle.sessions.close_idle();
+  CHECK(idle.port.refusals == std::vector<model::ErrorCode>{model::ErrorCode::kBusy});
+  fixture forced;
+  forced.sessions.start(SESSION, "ledger", "", NOW);
+  forced.sessions.close_all();
+  CHECK(forced.port.refusals == std::vector<model::ErrorCode>{model::ErrorCode::kBusy});
+}
+
+TEST_CASE("A session that was just accepted keeps its time for a first command beside other ends",
+          "[relay][review]") {
+  // The owner stops: its next tick here ends what was accepted a moment before.
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION, NOW);
+  test.port.leaving.insert(test.near());
+  test.sessions.tick(NOW + common::Duration(1'000));
+  CHECK(test.port.ended == 0);
+}
+
+TEST_CASE("A write behind a BEGIN that may be refused gets no promise", "[relay][review]") {
+  // An owner refuses BEGIN when the tenant is over its rate, outside a transaction then; the write
+  // behind it runs by itself and is kept.
+  fixture test;
+  test.sessions.start(SESSION, "ledger", "", NOW);
+  test.sessions.accepted(SESSION, NOW);
+  test.sessions.command_sent(SESSION, model::CommandKind::kBegin, NOW);
+  test.sessions.command_sent(SESSION, model::CommandKind::kWrite, NOW);
+  test.sessions.link_ended(SESSION, {ENDED}, NOW);
+  REQUIRE(test.port.answers.size() == 2);
+  CHECK(test.port.answers[1] == model::ErrorCode::kInDoubt);
+}
+
 }  // namespace valvekeel::relay
