--- a/tests/proxy/session_relay_test.cc
+++ b/tests/proxy/session_relay_test.cc
@@ -316,4 +316,37 @@
   CHECK(fixture.Taken<AnswerCaller>());
 }
 
+TEST_CASE("An owner answers what it cuts short at the deadline of a move", "[proxy][regions][review]") {
+  // The other daemon can only say of a write that it is in doubt; this one knows that it never ran.
+  RegionsFixture fixture(RelayFixture::Owner(), {"south"});
+  fixture.HandOver();
+  REQUIRE(fixture.Taken<AcceptSession>());
+  model::Command write;
+  write.kind = model::CommandKind::kWrite;
+  fixture.dispatcher.CommandReceived(kSession, {"r1", write}, kStart);  // no instance: it waits
+  fixture.SetAllowed({"north"});
+  fixture.relay->RegionsChanged(kStart);
+  static_cast<void>(fixture.outbox.Take());
+  fixture.relay->Tick(kStart + relay::MOVE_DEADLINE);
+  bool answered = false;
+  for (const Action& action : fixture.outbox.Take()) {
+    answered = answered || std::holds_alternative<AnswerCaller>(action);
+  }
+  CHECK(answered);
+  CHECK(fixture.dispatcher.SessionCount() == 0);
+}
+
+TEST_CASE("A session that was just accepted keeps its time for a first command at a guest's end",
+          "[proxy][review]") {
+  // Served here for want of an owner, or handed over by a daemon whose view is behind: the service
+  // has been foreign for long, the session is new.
+  RelayFixture fixture(RelayFixture::Owner());
+  const model::Configuration configuration = ConfigurationOf(5);
+  fixture.Configure(configuration);
+  fixture.relay->SessionStarted(kSession, "ledger", kKey, {}, kStart);
+  REQUIRE(fixture.Taken<AcceptSession>());
+  fixture.dispatcher.EndResting("group", false, kStart + Duration(10'000));
+  CHECK_FALSE(fixture.Taken<CloseSession>());
+}
+
 }  // namespace valvekeel::proxy
