--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -294,4 +294,22 @@
   CHECK(daemon.answers[1].back().error_text != "retry_after_ms=250 not run: the daemon stops");
 }
 
+TEST_CASE("Commands that were read together are all answered while a daemon closes",
+          "[proxy][stop][review]") {
+  // The answer to the first ends the session, which rests then; the second was read with it.
+  StoppingDaemon daemon;
+  daemon.Open(1);
+  daemon.Ask(1, model::CommandKind::kWrite, "long");  // keeps the daemon from its end
+  daemon.Run(10 * kMillisecond);
+  daemon.Stop();
+  daemon.Run(2'400 * kMillisecond);
+  daemon.Open(2);
+  model::Command set;
+  set.kind = model::CommandKind::kSet;
+  daemon.proxy.CommandReceived(2, {"first", set}, daemon.now);
+  daemon.proxy.CommandReceived(2, {"second", set}, daemon.now);
+  daemon.TakeActions();
+  CHECK(daemon.answers[2].size() == 2);
+}
+
 }  // namespace valvekeel::proxy
