A session that is being ended is closed once, by who ends it

Cause: at a forced end the answer to a session's last command brought it to rest, and TakeNext closed it under the hands of EndSessions, which closed it a second time by a reference to what was gone. Change: who is ending a session closes it.

--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -128,9 +128,11 @@
   }
   Session* current = Find(number);
   const bool rests = current != nullptr && !current->operation && !current->transaction.open;
-  // What was read with the last command comes next: the tick ends the session, or the daemon that
-  // handed it over does.
-  if (closing_ && rests && !reading_ && !current->takes_goodbye) {
+  // What was read with the last command comes next, and the tick ends the session then; else the
+  // daemon that handed it over does, or who is ending it already.
+  const bool left_to_others =
+      reading_ || current == nullptr || current->takes_goodbye || current->end_reason != nullptr;
+  if (closing_ && rests && !left_to_others) {
     outbox_.Emit(CloseSession{number});
     SessionClosed(number, now);
   }
--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
           ends.erase(accepted->session);
         } else if (const auto* end = std::get_if<CloseSession>(&action)) {
           ends[end->session] = *end;
+          ended_twice += ended.insert(end->session).second ? 0 : 1;
         }
         const bool tells_caller = std::holds_alternative<AnswerCaller>(action) ||
                                   std::holds_alternative<CloseSession>(action);
@@ -154,6 +156,8 @@
   Instant now = kStart;
   std::map<SessionNumber, std::vector<model::Reply>> answers;
   std::map<SessionNumber, CloseSession> ends;
+  std::set<SessionNumber> ended;
+  int ended_twice = 0;
   std::map<std::string, ConnectionNumber> running;  // by request
   bool refuses_connections = false;                 // they open for ever
   int exits = 0;
@@ -216,6 +220,7 @@
   CHECK_FALSE(daemon.running.contains("behind it"));
   CHECK_FALSE(daemon.running.contains("waits"));
   CHECK(daemon.after_exit == 0);
+  CHECK(daemon.ended_twice == 0);
 }
 
 TEST_CASE("A session that begins while a daemon closes is served or refused and nothing between",
