--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -48,7 +48,8 @@
   /// Reads no more: what comes from now on stays with the system. What was sent still leaves.
   void StopReading() { reading_ = false; }
 
-  /// Sends bytes in order. @return false if too much waits already: the connection is closed then.
+  /// Sends bytes in order. @return false if too much waits already: the connection is closed then;
+  /// also once it is about to end.
   bool Send(std::string bytes);
 
   /// Reads no more, and ends the connection once the other side has what was sent. The closed
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -21,7 +21,7 @@
 
 /// As the host does (its Do(Exit)): the one place to change with it.
 constexpr AtExit kHostAtExit = AtExit::kReadsNoMore;
-/// From the decision to end until the process ends, as in the host.
+/// From the decision to end until the process ends: within the 600 ms that the host gives answers.
 constexpr common::Duration kExitPause{150'000};
 
 std::string Milliseconds(common::Duration time) { return std::to_string(time.count() / 1000); }
