Entries of other writers name no instance; the others hold

Cause: by reading, one name outside the guarded part or bytes that are no characters made a whole list fail, an unknown state counted as ready, and numbers of any size were cast. What the id named before is treated as unlisted: it may serve on, and its next entry brings it back.

--- a/src/host/catalog_copy_json.cc
+++ b/src/host/catalog_copy_json.cc
@@ -123,14 +123,20 @@
 
 json ToJson(const model::InstanceEntry& entry) {
   return json::array({entry.id, entry.service, ToJson(entry.address), entry.zone, entry.slots,
-                      entry.draining, entry.primary, entry.warm_up_left.count()});
+                      entry.draining, entry.primary, entry.warm_up_left.count(),
+                      entry.incarnation});
 }
 
 model::InstanceEntry InstanceFrom(const json& value) {
-  return {value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
-          EndpointFrom(value.at(2)),        value.at(3).get<std::string>(),
-          value.at(4).get<std::uint32_t>(), value.at(5).get<bool>(),
-          value.at(6).get<bool>(),          common::Duration(value.at(7).get<std::int64_t>())};
+  constexpr std::size_t kIncarnation = 8;
+  model::InstanceEntry entry = {
+      value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
+      EndpointFrom(value.at(2)),        value.at(3).get<std::string>(),
+      value.at(4).get<std::uint32_t>(), value.at(5).get<bool>(),
+      value.at(6).get<bool>(),          common::Duration(value.at(7).get<std::int64_t>())};
+  // Daemons of earlier versions don't tell it.
+  entry.incarnation = value.size() > kIncarnation ? value.at(kIncarnation).get<std::uint64_t>() : 0;
+  return entry;
 }
 
 }  // namespace
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -118,6 +118,10 @@
         static_cast<double>(proxy.ColdInstances()));
   Gauge("valvekeel_cold_requests_total", "Requests sent to such instances", {},
         static_cast<double>(proxy.WarmUps().sent_cold()));
+  for (const auto& [reason, count] : proxy.CatalogView().UnusableEntries()) {
+    Gauge("valvekeel_unusable_entries_total", "Entries of the store that named no instance to use",
+          {{"reason", reason}}, static_cast<double>(count));
+  }
   for (const auto& [code, count] : counters.errors) {
     Gauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
           static_cast<double>(count));
--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -39,6 +39,7 @@
   ReadStatus status = ReadStatus::kNoAnswer;
   std::uint64_t revision = 0;  // of the store
   std::vector<model::CatalogObject> objects;
+  std::size_t unnamed = 0;  // objects whose name can't be read; what follows them is complete
 };
 
 /// A change of an object that the follower did not know yet.
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -63,6 +63,15 @@
   common::Duration transaction_idle{0};            // after which an idle transaction may be ended
 };
 
+/// One life of an instance. It may start again under its id: then it holds and knows nothing of
+/// before, and what is learned late of the former life says nothing of the new one.
+struct InstanceLife {
+  std::string id;
+  std::uint64_t incarnation = 0;  // another with each start; 0 if the instance doesn't tell
+
+  bool operator==(const InstanceLife&) const = default;
+};
+
 /// An instance as it announces itself.
 struct InstanceEntry {
   std::string id;
@@ -73,6 +82,27 @@
   bool draining = false;
   bool primary = false;              // as it sees itself
   common::Duration warm_up_left{0};  // as it was when the entry was written
+  std::uint64_t incarnation = 0;     // see InstanceLife
+
+  InstanceLife Life() const { return {this->id, this->incarnation}; }
+};
+
+/// Why an entry names no instance to use.
+enum class EntryDefect : std::uint8_t {
+  kMissingField,
+  kWrongType,
+  kOutOfRange,
+  kUnknownWord,  // a state or role that is not known
+  kBadAddress,
+  kBadText,  // bytes that are no characters
+};
+
+/// @return the defect's name in logs and metrics.
+const char* EntryDefectName(EntryDefect defect);
+
+/// An instance's entry that somebody else has written, or that can't be read.
+struct UnusableEntry {
+  EntryDefect defect = EntryDefect::kMissingField;
 };
 
 /// An operator's wish that the instances of a zone get nothing more, until it is withdrawn.
@@ -114,7 +144,7 @@
 };
 
 using CatalogPayload = std::variant<std::monostate, Configuration, InstanceEntry, DaemonEntry,
-                                    LeadershipRecord, ZoneEvacuation>;
+                                    LeadershipRecord, ZoneEvacuation, UnusableEntry>;
 
 /// One object of a collection; the payload is empty if it could not be read.
 struct CatalogObject {
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -1,6 +1,7 @@
 #include "proxy/catalog_state.h"
 
 #include <algorithm>
+#include <bit>
 #include <set>
 #include <utility>
 
@@ -20,6 +21,8 @@
 /// shows them all, and time for the configuration to be written.
 constexpr common::Duration kFirstDaemonsDelay{1'300'000};
 constexpr common::Duration kFirstConfigurationDelay{1'500'000};
+/// Bytes of a name of an unusable entry that are logged.
+constexpr std::size_t kLongestNameLogged = 64;
 
 const char* CollectionName(Collection collection) {
   switch (collection) {
@@ -252,6 +255,9 @@
                  {"status", std::to_string(static_cast<int>(result.status))}},
                 LogLevel::kWarning);
   }
+  for (std::size_t unnamed = 0; unnamed < result.unnamed; ++unnamed) {
+    NoteUnusable("no_name", "");
+  }
   NoteSeen(collection, result);
   daemons_known_ = daemons_known_ || followers_.at(Collection::kDaemons).Listed();
   NoteConnection();
@@ -295,9 +301,8 @@
     known_.instances = std::max(known_.instances, object.revision);
   }
   if (object.gone) {
-    if (collection == Collection::kInstances && instances_.erase(object.name) > 0) {
-      std::erase_if(update.instances, [&](const auto& each) { return each.id == object.name; });
-      update.instances_gone.push_back(object.name);
+    if (collection == Collection::kInstances) {
+      DropInstance(object.name, update);
     }
     if (collection == Collection::kDaemons) {
       daemons_.erase(object.name);
@@ -310,6 +315,11 @@
     instances_[instance->id] = *instance;
     std::erase(update.instances_gone, instance->id);
     update.instances.push_back(*instance);
+  } else if (const auto* unusable = std::get_if<model::UnusableEntry>(&object.payload)) {
+    // What the id named before takes no new work, as if its entry had gone: it may serve on, and
+    // its own next entry brings it back.
+    DropInstance(object.name, update);
+    NoteUnusable(model::EntryDefectName(unusable->defect), object.name);
   } else if (const auto* daemon = std::get_if<model::DaemonEntry>(&object.payload)) {
     daemons_[daemon->name] = *daemon;
     update.daemons.push_back(*daemon);
@@ -322,6 +332,25 @@
   }
 }
 
+void CatalogState::DropInstance(const std::string& id, CatalogUpdate& update) {
+  if (instances_.erase(id) > 0) {
+    std::erase_if(update.instances, [&](const auto& each) { return each.id == id; });
+    update.instances_gone.push_back(id);
+  }
+}
+
+void CatalogState::NoteUnusable(const std::string& reason, const std::string& name) {
+  const std::uint64_t count = ++unusable_entries_[reason];
+  // At counts that double: whoever writes bad entries must not fill the log.
+  if (std::has_single_bit(count)) {
+    outbox_.Log("instance_entry_unusable",
+                {{"reason", reason},
+                 {"name", name.substr(0, kLongestNameLogged)},
+                 {"count", std::to_string(count)}},
+                LogLevel::kWarning);
+  }
+}
+
 bool CatalogState::TakeConfiguration(const model::Configuration& configuration,
                                      const char* source) {
   if (configuration.version <= configuration_.version) {
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -120,11 +120,16 @@
 
   CatalogCopy Copy() const;
 
+  /// @return how many entries named no instance to use, by reason.
+  const std::map<std::string, std::uint64_t>& UnusableEntries() const { return unusable_entries_; }
+
  private:
   void Apply(const model::CatalogObject& object, model::Collection collection,
              CatalogUpdate& update);
   /// Drops what another daemon's copy held and the first list does not.
   void DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update);
+  void DropInstance(const std::string& id, CatalogUpdate& update);
+  void NoteUnusable(const std::string& reason, const std::string& name);
   bool TakeConfiguration(const model::Configuration& configuration, const char* source);
   void NoteConnection();
   void NoteSeen(model::Collection collection, const metadata::ReadResult& result);
@@ -140,6 +145,7 @@
   model::Configuration configuration_;
   std::map<std::string, model::InstanceEntry> instances_;
   std::map<std::string, model::DaemonEntry> daemons_;
+  std::map<std::string, std::uint64_t> unusable_entries_;
   CatalogRevisions known_;           // of the newest objects
   CatalogRevisions elsewhere_;       // highest that others told of
   CatalogRevisions seen_;            // of the store's newest answers
