An instance that starts again under its id is another life

Cause: nothing read when an instance started, so one that came back with nothing was taken for the one before: its lease was renewed from the record, its position counted, its fence held. Change: a new start ends connections (callers of commands on them are told what is true), status, load and queue; a primary's term is let go and it is replaced; what a replica held counts as lost until a position of the primary covers it; a fence of a former life is taken back, a candidate that restarted isn't asked again; positions that fall within a term show a restart before the entry does; reads at a primary require a position it is known to hold; a round is not confirmed by a primary with less than others have of its term. An id whose address another instance answers is no member. Not shown: a group all of whose logs were lost stays without a primary.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -162,6 +162,28 @@
   actions.emplace_back(WriteRecord{leadership_.Prepare(service_, claim, now)});
 }
 
+void Attempt::MemberRestarted(const std::string& instance, common::Instant now) {
+  const bool was_asked_to_lead = promotion_sent_once_ && instance == candidate_;
+  if (fenced_.erase(instance) == 0 && !was_asked_to_lead) {
+    return;
+  }
+  asked_.erase(instance);
+  lead_old_term_.erase(instance);
+  lead_earlier_term_.erase(instance);
+  // Unfenced, it may have acknowledged for the primary that is replaced: the choice is made anew. A
+  // promotion that was sent can't be taken back, but is not asked for once more.
+  const bool chosen = step_ == Step::kRelease || step_ == Step::kRecord || step_ == Step::kPromote;
+  if (was_asked_to_lead) {
+    rejected_.insert(instance);
+  }
+  if ((chosen && !promotion_sent_once_) || (was_asked_to_lead && !Ended())) {
+    promotion_.reset();
+    promotion_waiting_ = false;
+    fenced_at_ = common::Instant(0);
+    Enter(Step::kFence, now);
+  }
+}
+
 bool Attempt::Feasible(const GroupView& view) {
   const auto reachable = static_cast<std::size_t>(
       std::count_if(view.members.begin(), view.members.end(), [&](const MemberView& member) {
@@ -189,7 +211,9 @@
   // A commit is acknowledged once `sync_replicas` of the replicas hold it: with all but one less of
   // them fenced, none can be. Every majority must hold a fenced instance too.
   // A primary that is not known, or no longer listed, counts all the same.
-  const std::size_t replicas = std::max(ReplicasOf(view), view.known_replicas);
+  // What a restarted replica held before can't be asked any more: it counts as one that can't be
+  // fenced.
+  const std::size_t replicas = std::max(ReplicasOf(view), view.known_replicas) + view.lost_logs;
   const std::size_t members = replicas + 1;
   const std::size_t sync = view.sync_replicas;
   const std::size_t for_commits = replicas >= sync ? replicas - sync + 1 : 1;
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -51,6 +51,7 @@
   bool one_fence_is_enough = false;  // for tests of the checkers only
   std::size_t known_replicas = 0;    // as other daemons count them
   common::Position floor;            // that the candidate must hold, for replicas that ended
+  std::size_t lost_logs = 0;         // replicas that may have held the only copy of a commit
   std::set<std::string> unreleased;  // daemons that may still read at the old primary
   /// The replacement is planned: it is worth nothing unless the new primary suits better than this.
   std::optional<model::LeaderFitness> better_than;
@@ -115,6 +116,9 @@
   void ControlAnswered(const std::string& instance, const model::ControlRequest& request,
                        const std::optional<model::InstanceStatus>& status, common::Instant now);
 
+  /// An instance has started again: its fence is gone, and so is what it held.
+  void MemberRestarted(const std::string& instance, common::Instant now);
+
   /// @return true if so many replicas answer that the primary could be replaced.
   static bool Feasible(const GroupView& view);
 
--- a/src/group/read_lease.cc
+++ b/src/group/read_lease.cc
@@ -12,7 +12,7 @@
 
 RoundNumber ReadLease::StartRound(std::size_t members, common::Instant now) {
   const RoundNumber number = next_round_++;
-  rounds_[number] = {members, now, {}};
+  rounds_[number] = {members, now, {}, held_};
   if (rounds_.size() > kOpenRounds) {
     rounds_.erase(rounds_.begin());
   }
@@ -26,6 +26,9 @@
     return false;
   }
   found->second.answers[instance] = status;
+  if (status.received.term == status.term) {
+    held_ = std::max(held_, status.received);
+  }
   if (!Confirm(found->second)) {
     return false;
   }
@@ -33,6 +36,22 @@
   return true;
 }
 
+bool ReadLease::HoldsItsTerm(const Round& round, const std::string& primary) const {
+  const model::InstanceStatus& leader = round.answers.at(primary);
+  if (leader.term == round.held.term && leader.received < round.held) {
+    return false;
+  }
+  // Who knows nothing of the group yet goes by this round: a replica that was asked a moment later
+  // may be a little ahead, and the next round shows that.
+  const bool first = newest_.term < leader.term;
+  return std::none_of(round.answers.begin(), round.answers.end(), [&](const auto& each) {
+    const model::InstanceStatus& other = each.second;
+    const bool of_its_term = other.term == leader.term && other.received.term == leader.term;
+    const bool nothing_left = leader.received.lsn == 0 && other.received.lsn > 0;
+    return nothing_left || (first && of_its_term && leader.received < other.received);
+  });
+}
+
 bool ReadLease::Confirm(const Round& round) {
   const auto primary = std::max_element(
       round.answers.begin(), round.answers.end(), [](const auto& a, const auto& b) {
@@ -52,6 +71,9 @@
   if (static_cast<std::size_t>(votes) < majority || term <= released_term_) {
     return false;
   }
+  if (!HoldsItsTerm(round, primary->first)) {
+    return false;
+  }
   Renew({term, primary->first, round.started});
   return true;
 }
--- a/src/group/read_lease.h
+++ b/src/group/read_lease.h
@@ -64,12 +64,17 @@
     std::size_t members = 0;
     common::Instant started{0};
     std::map<std::string, model::InstanceStatus> answers;
+    common::Position held;  // that a primary of its term must have reached, when the round started
   };
 
   bool Confirm(const Round& round);
+  /// @return true if the primary holds what others of the group have received in its term. One that
+  /// has started again under its id may lead on with less.
+  bool HoldsItsTerm(const Round& round, const std::string& primary) const;
 
   Confirmation newest_;
   common::Term released_term_ = 0;
+  common::Position held_;  // highest position heard of an entry of its instance's own term
   std::map<RoundNumber, Round> rounds_;
   RoundNumber next_round_ = 1;
 };
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -152,6 +152,8 @@
   std::optional<common::Instant> gone_since;      // its entry is no longer listed
   std::optional<common::Instant> draining_since;  // it said that it will end
   std::optional<model::InstanceStatus> status;    // last seen
+  common::Instant status_at{0};                   // when that was
+  bool displaced = false;                         // another instance answers at its address
   warm_up::instance_life life;
 
  private:
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -47,6 +47,10 @@
                                     {"draining", entry.draining ? "true" : "false"}});
   }
   Backend& backend = backends_.at(entry.id);
+  const std::uint64_t before = backend.Entry().incarnation;
+  if (before != 0 && entry.incarnation != 0 && entry.incarnation != before) {
+    BeginLife(backend, entry, now);
+  }
   if (backend.Entry().service != entry.service) {
     RemoveFromService(backend.Entry());
     AddToService(entry);
@@ -61,6 +65,58 @@
   }
 }
 
+void BackendSet::BeginLife(Backend& backend, const model::InstanceEntry& entry,
+                           common::Instant now) {
+  outbox_.Log("instance_restarted",
+              {{"instance", entry.id},
+               {"service", entry.service},
+               {"incarnation", std::to_string(entry.incarnation)},
+               {"before", std::to_string(backend.Entry().incarnation)},
+               {"connections", std::to_string(backend.Connections().size())}},
+              LogLevel::kWarning);
+  while (!backend.Connections().empty()) {
+    const ConnectionNumber number = backend.Connections().begin()->first;
+    outbox_.Emit(CloseConnection{number});
+    Lose(backend, number, now);
+  }
+  std::deque<ControlItem> queued = std::exchange(backend.control_queue, {});
+  const std::string service = backend.Entry().service;
+  backend = Backend(entry);
+  if (service != entry.service) {
+    std::erase(ids_by_service_[service], entry.id);
+    AddToService(entry);
+  }
+  for (const ControlItem& item : queued) {
+    FinishControl(item.number, std::nullopt, now);
+  }
+  if (restart_observer_ != nullptr) {
+    restart_observer_->OnRestarted(entry, now);
+  }
+}
+
+void BackendSet::TakeStatus(Backend& backend, const model::InstanceStatus& status,
+                            common::Instant sent, common::Instant now) {
+  // A log grows within a term and terms don't fall: less than was told before shows that the
+  // instance has lost what it held, before its entry tells of the new start.
+  const bool later = backend.status && sent >= backend.status_at;
+  const bool lost =
+      later && (status.term < backend.status->term || (status.term == backend.status->term &&
+                                                       status.received < backend.status->received));
+  backend.status = status;
+  backend.status_at = now;
+  if (!lost) {
+    return;
+  }
+  outbox_.Log("instance_lost_its_log",
+              {{"instance", backend.Entry().id},
+               {"term", std::to_string(status.term)},
+               {"received", PositionText(status.received)}},
+              LogLevel::kWarning);
+  if (restart_observer_ != nullptr) {
+    restart_observer_->OnRestarted(backend.Entry(), now);
+  }
+}
+
 void BackendSet::AddToService(const model::InstanceEntry& entry) {
   std::vector<std::string>& ids = ids_by_service_[entry.service];
   ids.insert(std::lower_bound(ids.begin(), ids.end(), entry.id), entry.id);
@@ -95,14 +151,16 @@
 }
 
 bool BackendSet::IsSucceeded(const Backend& backend) const {
-  if (!backend.gone_since) {
+  if (!backend.gone_since && !backend.displaced) {
     return false;
   }
   const model::InstanceEntry& entry = backend.Entry();
-  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& other) {
-    const model::InstanceEntry& successor = other.second.Entry();
-    return successor.id != entry.id && successor.service == entry.service &&
-           successor.address == entry.address && !other.second.gone_since;
+  const std::vector<std::string>& ids = IdsOf(entry.service);
+  return std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    const Backend& other = backends_.at(id);
+    const model::InstanceEntry& successor = other.Entry();
+    return successor.id != entry.id && successor.address == entry.address && !other.gone_since &&
+           !other.displaced;
   });
 }
 
@@ -203,9 +261,6 @@
   }
   const PendingControl control = std::move(found->second);
   controls_.erase(found);
-  if (Backend* backend = Find(control.instance); backend != nullptr && status) {
-    backend->status = status;
-  }
   control.callback(status, now);
 }
 
@@ -256,6 +311,8 @@
     return;
   }
   const bool was_unreachable = backend->Unreachable();
+  const bool may_have_restarted = was_unreachable || backend->Connections().size() == 1;
+  backend->displaced = false;
   NoteLife(*backend, now);
   backend->Heard(now);
   if (was_unreachable) {
@@ -265,6 +322,12 @@
   connection->open = true;
   connection->opened = now;
   connection->last_used = now;
+  if (may_have_restarted && backend->status) {
+    // Its entry may come later, or never to a daemon that is cut off from the store.
+    Control(
+        backend->Entry().id, {model::ControlKind::kStatus, 0},
+        [](const std::optional<model::InstanceStatus>&, common::Instant) {}, now);
+  }
   ServeControls(*backend, now);
   observer_->OnCapacity(now);
 }
@@ -296,6 +359,7 @@
   const bool wrong_instance =
       failure == OpenFailure::kRejected && error == model::ErrorCode::kWrongInstance;
   if (failure != OpenFailure::kRejected || wrong_instance) {
+    backend->displaced = wrong_instance;
     const bool was_unreachable = backend->Unreachable();
     backend->OpenFailed(now, failure != OpenFailure::kSilent);
     if (!was_unreachable && backend->Unreachable()) {
@@ -334,6 +398,9 @@
     life_observer_->same_life(backend->Entry());
   }
   if (outstanding.purpose == Purpose::kControl) {
+    if (reply.status) {
+      TakeStatus(*backend, *reply.status, outstanding.sent, now);
+    }
     FinishControl(outstanding.control, reply.status, now);
     // The callback may have closed the connection.
     connection = backend->Find(number);
@@ -360,21 +427,25 @@
     OpenFailed(number, OpenFailure::kRefused, model::ErrorCode::kFailed, now);
     return;
   }
-  Connection lost = std::move(*connection);
-  owners_.erase(number);
-  backend->Remove(number);
   backend->life.note_break(now);
+  Lose(*backend, number, now);
+  // Find out at once whether the instance still listens.
+  if (backend->Connections().empty() && Watched(backend->Entry().service)) {
+    Open(*backend, now);
+  }
+}
+
+void BackendSet::Lose(Backend& backend, ConnectionNumber number, common::Instant now) {
+  Connection lost = std::move(*backend.Find(number));
+  owners_.erase(number);
+  backend.Remove(number);
   for (const Outstanding& outstanding : lost.outstanding) {
     if (outstanding.purpose == Purpose::kControl) {
       FinishControl(outstanding.control, std::nullopt, now);
     }
   }
   if (lost.session) {
-    observer_->OnLost(*backend, lost, now);
-  }
-  // Find out at once whether the instance still listens.
-  if (backend->Connections().empty() && Watched(backend->Entry().service)) {
-    Open(*backend, now);
+    observer_->OnLost(backend, lost, now);
   }
 }
 
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -28,6 +28,15 @@
   kRejected,  // the instance answered with an error
 };
 
+/// Told of instances that have started again under their id.
+class RestartObserver {
+ public:
+  virtual ~RestartObserver() = default;
+
+  /// What was known of the former life says nothing any more.
+  virtual void OnRestarted(const model::InstanceEntry& entry, common::Instant now) = 0;
+};
+
 /// Told of what happens to connections that serve callers.
 class ConnectionObserver {
  public:
@@ -50,6 +59,7 @@
 
   void SetObserver(ConnectionObserver* observer) { observer_ = observer; }
   void SetLifeObserver(warm_up::life_observer* observer) { life_observer_ = observer; }
+  void SetRestartObserver(RestartObserver* observer) { restart_observer_ = observer; }
 
   /// Takes an instance's entry as the store has it.
   void SetEntry(const model::InstanceEntry& entry, common::Instant now);
@@ -62,8 +72,8 @@
   /// @return a connection to whatever instance, or nothing.
   Connection* FindConnection(ConnectionNumber number);
 
-  /// @return true if the instance is gone and another of its service has its address: that one
-  /// carries its log on.
+  /// @return true if the instance is gone, or another one answers at its address, and one of its
+  /// service has that address: that one carries its log on.
   bool IsSucceeded(const Backend& backend) const;
   /// @return ids of the service's instances, in order.
   const std::vector<std::string>& IdsOf(const std::string& service) const;
@@ -126,6 +136,11 @@
     common::Instant started{0};
   };
 
+  /// Ends all that was held of an instance's former life.
+  void BeginLife(Backend& backend, const model::InstanceEntry& entry, common::Instant now);
+  /// Takes an instance's word of itself, to a request sent at an instant.
+  void TakeStatus(Backend& backend, const model::InstanceStatus& status, common::Instant sent,
+                  common::Instant now);
   void AddToService(const model::InstanceEntry& entry);
   void RemoveFromService(const model::InstanceEntry& entry);
   ConnectionNumber StartOpening(const std::string& tenant, Backend& backend, common::Instant now);
@@ -133,6 +148,8 @@
   void ServeControls(Backend& backend, common::Instant now);
   void FinishControl(ControlNumber number, const std::optional<model::InstanceStatus>& status,
                      common::Instant now);
+  /// Ends a connection whose far end is gone, and tells whom it served.
+  void Lose(Backend& backend, ConnectionNumber number, common::Instant now);
   void ExpireControls(common::Instant now);
   /// Tells whether the instance of a connection that has just opened may have started meanwhile.
   /// To be called before the instance counts as heard.
@@ -144,6 +161,7 @@
   Outbox& outbox_;
   ConnectionObserver* observer_ = nullptr;
   warm_up::life_observer* life_observer_ = nullptr;
+  RestartObserver* restart_observer_ = nullptr;
   std::map<std::string, Backend> backends_;
   std::map<std::string, std::vector<std::string>> ids_by_service_;
   std::map<ConnectionNumber, std::string> owners_;
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -70,6 +70,9 @@
     }
     Placement at_primary;
     at_primary.instance = primary;
+    if (session.transaction.open || !IsWrite(session)) {
+      at_primary.required = groups_.Get(service, now).KnownOfPrimary();
+    }
     return {at_primary};
   }
   const GroupState& group = groups_.Get(service, now);
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -61,6 +61,13 @@
   }
 }
 
+void FailoverDriver::MemberRestarted(const model::InstanceEntry& entry, common::Instant now) {
+  const auto attempt = attempts_.find(entry.service);
+  if (attempt != attempts_.end()) {
+    attempt->second->MemberRestarted(entry.id, now);
+  }
+}
+
 void FailoverDriver::RecordWritten(CallNumber call, const failover::WriteResult& result,
                                    common::Instant now) {
   const auto write = record_writes_.find(call);
@@ -196,6 +203,7 @@
   }
   view.one_fence_is_enough = !settings_.mechanisms.enough_fences;
   view.floor = group.floor;
+  view.lost_logs = group.lost_logs.size();
   view.known_replicas = KnownReplicas(group.service, now);
   view.unreleased = Unreleased(group.service, registered, new_term, now);
   view.better_than = need.better_than;
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -36,6 +36,9 @@
   void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
                   common::Instant now);
 
+  /// An instance has started again under its id: it holds nothing that attempts know of it.
+  void MemberRestarted(const model::InstanceEntry& entry, common::Instant now);
+
   void RecordWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
   void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
 
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -73,8 +73,12 @@
     return;
   }
   const group::Confirmation& newest = state->lease.Newest();
-  if (instance == newest.primary && state->lease.HeldAt(sent, newest.term)) {
+  // A primary that has started again under its id, with nothing, says less than it said before.
+  const std::optional<common::Position> known = state->KnownOfPrimary();
+  const bool believed = !settings_.mechanisms.instance_lives || !known || *known <= position;
+  if (believed && instance == newest.primary && state->lease.HeldAt(sent, newest.term)) {
     state->history.Add({sent, position});
+    state->sampled_term = newest.term;
   }
 }
 
@@ -354,6 +358,9 @@
   if (state.writes_stalled) {
     return "writes unanswered";
   }
+  if (state.lost_term != 0 && state.lost_term >= state.lease.Newest().term) {
+    return "restarted";
+  }
   return "";
 }
 
@@ -380,6 +387,42 @@
   }
 }
 
+void GroupSet::CoverLostLogs(GroupState& state) {
+  std::erase_if(state.lost_logs, [&](common::Instant noticed) {
+    const auto covering = state.history.Covering(noticed);
+    if (covering) {
+      state.floor = std::max(state.floor, *covering);
+    }
+    return covering.has_value();
+  });
+}
+
+std::size_t GroupSet::LostLogs(const std::string& service) const {
+  const auto found = groups_.find(service);
+  return found == groups_.end() ? 0 : found->second.lost_logs.size();
+}
+
+void GroupSet::MemberRestarted(const model::InstanceEntry& entry, common::Instant now) {
+  GroupState* state = Find(entry.service);
+  if (state == nullptr) {
+    return;
+  }
+  state->departures.erase(entry.id);
+  state->departed.erase(entry.id);
+  const group::Confirmation newest = state->lease.Newest();
+  if (entry.id != newest.primary) {
+    state->lost_logs.push_back(now);
+    return;
+  }
+  // It may say that it leads still, with less than was confirmed: nothing of its term is believed.
+  ReleaseBelow(*state, newest.term + 1);
+  state->lost_term = newest.term;
+  outbox_.Log(
+      "primary_restarted",
+      {{"service", entry.service}, {"primary", entry.id}, {"term", std::to_string(newest.term)}},
+      LogLevel::kWarning);
+}
+
 void GroupSet::Judge(GroupState& state, common::Instant now) {
   if (state.lease.Holds(now)) {
     state.lease_held_at = now;
@@ -448,6 +491,7 @@
       StartRound(state, now);
     }
     NoteDepartures(state, now);
+    CoverLostLogs(state);
     Judge(state, now);
   }
 }
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -40,13 +40,25 @@
   /// a position of the primary from then on is known.
   std::map<std::string, common::Instant> departures;
   std::set<std::string> departed;  // whose departure is covered by `floor`
-  common::Position floor;          // a promoted replica must hold at least this
-  bool watched = true;             // this daemon connects to the instances
+  /// When replicas that started again under their id did so, as noticed here: what they held
+  /// before may have been the only copy of a commit. Until `floor` covers it.
+  std::vector<common::Instant> lost_logs;
+  common::Term lost_term = 0;  // whose primary started again under its id
+  common::Position floor;      // a promoted replica must hold at least this
+  bool watched = true;         // this daemon connects to the instances
   common::Instant watched_since{0};
   /// All members were known at some instant since then. Else the group may look smaller than it is,
   /// and a majority of it be none.
   bool members_known = false;
-  bool lost = false;  // this daemon's opinion
+  bool lost = false;              // this daemon's opinion
+  common::Term sampled_term = 0;  // of the primary that the newest position is of
+
+  /// @return a position that the lease's primary is known to hold, if any.
+  std::optional<common::Position> KnownOfPrimary() const {
+    const bool known = this->sampled_term != 0 && this->sampled_term == this->lease.Newest().term &&
+                       this->history.Newest();
+    return known ? std::optional(this->history.Newest()->position) : std::nullopt;
+  }
 };
 
 class GroupSet {
@@ -125,6 +137,12 @@
   /// Lets go of all terms below. @return true if that was news.
   bool ReleaseBelow(GroupState& state, common::Term term);
 
+  /// @return how many replicas may have held the only copy of a commit and hold it no more.
+  std::size_t LostLogs(const std::string& service) const;
+
+  /// An instance has started again under its id, or has lost what it held.
+  void MemberRestarted(const model::InstanceEntry& entry, common::Instant now);
+
   /// This daemon stood still for a while: what it did not hear meanwhile proves nothing.
   void Thawed(common::Instant now);
 
@@ -141,6 +159,7 @@
   void StartRound(GroupState& state, common::Instant now);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void NoteDepartures(GroupState& state, common::Instant now);
+  static void CoverLostLogs(GroupState& state);
   void Judge(GroupState& state, common::Instant now);
   static bool HasEnded(const Backend& backend, common::Instant now);
   std::string Suspicion(const GroupState& state, common::Instant now) const;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -75,6 +75,7 @@
     access_.add(evacuation_rule_);
   }
   backends_.SetLifeObserver(&warm_up_);
+  backends_.SetRestartObserver(this);
   access_.add(warm_up_);
   for (const common::Endpoint& seed_peer : settings_.seed_peers) {
     if (seed_peer != settings_.peer) {
@@ -248,7 +249,10 @@
   NoteWarmUps(update, now);
   for (const model::InstanceEntry& instance : update.instances) {
     backends_.SetEntry(instance, now);
-    groups_.Get(instance.service, now);
+    // Another writer's entry may name any service: no state is kept of one that isn't configured.
+    if (catalog_.Configuration().services.contains(instance.service)) {
+      groups_.Get(instance.service, now);
+    }
   }
   for (const std::string& id : update.instances_gone) {
     backends_.EntryGone(id, now);
@@ -269,6 +273,14 @@
   }
 }
 
+void Proxy::OnRestarted(const model::InstanceEntry& entry, common::Instant now) {
+  if (!settings_.mechanisms.instance_lives) {
+    return;
+  }
+  groups_.MemberRestarted(entry, now);
+  failover_.MemberRestarted(entry, now);
+}
+
 void Proxy::ApplyConfiguration(common::Instant now) {
   for (const auto& [name, service] : catalog_.Configuration().services) {
     groups_.Get(name, now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -41,7 +41,7 @@
 
 namespace valvekeel::proxy {
 
-class Proxy {
+class Proxy : private RestartObserver {
  public:
   /// @param seed of the random numbers that spread repeated calls.
   Proxy(ProxySettings settings, std::uint64_t seed);
@@ -132,6 +132,7 @@
     kPartners,  // all live daemons that this one exchanges heartbeats with
     kAll,       // all daemons that may hold a lease
   };
+  void OnRestarted(const model::InstanceEntry& entry, common::Instant now) override;
   void Apply(const CatalogUpdate& update, common::Instant now);
   void ApplyConfiguration(common::Instant now);
   /// Takes the regions of a new configuration's routes and tenants.
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -33,6 +33,7 @@
   bool evacuation_bound = true;    // instances of an evacuated zone close in time
   bool warm_up_limit = true;       // instances that have just started get few requests
   bool allowed_regions = true;     // work stays in the regions where it may run
+  bool instance_lives = true;      // what a restarted instance held before counts as lost
 };
 
 struct ProxySettings {
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -75,6 +75,7 @@
 }
 
 std::optional<Placement> ReadPlacement::PlaceAt(const Backend& backend, bool primary,
+                                                const GroupState& group,
                                                 const std::optional<Requirement>& required,
                                                 common::Instant now) const {
   if (!TakesWork(backend, now) || (!primary && !required)) {
@@ -85,6 +86,9 @@
   placement.cost_us = Cost(backend, now);
   if (primary) {
     placement.cost_us += kPrimaryUs;
+    // One that has started again under its id may be reached before the lease is let go: it holds
+    // nothing of this.
+    placement.required = group.KnownOfPrimary();
     return placement;
   }
   placement.required = required->position;
@@ -109,7 +113,7 @@
     if (verdict >= access::verdict::later) {
       continue;
     }
-    auto placement = PlaceAt(backend, id == usable_primary, required, now);
+    auto placement = PlaceAt(backend, id == usable_primary, group, required, now);
     if (!placement) {
       continue;
     }
--- a/src/proxy/read_placement.h
+++ b/src/proxy/read_placement.h
@@ -20,7 +20,7 @@
 /// One place where a read may run.
 struct Placement {
   std::string instance;
-  std::optional<common::Position> required;  // of a replica
+  std::optional<common::Position> required;  // that the instance must hold
   common::Duration age{0};                   // of the newest commit that must be there
   bool own = false;                          // that commit is the session's own
   double cost_us = 0;                        // expected time and price, for ordering
@@ -65,7 +65,7 @@
   double WayCost(const std::string& zone) const;
   double Cost(const Backend& backend, common::Instant now) const;
   /// @return the place, without regard to the access rules; nothing if the read can't run there.
-  std::optional<Placement> PlaceAt(const Backend& backend, bool primary,
+  std::optional<Placement> PlaceAt(const Backend& backend, bool primary, const GroupState& group,
                                    const std::optional<Requirement>& required,
                                    common::Instant now) const;
 
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -224,6 +224,7 @@
   entry.slots = static_cast<std::uint32_t>(shape_.group.slots);
   entry.draining = instance.draining;
   entry.primary = instance.primary;
+  entry.incarnation = instance.incarnation;
   entry.warm_up_left =
       std::max(common::Duration(0), common::Duration(instance.cold_until - world_.Now()));
   store_.Put(Collection::kInstances, instance.id, entry);
@@ -234,7 +235,8 @@
     const std::string state = std::string(instance.alive ? "alive" : "dead") +
                               (instance.primary ? "+primary" : "") +
                               (instance.draining ? "+draining" : "") +
-                              (world_.Now() < instance.cold_until ? "+cold" : "");
+                              (world_.Now() < instance.cold_until ? "+cold" : "") + "+" +
+                              std::to_string(instance.incarnation);
     if (std::exchange(announced_[id], state) == state) {
       continue;
     }
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -401,10 +401,12 @@
     return;
   }
   SimulatedInstance& receiver = replica->second;
-  const bool takes = leader->second.alive && receiver.alive && !receiver.primary &&
-                     !receiver.deaf && receiver.term <= leader->second.term &&
-                     (receiver.fenced_term == 0 || receiver.term < leader->second.term) &&
-                     world_.Reaches(from, to);
+  const bool takes =
+      leader->second.alive && receiver.alive && !receiver.primary && !receiver.deaf &&
+      receiver.term <= leader->second.term &&
+      (receiver.term < leader->second.term || receiver.log.size() <= leader->second.log.size()) &&
+      (receiver.fenced_term == 0 || receiver.term < leader->second.term) &&
+      world_.Reaches(from, to);
   if (!takes) {
     if (receiver.log.size() < leader->second.log.size() || receiver.term < leader->second.term) {
       world_.After(kReplicateRetry, [this, from, to] { Receive(from, to); });
@@ -557,6 +559,26 @@
   on_change();
 }
 
+void DatabaseGroup::RestartAnew(const std::string& id, bool leads) {
+  if (instances_.at(id).alive) {
+    Crash(id, false);
+  }
+  SimulatedInstance& instance = instances_.at(id);
+  ++instance.incarnation;
+  instance.log.clear();
+  instance.applied = 0;
+  instance.primary = leads;
+  instance.term = leads ? instance.term : 1;
+  instance.fenced_term = 0;
+  instance.alive = true;
+  MakeCold(instance);
+  SimulatedInstance* leader = Primary();
+  if (leader != nullptr && leader->id != id) {
+    Replicate(leader->id);
+  }
+  on_change();
+}
+
 void DatabaseGroup::RestartAs(const std::string& instance, const std::string& id) {
   auto node = instances_.extract(instance);
   if (node.empty()) {
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -64,6 +64,7 @@
   std::map<std::uint64_t, ServerConnection> connections;
   std::size_t running = 0;
   common::Instant cold_until{0};
+  std::uint64_t incarnation = 1;  // of its present life
 };
 
 /// Limits of a simulated group.
@@ -102,6 +103,10 @@
   void Crash(const std::string& instance, bool silent);
   void Restart(const std::string& instance);
 
+  /// An instance starts again under its id, with nothing of before. @param leads it takes itself
+  /// for the primary of the term that it was started with, else for a replica.
+  void RestartAnew(const std::string& instance, bool leads);
+
   /// A crashed instance comes back with its log under another id.
   void RestartAs(const std::string& instance, const std::string& id);
   void AddReplica(const std::string& id);
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -33,8 +33,9 @@
 /// Draws and carries out the faults of one day.
 class FaultInjector {
  public:
-  FaultInjector(Cluster& cluster, std::vector<std::string>& told)
-      : cluster_(cluster), world_(cluster.Surroundings()), told_(told) {}
+  /// @param anew instances that end start again under their id, with nothing of before.
+  FaultInjector(Cluster& cluster, std::vector<std::string>& told, bool anew)
+      : cluster_(cluster), world_(cluster.Surroundings()), told_(told), anew_(anew) {}
 
   /// Begins one fault now; it ends by itself.
   void Begin() {
@@ -85,6 +86,8 @@
 
  private:
   static constexpr double kStoreInOneRegion = 0.5;
+  static constexpr double kLeadsOn = 0.5;
+  static constexpr Duration kBetweenAnew{10'000'000};
 
   Duration Length() { return world_.Between(kShortest, kLongest); }
 
@@ -179,10 +182,33 @@
     }
   }
 
+  /// One instance starts again with nothing. Not while another is away, or has lately done so: what
+  /// it held may then be nowhere else, and the group waits for it for good.
+  void RestartAnew(DatabaseGroup& group, const std::string& id) {
+    const auto& instances = group.Instances();
+    const bool all_there = std::all_of(instances.begin(), instances.end(), [](const auto& each) {
+      return each.second.alive && !each.second.deaf;
+    });
+    Instant& last = last_anew_[group.Service()];
+    if (!all_there || (last != Instant(0) && world_.Now() < last + kBetweenAnew)) {
+      return;
+    }
+    last = world_.Now();
+    const bool leads = instances.at(id).primary && world_.Chance(kLeadsOn);
+    Tell(id + " starts anew" + (leads ? ", and leads on" : ""));
+    group.Crash(id, false);
+    world_.After(world_.Between(Duration(0), kShortest),
+                 [&group, id, leads] { group.RestartAnew(id, leads); });
+  }
+
   void Crash(DatabaseGroup& group, const std::string& id, bool silent) {
     if (id.empty() || !group.Instances().at(id).alive) {
       return;
     }
+    if (anew_) {
+      RestartAnew(group, id);
+      return;
+    }
     Tell(std::string(silent ? "darken " : "crash ") + id);
     if (silent) {
       for (const auto& daemon : cluster_.Daemons()) {
@@ -358,6 +384,8 @@
   World& world_;
   std::vector<std::string>& told_;
   std::uint64_t replacements_ = 0;
+  bool anew_ = false;
+  std::map<std::string, Instant> last_anew_;  // by service
 };
 
 /// Stops all daemons in rolls, one to three at a time, each batch close after the one before.
@@ -632,7 +660,7 @@
   }
   world.RunUntil(std::chrono::seconds(2));
   Callers callers(cluster, options.sessions);
-  FaultInjector injector(cluster, result.faults);
+  FaultInjector injector(cluster, result.faults, options.anew);
   const std::size_t faults = options.planned ? 0 : options.faults;
   for (std::size_t fault = 0; fault < faults; ++fault) {
     const Duration at = options.calm_before + world.Between(Duration(0), options.troubled);
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -28,6 +28,7 @@
   bool large = false;        // many daemons before few connections: sessions are relayed
   bool warm_up = false;      // instances that start are cold for a while
   bool planned = false;      // no faults: daemons are stopped in rolls, beside configurations
+  bool anew = false;         // instances that end start again under their id, with nothing
   bool regions = false;      // two regions; routes and tenants are limited to them by turns
   proxy::Mechanisms mechanisms;
   bool record_load = false;  // of the daemons, for ScenarioResult::load_trace
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -405,4 +405,48 @@
   CHECK(claimed->attempts.at("group") == model::AttemptRecord{2, "b"});
 }
 
+TEST_CASE("A fenced replica that starts again is fenced and ranked anew", "[failover]") {
+  AttemptFixture fixture;
+  fixture.view.unreleased = {"other"};
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 90})}};
+  while (fixture.attempt.CurrentStep() != Step::kRelease) {
+    fixture.Step();
+  }
+  REQUIRE(fixture.attempt.Candidate() == "b");
+  fixture.answers["b"] = AttemptFixture::Replica({1, 0});
+  fixture.attempt.MemberRestarted("b", fixture.now);
+  fixture.RunFor(Duration(2'000'000));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "a");
+}
+
+TEST_CASE("A candidate that starts again before it leads is not asked to lead again",
+          "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 90})}};
+  fixture.promotion_answer = PromotionStatus::kNoAnswer;
+  while (fixture.promotions.empty()) {
+    fixture.Step();
+  }
+  fixture.answers["b"] = AttemptFixture::Replica({1, 0});
+  fixture.attempt.MemberRestarted("b", fixture.now);
+  fixture.RunFor(Duration(2'000'000));
+  REQUIRE(fixture.promotions.size() >= 2);
+  CHECK(fixture.promotions[1].candidate == "a");
+}
+
+TEST_CASE("What a restarted replica held can't be fenced: nobody is promoted without it",
+          "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 0})},
+                     {"b", AttemptFixture::Replica({1, 90})}};
+  fixture.view.lost_logs = 1;
+  CHECK_FALSE(Attempt::Feasible(fixture.view));
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+  CHECK(fixture.promotions.empty());
+}
+
 }  // namespace valvekeel::failover
--- a/tests/proxy/backend_set_test.cc
+++ b/tests/proxy/backend_set_test.cc
@@ -30,6 +30,13 @@
   int contacts = 0;
 };
 
+class CountingRestarts : public RestartObserver {
+ public:
+  void OnRestarted(const model::InstanceEntry&, Instant) override { ++count; }
+
+  int count = 0;
+};
+
 /// One instance with so many open connections.
 struct BackendFixture {
   BackendFixture(std::size_t connections, bool watched) {
@@ -199,4 +206,37 @@
   CHECK(fixture.lives.restarts == 0);
 }
 
+TEST_CASE("A new start under an id ends all that was held of the former life", "[proxy]") {
+  BackendFixture fixture(2, true);
+  CountingRestarts restarts;
+  fixture.backends.SetRestartObserver(&restarts);
+  model::InstanceEntry entry = fixture.backends.Find("i")->Entry();
+  entry.incarnation = 7;
+  fixture.backends.SetEntry(entry, kStart);  // the first word of its start is no restart
+  REQUIRE(fixture.Count() == 2);
+  fixture.backends.Find("i")->status = model::InstanceStatus{};
+  entry.incarnation = 8;
+  fixture.backends.SetEntry(entry, kStart + kLong);
+  CHECK(fixture.Count() == 0);
+  CHECK_FALSE(fixture.backends.Find("i")->status);
+  CHECK(restarts.count == 1);
+  fixture.backends.SetEntry(entry, kStart + kLong);
+  CHECK(restarts.count == 1);
+}
+
+TEST_CASE("An id whose address another instance answers is no member beside that one", "[proxy]") {
+  BackendFixture fixture(1, true);
+  model::InstanceEntry entry = fixture.backends.Find("i")->Entry();
+  entry.id = "other";
+  fixture.backends.SetEntry(entry, kStart);
+  CHECK_FALSE(fixture.backends.IsSucceeded(*fixture.backends.Find("other")));
+  fixture.outbox.Take();
+  REQUIRE(fixture.backends.Open(*fixture.backends.Find("other"), kStart));
+  const ConnectionNumber number = std::get<OpenConnection>(fixture.outbox.Take().back()).connection;
+  fixture.backends.OpenFailed(number, OpenFailure::kRejected, model::ErrorCode::kWrongInstance,
+                              kStart);
+  CHECK(fixture.backends.IsSucceeded(*fixture.backends.Find("other")));
+  CHECK_FALSE(fixture.backends.IsSucceeded(*fixture.backends.Find("i")));
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -227,4 +227,41 @@
   CHECK(fixture.groups.Find("group")->lost);
 }
 
+TEST_CASE("A primary that has started again under its id is let go of, and counts as lost",
+          "[proxy]") {
+  GroupFixture fixture;
+  const Instant later = kStart + Duration(100'000);
+  fixture.groups.MemberRestarted(fixture.backends.Find("p")->Entry(), later);
+  CHECK(fixture.groups.UsablePrimary("group", later).empty());
+  fixture.groups.Tick(later + kLongAgo);
+  CHECK(fixture.groups.Find("group")->lost);
+}
+
+TEST_CASE("What a restarted replica held counts as lost until the primary has told its position",
+          "[proxy]") {
+  GroupFixture fixture;
+  const Instant later = kStart + Duration(100'000);
+  fixture.groups.MemberRestarted(fixture.backends.Find("a")->Entry(), later);
+  fixture.groups.Tick(later);
+  CHECK(fixture.groups.LostLogs("group") == 1);
+  fixture.groups.NotePosition("group", "p", Position{1, 40}, later - Duration(1));
+  fixture.groups.Tick(later);
+  CHECK(fixture.groups.LostLogs("group") == 1);
+  fixture.groups.NotePosition("group", "p", Position{1, 41}, later);
+  fixture.groups.Tick(later);
+  CHECK(fixture.groups.LostLogs("group") == 0);
+  CHECK(fixture.groups.Find("group")->floor == Position{1, 41});
+}
+
+TEST_CASE("A primary that says less than it said before is not taken at its word", "[proxy]") {
+  GroupFixture fixture;
+  GroupState& group = *fixture.groups.Find("group");
+  fixture.groups.NotePosition("group", "p", Position{1, 40}, kStart + Duration(10));
+  REQUIRE(group.KnownOfPrimary() == Position{1, 40});
+  fixture.groups.NotePosition("group", "p", Position{1, 0}, kStart + Duration(20));
+  CHECK(group.KnownOfPrimary() == Position{1, 40});
+  group.lease.Renew({2, "a", kStart + Duration(30)});
+  CHECK_FALSE(group.KnownOfPrimary());
+}
+
 }  // namespace valvekeel::proxy
--- /dev/null
+++ b/tests/proxysim/restart_test.cc
@@ -0,0 +1,130 @@
+// Instances that start again under their id hold nothing of before: what the daemons knew of the
+// former life must neither be read from nor counted on.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "proxysim/callers.h"
+#include "proxysim/cluster.h"
+
+namespace valvekeel::proxysim {
+namespace {
+
+using common::Duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kSessions = 40;
+constexpr Duration kSettled = seconds(6);
+
+/// A deployment of one group that serves.
+struct RestartDay {
+  explicit RestartDay(const proxy::Mechanisms& mechanisms, std::uint64_t seed)
+      : cluster(seed, ShapeOf(mechanisms)),
+        world(cluster.Surroundings()),
+        group(*cluster.Groups().begin()->second) {
+    world.RunUntil(seconds(2));
+    callers = std::make_unique<Callers>(cluster, kSessions);
+    world.RunUntil(kSettled);
+  }
+
+  static ClusterShape ShapeOf(const proxy::Mechanisms& mechanisms) {
+    ClusterShape shape;
+    shape.groups = 1;
+    shape.mechanisms = mechanisms;
+    return shape;
+  }
+
+  std::vector<std::string> Replicas() {
+    std::vector<std::string> ids;
+    for (const auto& [id, instance] : group.Instances()) {
+      if (!instance.primary) {
+        ids.push_back(id);
+      }
+    }
+    return ids;
+  }
+
+  std::size_t Broken(const std::string& rule) {
+    std::size_t count = 0;
+    for (const Violation& violation : world.Violations()) {
+      INFO(violation.rule << " " << violation.detail);
+      count += violation.rule == rule ? 1 : 0;
+    }
+    return count;
+  }
+
+  void RunFor(Duration time) { world.RunUntil(world.Now() + time); }
+
+  Cluster cluster;
+  World& world;
+  DatabaseGroup& group;
+  std::unique_ptr<Callers> callers;
+};
+
+/// The replica that alone holds the newest commits starts again with nothing, and the primary dies.
+/// @return how often a promotion lost a commit.
+std::size_t CommitsLost(const proxy::Mechanisms& mechanisms) {
+  RestartDay day(mechanisms, 3);
+  const std::vector<std::string> replicas = day.Replicas();
+  day.group.Instances().at(replicas[1]).deaf = true;
+  day.RunFor(seconds(1));
+  const std::string primary = day.group.Primary()->id;
+  day.group.Instances().at(replicas[0]).deaf = true;
+  day.group.RestartAnew(replicas[0], false);
+  day.group.Crash(primary, false);
+  day.RunFor(seconds(10));
+  return day.Broken("LOST");
+}
+
+/// The primary starts again at once, with nothing, and takes itself for the primary of its term.
+/// @return how often a read missed a commit.
+std::size_t StaleReads(const proxy::Mechanisms& mechanisms) {
+  RestartDay day(mechanisms, 4);
+  const std::string primary = day.group.Primary()->id;
+  day.group.RestartAnew(primary, true);
+  day.RunFor(seconds(8));
+  return day.Broken("STALE");
+}
+
+}  // namespace
+
+TEST_CASE("What a restarted replica held alone is not taken for held by none", "[proxysim]") {
+  CHECK(CommitsLost({}) == 0);
+  proxy::Mechanisms without;
+  without.instance_lives = false;
+  CHECK(CommitsLost(without) > 0);
+}
+
+TEST_CASE("A primary that starts again with nothing is not read from, and is replaced",
+          "[proxysim]") {
+  CHECK(StaleReads({}) == 0);
+  proxy::Mechanisms without;
+  without.instance_lives = false;
+  without.required_positions = false;
+  CHECK(StaleReads(without) > 0);
+
+  RestartDay day({}, 4);
+  const std::string primary = day.group.Primary()->id;
+  day.group.RestartAnew(primary, true);
+  day.RunFor(seconds(4));
+  REQUIRE(day.group.Primary() != nullptr);
+  CHECK(day.group.Primary()->id != primary);
+  CHECK(day.Broken("LOST") == 0);
+}
+
+TEST_CASE("A replica that starts again is caught up, and the group goes on", "[proxysim]") {
+  RestartDay day({}, 5);
+  for (const std::string& id : day.Replicas()) {
+    day.group.RestartAnew(id, false);
+    day.RunFor(seconds(2));
+  }
+  day.group.Crash(day.group.Primary()->id, false);
+  day.RunFor(seconds(6));
+  REQUIRE(day.group.Primary() != nullptr);
+  CHECK(day.group.Primary()->alive);
+  CHECK(day.world.Violations().empty());
+}
+
+}  // namespace valvekeel::proxysim
--- a/tests/proxysim/scenario_test.cc
+++ b/tests/proxysim/scenario_test.cc
@@ -50,6 +50,17 @@
   }
 }
 
+TEST_CASE("Instances that start again under their id, with nothing, break no rule", "[proxysim]") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ScenarioOptions options;
+    options.seed = seed;
+    options.faults = 16;
+    options.anew = true;
+    INFO("seed " << seed);
+    CHECK(Violations(options).empty());
+  }
+}
+
 TEST_CASE("Faulty days of drawn deployments keep every rule", "[proxysim]") {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ScenarioOptions options;
