Heartbeats are bounded in size; what a tick walks is what the daemon watches

Two causes, found by reading and by the instrument: a heartbeat is one datagram without a bound (50 bytes a group, 37.5 a daemon: 87 KB with both at 1,000 x 985, and what is too large was lost without a word), and each tick walked all groups, services and instances. Change: reports of groups go in parts of 250, lists of at most 400 daemons a message, the rest with the next; an unsent heartbeat is logged and counted, the largest is exported.

--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -67,29 +67,37 @@
 
 namespace {
 
-void PrintPhase(const char* name, std::size_t daemons,
+void PrintPhase(const char* name, const valvekeel::proxysim::ControlCost& cost,
                 const valvekeel::proxysim::PhaseCost& phase) {
   const double seconds = std::chrono::duration<double>(phase.length).count();
-  std::cout << "| " << daemons << " | " << name << " | "
+  const std::size_t daemons = cost.daemons;
+  std::cout << "| " << daemons << " x " << cost.services << " | " << name << " | "
             << static_cast<double>(phase.messages) / seconds << " | "
             << static_cast<double>(phase.plain_messages) / seconds << " | "
             << static_cast<double>(phase.most_messages) / seconds << " | "
-            << static_cast<double>(phase.bytes) / seconds / 1000 << " | " << phase.store_calls
-            << " | " << phase.processor_seconds / seconds / static_cast<double>(daemons) * 1000
-            << " |\n";
+            << static_cast<double>(phase.bytes) / seconds / 1000 << " | "
+            << static_cast<double>(phase.plain_bytes) / seconds / 1000 << " | "
+            << static_cast<double>(phase.most_bytes) / seconds / 1000 << " | " << phase.largest
+            << " | " << phase.store_calls << " | "
+            << phase.processor_seconds / seconds / static_cast<double>(daemons) * 1000 << " |\n";
 }
 
 /// @return the exit status: 1 if the daemons of some size did not agree.
 int PrintControlCost(const std::vector<std::string>& sizes) {
-  std::cout << "| daemons | phase | messages/s | of a plain daemon, most | of any, most | KB/s | "
-               "store calls | ms of processor time a second and daemon |\n"
-               "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  std::cout
+      << "| daemons x services | phase | messages/s | of a plain daemon, most | of any, most | "
+         "KB/s | of a plain daemon, most | of any, most | largest message, bytes | "
+         "store calls | ms of processor time a second and daemon |\n"
+         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
   bool agreed = true;
   for (const std::string& size : sizes) {
-    const auto cost = valvekeel::proxysim::MeasureControlCost(std::stoul(size));
-    PrintPhase("start", cost.daemons, cost.start);
-    PrintPhase("rest", cost.daemons, cost.rest);
-    PrintPhase("return of all", cost.daemons, cost.herd_return);
+    const std::size_t by = size.find('x');
+    const std::size_t services = by == std::string::npos ? valvekeel::proxysim::kUsualServices
+                                                         : std::stoul(size.substr(by + 1));
+    const auto cost = valvekeel::proxysim::MeasureControlCost(std::stoul(size), services);
+    PrintPhase("start", cost, cost.start);
+    PrintPhase("rest", cost, cost.rest);
+    PrintPhase("return of all", cost, cost.herd_return);
     agreed = agreed && cost.agreed_at_rest && cost.agreed_at_end;
   }
   std::cout << (agreed ? "all agreed on the coordinators\n" : "NOT AGREED\n");
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -93,7 +93,11 @@
 }
 
 std::string Metrics::Text(proxy::Proxy& proxy, const runtime::BoundedLog& log,
-                          common::Instant now) {
+                          const HeartbeatFigures& heartbeats, common::Instant now) {
+  Gauge("valvekeel_largest_heartbeat_bytes", "Largest heartbeat sent in this life", {},
+        static_cast<double>(heartbeats.largest));
+  Gauge("valvekeel_unsent_heartbeats_total", "Heartbeats that the system did not take", {},
+        static_cast<double>(heartbeats.unsent));
   const proxy::DispatchCounters& counters = proxy.Dispatch().Counters();
   Gauge("valvekeel_commands_total", "Commands of callers", {},
         static_cast<double>(counters.commands));
--- a/src/host/metrics.h
+++ b/src/host/metrics.h
@@ -14,6 +14,12 @@
 
 namespace valvekeel::host {
 
+/// Heartbeats as the host sends them.
+struct HeartbeatFigures {
+  std::size_t largest = 0;  // bytes
+  std::uint64_t unsent = 0;
+};
+
 class Metrics {
  public:
   Metrics();
@@ -22,7 +28,8 @@
   void Observe(const proxy::StatementTimes& times);
 
   /// @return all figures as text, with the state of the decision code as it is now.
-  std::string Text(proxy::Proxy& proxy, const runtime::BoundedLog& log, common::Instant now);
+  std::string Text(proxy::Proxy& proxy, const runtime::BoundedLog& log,
+                   const HeartbeatFigures& heartbeats, common::Instant now);
 
  private:
   void TenantGauges(proxy::Proxy& proxy, common::Instant now);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -337,7 +337,11 @@
             {}};
   }
   if (request.target == kMetricsPath) {
-    return {kReadyStatus, metrics_.Text(proxy_, log_, common::SteadyNow()), "text/plain", {}};
+    return {
+        kReadyStatus,
+        metrics_.Text(proxy_, log_, {largest_heartbeat_, unsent_heartbeats_}, common::SteadyNow()),
+        "text/plain",
+        {}};
   }
   return {kNotFoundStatus, "", "text/plain", {}};
 }
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -99,6 +99,8 @@
   void ScheduleTick();
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
+  /// A heartbeat could not be sent.
+  void NoteUnsent(std::size_t bytes, const std::string& reason);
   static void NoteAnswered(Caller& caller);
   /// Remembers a connection over which callers' requests come, until it is closed.
   void Remember(const std::shared_ptr<net::Stream>& stream);
@@ -140,6 +142,8 @@
   runtime::BoundedLog log_;
   Metrics metrics_;
   ConfigurationCopyCache configuration_copy_;
+  std::size_t largest_heartbeat_ = 0;  // bytes
+  std::uint64_t unsent_heartbeats_ = 0;
   net::Listener callers_listener_;
   net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -1,6 +1,7 @@
 // Carries out what the decision code asks for.
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "host/catalog_copy_json.h"
@@ -254,9 +255,24 @@
   asio::error_code error;
   const auto host = asio::ip::make_address(action.address.host, error);
   if (!error) {
+    const std::string bytes = proxy::EncodePeerMessage(action.message);
+    largest_heartbeat_ = std::max(largest_heartbeat_, bytes.size());
     // A heartbeat that the system does not take is lost like any other datagram.
-    peers_.send_to(asio::buffer(proxy::EncodePeerMessage(action.message)),
-                   asio::ip::udp::endpoint(host, action.address.port), 0, error);
+    peers_.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(host, action.address.port), 0,
+                   error);
+    if (error) {
+      NoteUnsent(bytes.size(), error.message());
+    }
+  }
+}
+
+void ProxyHost::NoteUnsent(std::size_t bytes, const std::string& reason) {
+  ++unsent_heartbeats_;
+  // At counts that double: a way that is closed would fill the log.
+  if (std::has_single_bit(unsent_heartbeats_)) {
+    Log("heartbeat_not_sent", {{"count", std::to_string(unsent_heartbeats_)},
+                               {"bytes", std::to_string(bytes)},
+                               {"reason", reason}});
   }
 }
 
--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -42,6 +42,10 @@
 /** Time after which a list that was not confirmed is sent again. */
 constexpr common::Duration LIST_RESEND{700'000};
 
+/** Members of the lists in one message, of 37.5 bytes each: a datagram takes 65,507 bytes, and one
+ * that is larger is never sent. The lists of all zones reach that at 1,740 daemons. */
+constexpr std::size_t MOST_LISTED = 400;
+
 /** Orders hubs: large machines first, then by a hash that all daemons share. */
 bool goes_first(const member& a, const member& b) {
   if (a.capacity != b.capacity) {
@@ -656,8 +660,12 @@
       message.held.push_back({zone, list.digest});
     }
   }
+  std::size_t listed = 0;
   for (const zone_list* list : this->lists_for(to, now)) {
-    if (this->is_due(to, *list, now)) {
+    // The rest is still owed, and goes with the next message.
+    const bool fits = listed == 0 || listed + list->members.size() <= MOST_LISTED;
+    if (fits && this->is_due(to, *list, now)) {
+      listed += list->members.size();
       message.lists.push_back(*list);
       to.sent[list->zone] = {list->digest, now};
     }
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,6 +12,9 @@
 constexpr common::Duration kCrowdedPause{80'000};      // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
+/// Between two looks at an instance that nothing was heard of: the shortest limit that they watch is
+/// 100 ms. A coordinator before 3,000 instances looked at each of them a hundred times a second.
+constexpr common::Duration kCheckInterval{30'000};
 /// An instance that was heard this shortly ago has not started again unless its connections broke:
 /// in between a daemon only gave its own connections up.
 constexpr common::Duration kShortGap{500'000};
@@ -166,11 +169,8 @@
 
 void BackendSet::SetConnectionLimit(const std::string& service, std::size_t limit, bool watched) {
   limits_[service] = limit;
-  if (watched) {
-    watched_.insert(service);
-  } else {
-    watched_.erase(service);
-  }
+  const bool changed = watched ? watched_.insert(service).second : watched_.erase(service) > 0;
+  watch_changes_ += changed ? 1 : 0;
 }
 
 std::size_t BackendSet::ConnectionLimit(const std::string& service) const {
@@ -540,6 +540,10 @@
   ExpireControls(now);
   std::vector<std::string> ended;
   for (auto& [id, backend] : backends_) {
+    if (now < backend.check_due) {
+      continue;
+    }
+    backend.check_due = now + kCheckInterval;
     CheckHealth(backend, now);
     TrimConnections(backend, now);
     if (RemoveEnded(backend, now)) {
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -85,6 +85,9 @@
   /// all the time, to see that the instance is there.
   void SetConnectionLimit(const std::string& service, std::size_t limit, bool watched = true);
 
+  /// @return a number that rises when a service begins or ceases to be watched.
+  std::uint64_t WatchChanges() const { return watch_changes_; }
+
   /// @return true if this daemon keeps an eye on the service's instances.
   bool Watched(const std::string& service) const { return watched_.contains(service); }
   /// @return that number; 0 until it is set.
@@ -168,6 +171,7 @@
   std::map<ControlNumber, PendingControl> controls_;
   std::map<std::string, std::size_t> limits_;  // by service
   std::set<std::string> watched_;              // services
+  std::uint64_t watch_changes_ = 0;
   std::size_t most_opening_ = 1'000;
 };
 
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -250,6 +250,7 @@
   waiting::service_queues waiting_;   // sessions with an operation in phase kWaiting
   std::set<SessionNumber> starting_;  // not accepted yet
   bool pumping_ = false;
+  std::set<std::string> unanswered_in_;  // services with an unanswered write noted
   bool pump_again_ = false;
   bool closing_ = false;
   bool reading_ = false;  // commands that were read together are being taken
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -123,8 +123,9 @@
 }
 
 void Dispatcher::NoteUnansweredWrites(common::Instant now) {
-  for (auto& [service, group] : groups_.All()) {
-    group.write_sent.reset();
+  // Of 1,000 groups few have a write on its way: those of the last time alone can have one noted.
+  for (const std::string& service : std::exchange(unanswered_in_, {})) {
+    groups_.Get(service, now).write_sent.reset();
   }
   for (const auto& [number, session] : sessions_) {
     if (!session.operation || !MayHaveCommitted(session)) {
@@ -134,6 +135,7 @@
     GroupState& group = groups_.Get(operation.route.service, now);
     const bool at_primary = operation.instance == group.lease.Newest().primary;
     if (at_primary && (!group.write_sent || operation.sent < *group.write_sent)) {
+      unanswered_in_.insert(operation.route.service);
       group.write_sent = operation.sent;
     }
   }
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -20,6 +20,9 @@
 constexpr common::Duration kLongestPlannedPause{8'000'000};
 /// Time after a successful one.
 constexpr common::Duration kSettledPause{1'000'000};
+/// Between two looks at all groups: of 1,000 a look takes a coordinator about 1 ms. Groups that are
+/// being replaced, or are to be, are looked at each time.
+constexpr common::Duration kLookInterval{40'000};
 /// Advantage in time of each daemon over the next in order.
 constexpr common::Duration kTurnStep{700'000};
 /// Time for which a daemon must have known a group before it may replace the group's primary.
@@ -104,8 +107,12 @@
   static_cast<void>(now);
 }
 
+bool FailoverDriver::LooksAt(const std::string& service, bool all) const {
+  return all || attempts_.contains(service) || wishes_.contains(service);
+}
+
 bool FailoverDriver::LostToMany(const GroupState& group, common::Instant now) const {
-  if (!group.lost && !peers_.AnyPrimaryLost(now)) {
+  if (!group.lost && !any_primary_lost_) {
     return false;
   }
   std::size_t live = group.watched ? 1 : 0;
@@ -260,8 +267,15 @@
     wishes_.clear();
     return;
   }
+  const bool all = now >= look_due_;
+  if (all) {
+    look_due_ = now + kLookInterval;
+    any_primary_lost_ = peers_.AnyPrimaryLost(now);
+  } else if (attempts_.empty() && wishes_.empty()) {
+    return;
+  }
   for (const auto& [name, service] : configuration.services) {
-    GroupState* group = groups_.Find(name);
+    GroupState* group = LooksAt(name, all) ? groups_.Find(name) : nullptr;
     if (group == nullptr) {
       continue;
     }
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -74,6 +74,9 @@
   Need NeedOf(const GroupState& group, common::Instant now) const;
   /// @return the need that follows from how well the primary suits, if another suits better.
   Need NeedOfFitness(const GroupState& group, const Backend& primary, common::Instant now) const;
+  /// @return true if the service is to be looked at now: while it is replaced, or is to be, at
+  /// once.
+  bool LooksAt(const std::string& service, bool all) const;
   bool LostToMany(const GroupState& group, common::Instant now) const;
   bool IsTurn(const Wish& wish, common::Instant now) const;
   failover::GroupView ViewOf(const GroupState& group, const model::Service& service,
@@ -110,6 +113,8 @@
   std::map<std::string, PlannedPause> planned_pauses_;                  // by service
   std::map<CallNumber, std::string> record_writes_;                     // service by call
   std::map<CallNumber, std::string> promotions_;                        // service by call
+  common::Instant look_due_{0};
+  bool any_primary_lost_ = false;  // to some live daemon, at the last look
   bool store_connected_ = false;
   bool urgent_ = false;
 };
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -177,9 +177,9 @@
 
 common::Duration GroupSet::OldestConfirmation(common::Instant now) const {
   common::Duration oldest{0};
-  for (const auto& [service, state] : groups_) {
-    if (state.watched && state.lease.Newest().term != 0) {
-      oldest = std::max(oldest, now - state.lease.Newest().started);
+  for (const GroupState* state : watched_) {
+    if (state->lease.Newest().term != 0) {
+      oldest = std::max(oldest, now - state->lease.Newest().started);
     }
   }
   return oldest;
@@ -288,15 +288,14 @@
 }
 
 void GroupSet::NoteMembersKnown(common::Instant as_of) {
-  for (auto& [service, state] : groups_) {
-    state.members_known = state.members_known || (state.watched && as_of >= state.watched_since);
+  for (GroupState* state : watched_) {
+    state->members_known = state->members_known || as_of >= state->watched_since;
   }
 }
 
 bool GroupSet::LacksMembers() const {
-  return std::any_of(groups_.begin(), groups_.end(), [](const auto& group) {
-    return group.second.watched && !group.second.members_known;
-  });
+  return std::any_of(watched_.begin(), watched_.end(),
+                     [](const GroupState* state) { return !state->members_known; });
 }
 
 void GroupSet::StartRound(GroupState& state, common::Instant now) {
@@ -479,16 +478,29 @@
   }
 }
 
-void GroupSet::Tick(common::Instant now) {
+void GroupSet::ChooseWatched(common::Instant now) {
+  if (watch_changes_ == backends_.WatchChanges() && known_groups_ == groups_.size()) {
+    return;
+  }
+  watch_changes_ = backends_.WatchChanges();
+  known_groups_ = groups_.size();
+  watched_.clear();
   for (auto& [service, state] : groups_) {
     Watch(state, now);
-    if (!state.watched) {
-      continue;
+    if (state.watched) {
+      watched_.push_back(&state);
     }
+  }
+}
+
+void GroupSet::Tick(common::Instant now) {
+  ChooseWatched(now);
+  for (GroupState* each : watched_) {
+    GroupState& state = *each;
     const common::Duration age = now - state.lease.Newest().started;
     const bool as_prober = age >= kProberRoundAge &&
                            now >= state.round_at + settings_.lease_round_interval &&
-                           IsProber(service);
+                           IsProber(state.service);
     const bool by_itself = age >= kOwnRoundAge && now >= state.round_at + kOwnRoundPause;
     if (as_prober || by_itself) {
       StartRound(state, now);
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -160,6 +160,8 @@
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void NoteDepartures(GroupState& state, common::Instant now);
   static void CoverLostLogs(GroupState& state);
+  /// Works out which groups this daemon watches, if that may have changed.
+  void ChooseWatched(common::Instant now);
   void Judge(GroupState& state, common::Instant now);
   static bool HasEnded(const Backend& backend, common::Instant now);
   std::string Suspicion(const GroupState& state, common::Instant now) const;
@@ -169,6 +171,11 @@
   const relay::role_map& roles_;
   Outbox& outbox_;
   std::map<std::string, GroupState> groups_;
+  /// The groups that this daemon watches: of 1,000 most daemons watch none, and each tick must not
+  /// walk them all. Entries of a map stay where they are.
+  std::vector<GroupState*> watched_;
+  std::uint64_t watch_changes_ = 0;  // of the backends, when `watched_` was worked out
+  std::size_t known_groups_ = 0;     // then
   bool news_ = false;
   bool confirmed_ = false;
   bool opinion_changed_ = false;
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -185,13 +185,26 @@
   for (const GroupReport& group : message.groups) {
     groups.push_back(GroupToJson(group));
   }
-  const json whole =
-      json::array({message.name, message.zone, message.incarnation, message.sequence,
-                   message.echoed, message.echoed_incarnation, message.interval.count(),
-                   message.store_connected, message.stopping, message.configuration_version,
-                   message.configuration_revision, message.instances_revision, message.capacity,
-                   ToJson(message.view), message.proven_version, AgeToJson(message.proof_age),
-                   ToJson(message.rates), ToJson(message.evacuations), std::move(groups)});
+  const json whole = json::array({message.name,
+                                  message.zone,
+                                  message.incarnation,
+                                  message.sequence,
+                                  message.echoed,
+                                  message.echoed_incarnation,
+                                  message.interval.count(),
+                                  message.store_connected,
+                                  message.stopping,
+                                  message.configuration_version,
+                                  message.configuration_revision,
+                                  message.instances_revision,
+                                  message.capacity,
+                                  ToJson(message.view),
+                                  message.proven_version,
+                                  AgeToJson(message.proof_age),
+                                  ToJson(message.rates),
+                                  ToJson(message.evacuations),
+                                  std::move(groups),
+                                  message.continues});
   std::string bytes;
   json::to_cbor(whole, bytes);
   return bytes;
@@ -224,6 +237,8 @@
     for (const json& group : next()) {
       message.groups.push_back(GroupFromJson(group));
     }
+    // Earlier versions send all groups in one message.
+    message.continues = field < whole.size() && next().get<bool>();
     return message;
   } catch (const json::exception& error) {
     return PeerMessageError{error.what()};
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -56,6 +56,7 @@
   tenants::rate_message rates;
   evacuation::view_message evacuations;  // if zones can be evacuated
   std::vector<GroupReport> groups;
+  bool continues = false;  // its groups belong to those of the message before
 };
 
 /// Why bytes are not a message.
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -1,6 +1,8 @@
 #include "proxy/peer_table.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace valvekeel::proxy {
 namespace {
@@ -10,6 +12,19 @@
 /// Intervals of a peer without a message after which it does not count as alive.
 constexpr int kMissedIntervals = 3;
 
+/// Adds the reports of groups that the newer ones don't tell of.
+void AddMissing(const std::vector<GroupReport>& before, std::vector<GroupReport>& newer) {
+  std::set<std::string> told;
+  for (const GroupReport& report : newer) {
+    told.insert(report.service);
+  }
+  for (const GroupReport& report : before) {
+    if (told.insert(report.service).second) {
+      newer.push_back(report);
+    }
+  }
+}
+
 }  // namespace
 
 Peer& PeerTable::Add(const common::Endpoint& address, const std::string& name) {
@@ -58,10 +73,13 @@
   peer.incarnation = message.incarnation;
   peer.highest_sequence = message.sequence;
   peer.heard = now;
-  peer.last = message;
+  std::vector<GroupReport> before = std::exchange(peer.last, message).groups;
+  if (message.continues) {
+    AddMissing(before, peer.last.groups);
+  }
   peer.wants_introduction = membership::live_view::wants_introduction(message.view);
   peer.last.view = {};  // taken by the membership
-  peer.reports_loss = std::any_of(message.groups.begin(), message.groups.end(),
+  peer.reports_loss = std::any_of(peer.last.groups.begin(), peer.last.groups.end(),
                                   [](const GroupReport& report) { return report.primary_lost; });
   by_name_[message.name] = &peer;
   if (message.echoed_incarnation != incarnation_) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -202,6 +202,9 @@
   PeerMessage MakeHeartbeat(bool all_groups, common::Instant now) const;
   /// Sends what concerns the peer: groups in trouble, and those that it watches.
   void SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now);
+  /// Sends the groups that concern the peer in messages of bounded size. @param message the rest.
+  void SendInParts(Peer& peer, PeerMessage message, const std::vector<GroupReport>& groups,
+                   common::Instant now);
   common::Duration DutyInterval(const std::string& peer) const;
   /// Notes that a daemon has a newer configuration in force.
   void NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -28,9 +28,33 @@
 /// 985 of them at once kept its link of 1,000 Mbit/s busy with
 /// answers of 750 KB that nobody waited for any more, and none was ever ready.
 constexpr common::Duration kOwnReadAfter{4'000'000};
+/// Reports of groups in one message, of about 50 bytes each, and beside lists of daemons (15 KB): a
+/// datagram takes 65,507 bytes, which the reports of 1,300 groups would fill.
+constexpr std::size_t kMostReports = 250;
+constexpr std::size_t kMostReportsBesideLists = 10;
 /// Names in a log line on daemons that were lost; the count tells of the rest.
 constexpr std::size_t kMostNamesLogged = 8;
 
+/// @return the message but for its reports of groups, of which each receiver gets its own.
+PeerMessage WithoutGroups(const PeerMessage& whole) {
+  PeerMessage message;
+  message.name = whole.name;
+  message.zone = whole.zone;
+  message.interval = whole.interval;
+  message.store_connected = whole.store_connected;
+  message.stopping = whole.stopping;
+  message.configuration_version = whole.configuration_version;
+  message.configuration_revision = whole.configuration_revision;
+  message.instances_revision = whole.instances_revision;
+  message.capacity = whole.capacity;
+  message.view = whole.view;
+  message.proven_version = whole.proven_version;
+  message.proof_age = whole.proof_age;
+  message.rates = whole.rates;
+  message.evacuations = whole.evacuations;
+  return message;
+}
+
 }  // namespace
 
 void Proxy::NoteConfigurationAhead(const common::Endpoint& peer, std::uint64_t version,
@@ -243,8 +267,7 @@
 
 void Proxy::SendHeartbeat(Peer& peer, const PeerMessage& whole, common::Instant now) {
   const bool alive = peers_.Alive(peer, now);
-  PeerMessage message = whole;
-  std::erase_if(message.groups, [&](const GroupReport& report) { return !Concerns(report, peer); });
+  PeerMessage message = WithoutGroups(whole);
   if (large_) {
     message.view = view_.message_for(peer.name, now);
     if (OwesIntroduction(peer, now)) {
@@ -263,6 +286,28 @@
   TellTenants(peer, message, now);
   TellEvacuations(message, now);
   peer.next_heartbeat = now + message.interval;
+  SendInParts(peer, std::move(message), whole.groups, now);
+}
+
+void Proxy::SendInParts(Peer& peer, PeerMessage message, const std::vector<GroupReport>& groups,
+                        common::Instant now) {
+  // Lists of daemons and many reports don't go together.
+  const std::size_t most = message.view.lists.empty() ? kMostReports : kMostReportsBesideLists;
+  for (const GroupReport& report : groups) {
+    if (!Concerns(report, peer)) {
+      continue;
+    }
+    if (message.groups.size() >= (message.continues ? kMostReports : most)) {
+      PeerMessage next = WithoutGroups(message);
+      next.view.lists.clear();
+      next.view.introduced.clear();
+      next.continues = true;
+      peers_.Stamp(peer, message, now);
+      outbox_.Emit(SendPeer{peer.address, std::move(message)});
+      message = std::move(next);
+    }
+    message.groups.push_back(report);
+  }
   peers_.Stamp(peer, message, now);
   outbox_.Emit(SendPeer{peer.address, std::move(message)});
 }
@@ -305,12 +350,12 @@
   if (store_lease_.IsReader()) {
     return true;
   }
-  for (const auto& [service, group] : groups_.All()) {
-    if (groups_.IsProber(service) && !catalog_.Connected()) {
-      return true;
-    }
+  if (catalog_.Connected()) {
+    return false;
   }
-  return false;
+  const auto& groups = groups_.All();
+  return std::any_of(groups.begin(), groups.end(),
+                     [&](const auto& group) { return groups_.IsProber(group.first); });
 }
 
 void Proxy::AdvanceHeartbeats(common::Instant now) {
--- a/src/proxysim/control_cost.cc
+++ b/src/proxysim/control_cost.cc
@@ -10,7 +10,6 @@
 
 constexpr std::uint64_t kSeed = 1;
 constexpr std::size_t kZones = 5;
-constexpr std::size_t kServices = 20;
 /// Connections an instance takes and its slots, as on the users' large site.
 constexpr std::size_t kConnections = 202;
 constexpr std::size_t kSlots = 3;
@@ -54,11 +53,15 @@
     cost.bytes += after.bytes - before.bytes;
     cost.store_calls += after.store_calls - before.store_calls;
     cost.most_messages = std::max(cost.most_messages, sent);
+    const std::size_t bytes = after.bytes - before.bytes;
+    cost.most_bytes = std::max(cost.most_bytes, bytes);
+    cost.largest = std::max(cost.largest, after.largest);
     const proxy::Proxy* decisions = daemon.Decisions();
     const bool plain =
         decisions != nullptr && !decisions->Roles().watches_any() && !decisions->View().is_hub();
     if (plain) {
       cost.plain_messages = std::max(cost.plain_messages, sent);
+      cost.plain_bytes = std::max(cost.plain_bytes, bytes);
     }
   }
 
@@ -88,11 +91,11 @@
 
 }  // namespace
 
-ControlCost MeasureControlCost(std::size_t daemons) {
+ControlCost MeasureControlCost(std::size_t daemons, std::size_t services) {
   ClusterShape shape;
   shape.daemons = daemons;
   shape.zones = kZones;
-  shape.groups = kServices;
+  shape.groups = services;
   shape.group.most_connections = kConnections;
   shape.group.slots = kSlots;
   shape.first_start = true;
@@ -100,6 +103,7 @@
   Cluster cluster(kSeed, shape);
   ControlCost cost;
   cost.daemons = daemons;
+  cost.services = services;
   cost.start = PhaseMeter(cluster).Run(kStart);
   cluster.Surroundings().RunUntil(cluster.Surroundings().Now() + kSettling);
   cost.rest = PhaseMeter(cluster).Run(kRest);
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -583,7 +583,9 @@
 void DaemonHost::Do(const proxy::SendPeer& action) {
   ++traffic_.messages;
   if (cluster_.Shape().encode_messages) {
-    traffic_.bytes += proxy::EncodePeerMessage(action.message).size();
+    const std::size_t bytes = proxy::EncodePeerMessage(action.message).size();
+    traffic_.bytes += bytes;
+    traffic_.largest = std::max(traffic_.largest, bytes);
   }
   DaemonHost* peer = cluster_.DaemonAt(action.address);
   World& world = cluster_.Surroundings();
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -54,6 +54,7 @@
 struct TrafficCounters {
   std::size_t messages = 0;     // heartbeats
   std::size_t bytes = 0;        // of these, if they are encoded
+  std::size_t largest = 0;      // bytes of the largest of them
   std::size_t store_calls = 0;  // of any kind
 };
 
