Instances are looked at together every 30 ms, and limits are set when roles change

Cause: by samples of the instrument at 100 daemons and 300 services, walking the instances in each tick, building lists of members to note departures, and setting each service's limit ten times a second were most of what was left. Tests unchanged.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -153,7 +153,6 @@
   std::optional<common::Instant> draining_since;  // it said that it will end
   std::optional<model::InstanceStatus> status;    // last seen
   common::Instant status_at{0};                   // when that was
-  common::Instant check_due{0};                   // when its health is looked at next
   bool displaced = false;                         // another instance answers at its address
   warm_up::instance_life life;
 
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,7 +12,7 @@
 constexpr common::Duration kCrowdedPause{80'000};      // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
-/// Between two looks at an instance that nothing was heard of: the shortest limit that they watch is
+/// Between two looks at all instances: the shortest limit that they watch is
 /// 100 ms. A coordinator before 3,000 instances looked at each of them a hundred times a second.
 constexpr common::Duration kCheckInterval{30'000};
 /// An instance that was heard this shortly ago has not started again unless its connections broke:
@@ -538,12 +538,12 @@
 
 void BackendSet::Tick(common::Instant now) {
   ExpireControls(now);
+  if (now < check_due_) {
+    return;
+  }
+  check_due_ = now + kCheckInterval;
   std::vector<std::string> ended;
   for (auto& [id, backend] : backends_) {
-    if (now < backend.check_due) {
-      continue;
-    }
-    backend.check_due = now + kCheckInterval;
     CheckHealth(backend, now);
     TrimConnections(backend, now);
     if (RemoveEnded(backend, now)) {
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -172,6 +172,7 @@
   std::map<std::string, std::size_t> limits_;  // by service
   std::set<std::string> watched_;              // services
   std::uint64_t watch_changes_ = 0;
+  common::Instant check_due_{0};  // when the instances are looked at next
   std::size_t most_opening_ = 1'000;
 };
 
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -364,8 +364,11 @@
 }
 
 void GroupSet::NoteDepartures(GroupState& state, common::Instant now) {
-  for (const std::string& id : Members(state.service)) {
+  for (const std::string& id : backends_.IdsOf(state.service)) {
     const Backend& backend = backends_.All().at(id);
+    if (backends_.IsSucceeded(backend)) {
+      continue;
+    }
     const bool ended = backend.gone_since && backend.Unreachable();
     if (!ended) {
       state.departures.erase(id);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -344,23 +344,27 @@
 void Proxy::UpdateRoles(common::Instant now) {
   roles_due_ = now + kRolesInterval;
   UpdateView(now);
-  std::map<std::string, std::uint32_t> connections;
-  for (const auto& [name, service] : catalog_.Configuration().services) {
-    connections[name] = service.max_connections;
+  if (limits_version_ != catalog_.Configuration().version) {
+    limits_version_ = catalog_.Configuration().version;
+    connection_limits_.clear();
+    for (const auto& [name, service] : catalog_.Configuration().services) {
+      connection_limits_[name] = service.max_connections;
+    }
   }
   // Without a word of the others this daemon would take all connections for its own.
   const bool greeted = now >= *started_ + kGreetingTime;
   const bool others_known = greeted || (catalog_.DaemonsKnown() && !settings_.first_start);
   if (others_known) {
     const bool may_be_direct = !large_ || now >= *started_ + kDirectAfter;
-    roles_.update(LiveMembers(now), SharingDaemons(now), connections, may_be_direct);
+    const bool changed =
+        roles_.update(LiveMembers(now), SharingDaemons(now), connection_limits_, may_be_direct);
     const std::set<std::string> in_use =
         roles_.meshed() ? std::set<std::string>() : dispatcher_.ServicesInUse();
     SetInterest(!in_use.empty(), now);
     backends_.SetMostOpening(roles_.meshed() ? kOpeningMeshed : kOpeningOwner);
-    for (const auto& [name, most] : connections) {
-      backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
-                                   roles_.coordinates() || roles_.owns(name));
+    if (changed || in_use != limited_in_use_) {
+      limited_in_use_ = in_use;
+      LimitConnections(in_use);
     }
     EndGuests(in_use, now);
     UpdateWarmUpRole(now);
@@ -370,6 +374,13 @@
   }
 }
 
+void Proxy::LimitConnections(const std::set<std::string>& in_use) {
+  for (const auto& [name, most] : connection_limits_) {
+    backends_.SetConnectionLimit(name, roles_.connections(name, in_use.contains(name)),
+                                 roles_.coordinates() || roles_.owns(name));
+  }
+}
+
 void Proxy::SetInterest(bool serves_guests, common::Instant now) {
   serves_guests_ = serves_guests;
   const bool connects = roles_.watches_any() || serves_guests;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -169,6 +169,8 @@
   void TakeEvacuations(const evacuation::zone_view& view, const std::string& source,
                        common::Instant now);
   void TellEvacuations(PeerMessage& message, common::Instant now) const;
+  /// Shares the instances' connections out, as the roles tell.
+  void LimitConnections(const std::set<std::string>& in_use);
   void EndGuests(const std::set<std::string>& in_use, common::Instant now);
   std::size_t SharingDaemons(common::Instant now) const;
   std::vector<relay::member> LiveMembers(common::Instant now) const;
@@ -285,6 +287,9 @@
   std::vector<Peer*> partners_;
   bool rates_changed_ = false;  // all should hear of the grants now
   std::size_t registered_known_ = 0;
+  std::map<std::string, std::uint32_t> connection_limits_;  // of an instance, by service
+  std::uint64_t limits_version_ = 0;                        // of the configuration they are of
+  std::set<std::string> limited_in_use_;                    // when the limits were set
   std::uint64_t told_configuration_revision_ = 0;
   std::uint64_t told_configuration_version_ = 0;
   std::map<std::string, common::Instant> guests_since_;  // by service
