--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -31,6 +31,7 @@
         self.primary = False
         self.term = 1
         self.fence = 0
+        self.born = int(time.time() * 1000)  # milliseconds
         self.alive = False
         self.state = "ready"
         self.lag = 0.005
@@ -67,6 +68,13 @@
         self.fence = 0
         self.alive = True
 
+    async def start_anew(self):
+        """Starts under the same name with nothing of before."""
+        self.log, self.received_at = [], []
+        self.primary, self.term = False, 1
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        await self.start()
+
     async def crash(self):
         self.alive = False
         self.server.close()
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -64,6 +64,7 @@
 SLOW_SHARE = 0.2  # of the statements beside planned work: some are under way at each stop
 RECOVER_SECONDS = 60  # within which callers of planned work are served, also on a slow machine
 WINDOW_SECONDS = 2
+ANEW_SECONDS = 8  # in which a group gets over an instance that lost what it held
 CLOSE_SECONDS = 0.3  # in which the stand-ins notice that the daemons are gone
 
 
@@ -107,6 +108,7 @@
         self.groups, self.links, self.daemons, self.told = {}, {}, [], []
         self.exits = 0
         self.evacuated = {}  # when, by zone
+        self.anew_until = {}  # when a group has settled after an instance that started anew
         self.troubled = {}   # until when somebody may be late, by fault or instance
         self.end = None
 
@@ -162,7 +164,8 @@
                 await self.store.put("servers", instance.name, {
                     "service": group.service, "addr": "%s:%d" % (link.host, link.port),
                     "zone": instance.zone, "version": "v1", "slots": 3, "state": instance.state,
-                    "warmup_left_ms": 0, "db_role": "primary" if instance.primary else "replica"})
+                    "warmup_left_ms": 0, "db_role": "primary" if instance.primary else "replica",
+                    "seq": 1, "born": instance.born})
 
     async def configure(self, version):
         kinds = {"primary": ("primary", 0), "bounded": ("bounded_staleness", 1500),
@@ -248,7 +251,7 @@
     async def crash(self):
         group = self.random.choice(list(self.groups.values()))
         up = [each for each in group.instances if each.alive]
-        if len(up) < INSTANCES:
+        if len(up) < INSTANCES or time.monotonic() < self.anew_until.get(group, 0):
             return  # one at a time: more may lose the only copies
         instance = group.leader() if self.random.random() < 0.7 else self.random.choice(up)
         if instance is None:
@@ -262,6 +265,35 @@
         await instance.start()
         await self.announce(group)
 
+    async def restart_anew(self):
+        group = self.random.choice(list(self.groups.values()))
+        up = [each for each in group.instances if each.alive]
+        if len(up) < INSTANCES or time.monotonic() < self.anew_until.get(group, 0):
+            return
+        self.anew_until[group] = time.monotonic() + ANEW_SECONDS
+        instance = self.random.choice(up)
+        self.tell("%s starts anew" % instance.name)
+        await instance.crash()
+        await asyncio.sleep(self.random.uniform(0.05, 1.5))
+        await instance.start_anew()
+        await self.announce(group)
+
+    async def bad_entries(self):
+        """Entries of another writer, one of them over an instance's own."""
+        self.tell("entries of another writer")
+        group = self.random.choice(list(self.groups.values()))
+        bad = [{}, {"service": 7}, "text", {"service": "nobody", "addr": "here", "state": "odd"},
+               {"service": group.service, "addr": "127.3.0.1:8000", "state": "resting"}]
+        names = ["stray-%d" % number for number in range(len(bad))]
+        for name, spec in zip(names, bad):
+            await self.store.put("servers", name, spec)
+        await self.store.put("servers", self.random.choice(group.instances).name,
+                             self.random.choice(bad))
+        await asyncio.sleep(min(1.0, self.length()))
+        await self.announce(group)
+        for name in names:
+            await self.store.remove("servers", name)
+
     async def link_fault(self):
         name = self.random.choice(list(self.links))
         link = self.links[name]
@@ -328,7 +360,7 @@
         await asyncio.sleep(CALM_SECONDS)
         faults = [self.kill, self.kill_many, self.stop, self.pause, self.reload, self.crash,
                   self.crash, self.link_fault, self.link_fault, self.store_fault, self.lag,
-                  self.evacuate, self.evacuate]
+                  self.evacuate, self.evacuate, self.restart_anew, self.bad_entries]
         running = []
         while time.monotonic() < self.end - LAST_SECONDS:
             running.append(asyncio.ensure_future(self.random.choice(faults)()))
