An owner of a large deployment that starts while the store is away asks others for the instances

Change: those that own or coordinate and have no answer of the store ask the seeds, every 2 s. A session that was handed over waits for its configuration as before. Test first: configuration_spread_test 'An owner that restarts while the store is away'.

--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -12,8 +12,8 @@
 constexpr common::Duration kCrowdedPause{80'000};      // after an instance had no connection left
 constexpr common::Duration kRemovedAfter{30'000'000};  // an entry that is gone and unreachable
 constexpr std::size_t kExtraForControl = 1;
-/// Between two looks at all instances: the shortest limit that they watch is
-/// 100 ms. A coordinator before 3,000 instances looked at each of them a hundred times a second.
+/// Between two looks at all instances: the shortest limit that they watch is 100 ms. A coordinator
+/// before 3,000 instances looked at each of them a hundred times a second.
 constexpr common::Duration kCheckInterval{30'000};
 /// An instance that was heard this shortly ago has not started again unless its connections broke:
 /// in between a daemon only gave its own connections up.
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -8,6 +8,9 @@
 
 constexpr common::Duration kRegisterPause{1'000'000};
 constexpr common::Duration kFetchPause{300'000};
+/// The same in a large deployment of a whole catalog, 0.9 MB at 1,000 groups: each of 50 owners may
+/// ask.
+constexpr common::Duration kWholeFetchPause{2'000'000};
 /// Time for the store to answer before another daemon is asked for the catalog.
 constexpr common::Duration kFetchAfter{400'000};
 /// The same at a first start, when no daemon has anything yet.
@@ -461,15 +464,21 @@
 }
 
 void Proxy::Bootstrap(common::Instant now) {
-  const bool without_instances = catalog_.Instances().empty() && !large_;
-  const bool needed = catalog_.Configuration().version == 0 || without_instances;
+  const bool without_instances = catalog_.Instances().empty();
+  // In a large deployment a hub hands the configuration out, and few need the instances: all would
+  // ask the seeds at once.
+  const bool needed_in_large =
+      without_instances && roles_.known() && roles_.watches_any() && !catalog_.Connected();
+  const bool needed =
+      large_ ? needed_in_large : catalog_.Configuration().version == 0 || without_instances;
   const common::Duration patience = settings_.first_start ? kFirstFetchAfter : kFetchAfter;
-  // In a large deployment a hub hands the configuration out, and all would ask the seeds at once.
-  const bool waiting = large_ || fetching_ || now < fetch_not_before_ || now < *started_ + patience;
+  const bool waiting = fetching_ || now < fetch_not_before_ || now < whole_fetch_not_before_ ||
+                       now < *started_ + patience;
   if (!needed || waiting || settings_.seed_catalogs.empty()) {
     return;
   }
   fetching_ = outbox_.NextNumber();
+  whole_fetch_not_before_ = now + (large_ ? kWholeFetchPause : common::Duration(0));
   const std::size_t index = next_fetch_++ % settings_.seed_catalogs.size();
   outbox_.Emit(FetchCatalog{*fetching_, settings_.seed_catalogs[index]});
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -267,7 +267,7 @@
   Dispatcher dispatcher_;
   SessionRelay relay_;
   std::mt19937_64 random_;
-  common::Duration own_read_delay_;  // spreads such reads of many daemons
+  common::Duration own_read_delay_;  // spreads the reads of daemons that fall back on the store
   bool ready_ = false;
   bool told_ready_ = false;
   std::optional<common::Instant> started_;
@@ -279,6 +279,7 @@
   common::Instant register_not_before_{0};
   std::optional<CallNumber> fetching_;
   common::Instant fetch_not_before_{0};
+  common::Instant whole_fetch_not_before_{0};
   std::size_t next_fetch_ = 0;
   common::Instant roles_due_{0};
   bool serves_guests_ = false;
@@ -298,6 +299,7 @@
     common::Endpoint peer;
     std::uint64_t version = 0;
     common::Instant noted{0};
+    common::Duration spread{0};  // after which it is fetched, where many daemons do so
   };
   std::optional<ConfigurationAhead> ahead_;
   std::uint64_t newest_version_heard_ = 0;
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -25,8 +25,8 @@
 /// are 640 Mbit/s.
 constexpr common::Duration kFetchSpread{200'000};
 /// Time without the newest configuration after which a daemon reads it from the store by itself:
-/// 985 of them at once kept its link of 1,000 Mbit/s busy with
-/// answers of 750 KB that nobody waited for any more, and none was ever ready.
+/// 985 of them at once kept its link of 1,000 Mbit/s busy with answers of 750 KB that nobody waited
+/// for any more, and none was ever ready.
 constexpr common::Duration kOwnReadAfter{4'000'000};
 /// Reports of groups in one message, of about 50 bytes each, and beside lists of daemons (15 KB): a
 /// datagram takes 65,507 bytes, which the reports of 1,300 groups would fill.
@@ -63,8 +63,7 @@
   const bool has_own = own > 0 || large_;
   newest_version_heard_ = std::max(newest_version_heard_, version);
   if (has_own && version > own && !ahead_) {
-    const common::Duration spread = large_ ? JitterUpTo(kFetchSpread) : common::Duration(0);
-    ahead_ = ConfigurationAhead{peer, version, now + spread};
+    ahead_ = ConfigurationAhead{peer, version, now, JitterUpTo(kFetchSpread)};
   }
 }
 
@@ -72,9 +71,10 @@
   if (ahead_ && catalog_.Configuration().version >= ahead_->version) {
     ahead_.reset();
   }
-  // Who reads the store itself gives it time to tell.
-  const common::Duration pause =
-      large_ && !ReadsConfiguration(now) ? common::Duration(0) : kAheadPause;
+  // Who reads the store itself gives it time to tell. A session that another daemon handed over
+  // waits only for a moment.
+  const bool spreads = large_ && !ReadsConfiguration(now) && !relay_.AwaitsConfiguration();
+  const common::Duration pause = spreads && ahead_ ? ahead_->spread : kAheadPause;
   if (!ahead_ || fetching_ || now < ahead_->noted + pause || now < fetch_not_before_) {
     return;
   }
--- a/tests/proxysim/configuration_spread_test.cc
+++ b/tests/proxysim/configuration_spread_test.cc
@@ -81,4 +81,23 @@
   }));
 }
 
+TEST_CASE("An owner that restarts while the store is away learns of the instances from others",
+          "[proxysim]") {
+  Cluster cluster(1, ShapeOf(40));
+  World& world = cluster.Surroundings();
+  world.RunUntil(seconds(8));
+  cluster.Store().faults.silent = true;
+  const auto owner =
+      std::find_if(cluster.Daemons().begin(), cluster.Daemons().end(), [](const auto& daemon) {
+        return daemon->Decisions()->Roles().watches_any() && !daemon->Decisions()->View().is_hub();
+      });
+  REQUIRE(owner != cluster.Daemons().end());
+  (*owner)->Kill();
+  world.RunUntil(world.Now() + milliseconds(200));
+  (*owner)->Start();
+  world.RunUntil(world.Now() + seconds(6));
+  CHECK(Behind(cluster) == 0);
+  CHECK_FALSE((*owner)->Decisions()->CatalogView().Instances().empty());
+}
+
 }  // namespace valvekeel::proxysim
