--- a/tests/group/read_lease_test.cc
+++ b/tests/group/read_lease_test.cc
@@ -78,6 +78,40 @@
   CHECK(lease.Newest().term == 2);
 }
 
+TEST_CASE("A primary with less than others have of its term gets no lease", "[group]") {
+  model::InstanceStatus empty = Status(true, 1);
+  empty.received = {1, 0};
+  model::InstanceStatus replica = Status(false, 1);
+  replica.received = {1, 40};
+  ReadLease fresh;
+  const RoundNumber round = fresh.StartRound(kThree, kStart);
+  CHECK_FALSE(fresh.Answer(round, "p", empty));
+  CHECK_FALSE(fresh.Answer(round, "a", replica));
+
+  // What was heard before a round started holds in it, also if only the primary had it.
+  model::InstanceStatus primary = Status(true, 1);
+  primary.received = {1, 90};
+  ReadLease lease;
+  const RoundNumber first = lease.StartRound(kThree, kStart);
+  lease.Answer(first, "p", primary);
+  CHECK(lease.Answer(first, "a", replica));
+  const RoundNumber second = lease.StartRound(kThree, kStart + common::Duration(1));
+  primary.received = {1, 60};
+  CHECK_FALSE(lease.Answer(second, "p", primary));
+  CHECK_FALSE(lease.Answer(second, "a", replica));
+}
+
+TEST_CASE("A replica that was ahead of a new primary does not keep the lease from it", "[group]") {
+  ReadLease lease = Confirmed();
+  model::InstanceStatus former = Status(false, 1);
+  former.received = {1, 90};
+  model::InstanceStatus promoted = Status(true, 2);
+  promoted.received = {1, 60};
+  const RoundNumber round = lease.StartRound(kThree, kStart + common::Duration(1));
+  lease.Answer(round, "a", former);
+  CHECK(lease.Answer(round, "b", promoted));
+}
+
 TEST_CASE("The lowest position that covers an instant is given", "[group]") {
   PositionHistory history;
   history.Add({kStart, Position{1, 10}});
