--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -14,8 +14,8 @@
 
 constexpr unsigned kInstanceUserTimeoutMs = 4000;
 constexpr common::Duration kFetchTimeout{500'000};
-/// The same of a configuration from a hub, which hands it to all daemons of its zone at once: 80 KB
-/// to 200 of them take 6.4 s over a link of 20 Mbit/s, and 0.13 s over one of 1,000.
+/// The same of a configuration from a hub, which hands it to 64 daemons at a time: 80 KB to each of
+/// them are 2 s of a link of 20 Mbit/s, by arithmetic. Who is turned away asks again.
 constexpr common::Duration kConfigurationTimeout{4'000'000};
 /// Longest time for answers to leave the process after the decision to end: two thirds of what the
 /// decision code leaves until the process is killed (900 ms).
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -20,8 +20,8 @@
 constexpr common::Duration kLongestPlannedPause{8'000'000};
 /// Time after a successful one.
 constexpr common::Duration kSettledPause{1'000'000};
-/// Between two looks at all groups: of 1,000 a look takes a coordinator about 1 ms. Groups that are
-/// being replaced, or are to be, are looked at each time.
+/// Between two looks at all groups, which a coordinator of 1,000 must not walk a hundred times a
+/// second. Groups that are being replaced, or are to be, are looked at each time.
 constexpr common::Duration kLookInterval{40'000};
 /// Advantage in time of each daemon over the next in order.
 constexpr common::Duration kTurnStep{700'000};
