Sight: the store's era, revisions in force, how long a failed call was out

Cause of the change: the logs could not tell whether revisions of two histories are compared, a watch was lost without notice, or the way between daemons failed. Now each first answer of another era is logged with what is known; configuration_in_force has the store's revision, a failed call its kind and its age, a failed fetch its line. No logic is changed.

--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -40,6 +40,7 @@
   std::uint64_t revision = 0;  // of the store
   std::vector<model::CatalogObject> objects;
   std::size_t unnamed = 0;  // objects whose name can't be read; what follows them is complete
+  std::uint64_t era = 0;    // of the store's history; 0 if the answer doesn't tell
 };
 
 /// A change of an object that the follower did not know yet.
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -119,9 +119,13 @@
   }
 }
 
+void CatalogState::Forget(Collection collection) {
+  std::erase_if(calls_, [&](const auto& call) { return call.second.collection == collection; });
+}
+
 void CatalogState::DisconnectFollowers() {
   for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
-    std::erase_if(calls_, [&](const auto& call) { return call.second == collection; });
+    Forget(collection);
     followers_.at(collection).Disconnect();
   }
 }
@@ -190,7 +194,7 @@
                {"configuration_elsewhere", std::to_string(elsewhere_.configuration)},
                {"instances_elsewhere", std::to_string(elsewhere_.instances)}});
   for (const Collection collection : {Collection::kConfiguration, Collection::kInstances}) {
-    std::erase_if(calls_, [&](const auto& call) { return call.second == collection; });
+    Forget(collection);
     followers_.at(collection).Abandon();
   }
 }
@@ -209,7 +213,7 @@
     return;
   }
   // A watch that waits for news would be in the way.
-  std::erase_if(calls_, [](const auto& call) { return call.second == Collection::kInstances; });
+  Forget(Collection::kInstances);
   instances.Abandon();
   instances.Refresh();
 }
@@ -227,7 +231,7 @@
       continue;
     }
     const CallNumber number = outbox_.NextNumber();
-    calls_[number] = collection;
+    calls_[number] = {collection, call->after_revision.has_value(), now};
     outbox_.Emit(ReadCatalog{number, *call});
   }
 }
@@ -239,8 +243,10 @@
   if (found == calls_.end()) {
     return update;
   }
-  const Collection collection = found->second;
+  const PendingCall answered_call = found->second;
+  const Collection collection = answered_call.collection;
   calls_.erase(found);
+  NoteEra(answered_call, result);
   metadata::CollectionFollower& follower = followers_.at(collection);
   const bool was_listed = follower.Listed();
   for (const metadata::CatalogChange& change : follower.Answer(result, now, jitter)) {
@@ -259,10 +265,7 @@
     answered_at_ = now;
   }
   if (result.status != metadata::ReadStatus::kOk) {
-    outbox_.Log("store_call_failed",
-                {{"collection", CollectionName(collection)},
-                 {"status", std::to_string(static_cast<int>(result.status))}},
-                LogLevel::kWarning);
+    LogFailure(answered_call, result, now);
   }
   for (std::size_t unnamed = 0; unnamed < result.unnamed; ++unnamed) {
     NoteUnusable("no_name", "");
@@ -273,6 +276,32 @@
   return update;
 }
 
+void CatalogState::LogFailure(const PendingCall& call, const metadata::ReadResult& result,
+                              common::Instant now) {
+  outbox_.Log("store_call_failed",
+              {{"collection", CollectionName(call.collection)},
+               {"status", std::to_string(static_cast<int>(result.status))},
+               {"call", call.watch ? "watch" : "list"},
+               {"after_ms", Milliseconds(now - call.sent)}},
+              LogLevel::kWarning);
+}
+
+void CatalogState::NoteEra(const PendingCall& call, const metadata::ReadResult& result) {
+  if (result.era == 0 || result.era == era_) {
+    return;
+  }
+  outbox_.Log("store_era_changed",
+              {{"era", std::to_string(result.era)},
+               {"before", std::to_string(era_)},
+               {"collection", CollectionName(call.collection)},
+               {"call", call.watch ? "watch" : "list"},
+               {"revision", std::to_string(result.revision)},
+               {"configuration", std::to_string(Revisions().configuration)},
+               {"instances", std::to_string(Revisions().instances)}},
+              LogLevel::kWarning);
+  era_ = result.era;
+}
+
 void CatalogState::DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update) {
   std::set<std::string> listed;
   for (const model::CatalogObject& object : result.objects) {
@@ -322,7 +351,7 @@
     return;
   }
   if (const auto* configuration = std::get_if<model::Configuration>(&object.payload)) {
-    update.configuration = TakeConfiguration(*configuration, "store") || update.configuration;
+    update.configuration = TakeConfiguration(*configuration, "store", object.revision) || update.configuration;
   } else if (const auto* instance = std::get_if<model::InstanceEntry>(&object.payload)) {
     instances_[instance->id] = *instance;
     std::erase(update.instances_gone, instance->id);
@@ -364,14 +393,15 @@
 }
 
 bool CatalogState::TakeConfiguration(const model::Configuration& configuration,
-                                     const char* source) {
+                                     const char* source, std::uint64_t revision) {
   if (configuration.version <= configuration_.version) {
     return false;
   }
   outbox_.Log("configuration_in_force", {{"version", std::to_string(configuration.version)},
                                          {"before", std::to_string(configuration_.version)},
                                          {"routes", std::to_string(configuration.routes.size())},
-                                         {"source", source}});
+                                         {"source", source},
+                                         {"revision", std::to_string(revision)}});
   configuration_ = configuration;
   return true;
 }
@@ -380,13 +410,13 @@
                                      std::uint64_t revision) {
   known_.configuration = std::max(known_.configuration, revision);
   CatalogUpdate update;
-  update.configuration = TakeConfiguration(configuration, "read");
+  update.configuration = TakeConfiguration(configuration, "read", revision);
   return update;
 }
 
 CatalogUpdate CatalogState::TakeCopy(const CatalogCopy& copy) {
   CatalogUpdate update;
-  update.configuration = TakeConfiguration(copy.configuration, "daemon");
+  update.configuration = TakeConfiguration(copy.configuration, "daemon", 0);
   // The store's own word goes first: a copy only fills what was never listed.
   if (!followers_.at(Collection::kInstances).Listed()) {
     for (const model::InstanceEntry& instance : copy.instances) {
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -127,13 +127,27 @@
   const std::map<std::string, std::uint64_t>& UnusableEntries() const { return unusable_entries_; }
 
  private:
+  /// A call that was not answered yet.
+  struct PendingCall {
+    model::Collection collection = model::Collection::kConfiguration;
+    bool watch = false;  // else a list
+    common::Instant sent{0};
+  };
+
   void Apply(const model::CatalogObject& object, model::Collection collection,
              CatalogUpdate& update);
+  /// Gives up the collection's call, if there is one: its answer counts no more.
+  void Forget(model::Collection collection);
+  void LogFailure(const PendingCall& call, const metadata::ReadResult& result, common::Instant now);
+  /// Tells of a store that came back with another history.
+  void NoteEra(const PendingCall& call, const metadata::ReadResult& result);
   /// Drops what another daemon's copy held and the first list does not.
   void DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update);
   void DropInstance(const std::string& id, CatalogUpdate& update);
   void NoteUnusable(const std::string& reason, const std::string& name);
-  bool TakeConfiguration(const model::Configuration& configuration, const char* source);
+  /// @param revision of the store, 0 if another daemon tells of the configuration.
+  bool TakeConfiguration(const model::Configuration& configuration, const char* source,
+                         std::uint64_t revision);
   void NoteConnection();
   void NoteSeen(model::Collection collection, const metadata::ReadResult& result);
   void DisconnectFollowers();
@@ -144,7 +158,7 @@
   const ProxySettings& settings_;
   Outbox& outbox_;
   std::map<model::Collection, metadata::CollectionFollower> followers_;
-  std::map<CallNumber, model::Collection> calls_;
+  std::map<CallNumber, PendingCall> calls_;
   model::Configuration configuration_;
   std::map<std::string, model::InstanceEntry> instances_;
   std::map<std::string, model::DaemonEntry> daemons_;
@@ -152,6 +166,7 @@
   CatalogRevisions known_;           // of the newest objects
   CatalogRevisions elsewhere_;       // highest that others told of
   CatalogRevisions seen_;            // of the store's newest answers
+  std::uint64_t era_ = 0;            // of the store's history, as its answers tell
   std::uint32_t failed_probes_ = 0;  // in a row
   std::optional<common::Instant> behind_since_;
   bool started_ = false;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -248,6 +248,8 @@
   fetch_not_before_ = now + kFetchPause;
   if (copy) {
     Apply(catalog_.TakeCopy(*copy), now);
+  } else {
+    outbox_.Log("catalog_fetch_failed", {}, LogLevel::kWarning);
   }
 }
 
