Each era of the store has a leadership record of its own, with tokens above the former's

Cause: the record went back with the store, its token with it; the restored record counted as older than the known one.

Now the record is named by the era, so a write for an earlier era, done late at a revision given out twice, meets another object. Tokens begin at the era times 2^32. An attempt whose claim was written in an earlier era begins anew with a claim and new fences. Replacements begun stay in the record that is written next. A reader that asked for another era's record learns nothing from the answer.

Ruled out: one record with the era as a field; a late write could still put an old one over it.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -61,6 +61,9 @@
     Enter(Step::kFinished, now);
     return actions;
   }
+  if (ClaimIsGone()) {
+    ClaimAnew(now, actions);
+  }
   // A step that completes lets the next one start at once.
   Step before = Step::kGivenUp;
   while (before != step_ && !Ended()) {
@@ -103,6 +106,20 @@
   asked_.clear();
 }
 
+bool Attempt::ClaimIsGone() const {
+  const bool claimed = step_ == Step::kFence || step_ == Step::kRelease || step_ == Step::kRecord ||
+                       step_ == Step::kPromote;
+  return claimed && !promotion_waiting_ && claimed_era_ != leadership_.Era();
+}
+
+void Attempt::ClaimAnew(common::Instant now, Actions& actions) {
+  actions.emplace_back(AttemptNote{"claim_gone", "the store returned from an older copy"});
+  // Until it is claimed again, another may replace the primary and lift these fences.
+  fenced_.clear();
+  fenced_at_ = common::Instant(0);
+  Enter(Step::kClaim, now);
+}
+
 void Attempt::GiveUp(const GroupView& view, const std::string& reason, common::Instant now,
                      Actions& actions) {
   actions.emplace_back(AttemptNote{"giving_up", reason});
@@ -141,6 +158,7 @@
 
 void Attempt::Claim(common::Instant now, Actions& actions) {
   if (write_done_) {
+    claimed_era_ = leadership_.Era();
     Enter(Step::kFence, now);
     return;
   }
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -9,6 +9,9 @@
 //   promote   ask the platform to promote the candidate
 //   verify    wait until the candidate says that it leads
 //
+// If the store returns from an older copy, the claim may be gone from it: the attempt begins anew
+// with a claim in the new history.
+//
 // Owns: the state of one attempt. Invariant: the promotion is asked for only while the leadership
 // allows it, with the candidate of the highest position among the fenced replicas; these are so
 // many that one of them holds every acknowledged commit. Pure. Thread: its host's.
@@ -145,6 +148,9 @@
   using Actions = std::vector<AttemptAction>;
 
   void Enter(Step step, common::Instant now);
+  /// @return true if the claim was written in an earlier era than the store's present one.
+  bool ClaimIsGone() const;
+  void ClaimAnew(common::Instant now, Actions& actions);
   void GiveUp(const GroupView& view, const std::string& reason, common::Instant now,
               Actions& actions);
   void Claim(common::Instant now, Actions& actions);
@@ -176,6 +182,7 @@
   Step step_ = Step::kClaim;
   common::Instant entered_{0};
   model::AttemptRecord earlier_;  // what the record told of the service before this attempt
+  std::uint64_t claimed_era_ = 0;
   common::Term old_term_ = 0;
   common::Term fence_term_ = 0;
   bool another_leads_ = false;
--- a/src/failover/leadership.cc
+++ b/src/failover/leadership.cc
@@ -3,25 +3,48 @@
 #include <algorithm>
 
 namespace valvekeel::failover {
+namespace {
 
-void Leadership::Seen(const model::LeadershipRecord& record, std::uint64_t revision,
+/// Room for the holders of an era: a hundred a second for a year are 3 thousand million.
+constexpr std::uint64_t kTokensOfEra = std::uint64_t{1} << 32U;
+
+}  // namespace
+
+void Leadership::BeginEra(std::uint64_t era, common::Instant now) {
+  if (era <= revision_.era) {
+    return;
+  }
+  known_ = false;
+  revision_ = model::FirstOf(era);
+  era_began_ = now;
+  acts_until_ = common::Instant(0);
+  // Which replacements were begun is still true; who holds the record is not.
+  record_.holder.clear();
+}
+
+void Leadership::Seen(const model::LeadershipRecord& record, const model::Revision& revision,
                       common::Instant now) {
-  const bool older = known_ && revision < revision_;
-  const bool same = known_ && revision == revision_;
-  if (older || same) {
+  BeginEra(revision.era, now);
+  const bool of_another_era = revision.number != 0 && record.era != revision.era;
+  const bool older =
+      of_another_era || revision.era < revision_.era || (known_ && revision <= revision_);
+  if (older) {
     return;
   }
   known_ = true;
-  record_ = record;
   revision_ = revision;
   changed_at_ = now;
+  const bool vacant = revision.number == 0;
+  if (!vacant) {
+    record_ = record;
+  }
 }
 
 bool Leadership::MayWrite(common::Instant now) const {
-  if (!known_ || writing_) {
+  if (!known_ || writing_ || !EraSettled(now)) {
     return false;
   }
-  const bool vacant = revision_ == 0;
+  const bool vacant = revision_.number == 0;
   return vacant || IsHolder() || now >= changed_at_ + kTakeoverTime;
 }
 
@@ -34,8 +57,10 @@
   } else {
     write.record.attempts[service] = attempt;
   }
+  write.record.era = revision_.era;
   write.record.holder = holder_;
-  write.record.token = IsHolder() ? record_.token : record_.token + 1;
+  const std::uint64_t highest = std::max(record_.token, revision_.era * kTokensOfEra);
+  write.record.token = IsHolder() ? record_.token : highest + 1;
   write.record.sequence = record_.sequence + 1;
   write.record.nonce = holder_ + "/" + std::to_string(++writes_);
   write.revision = revision_;
@@ -55,7 +80,8 @@
   // A conflict with our own write: its first answer was lost.
   const bool ours = result.record.nonce == writing_nonce_;
   Seen(result.record, result.revision, now);
-  if (!ours) {
+  const bool counts = result.record.era == Era() && result.revision.era == Era();
+  if (!ours || !counts) {
     return false;
   }
   acts_until_ = first_sent_ + kActionWindow;
--- a/src/failover/leadership.h
+++ b/src/failover/leadership.h
@@ -5,6 +5,11 @@
 // writes before it has seen the record unchanged for kTakeoverTime. So two holders never act at the
 // same time, and the token of whoever acts later is higher.
 //
+// When the store returns from an older copy, writes that were acknowledged are gone from it, and
+// their tokens would be given out again. So the record of a new era is another one: nobody writes
+// it before whoever wrote in the former era can't act any more, and its tokens begin above all of
+// that era's.
+//
 // Owns: the record as last seen. Invariant: MayActUntil() is earlier than any other daemon's first
 // write after ours, as long as clocks run at the same rate. Pure. Thread: its host's.
 #pragma once
@@ -34,14 +39,14 @@
 
 struct WriteResult {
   WriteStatus status = WriteStatus::kNoAnswer;
-  std::uint64_t revision = 0;      // of the record as it is now, 0 if there is none
+  model::Revision revision;        // of the record as it is now, number 0 if there is none
   model::LeadershipRecord record;  // as it is now, of kWritten and kConflict
 };
 
 /// A conditional write.
 struct RecordWrite {
   model::LeadershipRecord record;
-  std::uint64_t revision = 0;  // the record must have; 0: it must not exist
+  model::Revision revision;  // the record must have; number 0: it must not exist
 };
 
 class Leadership {
@@ -49,14 +54,23 @@
   /// @param holder name of this life of this daemon; differs from that of an earlier life.
   explicit Leadership(std::string holder) : holder_(std::move(holder)) {}
 
-  /// Takes the record as the store has it. @param revision 0 if there is none.
-  void Seen(const model::LeadershipRecord& record, std::uint64_t revision, common::Instant now);
+  /// Takes the record as the store has it. @param revision of number 0 if there is none.
+  void Seen(const model::LeadershipRecord& record, const model::Revision& revision,
+            common::Instant now);
+
+  /// The store's history is of this era now: nothing that was written in an earlier one counts.
+  void BeginEra(std::uint64_t era, common::Instant now);
+
+  /// @return the era of the record.
+  std::uint64_t Era() const { return revision_.era; }
 
   /// @return true if this daemon may write the record now.
   bool MayWrite(common::Instant now) const;
 
   /// @return true if nobody can act on the record's last write any more.
-  bool Settled(common::Instant now) const { return known_ && now >= changed_at_ + kTakeoverTime; }
+  bool Settled(common::Instant now) const {
+    return known_ && EraSettled(now) && now >= changed_at_ + kTakeoverTime;
+  }
 
   /// @param attempt of the service; one of term 0 takes the service's entry out.
   /// @return the write to make; MayWrite must hold.
@@ -76,10 +90,16 @@
   common::Instant MayActUntil() const { return acts_until_; }
 
  private:
+  /// @return true if nobody can act any more on a write of an earlier era.
+  bool EraSettled(common::Instant now) const {
+    return revision_.era == 0 || now >= era_began_ + kTakeoverTime;
+  }
+
   std::string holder_;
   bool known_ = false;
   model::LeadershipRecord record_;
-  std::uint64_t revision_ = 0;
+  model::Revision revision_;
+  common::Instant era_began_{0};  // as far as is known here
   common::Instant changed_at_{0};
   bool writing_ = false;
   std::string writing_nonce_;
--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -99,9 +99,10 @@
   using WriteHandler = std::function<void(const failover::WriteResult&)>;
   using RegisterHandler = std::function<void(bool written)>;
 
-  /// Takes the record and its revision, 0 if there is none; nothing if there was no answer.
-  using LeadershipHandler =
-      std::function<void(const std::optional<std::pair<model::LeadershipRecord, std::uint64_t>>&)>;
+  /// Takes the record and its revision, of number 0 if there is none, in the era that the answer is
+  /// of; nothing if there was no answer.
+  using LeadershipHandler = std::function<void(
+      const std::optional<std::pair<model::LeadershipRecord, model::Revision>>&)>;
 
   /// Takes the newest configuration and its revision; nothing if there was no answer.
   using ConfigurationHandler =
@@ -110,8 +111,8 @@
   virtual ~MetadataStore() = default;
   virtual void Read(const metadata::ReadCall& call, ReadHandler handler) = 0;
 
-  /// Reads the leadership record as it is now.
-  virtual void ReadLeadership(LeadershipHandler handler) = 0;
+  /// Reads an era's leadership record as it is now.
+  virtual void ReadLeadership(std::uint64_t era, LeadershipHandler handler) = 0;
 
   /// Reads the configuration as it is now, never from an old state.
   virtual void ReadConfiguration(ConfigurationHandler handler) = 0;
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -203,12 +203,12 @@
 
 void ProxyHost::Do(const proxy::ReadLeadership& action) {
   const proxy::CallNumber call = action.call;
-  adapter_.Store().ReadLeadership([this, call](const auto& read) {
+  adapter_.Store().ReadLeadership(action.era, [this, call](const auto& read) {
     const common::Instant now = common::SteadyNow();
     if (read) {
       proxy_.LeadershipRead(call, read->first, read->second, now);
     } else {
-      proxy_.LeadershipRead(call, std::nullopt, 0, now);
+      proxy_.LeadershipRead(call, std::nullopt, {}, now);
     }
     Drain();
   });
@@ -221,7 +221,7 @@
     if (read) {
       proxy_.ConfigurationRead(call, read->first, read->second, now);
     } else {
-      proxy_.ConfigurationRead(call, std::nullopt, 0, now);
+      proxy_.ConfigurationRead(call, std::nullopt, {}, now);
     }
     Drain();
   });
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -129,8 +129,10 @@
   bool operator==(const AttemptRecord&) const = default;
 };
 
-/// Who may promote instances, and which replacements were begun.
+/// Who may promote instances, and which replacements were begun. Each era of the store's history
+/// has a record of its own: a write for an earlier one, done late, changes nothing of it.
 struct LeadershipRecord {
+  std::uint64_t era = 0;
   std::string holder;
   std::uint64_t token = 0;     // rises whenever the holder changes
   std::uint64_t sequence = 0;  // rises with every write
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -112,6 +112,7 @@
 /// Asks for the leadership record as it is now.
 struct ReadLeadership {
   CallNumber call = 0;
+  std::uint64_t era = 0;  // whose record
 };
 
 /// Writes what this daemon announces of itself, whatever is there.
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -256,8 +256,9 @@
     Apply(change.object, collection, update);
   }
   const bool first_list = follower.Listed() && !was_listed;
-  if (first_list && collection == Collection::kLeadership && !update.leadership) {
-    update.leadership = {model::LeadershipRecord{}, 0};
+  const bool listed = !answered_call.watch && result.status == metadata::ReadStatus::kOk;
+  if (listed && collection == Collection::kLeadership && !update.leadership) {
+    update.leadership = {model::LeadershipRecord{}, model::FirstOf(result.revision.era)};
   }
   if (first_list && collection == Collection::kInstances) {
     DropUnlisted(result, update);
@@ -380,7 +381,10 @@
     daemons_[daemon->name] = *daemon;
     update.daemons.push_back(*daemon);
   } else if (const auto* record = std::get_if<model::LeadershipRecord>(&object.payload)) {
-    update.leadership = {*record, object.revision.number};
+    // The records of earlier eras tell nothing of this one.
+    if (record->era == object.revision.era) {
+      update.leadership = {*record, object.revision};
+    }
   } else {
     outbox_.Log("store_object_unreadable",
                 {{"collection", CollectionName(collection)}, {"name", object.name}},
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -36,7 +36,7 @@
   std::vector<model::InstanceEntry> instances;
   std::vector<std::string> instances_gone;
   std::vector<model::DaemonEntry> daemons;
-  std::optional<std::pair<model::LeadershipRecord, std::uint64_t>> leadership;
+  std::optional<std::pair<model::LeadershipRecord, model::Revision>> leadership;
 };
 
 class CatalogState {
@@ -101,6 +101,9 @@
   CatalogUpdate TakeRead(const model::Configuration& configuration,
                          const model::Revision& revision);
 
+  /// The store's history is of this era. @param source that tells so: "store" or "daemon".
+  void NoteEra(std::uint64_t era, const char* source);
+
   /// @return the era of the store's history, 0 if the store tells none; rises with each return from
   /// an older copy.
   std::uint64_t Era() const { return era_; }
@@ -148,8 +151,6 @@
   /// Gives up the collection's call, if there is one: its answer counts no more.
   void Forget(model::Collection collection);
   void LogFailure(const PendingCall& call, const metadata::ReadResult& result, common::Instant now);
-  /// The store's history is of this era, as an answer or another daemon tells.
-  void NoteEra(std::uint64_t era, const char* source);
   /// Drops what another daemon's copy held and the first list does not.
   void DropUnlisted(const metadata::ReadResult& result, CatalogUpdate& update);
   void DropInstance(const std::string& id, CatalogUpdate& update);
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -53,14 +53,14 @@
       outbox_(outbox),
       leadership_(HolderName(settings)) {}
 
-void FailoverDriver::RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
-                                common::Instant now) {
+void FailoverDriver::RecordSeen(const model::LeadershipRecord& record,
+                                const model::Revision& revision, common::Instant now) {
   const std::string before = leadership_.Holder();
   leadership_.Seen(record, revision, now);
   if (leadership_.Holder() != before) {
     outbox_.Log("leader_changed", {{"holder", leadership_.Holder()},
                                    {"token", std::to_string(record.token)},
-                                   {"revision", std::to_string(revision)}});
+                                   {"revision", model::RevisionText(revision)}});
   }
 }
 
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -32,10 +32,13 @@
                  const access::rule_set& access, const PeerTable& peers,
                  const membership::live_view& view, const relay::role_map& roles, Outbox& outbox);
 
-  /// Takes the leadership record as the store has it. @param revision 0 if there is none.
-  void RecordSeen(const model::LeadershipRecord& record, std::uint64_t revision,
+  /// Takes the leadership record as the store has it. @param revision of number 0 if there is none.
+  void RecordSeen(const model::LeadershipRecord& record, const model::Revision& revision,
                   common::Instant now);
 
+  /// The store's history is of this era now: claims of an earlier one are gone from it.
+  void BeginEra(std::uint64_t era, common::Instant now) { leadership_.BeginEra(era, now); }
+
   /// An instance has started again under its id: it holds nothing that attempts know of it.
   void MemberRestarted(const model::InstanceEntry& entry, common::Instant now);
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -163,6 +163,7 @@
 }
 
 void Proxy::CatalogRead(CallNumber call, const metadata::ReadResult& result, common::Instant now) {
+  NoteEra(result.revision.era, now);
   if (EvacuationsRead(call, result, now)) {
     return;
   }
@@ -171,16 +172,24 @@
 }
 
 void Proxy::LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
-                           std::uint64_t revision, common::Instant now) {
-  store_lease_.Read(call, record);
+                           const model::Revision& revision, common::Instant now) {
+  NoteEra(revision.era, now);
+  // A record of an earlier era says nothing of what was begun in this one.
+  const bool of_present_era = record && store_lease_.AskedEra() == catalog_.Era();
+  store_lease_.Read(call, of_present_era ? record : std::nullopt);
   if (large_) {
     catalog_.NoteProbe(record.has_value());
   }
-  if (record) {
+  if (of_present_era) {
     failover_.RecordSeen(*record, revision, now);
   }
 }
 
+void Proxy::NoteEra(std::uint64_t era, common::Instant now) {
+  catalog_.NoteEra(era, "store");
+  failover_.BeginEra(catalog_.Era(), now);
+}
+
 void Proxy::ConfigurationRead(CallNumber call,
                               const std::optional<model::Configuration>& configuration,
                               const model::Revision& revision, common::Instant now) {
@@ -193,6 +202,7 @@
 
 void Proxy::LeadershipWritten(CallNumber call, const failover::WriteResult& result,
                               common::Instant now) {
+  NoteEra(result.revision.era, now);
   failover_.RecordWritten(call, result, now);
   failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
 }
@@ -237,6 +247,7 @@
   }
   NoteConfigurationAhead(from, message.configuration_version, now);
   catalog_.NoteRevisions({message.configuration_revision, message.instances_revision}, now);
+  NoteEra(catalog_.Era(), now);
 }
 
 void Proxy::CatalogFetched(CallNumber call, const std::optional<CatalogCopy>& copy,
@@ -549,7 +560,7 @@
   }
   backends_.Tick(now);
   AdvanceWarmUps(now);
-  store_lease_.Tick(catalog_.Connected(), now);
+  store_lease_.Tick(catalog_.Connected(), catalog_.Era(), now);
   prover_.Tick({store_lease_.IsReader(), Admits(), catalog_.Connected()}, now);
   AdvanceEvacuations(now);
   AdvanceRates(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -81,9 +81,10 @@
 
   // The metadata store and the promotion service.
   void CatalogRead(CallNumber call, const metadata::ReadResult& result, common::Instant now);
-  /// @param record nothing if the store did not answer; revision 0 if there is no record.
+  /// @param record nothing if the store did not answer. @param revision of number 0 if there is no
+  /// record of the era that was asked for.
   void LeadershipRead(CallNumber call, const std::optional<model::LeadershipRecord>& record,
-                      std::uint64_t revision, common::Instant now);
+                      const model::Revision& revision, common::Instant now);
   /// @param configuration nothing if the store did not answer.
   void ConfigurationRead(CallNumber call, const std::optional<model::Configuration>& configuration,
                          const model::Revision& revision, common::Instant now);
@@ -139,6 +140,8 @@
   };
   void OnRestarted(const model::InstanceEntry& entry, common::Instant now) override;
   void Apply(const CatalogUpdate& update, common::Instant now);
+  /// The store's history is of this era: a later one than before ends what rests on the former.
+  void NoteEra(std::uint64_t era, common::Instant now);
   void ApplyConfiguration(common::Instant now);
   /// Takes the regions of a new configuration's routes and tenants.
   void ApplyRegions(common::Instant now);
--- a/src/proxy/store_lease.cc
+++ b/src/proxy/store_lease.cc
@@ -15,7 +15,7 @@
          (roles_.coordinators().empty() || roles_.coordinators().front() == settings_.name);
 }
 
-void StoreLease::Tick(bool store_connected, common::Instant now) {
+void StoreLease::Tick(bool store_connected, std::uint64_t era, common::Instant now) {
   if (call_ || !store_connected) {
     return;
   }
@@ -27,7 +27,8 @@
   }
   call_ = outbox_.NextNumber();
   asked_at_ = now;
-  outbox_.Emit(ReadLeadership{*call_});
+  asked_era_ = era;
+  outbox_.Emit(ReadLeadership{*call_, era});
 }
 
 bool StoreLease::Read(CallNumber call, const std::optional<model::LeadershipRecord>& record) {
--- a/src/proxy/store_lease.h
+++ b/src/proxy/store_lease.h
@@ -27,8 +27,11 @@
   /// @return true if this daemon reads the record for all.
   bool IsReader() const;
 
-  /// Reads the record if it is due.
-  void Tick(bool store_connected, common::Instant now);
+  /// Reads the record of the store's era if it is due.
+  void Tick(bool store_connected, std::uint64_t era, common::Instant now);
+
+  /// @return the era whose record was asked for last.
+  std::uint64_t AskedEra() const { return asked_era_; }
 
   /// Takes the record. @return true if the call was ours.
   bool Read(CallNumber call, const std::optional<model::LeadershipRecord>& record);
@@ -40,6 +43,7 @@
   Outbox& outbox_;
   std::optional<CallNumber> call_;
   common::Instant asked_at_{0};
+  std::uint64_t asked_era_ = 0;
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -527,7 +527,7 @@
   ++traffic_.store_calls;
   const std::uint64_t life = life_;
   cluster_.Store().ReadLeadership(
-      name_, [this, life, call = action.call](const failover::WriteResult& result) {
+      name_, action.era, [this, life, call = action.call](const failover::WriteResult& result) {
         Deliver(life, [this, call, result] {
           const bool answered = result.status == failover::WriteStatus::kWritten;
           const auto record =
--- a/src/proxysim/store.cc
+++ b/src/proxysim/store.cc
@@ -12,7 +12,7 @@
 
 constexpr const char* kStore = "store";
 constexpr const char* kConfiguration = "main";
-constexpr const char* kLeader = "leader";
+constexpr const char* kLeaderPrefix = "leader-";
 constexpr common::Duration kService{4'000};
 constexpr common::Duration kWriteTimeout{900'000};
 constexpr common::Duration kLateLeast{1'000'000};
@@ -21,6 +21,8 @@
 constexpr double kWatchesLost = 0.4;
 constexpr double kWatchesKept = 0.3;
 
+std::string LeaderName(std::uint64_t era) { return kLeaderPrefix + std::to_string(era); }
+
 /// @return true if others than daemons write the collection's objects.
 bool IsWrittenByOthers(Collection collection) {
   return collection == Collection::kConfiguration || collection == Collection::kInstances ||
@@ -237,20 +239,21 @@
 
 failover::WriteResult SimulatedStore::TryWrite(const failover::RecordWrite& write) {
   failover::WriteResult result;
+  const std::string name = LeaderName(write.revision.era);
   auto& records = objects_[Collection::kLeadership];
-  const auto found = records.find(kLeader);
+  const auto found = records.find(name);
   const std::uint64_t current = found == records.end() ? 0 : found->second.revision;
-  if (current != write.revision) {
+  if (current != write.revision.number) {
     result.status = failover::WriteStatus::kConflict;
-    result.revision = current;
+    result.revision = {current, era_};
     if (found != records.end()) {
       result.record = std::get<model::LeadershipRecord>(found->second.payload);
     }
     return result;
   }
-  Put(Collection::kLeadership, kLeader, write.record);
+  Put(Collection::kLeadership, name, write.record);
   result.status = failover::WriteStatus::kWritten;
-  result.revision = revision_;
+  result.revision = {revision_, era_};
   result.record = write.record;
   return result;
 }
@@ -282,7 +285,8 @@
   });
 }
 
-void SimulatedStore::ReadLeadership(const std::string& daemon, const WriteHandler& handler) {
+void SimulatedStore::ReadLeadership(const std::string& daemon, std::uint64_t era,
+                                    const WriteHandler& handler) {
   auto ended = std::make_shared<bool>(false);
   const auto finish = [ended, handler](const failover::WriteResult& result) {
     if (!std::exchange(*ended, true)) {
@@ -290,15 +294,16 @@
     }
   };
   world_.After(kWriteTimeout, [finish] { finish({}); });
-  Exchange(daemon, [this, daemon, finish] {
+  Exchange(daemon, [this, daemon, era, finish] {
     failover::WriteResult result;
     if (!faults.down) {
       const auto& records = objects_[Collection::kLeadership];
-      const auto found = records.find(kLeader);
+      const auto found = records.find(LeaderName(era));
       result.status = failover::WriteStatus::kWritten;
+      result.revision.era = era_;
       if (found != records.end()) {
         result.record = std::get<model::LeadershipRecord>(found->second.payload);
-        result.revision = found->second.revision;
+        result.revision.number = found->second.revision;
       }
     }
     Reply(daemon, [finish, result] { finish(result); });
--- a/src/proxysim/store.h
+++ b/src/proxysim/store.h
@@ -45,8 +45,9 @@
   void WriteLeadership(const std::string& daemon, const failover::RecordWrite& write,
                        const WriteHandler& handler);
 
-  /// Reads the leadership record. @param handler gets it as of kWritten; kNoAnswer if unanswered.
-  void ReadLeadership(const std::string& daemon, const WriteHandler& handler);
+  /// Reads an era's leadership record. @param handler gets it as of kWritten; kNoAnswer if
+  /// unanswered.
+  void ReadLeadership(const std::string& daemon, std::uint64_t era, const WriteHandler& handler);
 
   /// Takes the newest configuration and its revision; nothing if there was no answer.
   using ConfigurationHandler =
--- a/tests/failover/leadership_test.cc
+++ b/tests/failover/leadership_test.cc
@@ -45,6 +45,49 @@
   STATIC_REQUIRE(kActionWindow < kTakeoverTime);
 }
 
+TEST_CASE("A record that went back with the store is written again, with a token never given out",
+          "[failover]") {
+  // The store returned from an older copy: the record stood at revision 440 where 500 was known,
+  // and was passed over as older; no primary was replaced until the revisions had grown past 500.
+  // And the token that it showed had been given out before: two holders promoted under one.
+  Leadership leadership("me");
+  leadership.Seen(HeldBy("other", 7), 500, kStart);
+  const Instant back = kStart + std::chrono::seconds(10);
+  leadership.Seen({}, {0, 2}, back);
+  CHECK(leadership.Holder().empty());
+  // Whoever wrote in the former era may still act.
+  CHECK_FALSE(leadership.MayWrite(back + kTakeoverTime - Duration(1)));
+  const Instant settled = back + kTakeoverTime;
+  REQUIRE(leadership.MayWrite(settled));
+  const RecordWrite write = leadership.Prepare("group", kAttempt, settled);
+  CHECK(write.record.era == 2);
+  CHECK(write.revision == model::Revision(0, 2));
+  CHECK(write.record.token > 1'000'000);
+  REQUIRE(leadership.Written({WriteStatus::kWritten, {41, 2}, write.record}, settled));
+  CHECK(leadership.IsHolder());
+}
+
+TEST_CASE("Nobody acts on what was written in an earlier era", "[failover]") {
+  Leadership leadership("me");
+  leadership.Seen({}, 0, kStart);
+  const RecordWrite write = leadership.Prepare("group", kAttempt, kStart);
+  SECTION("the answer is of the later era") {
+    CHECK_FALSE(leadership.Written({WriteStatus::kWritten, {5, 2}, write.record}, kStart));
+  }
+  SECTION("the answer comes after the later era was heard of") {
+    leadership.BeginEra(2, kStart);
+    CHECK_FALSE(leadership.Written({WriteStatus::kWritten, 5, write.record}, kStart));
+  }
+  SECTION("the later era is heard of after the answer") {
+    CHECK(leadership.Written({WriteStatus::kWritten, 5, write.record}, kStart));
+    leadership.BeginEra(2, kStart);
+  }
+  CHECK(leadership.MayActUntil() == Instant(0));
+  CHECK_FALSE(leadership.IsHolder());
+  // The replacement that was begun is not forgotten with the store.
+  leadership.Seen({}, {0, 2}, kStart);
+}
+
 TEST_CASE("A lost answer is recognized by the record itself", "[failover]") {
   Leadership leadership("me");
   leadership.Seen({}, 0, kStart);
--- a/tests/host/planned_end_test.cc
+++ b/tests/host/planned_end_test.cc
@@ -83,7 +83,7 @@
     }
     handler(result);
   }
-  void ReadLeadership(LeadershipHandler) override {}
+  void ReadLeadership(std::uint64_t, LeadershipHandler) override {}
   void ReadConfiguration(ConfigurationHandler) override {}
   void WriteLeadership(const failover::RecordWrite&, WriteHandler) override {}
   void WriteDaemon(const model::DaemonEntry&, RegisterHandler) override {}
--- a/tests/proxysim/store_restore_test.cc
+++ b/tests/proxysim/store_restore_test.cc
@@ -99,6 +99,8 @@
 
 TEST_CASE("No token is given out a second time after the store returned from an older copy",
           "[proxysim]") {
+  // The record of who may promote had gone back with the store, and its token with it: the next
+  // holder counted on from there ("ONE: two holders of token 1").
   for (const std::uint64_t seed : {28U, 38U, 58U, 82U}) {
     INFO("seed " << seed);
     CHECK(Count(DayOfRestores(seed), "ONE") == 0);
