A daemon registers again in each era of the store

What callers saw: nothing yet. Cause: a daemon whose entry was written after the copy was made was not listed any more, but took itself for registered and held read leases, which a replacement of a primary waits for only of those that are listed (a stale read for up to 1 s). Class: a conclusion from a history that has gone back.

Now an entry counts as of the era in which it was seen. At a later era the daemon holds no lease until its entry is seen or written there; a promoter keeps the entries of earlier eras, since who is named may not have heard of the return.

proxy_test 'A daemon whose entry may have gone ...' fails without the change in Proxy::NoteEra. Open: a daemon cut off from the store and all others, but not from instances, and a promoter that started after the return: that one waits the lease time only for whom it lists.

--- a/src/metadata/collection_follower.cc
+++ b/src/metadata/collection_follower.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "metadata/store_era.h"
+
 namespace valvekeel::metadata {
 namespace {
 
@@ -24,9 +26,6 @@
 constexpr common::Duration kBurstGap{400'000};
 constexpr common::Duration kShortestBurstPause{20'000};
 constexpr common::Duration kLongestBurstPause{250'000};
-/// After the store returned from an older copy: time for operators and instances to write again
-/// what they had written (the platform names two seconds), and a part for the way.
-constexpr common::Duration kWrittenAgain{2'500'000};
 
 }  // namespace
 
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -161,7 +161,7 @@
 
 CatalogRevisions CatalogState::Revisions() const {
   // The era alone is news: who hears of it lists anew.
-  const model::Revision first = model::FirstOf(era_);
+  const model::Revision first = model::FirstOf(era_.Newest());
   return {std::max({known_.configuration, elsewhere_.configuration, first}),
           std::max({known_.instances, elsewhere_.instances, first})};
 }
@@ -175,7 +175,7 @@
 }
 
 void CatalogState::NoteRevisions(const CatalogRevisions& revisions, common::Instant now) {
-  NoteEra(std::max(revisions.configuration.era, revisions.instances.era), "daemon");
+  NoteEra(std::max(revisions.configuration.era, revisions.instances.era), "daemon", now);
   elsewhere_.configuration = std::max(elsewhere_.configuration, revisions.configuration);
   elsewhere_.instances = std::max(elsewhere_.instances, revisions.instances);
   followers_.at(Collection::kConfiguration).NoteNews(elsewhere_.configuration);
@@ -202,6 +202,12 @@
   }
 }
 
+bool CatalogState::ListsDaemon(const std::string& name) const {
+  const auto era = daemon_eras_.find(name);
+  const bool seen = era != daemon_eras_.end() && era->second == era_.Newest();
+  return daemons_.contains(name) && (seen || era_.Newest() == 0);
+}
+
 bool CatalogState::DaemonsListed() const { return followers_.at(Collection::kDaemons).Listed(); }
 
 void CatalogState::RefreshInstances(common::Instant now) {
@@ -249,7 +255,7 @@
   const PendingCall answered_call = found->second;
   const Collection collection = answered_call.collection;
   calls_.erase(found);
-  NoteEra(result.revision.era, "store");
+  NoteEra(result.revision.era, "store", now);
   metadata::CollectionFollower& follower = followers_.at(collection);
   const bool was_listed = follower.Listed();
   for (const metadata::CatalogChange& change : follower.Answer(result, now, jitter)) {
@@ -290,20 +296,19 @@
               LogLevel::kWarning);
 }
 
-void CatalogState::NoteEra(std::uint64_t era, const char* source) {
-  if (era <= era_) {
+void CatalogState::NoteEra(std::uint64_t era, const char* source, common::Instant now) {
+  const CatalogRevisions known = Revisions();
+  const std::uint64_t before = era_.Newest();
+  if (!era_.Note(era, now)) {
     return;
   }
-  const bool returned = era_ != 0;
   outbox_.Log("store_era_changed",
               {{"era", std::to_string(era)},
-               {"before", std::to_string(era_)},
+               {"before", std::to_string(before)},
                {"source", source},
-               {"configuration", model::RevisionText(Revisions().configuration)},
-               {"instances", model::RevisionText(Revisions().instances)}},
-              returned ? LogLevel::kWarning : LogLevel::kInfo);
-  era_ = era;
-  era_changes_ += returned ? 1 : 0;
+               {"configuration", model::RevisionText(known.configuration)},
+               {"instances", model::RevisionText(known.instances)}},
+              before == 0 ? LogLevel::kInfo : LogLevel::kWarning);
   behind_since_.reset();
   for (auto& [collection, follower] : followers_) {
     if (follower.BeginEra(era)) {
@@ -355,7 +360,9 @@
     if (collection == Collection::kInstances) {
       DropInstance(object.name, update);
     }
-    if (collection == Collection::kDaemons) {
+    // An entry that went with the store's history names a daemon all the same: it may hold leases
+    // until it hears of that.
+    if (collection == Collection::kDaemons && daemon_eras_[object.name] >= object.revision.era) {
       daemons_.erase(object.name);
     }
     return;
@@ -379,6 +386,7 @@
     NoteUnusable(model::EntryDefectName(unusable->defect), object.name);
   } else if (const auto* daemon = std::get_if<model::DaemonEntry>(&object.payload)) {
     daemons_[daemon->name] = *daemon;
+    daemon_eras_[daemon->name] = object.revision.era;
     update.daemons.push_back(*daemon);
   } else if (const auto* record = std::get_if<model::LeadershipRecord>(&object.payload)) {
     // The records of earlier eras tell nothing of this one.
@@ -426,8 +434,8 @@
 }
 
 CatalogUpdate CatalogState::TakeRead(const model::Configuration& configuration,
-                                     const model::Revision& revision) {
-  NoteEra(revision.era, "store");
+                                     const model::Revision& revision, common::Instant now) {
+  NoteEra(revision.era, "store", now);
   known_.configuration = std::max(known_.configuration, revision);
   CatalogUpdate update;
   update.configuration = TakeConfiguration(configuration, "read", revision);
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "metadata/collection_follower.h"
+#include "metadata/store_era.h"
 #include "model/catalog.h"
 #include "proxy/outbox.h"
 #include "proxy/proxy_settings.h"
@@ -98,18 +99,21 @@
                          double jitter);
 
   /// Takes the configuration as a read of its own has shown it.
-  CatalogUpdate TakeRead(const model::Configuration& configuration,
-                         const model::Revision& revision);
+  CatalogUpdate TakeRead(const model::Configuration& configuration, const model::Revision& revision,
+                         common::Instant now);
 
   /// The store's history is of this era. @param source that tells so: "store" or "daemon".
-  void NoteEra(std::uint64_t era, const char* source);
+  void NoteEra(std::uint64_t era, const char* source, common::Instant now);
 
   /// @return the era of the store's history, 0 if the store tells none; rises with each return from
   /// an older copy.
-  std::uint64_t Era() const { return era_; }
+  std::uint64_t Era() const { return era_.Newest(); }
 
   /// @return how often a later era was met than the one before.
-  std::uint64_t EraChanges() const { return era_changes_; }
+  std::uint64_t EraChanges() const { return era_.Returns(); }
+
+  /// @return true if the daemon's entry was seen in the store's present history.
+  bool ListsDaemon(const std::string& name) const;
 
   /// Takes another daemon's copy; only what is newer counts.
   CatalogUpdate TakeCopy(const CatalogCopy& copy);
@@ -176,9 +180,9 @@
   CatalogRevisions known_;      // of the newest objects
   CatalogRevisions elsewhere_;  // highest that others told of
   CatalogRevisions seen_;       // of the store's newest answers
-  std::uint64_t era_ = 0;       // newest that is known of the store's history
-  std::uint64_t era_changes_ = 0;
-  std::uint32_t failed_probes_ = 0;  // in a row
+  metadata::StoreEra era_;
+  std::map<std::string, std::uint64_t> daemon_eras_;  // in which entries were seen last, by name
+  std::uint32_t failed_probes_ = 0;                   // in a row
   std::optional<common::Instant> behind_since_;
   bool started_ = false;
   common::Instant chase_not_before_{0};
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -186,8 +186,21 @@
 }
 
 void Proxy::NoteEra(std::uint64_t era, common::Instant now) {
-  catalog_.NoteEra(era, "store");
-  failover_.BeginEra(catalog_.Era(), now);
+  catalog_.NoteEra(era, "store", now);
+  if (catalog_.Era() == followed_era_) {
+    return;
+  }
+  const bool returned = followed_era_ != 0;
+  followed_era_ = catalog_.Era();
+  failover_.BeginEra(followed_era_, now);
+  if (returned) {
+    // This daemon's entry may be gone, and a promoter waits only for the leases of who is listed.
+    registered_ = false;
+    registering_.reset();
+    register_not_before_ = now;
+    groups_.SetRegistered(false);
+    Register(now);
+  }
 }
 
 void Proxy::ConfigurationRead(CallNumber call,
@@ -196,7 +209,7 @@
   const auto version =
       configuration ? std::optional(configuration->version) : std::optional<std::uint64_t>();
   if (prover_.Read(call, version) && configuration) {
-    Apply(catalog_.TakeRead(*configuration, revision), now);
+    Apply(catalog_.TakeRead(*configuration, revision, now), now);
   }
 }
 
@@ -218,7 +231,7 @@
   }
   registering_.reset();
   registered_ = written;
-  groups_.SetRegistered(registered_ || catalog_.Daemons().contains(settings_.name));
+  groups_.SetRegistered(registered_ || catalog_.ListsDaemon(settings_.name));
   register_not_before_ = now + kRegisterPause;
   outbox_.Log("daemon_registered", {{"written", written ? "true" : "false"}});
 }
@@ -277,7 +290,7 @@
     backends_.EntryGone(id, now);
   }
   for (const model::DaemonEntry& daemon : update.daemons) {
-    if (daemon.name == settings_.name) {
+    if (catalog_.ListsDaemon(settings_.name)) {
       groups_.SetRegistered(true);
     }
     if (daemon.name != settings_.name) {
@@ -471,7 +484,7 @@
 
 bool Proxy::IsListed() const {
   const auto own = catalog_.Daemons().find(settings_.name);
-  return catalog_.DaemonsListed() && own != catalog_.Daemons().end() &&
+  return catalog_.ListsDaemon(settings_.name) && own != catalog_.Daemons().end() &&
          own->second.peer == settings_.peer && own->second.zone == settings_.zone &&
          own->second.capacity == settings_.capacity;
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -279,6 +279,7 @@
   bool exited_ = false;
   bool registered_ = false;
   std::optional<CallNumber> registering_;
+  std::uint64_t followed_era_ = 0;  // of the store, that all parts know of
   common::Instant register_not_before_{0};
   std::optional<CallNumber> fetching_;
   common::Instant fetch_not_before_{0};
--- a/tests/proxy/proxy_test.cc
+++ b/tests/proxy/proxy_test.cc
@@ -156,4 +156,48 @@
   CHECK(daemon.proxy.ColdInstances() == 0);
 }
 
+namespace {
+
+/// Answers all calls for lists and watches from an empty store of an era.
+/// @return the call by which the daemon wrote its entry, if it did.
+std::optional<CallNumber> AnswerCalls(Proxy& proxy, std::uint64_t era, Instant now) {
+  std::optional<CallNumber> registered;
+  for (const Action& action : proxy.TakeActions()) {
+    if (const auto* read = std::get_if<ReadCatalog>(&action)) {
+      proxy.CatalogRead(read->call, {metadata::ReadStatus::kOk, {10, era}, {}}, now);
+    }
+    if (const auto* write = std::get_if<WriteDaemon>(&action)) {
+      registered = write->call;
+    }
+  }
+  return registered;
+}
+
+/// @return the call by which the daemon wrote its entry within a second, if it did.
+std::optional<CallNumber> Registration(Proxy& proxy, std::uint64_t era, Instant& now) {
+  for (int step = 0; step < 100; ++step) {
+    now += Duration(10'000);
+    proxy.Tick(now);
+    if (const auto call = AnswerCalls(proxy, era, now)) {
+      return call;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TEST_CASE("A daemon whose entry may have gone with the store's history registers again",
+          "[proxy]") {
+  // A store that had returned from an older copy no longer listed a daemon that had registered
+  // since; it held leases all the same, which nobody who replaced a primary waited for.
+  Proxy proxy(MakeSettings(), 1);
+  Instant now = kStart;
+  const auto first = Registration(proxy, 1, now);
+  REQUIRE(first);
+  proxy.DaemonWritten(*first, true, now);
+  CHECK_FALSE(Registration(proxy, 1, now));
+  CHECK(Registration(proxy, 2, now));
+}
+
 }  // namespace valvekeel::proxy
