After a return of the store a record renews a lease only once the group was asked

What callers saw: nothing yet. Cause: leases are renewed by a read of the leadership record, which names each replacement that was begun; a store that has gone back no longer names the newest, and the lease of a replaced primary could be renewed (a stale read).

Now a read renews a group's lease only if a round that asked the group's instances began 1.6 s or more after this daemon heard of the era: by then nobody can act on a lost claim. Until then leases come from rounds of STATUS, as without the store.

group_set_test 'A record that went back ...' fails without the condition.

--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -169,7 +169,10 @@
     const auto attempt = record.attempts.find(service);
     const bool begun =
         attempt != record.attempts.end() && attempt->second.replaced_term >= newest.term;
-    if (newest.term != 0 && !begun) {
+    // The record may have lost a replacement. A round of the group that began when nobody could act
+    // on a lost claim any more has asked the instances themselves.
+    const bool asked_since = newest.started >= record_complete_from_;
+    if (newest.term != 0 && !begun && asked_since) {
       state.lease.Renew({newest.term, newest.primary, asked});
       confirmed_ = true;
     }
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "failover/leadership.h"
 #include "group/position_history.h"
 #include "group/read_lease.h"
 #include "model/catalog.h"
@@ -109,6 +110,10 @@
   /// @return true if a lease was let go, of which the peer should hear at once.
   bool TakeReports(const PeerMessage& message, std::optional<common::Instant> counted_from);
 
+  /// A new era of the store's history has begun, as far as is known here: replacements begun in the
+  /// former one may be gone from the record.
+  void BeginEra(common::Instant now) { record_complete_from_ = now + failover::kTakeoverTime; }
+
   /// Takes the leadership record as it was at or after an instant: groups without a replacement
   /// beyond their primary's term have their leases renewed from that instant.
   void RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked);
@@ -182,6 +187,8 @@
   bool confirmed_ = false;
   bool opinion_changed_ = false;
   bool registered_ = false;
+  /// From when on no replacement that the record does not name can come about any more.
+  common::Instant record_complete_from_{0};
 };
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -193,6 +193,9 @@
   const bool returned = followed_era_ != 0;
   followed_era_ = catalog_.Era();
   failover_.BeginEra(followed_era_, now);
+  if (returned || !settings_.first_start) {
+    groups_.BeginEra(now);
+  }
   if (returned) {
     // This daemon's entry may be gone, and a promoter waits only for the leases of who is listed.
     registered_ = false;
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -288,4 +288,26 @@
   CHECK_FALSE(group.KnownOfPrimary());
 }
 
+TEST_CASE("A record that went back with the store renews no lease before the group was asked",
+          "[proxy]") {
+  // The claim of a replacement was acknowledged, and the store returned from a copy without it. The
+  // record read then names no replacement, but the instance that was promoted may lead already: a
+  // lease renewed from it would let callers read at the former primary.
+  GroupFixture fixture;
+  GroupState& state = fixture.groups.Get("group", kStart);
+  const Instant returned = kStart + Duration(200'000);
+  fixture.groups.BeginEra(returned);
+  const Instant read = returned + Duration(300'000);
+  fixture.groups.RenewFromRecord({}, read);
+  CHECK(state.lease.Newest().started == kStart);
+  // The group itself was asked, but when a claim of before could still be acted on.
+  state.lease.Renew({1, "p", read});
+  fixture.groups.RenewFromRecord({}, read + Duration(400'000));
+  CHECK(state.lease.Newest().started == read);
+  const Instant settled = returned + failover::kTakeoverTime;
+  state.lease.Renew({1, "p", settled});
+  fixture.groups.RenewFromRecord({}, settled + Duration(400'000));
+  CHECK(state.lease.Newest().started == settled + Duration(400'000));
+}
+
 }  // namespace valvekeel::proxy
