A store that has just returned from an older copy proves no keys

What callers saw: nothing yet. Cause: a read of the configuration proves that no newer version was in the store; in one that has gone back, the version that withdrew a key may be missing until the operator's is written again, and a key could be served beyond the revocation limit.

Now a read proves something only if it was sent 2.5 s or more after the later era was heard of. A proof holds for 4.75 s, so none is missed meanwhile. A daemon that starts after the return takes its first read as before: it can't know, and would turn all callers away for 2.5 s at each start.

--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -112,6 +112,9 @@
   /// @return how often a later era was met than the one before.
   std::uint64_t EraChanges() const { return era_.Returns(); }
 
+  /// @return true if what a read that was sent at the instant did not show is not there, either.
+  bool IsComplete(common::Instant asked) const { return era_.IsComplete(asked); }
+
   /// @return true if the daemon's entry was seen in the store's present history.
   bool ListsDaemon(const std::string& name) const;
 
--- a/src/proxy/configuration_prover.cc
+++ b/src/proxy/configuration_prover.cc
@@ -55,7 +55,8 @@
   outbox_.Emit(ReadConfiguration{*call_});
 }
 
-bool ConfigurationProver::Read(CallNumber call, const std::optional<std::uint64_t>& version) {
+bool ConfigurationProver::Read(CallNumber call, const std::optional<std::uint64_t>& version,
+                               const CatalogState& catalog) {
   if (call_ != call) {
     return false;
   }
@@ -63,7 +64,8 @@
   failed_ = !version;
   if (!version) {
     outbox_.Log("configuration_read_failed", {}, LogLevel::kWarning);
-  } else {
+  } else if (catalog.IsComplete(*asked_at_)) {
+    // Else a version that withdrew a key may not have been written again.
     admission_.proof().note({*version, *asked_at_});
   }
   return true;
--- a/src/proxy/configuration_prover.h
+++ b/src/proxy/configuration_prover.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 
+#include "proxy/catalog_state.h"
 #include "proxy/outbox.h"
 #include "proxy/proxy_settings.h"
 #include "tenants/admission.h"
@@ -31,8 +32,10 @@
   /// Reads the configuration if it is due.
   void Tick(const Duty& duty, common::Instant now);
 
-  /// Takes the newest version. @return true if the call was ours.
-  bool Read(CallNumber call, const std::optional<std::uint64_t>& version);
+  /// Takes the newest version. @param catalog tells whether the store may lack what was written.
+  /// @return true if the call was ours.
+  bool Read(CallNumber call, const std::optional<std::uint64_t>& version,
+            const CatalogState& catalog);
 
  private:
   bool IsDue(const Duty& duty, common::Instant now) const;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -209,9 +209,10 @@
 void Proxy::ConfigurationRead(CallNumber call,
                               const std::optional<model::Configuration>& configuration,
                               const model::Revision& revision, common::Instant now) {
+  NoteEra(revision.era, now);
   const auto version =
       configuration ? std::optional(configuration->version) : std::optional<std::uint64_t>();
-  if (prover_.Read(call, version) && configuration) {
+  if (prover_.Read(call, version, catalog_) && configuration) {
     Apply(catalog_.TakeRead(*configuration, revision, now), now);
   }
 }
