Evacuations are ordered by era, and stand while the store is not written again

What callers saw: nothing yet. Cause: views of evacuated zones were ordered by the store's bare revision: after a return a view of the former history won until the numbers had grown past it, and a read of a copy without the evacuation would have put the zone back into use.

Now the revision of a view has the era, also between daemons, and a read that was sent less than 2.5 s after the later era was heard of changes nothing.

proxy_evacuation_test 'A zone stays evacuated ...' fails without either part.

--- a/src/evacuation/read_schedule.cc
+++ b/src/evacuation/read_schedule.cc
@@ -46,11 +46,12 @@
   }
   this->reading = true;
   this->sent_at = now;
-  this->known_revision = tracker.known() ? tracker.newest()->revision : 0;
+  this->known_revision = tracker.known() ? tracker.newest()->revision : model::Revision();
   return true;
 }
 
-std::optional<common::Instant> read_schedule::finish(const std::optional<std::uint64_t>& revision) {
+std::optional<common::Instant> read_schedule::finish(
+    const std::optional<model::Revision>& revision) {
   this->reading = false;
   this->failed = !revision || *revision < this->known_revision;
   return this->failed ? std::nullopt : this->sent_at;
--- a/src/evacuation/read_schedule.h
+++ b/src/evacuation/read_schedule.h
@@ -37,6 +37,9 @@
   /** @return true if a read is due; it counts as sent then. */
   bool start(const read_duty& duty, const view_tracker& tracker, common::Instant now);
 
+  /** @return when the read in progress was sent. */
+  common::Instant asked_at() const { return this->sent_at.value_or(common::Instant(0)); }
+
   /**
    * The read was answered, or was not.
    *
@@ -44,7 +47,7 @@
    * @return the instant for which the answer holds; nothing if it proves nothing: a revision that
    *     was known before the read was sent shows an old state
    */
-  std::optional<common::Instant> finish(const std::optional<std::uint64_t>& revision);
+  std::optional<common::Instant> finish(const std::optional<model::Revision>& revision);
 
  private:
   bool due(const read_duty& duty, const view_tracker& tracker, common::Instant now) const;
@@ -53,7 +56,7 @@
   bool reading = false;
   bool failed = false;  // the last read
   std::optional<common::Instant> sent_at;
-  std::uint64_t known_revision = 0;  // when the read was sent
+  model::Revision known_revision;  // when the read was sent
 };
 
 }  // namespace valvekeel::evacuation
--- a/src/evacuation/zone_view.h
+++ b/src/evacuation/zone_view.h
@@ -13,19 +13,20 @@
 #include <vector>
 
 #include "common/time.h"
+#include "model/revision.h"
 
 namespace valvekeel::evacuation {
 
 /** The state of the store's collection at a revision. */
 struct zone_view {
-  std::uint64_t revision = 0;
+  model::Revision revision;
   std::set<std::string> zones;  // that are evacuated
   common::Instant read_at{0};   // on this daemon's clock
 };
 
 /** A view as daemons tell it to each other. */
 struct view_message {
-  std::uint64_t revision = 0;
+  model::Revision revision;
   std::vector<std::string> zones;
   std::optional<common::Duration> age;  // since it was read; nothing: no view is told
 };
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -167,14 +167,19 @@
 }
 
 json ToJson(const evacuation::view_message& view) {
-  return view.age ? json::array({view.revision, view.zones, AgeToJson(view.age)}) : json::array();
+  return view.age ? json::array(
+                        {view.revision.number, view.zones, AgeToJson(view.age), view.revision.era})
+                  : json::array();
 }
 
 evacuation::view_message EvacuationsFrom(const json& value) {
   if (value.empty()) {
     return {};
   }
-  return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::vector<std::string>>(),
+  // Earlier versions know of no eras.
+  const std::uint64_t era = value.size() > 3 ? value.at(3).get<std::uint64_t>() : 0;
+  return {{value.at(0).get<std::uint64_t>(), era},
+          value.at(1).get<std::vector<std::string>>(),
           AgeFromJson(value.at(2))};
 }
 
--- a/src/proxy/proxy_evacuation.cc
+++ b/src/proxy/proxy_evacuation.cc
@@ -37,9 +37,12 @@
     return false;
   }
   evacuation_call_.reset();
-  const bool answered = result.status == metadata::ReadStatus::kOk;
+  // Evacuations that were acknowledged may not have been written again: a zone must not return to
+  // use for that.
+  const bool answered = result.status == metadata::ReadStatus::kOk &&
+                        catalog_.IsComplete(evacuation_reads_.asked_at());
   const auto read_at =
-      evacuation_reads_.finish(answered ? std::optional(result.revision.number) : std::nullopt);
+      evacuation_reads_.finish(answered ? std::optional(result.revision) : std::nullopt);
   if (!read_at) {
     outbox_.Log("evacuations_read_failed",
                 {{"status", std::to_string(static_cast<int>(result.status))},
@@ -49,7 +52,7 @@
     return true;
   }
   evacuation::zone_view view;
-  view.revision = result.revision.number;
+  view.revision = result.revision;
   view.read_at = *read_at;
   for (const model::CatalogObject& object : result.objects) {
     view.zones.insert(object.name);
@@ -78,7 +81,7 @@
     const auto in_use_at = evacuations_.in_use_at(zone);
     const auto in_use = in_use_at ? std::optional(now - *in_use_at) : std::nullopt;
     outbox_.Log("evacuation_known", {{"zone", zone},
-                                     {"revision", std::to_string(view.revision)},
+                                     {"revision", model::RevisionText(view.revision)},
                                      {"age_ms", AgeText(evacuations_.age(now))},
                                      {"in_use_before_ms", AgeText(in_use)},
                                      {"source", source}});
@@ -86,7 +89,7 @@
   for (const std::string& zone : change.ended) {
     warm_up_.zone_returned(zone, now);
     outbox_.Log("evacuation_over", {{"zone", zone},
-                                    {"revision", std::to_string(view.revision)},
+                                    {"revision", model::RevisionText(view.revision)},
                                     {"age_ms", AgeText(evacuations_.age(now))},
                                     {"source", source}});
   }
--- a/tests/proxy/proxy_evacuation_test.cc
+++ b/tests/proxy/proxy_evacuation_test.cc
@@ -70,7 +70,7 @@
   }
 
   /// Answers the newest question.
-  void Answer(metadata::ReadStatus status, std::uint64_t revision,
+  void Answer(metadata::ReadStatus status, const model::Revision& revision,
               const std::vector<std::string>& zones) {
     metadata::ReadResult result;
     result.status = status;
@@ -196,4 +196,29 @@
   CHECK_FALSE(common::ValueOf(without).evacuations.age);
 }
 
+TEST_CASE("A zone stays evacuated when the store returns from a copy without the evacuation",
+          "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.proxy.SessionStarted(1, "orders", {}, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  fixture.Answer(metadata::ReadStatus::kOk, {500, 1}, {"north"});
+  REQUIRE(fixture.proxy.Evacuations().evacuated("north"));
+  std::size_t answered = fixture.reads.size();
+  const auto answer_next = [&](std::uint64_t number, const std::vector<std::string>& zones) {
+    for (int step = 0; step < 500 && fixture.reads.size() == answered; ++step) {
+      fixture.Advance(milliseconds(10));
+    }
+    REQUIRE(fixture.reads.size() == ++answered);
+    fixture.Answer(metadata::ReadStatus::kOk, {number, 2}, zones);
+  };
+  answer_next(440, {});
+  CHECK(fixture.proxy.Evacuations().evacuated("north"));
+  // It was written again, and is taken back at a revision below the one known of before.
+  fixture.Advance(std::chrono::seconds(3));
+  answer_next(441, {"north"});
+  CHECK(fixture.proxy.Evacuations().evacuated("north"));
+  answer_next(442, {});
+  CHECK_FALSE(fixture.proxy.Evacuations().evacuated("north"));
+}
+
 }  // namespace valvekeel::proxy
