What an instance said before does not count when a store returns with it

What callers saw: nothing yet. Cause: entries were ordered by the store's revisions; a copy shows an instance that drains as ready until it writes its entry again, and work would go back to it.

An entry that tells what is known is no news: a new era lists all, and warm-ups would begin again.

catalog_state_test 'An instance that drains goes on ...' and 'Instances that the copy lacks ...'.

--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -84,9 +84,17 @@
   bool primary = false;              // as it sees itself
   common::Duration warm_up_left{0};  // as it was when the entry was written
   std::uint64_t incarnation = 0;     // see InstanceLife
+  std::uint64_t sequence = 0;        // counts what the instance has written in this life
 
   InstanceLife Life() const { return {this->id, this->incarnation}; }
 
+  /// @return true if the other entry tells the same, written earlier or later.
+  bool TellsSameAs(const InstanceEntry& other) const {
+    InstanceEntry same = other;
+    same.sequence = this->sequence;
+    return *this == same;
+  }
+
   bool operator==(const InstanceEntry&) const = default;
 };
 
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -259,7 +259,7 @@
   metadata::CollectionFollower& follower = followers_.at(collection);
   const bool was_listed = follower.Listed();
   for (const metadata::CatalogChange& change : follower.Answer(result, now, jitter)) {
-    Apply(change.object, collection, update);
+    Apply(change.object, collection, now, update);
   }
   const bool first_list = follower.Listed() && !was_listed;
   const bool listed = !answered_call.watch && result.status == metadata::ReadStatus::kOk;
@@ -348,7 +348,7 @@
 }
 
 void CatalogState::Apply(const model::CatalogObject& object, Collection collection,
-                         CatalogUpdate& update) {
+                         common::Instant now, CatalogUpdate& update) {
   // What a list no longer holds comes with the list's revision, which others need not know.
   if (collection == Collection::kConfiguration && !object.gone) {
     known_.configuration = std::max(known_.configuration, object.revision);
@@ -371,14 +371,7 @@
     update.configuration =
         TakeConfiguration(*configuration, "store", object.revision) || update.configuration;
   } else if (const auto* instance = std::get_if<model::InstanceEntry>(&object.payload)) {
-    // A later era lists all objects anew: what says nothing new is no news.
-    const auto known = instances_.find(instance->id);
-    const bool unchanged = known != instances_.end() && known->second == *instance;
-    if (!unchanged) {
-      instances_[instance->id] = *instance;
-      std::erase(update.instances_gone, instance->id);
-      update.instances.push_back(*instance);
-    }
+    ApplyInstance(*instance, now, update);
   } else if (const auto* unusable = std::get_if<model::UnusableEntry>(&object.payload)) {
     // What the id named before takes no new work, as if its entry had gone: it may serve on, and
     // its own next entry brings it back.
@@ -400,6 +393,27 @@
   }
 }
 
+void CatalogState::ApplyInstance(const model::InstanceEntry& entry, common::Instant now,
+                                 CatalogUpdate& update) {
+  const auto known = instances_.find(entry.id);
+  if (known != instances_.end() && known->second.Life() == entry.Life()) {
+    // A store that has just returned may show what the instance said before, such as that it does
+    // not drain. Else the store's order counts: another writer's number must not shut it out.
+    const bool earlier = entry.incarnation != 0 && entry.sequence < known->second.sequence;
+    if (earlier && !era_.IsComplete(now)) {
+      return;
+    }
+    // A later era lists all entries anew: what says nothing new is no news.
+    if (known->second.TellsSameAs(entry)) {
+      known->second.sequence = entry.sequence;
+      return;
+    }
+  }
+  instances_[entry.id] = entry;
+  std::erase(update.instances_gone, entry.id);
+  update.instances.push_back(entry);
+}
+
 void CatalogState::DropInstance(const std::string& id, CatalogUpdate& update) {
   if (instances_.erase(id) > 0) {
     std::erase_if(update.instances, [&](const auto& each) { return each.id == id; });
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -153,8 +153,9 @@
     common::Instant sent{0};
   };
 
-  void Apply(const model::CatalogObject& object, model::Collection collection,
+  void Apply(const model::CatalogObject& object, model::Collection collection, common::Instant now,
              CatalogUpdate& update);
+  void ApplyInstance(const model::InstanceEntry& entry, common::Instant now, CatalogUpdate& update);
   /// Gives up the collection's call, if there is one: its answer counts no more.
   void Forget(model::Collection collection);
   void LogFailure(const PendingCall& call, const metadata::ReadResult& result, common::Instant now);
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -247,6 +247,7 @@
   entry.draining = instance.draining;
   entry.primary = instance.primary;
   entry.incarnation = instance.incarnation;
+  entry.sequence = ++entry_writes_;
   entry.warm_up_left =
       std::max(common::Duration(0), common::Duration(instance.cold_until - world_.Now()));
   store_.Put(Collection::kInstances, instance.id, entry);
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -123,6 +123,7 @@
   std::map<std::string, std::unique_ptr<DatabaseGroup>> groups_;
   std::vector<std::unique_ptr<DaemonHost>> daemons_;
   std::uint64_t highest_token_ = 0;
+  std::uint64_t entry_writes_ = 0;
   std::map<std::uint64_t, std::string> token_holders_;
   std::map<std::string, std::string> announced_;  // last state by instance
 };
--- a/tests/proxy/catalog_state_test.cc
+++ b/tests/proxy/catalog_state_test.cc
@@ -5,6 +5,7 @@
 namespace valvekeel::proxy {
 namespace {
 
+using common::Duration;
 using common::Instant;
 using metadata::ReadStatus;
 using model::CatalogObject;
@@ -29,11 +30,12 @@
   Outbox outbox;
   CatalogState catalog{settings, outbox};
   Instant now{1'000'000};
+  Duration step{3'000'000};  // from a call to its answer
 
   /// Answers the collection's call. @return what changed.
   CatalogUpdate Answer(Collection collection, const metadata::ReadResult& result) {
     catalog.Tick(now);
-    now += common::Duration(3'000'000);
+    now += step;
     for (const Action& action : outbox.Take()) {
       const auto* read = std::get_if<ReadCatalog>(&action);
       if (read != nullptr) {
@@ -63,6 +65,41 @@
   CHECK(other.instances_gone == std::vector<std::string>{"i-1"});
 }
 
+TEST_CASE("An instance that drains goes on to do so when the store returns from an older copy",
+          "[proxy]") {
+  CatalogFixture fixture;
+  const auto listed = [](std::uint64_t era, std::uint64_t sequence, bool draining) {
+    CatalogObject object = Instance("i-1", 4);
+    object.revision.era = era;
+    auto& entry = std::get<model::InstanceEntry>(object.payload);
+    entry.incarnation = 1;
+    entry.sequence = sequence;
+    entry.draining = draining;
+    return metadata::ReadResult{ReadStatus::kOk, {5, era}, {object}};
+  };
+  fixture.Answer(Collection::kInstances, listed(1, 8, true));
+  fixture.step = Duration(100'000);
+  CHECK(fixture.Answer(Collection::kInstances, {ReadStatus::kHistoryGone, {0, 2}, {}})
+            .instances.empty());
+  // The copy has what the instance said before.
+  CHECK(fixture.Answer(Collection::kInstances, listed(2, 7, false)).instances.empty());
+  CHECK(fixture.catalog.Instances().at("i-1").draining);
+}
+
+TEST_CASE("Instances that the copy lacks are kept until they could be written again", "[proxy]") {
+  CatalogFixture fixture;
+  CatalogObject object = Instance("i-1", 4);
+  object.revision.era = 1;
+  fixture.Answer(Collection::kInstances, {ReadStatus::kOk, {5, 1}, {object}});
+  fixture.step = Duration(100'000);
+  fixture.Answer(Collection::kInstances, {ReadStatus::kHistoryGone, {0, 2}, {}});
+  CHECK(
+      fixture.Answer(Collection::kInstances, {ReadStatus::kOk, {3, 2}, {}}).instances_gone.empty());
+  fixture.now += metadata::kWrittenAgain;
+  const CatalogUpdate later = fixture.Answer(Collection::kInstances, {ReadStatus::kOk, {3, 2}, {}});
+  CHECK(later.instances_gone == std::vector<std::string>{"i-1"});
+}
+
 TEST_CASE("The version in force never falls", "[proxy]") {
   CatalogFixture fixture;
   CHECK(
