A daemon that has just started counts its first reads as of before a return of the store

Cause: daemons that were killed around the store's return met its era as the first of their life, and took a read of the copy, without the evacuation, for the present: the zone counted as in use then, and its instances closed too late. The same holds for proofs of keys.

Now a read of the first 2.5 s of a known era counts as of 2.5 s earlier: what it lacks may not have been written again. That costs no waiting, only that such a view or proof ages sooner.

--- a/src/metadata/store_era.h
+++ b/src/metadata/store_era.h
@@ -23,7 +23,8 @@
     const bool returned = newest_ != 0;
     newest_ = era;
     returns_ += returned ? 1 : 0;
-    complete_from_ = returned ? now + kWrittenAgain : complete_from_;
+    settled_from_ = now + kWrittenAgain;
+    complete_from_ = returned ? settled_from_ : complete_from_;
     return true;
   }
 
@@ -37,10 +38,17 @@
   /// before, it may just not have been written again.
   bool IsComplete(common::Instant asked) const { return asked >= complete_from_; }
 
+  /// @return the instant as of which a read that was sent at the given one shows all that operators
+  /// had written. A daemon that has just started can't know whether the store has just returned.
+  common::Instant ShownAsOf(common::Instant asked) const {
+    return asked < settled_from_ ? asked - kWrittenAgain : asked;
+  }
+
  private:
   std::uint64_t newest_ = 0;
   std::uint64_t returns_ = 0;
   common::Instant complete_from_{0};
+  common::Instant settled_from_{0};
 };
 
 }  // namespace valvekeel::metadata
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -115,6 +115,9 @@
   /// @return true if what a read that was sent at the instant did not show is not there, either.
   bool IsComplete(common::Instant asked) const { return era_.IsComplete(asked); }
 
+  /// @return the instant as of which a read that was sent at the given one shows all there was.
+  common::Instant ShownAsOf(common::Instant asked) const { return era_.ShownAsOf(asked); }
+
   /// @return true if the daemon's entry was seen in the store's present history.
   bool ListsDaemon(const std::string& name) const;
 
--- a/src/proxy/configuration_prover.cc
+++ b/src/proxy/configuration_prover.cc
@@ -66,7 +66,7 @@
     outbox_.Log("configuration_read_failed", {}, LogLevel::kWarning);
   } else if (catalog.IsComplete(*asked_at_)) {
     // Else a version that withdrew a key may not have been written again.
-    admission_.proof().note({*version, *asked_at_});
+    admission_.proof().note({*version, catalog.ShownAsOf(*asked_at_)});
   }
   return true;
 }
--- a/tests/proxy/configuration_prover_test.cc
+++ b/tests/proxy/configuration_prover_test.cc
@@ -55,4 +55,18 @@
   CHECK(fixture.Proves(returned + metadata::kWrittenAgain));
 }
 
+TEST_CASE("A daemon that has just started takes a read for as old as a return could make it",
+          "[proxy]") {
+  // Of a day on which most daemons were killed around a return, the one that then read for all took
+  // a zone for in use at its first read, which lacked the zone's evacuation
+  // ("in_use_before_ms=1014" where it had been evacuated for 2 s), and work went there past the
+  // limit.
+  ProverFixture fixture;
+  fixture.catalog.NoteEra(4, "store", kStart);
+  REQUIRE(fixture.Proves(kStart));
+  CHECK(fixture.admission.proof().newest()->read_at == kStart - metadata::kWrittenAgain);
+  REQUIRE(fixture.Proves(kStart + metadata::kWrittenAgain));
+  CHECK(fixture.admission.proof().newest()->read_at == kStart + metadata::kWrittenAgain);
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxysim/store_restore_test.cc
+++ b/tests/proxysim/store_restore_test.cc
@@ -97,6 +97,16 @@
   }
 }
 
+TEST_CASE("A daemon that starts after a return does not take an evacuated zone for in use",
+          "[proxysim]") {
+  ScenarioOptions options;
+  options.seed = 4019;
+  options.store_restores = true;
+  options.evacuations = true;
+  options.anew = true;
+  CHECK(Count(RunScenario(options), "EVAC") == 0);
+}
+
 TEST_CASE("No token is given out a second time after the store returned from an older copy",
           "[proxysim]") {
   // The record of who may promote had gone back with the store, and its token with it: the next
