--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -5,7 +5,7 @@
 
 Processes are stopped, paused, killed and restarted by signals; connections to instances and the
 store are delayed, reset and silenced by loopback proxies; instances crash; the store refuses, is
-silent, loses answers and forgets. What callers and instances saw is held against the rules. Ends
+silent, loses answers, forgets and returns from older copies. What callers and instances saw is held against the rules. Ends
 only processes that it started. With --planned there are no faults, but planned work alone, in
 series that overlap: then no request may end without an answer. Exits with 1 if a rule was broken or
 callers were not served again, with 2 if it could not run. Its addresses are fixed: one run only.
@@ -324,6 +324,27 @@
         self.store_link.heal()
         self.store_link.reset()
 
+    async def store_return(self):
+        """The store is away for a moment and comes back from a copy some seconds old."""
+        if self.random.random() < 0.6:
+            await self.configure(self.next_version())
+        if self.random.random() < 0.4:
+            asyncio.ensure_future(self.crash())
+        await asyncio.sleep(self.random.uniform(0, 1.5))
+        age, away = self.random.uniform(0, 5), self.random.uniform(0.05, 3)
+        self.tell("store: away for %.1f s, returns from a copy %.1f s old" % (away, age))
+        how = self.random.choice(["down", "silent"])
+        setattr(self.store, how, True)
+        await self.trouble("store", away)
+        setattr(self.store, how, False)
+        await self.store.restore(age + away)
+        if self.random.random() < 0.7:  # else connections that waited are silent for good
+            self.store_link.reset()
+        self.troubled["store"] = time.monotonic()
+        for _ in range(3):
+            await asyncio.sleep(self.random.uniform(0, 3))
+            await self.configure(self.next_version())
+
     async def trouble(self, name, seconds):
         """Waits for a fault's end, and notes until when it excuses who is late."""
         self.troubled[name] = max(self.troubled.get(name, 0), time.monotonic() + seconds)
@@ -361,7 +382,9 @@
         faults = [self.kill, self.kill_many, self.stop, self.pause, self.reload, self.crash,
                   self.crash, self.link_fault, self.link_fault, self.store_fault, self.lag,
                   self.evacuate, self.evacuate, self.restart_anew, self.bad_entries]
-        running = []
+        if self.options.restores:
+            faults += 3 * [self.store_return]
+        running = [asyncio.ensure_future(self.store_return())] if self.options.restores else []
         while time.monotonic() < self.end - LAST_SECONDS:
             running.append(asyncio.ensure_future(self.random.choice(faults)()))
             await asyncio.sleep(self.random.uniform(0.8, 3.0))
@@ -465,6 +488,8 @@
     parser.add_argument("--services", type=int, default=2)
     parser.add_argument("--callers", type=int, default=4, help="for each service and kind")
     parser.add_argument("--planned", action="store_true", help="planned work alone, no faults")
+    parser.add_argument("--restores", action="store_true",
+                        help="the store returns from older copies, several times")
     parser.add_argument("--plant", default="",
                         choices=["", "stale", "lost", "pinned", "evacuated", "cut"],
                         help="lets the stand-in break a rule: the soak must say so")
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -3,9 +3,13 @@
 import asyncio
 import json
 import random
+import time
 from urllib.parse import parse_qs, urlparse
 
 MOST_HISTORY = 400
+OLDEST_COPY_SECONDS = 8
+WRITTEN_AGAIN_SECONDS = 2  # within which operators and instances write what was lost once more
+OTHERS_KINDS = ("config", "servers", "evacuations")  # that daemons don't write
 
 
 class Store:
@@ -14,6 +18,9 @@
         self.objects = {}  # by kind, by name
         self.events = []   # of (revision, kind, gone, object)
         self.revision = 0
+        self.era = 1       # rises with each return from an older copy
+        self.replaced = []  # of (instant, kind, name, object before or None, revision before)
+        self.to_write_again = {}  # specs by kind and name; None: it was removed
         self.first_kept = 0
         self.changed = asyncio.Condition()
         self.down = False
@@ -24,10 +31,49 @@
         self.tokens = []           # of (token, holder), as they came
         self.violations = []
 
+    def note_replaced(self, kind, name):
+        now = time.monotonic()
+        before = self.objects.get(kind, {}).get(name)
+        self.replaced.append((now, kind, name, before, self.revision))
+        while self.replaced[0][0] < now - OLDEST_COPY_SECONDS:
+            del self.replaced[0]
+        self.to_write_again.pop((kind, name), None)
+
+    async def restore(self, seconds):
+        """Comes back from a copy of that age; revisions are given out a second time."""
+        since = time.monotonic() - seconds
+        while self.replaced and self.replaced[-1][0] > since:
+            _, kind, name, before, revision = self.replaced.pop()
+            now = self.objects[kind].get(name)
+            if kind in OTHERS_KINDS:
+                self.to_write_again.setdefault((kind, name), now and now["spec"])
+            if before:
+                self.objects[kind][name] = before
+            else:
+                self.objects[kind].pop(name, None)
+            self.revision = revision
+        self.era += 1
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        for key in list(self.to_write_again):
+            asyncio.ensure_future(self.write_again(key))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def write_again(self, key):
+        await asyncio.sleep(self.random.uniform(0, WRITTEN_AGAIN_SECONDS))
+        if key not in self.to_write_again:
+            return  # written anew meanwhile
+        spec = self.to_write_again.pop(key)
+        if spec is None:
+            await self.remove(*key)
+        else:
+            await self.put(*key, spec)
+
     async def put(self, kind, name, spec):
         old = self.objects.setdefault(kind, {}).get(name)
         if old and old["spec"] == spec:
             return old
+        self.note_replaced(kind, name)
         self.revision += 1
         made = old["meta"]["made"] if old else self.revision
         item = {"meta": {"name": name, "revision": self.revision, "made": made, "finalizers": [],
@@ -37,8 +83,10 @@
         return item
 
     async def remove(self, kind, name):
-        item = self.objects.get(kind, {}).pop(name, None)
+        item = self.objects.get(kind, {}).get(name)
         if item:
+            self.note_replaced(kind, name)
+            del self.objects[kind][name]
             self.revision += 1
             await self.note(kind, True, item)
 
@@ -72,7 +120,8 @@
                         await asyncio.sleep(3600)
                 text = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\n"
-                             b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
+                             b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n" %
+                             (status, self.era, len(text)) + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -109,14 +158,14 @@
         async def found():
             async with self.changed:
                 while not [each for each in self.events if each[0] > after and each[1] == kind]:
-                    if after < self.first_kept:
+                    if not self.first_kept <= after <= self.revision:
                         return
                     await self.changed.wait()
         try:
             await asyncio.wait_for(found(), wait)
         except asyncio.TimeoutError:
             pass
-        if after < self.first_kept:
+        if not self.first_kept <= after <= self.revision:
             return 410, {}
         events = [{"gone": gone, "object": item} for revision, each, gone, item in self.events
                   if revision > after and each == kind]
