A replacement that is not feasible says what it waits for

The line now tells how many replicas must be fenced, how many answer, how many are counted here and by the daemon that counts most, lost logs, and who is away. No change of logic.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -202,12 +202,17 @@
   }
 }
 
-bool Attempt::Feasible(const GroupView& view) {
+FenceCount Attempt::FencesOf(const GroupView& view) {
   const auto reachable = static_cast<std::size_t>(
       std::count_if(view.members.begin(), view.members.end(), [&](const MemberView& member) {
         return member.id != view.primary && !member.departed && member.reachable;
       }));
-  return reachable >= FencesNeeded(view);
+  return {FencesNeeded(view), reachable, ReplicasOf(view)};
+}
+
+bool Attempt::Feasible(const GroupView& view) {
+  const FenceCount fences = FencesOf(view);
+  return fences.reachable >= fences.needed;
 }
 
 std::size_t Attempt::CountedFences(const GroupView& view) const {
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -107,6 +107,13 @@
 /// @return the step's name in logs.
 const char* StepName(Step step);
 
+/// What a replacement needs of the replicas, and what there is.
+struct FenceCount {
+  std::size_t needed = 0;
+  std::size_t reachable = 0;
+  std::size_t replicas = 0;  // that are counted here
+};
+
 class Attempt {
  public:
   /// @param leadership of this daemon, outlives the attempt.
@@ -122,6 +129,9 @@
   /// An instance has started again: its fence is gone, and so is what it held.
   void MemberRestarted(const std::string& instance, common::Instant now);
 
+  /// @return how many replicas must be fenced, and how many answer.
+  static FenceCount FencesOf(const GroupView& view);
+
   /// @return true if so many replicas answer that the primary could be replaced.
   static bool Feasible(const GroupView& view);
 
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -297,10 +297,10 @@
     if (!allowed) {
       continue;
     }
-    if (!failover::Attempt::Feasible(ViewOf(*group, service, registered, 0, need, now))) {
+    const failover::GroupView view = ViewOf(*group, service, registered, 0, need, now);
+    if (!failover::Attempt::Feasible(view)) {
       not_before_[name] = now + kInfeasiblePause;
-      outbox_.Log("failover_infeasible", {{"service", name}, {"reason", need.reason}},
-                  LogLevel::kWarning);
+      TellInfeasible(view, need.reason);
       continue;
     }
     outbox_.Log("failover_started", {{"service", name},
@@ -312,6 +312,28 @@
   }
 }
 
+void FailoverDriver::TellInfeasible(const failover::GroupView& view, const std::string& reason) {
+  const failover::FenceCount fences = failover::Attempt::FencesOf(view);
+  std::string away;
+  for (const failover::MemberView& member : view.members) {
+    if (member.id != view.primary && !member.departed && !member.reachable) {
+      away += (away.empty() ? "" : " ") + member.id;
+    }
+  }
+  // Replicas that only other daemons count are in no list here: `known` tells of them.
+  outbox_.Log("failover_infeasible",
+              {{"service", view.service},
+               {"reason", reason},
+               {"primary", view.primary},
+               {"fences_needed", std::to_string(fences.needed)},
+               {"reachable", std::to_string(fences.reachable)},
+               {"replicas", std::to_string(fences.replicas)},
+               {"known", std::to_string(view.known_replicas)},
+               {"lost_logs", std::to_string(view.lost_logs)},
+               {"away", away}},
+              LogLevel::kWarning);
+}
+
 void FailoverDriver::DropStaleEntry(GroupState& group, common::Instant now) {
   const auto entry = leadership_.Record().attempts.find(group.service);
   const bool stale = entry != leadership_.Record().attempts.end() &&
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -97,6 +97,8 @@
   void Do(GroupState& group, const failover::RequestPromotion& action, common::Instant now);
   void Do(GroupState& group, const failover::AttemptNote& action, common::Instant now);
   /// Takes a replacement that never came about out of the leadership record.
+  /// Logs which replicas a replacement waits for.
+  void TellInfeasible(const failover::GroupView& view, const std::string& reason);
   void DropStaleEntry(GroupState& group, common::Instant now);
   void AdvanceAttempt(const std::string& service, const model::Configuration& configuration,
                       const RegisteredDaemons& registered, common::Instant now);
