Views: a failing test of the seeds that still break, listed

Seeds 3005, 3009 and 3012 broke 3 of 224 further plays of planned stops with messages of up to 0.2 s: one gap, two losses of one or two daemons. Its own case, so that the entry excuses nothing else.

--- a/tests/membership/planned_stop_test.cc
+++ b/tests/membership/planned_stop_test.cc
@@ -159,4 +159,16 @@
   }
 }
 
+TEST_CASE("Planned stops with further delays take nobody alive out of a view",
+          "[membership][planned stop]") {
+  // Of 224 plays with other seeds three lost one or two daemons, or began with a part for all.
+  check_stops_with(SLOWEST, 3005, {{Duration{0}, FIRST}, {SECOND / 2, SECOND_HUB}});
+  std::vector<planned_stop> one_by_one;
+  for (std::size_t number = 0; number < 40; ++number) {
+    one_by_one.push_back({SECOND * static_cast<int>(number) / 6, number * 37 % 84});
+  }
+  check_stops_with(SLOWEST, 3009, one_by_one);
+  check_stops_with(SLOWEST, 3012, one_by_one);
+}
+
 }  // namespace valvekeel::membership
