--- a/review/standins.py
+++ b/review/standins.py
@@ -25,7 +25,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.dont_write_bytecode = True  # nothing is written outside the folders of the cases
 sys.path.insert(0, str(ROOT / "tests" / "platform" / "soak"))
-from database import Group, Instance, Session, signature  # noqa: E402
+from database import (DEMOTE_SECONDS, PROMOTE_SECONDS, Group, Instance, Session,  # noqa: E402
+                      signature)
 from link import Link  # noqa: E402
 from store import Store  # noqa: E402
 
@@ -33,7 +34,7 @@
 SERVICE = "ledger"
 DAEMONS = 3
 CALLERS_PER_DAEMON = 4  # that write
-READERS_PER_DAEMON = 2
+READERS_PER_DAEMON = 2  # that read at replicas, and as many that read at the primary
 HEARTBEAT_SECONDS = 1.2
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
 WRITE_PAUSE_SECONDS = 0.04
@@ -105,7 +106,8 @@
                 return 200, {"events": [], "at": after}
             await asyncio.sleep(0.002)
 
-    def view(self, rewrite):
+    def view(self, number, rewrite, isolated):
+        """Serves a daemon; silent while it is isolated."""
         async def serve(reader, writer):
             try:
                 while True:
@@ -114,8 +116,12 @@
                     method, target, _ = lines[0].split(" ", 2)
                     headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
                     body = await reader.readexactly(int(headers.get("content-length", 0)))
+                    while number in isolated:
+                        await asyncio.sleep(0.02)
                     await asyncio.sleep(self.delay)
                     status, answer = await self.handle(method, target, headers, body)
+                    while number in isolated:
+                        await asyncio.sleep(0.02)
                     text = rewrite(json.dumps(answer)).encode()
                     writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\n"
                                  b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
@@ -142,6 +148,7 @@
 
 class ReviewInstance(Instance):
     deaf = False  # receives nothing
+    cut_off = False  # neither receives from the other instances nor sends to them
 
     async def serve(self, reader, writer):
         session = ReviewSession(self, reader, writer)
@@ -161,16 +168,35 @@
     def __init__(self, record, acknowledged):
         super().__init__(SERVICE, 60)
         self.record, self.acknowledged = record, acknowledged
-        self.lost, self.promotions, self.newest_term = [], 0, 1
-        self.on_change = self.check_promotion
+        self.lost, self.stale, self.rolled_back = [], [], set()
+        self.promotions, self.newest_term = 0, 1
         self.announce = None  # coroutine function of an instance
 
     def replicate(self):
         everyone = self.instances
-        self.instances = [each for each in everyone if not each.deaf]
+        self.instances = [each for each in everyone if not each.deaf and not each.cut_off]
         super().replicate()
         self.instances = everyone
 
+    def is_replicated(self, primary, end):
+        return not primary.cut_off and super().is_replicated(primary, end)
+
+    async def complete_promotion(self, chosen):
+        await asyncio.sleep(PROMOTE_SECONDS)
+        chosen.promoting = False
+        if not chosen.alive:
+            return
+        chosen.term, chosen.primary = max(each.term for each in self.instances) + 1, True
+        for each in self.instances:
+            each.fence = 0  # PROTOCOL.md: "until `RESUME`, a promote or its restart"
+        self.check_promotion()
+        # An old primary continues until a second after it can reach the new one.
+        await asyncio.sleep(DEMOTE_SECONDS)
+        for each in self.instances:
+            if each.primary and each.term < chosen.term and not each.cut_off:
+                each.primary = False
+                asyncio.ensure_future(self.announce(each))
+
     def check_promotion(self):
         """Called as a promotion takes effect: all that was acknowledged must be in the log."""
         chosen = self.newest_primary()
@@ -186,6 +212,33 @@
         for each in missing:
             self.record.write("LOST: %s, acknowledged, is not in the log of %s" % (each, chosen.name))
         self.lost += missing
+        self.rolled_back.update(missing)
+
+    def check_read(self, instance, request, needed):
+        """Called before a read on a `primary` route runs: the log must hold what it needs."""
+        held = {each for _, each, _, _ in instance.log}
+        lacking = [each for each in needed if each not in held and each not in self.rolled_back]
+        if lacking:
+            self.stale.append(request)
+            self.record.write("STALE: %s runs at %s, whose log of term %d lacks %d commits that were "
+                              "acknowledged before it was sent, the last one %s" % (
+                                  request, instance.name, instance.term, len(lacking), lacking[-1]))
+
+
+class PeerPath(asyncio.DatagramProtocol):
+    """The address that one daemon has for the heartbeats of another one. What the first sends there
+    reaches the second from the address that the second has for the first."""
+
+    def __init__(self, case, sender, receiver):
+        self.case, self.sender, self.receiver = case, sender, receiver
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, address):
+        if not {self.sender, self.receiver} & self.case.isolated:
+            back = self.case.paths[self.receiver, self.sender].transport
+            back.sendto(data, (self.case.host(1 + self.receiver), self.case.port + 3))
 
 
 class Case:
@@ -199,6 +252,9 @@
         self.beats = {}    # time of the last heartbeat by instance name
         self.silent = set()  # names of instances that do not reach the store
         self.processes = {}
+        self.paths = {}      # by the numbers of two daemons
+        self.isolated = set()  # numbers of the daemons cut off from the store and the others
+        self.needed = {}     # number of commits acknowledged when a read was sent, by its request
         self.draw = random.Random()
         self.choose_addresses()
 
@@ -220,6 +276,10 @@
     def host(self, number):
         return "%s.%d" % (self.block, number)
 
+    def peer_host(self, number, other):
+        """Returns the host that a daemon has for another one."""
+        return self.host(10 + DAEMONS * number + other)
+
     async def start(self):
         if not BINARY.exists():
             raise CannotRun("build %s with the command in deploy/system.toml" % BINARY)
@@ -237,8 +297,11 @@
         await self.store.put("config", "main", {
             "version": 1, "routes": [route, look], "limits": {"tx_idle_ms": 3000},
             "services": [{"name": SERVICE, "max_conns": 60, "sync_replicas": 1}]})
+        for pair in [(a, b) for a in range(DAEMONS) for b in range(DAEMONS) if a != b]:
+            self.paths[pair] = (await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda pair=pair: PeerPath(self, *pair), (self.peer_host(*pair), self.port + 3)))[1]
         for number in range(DAEMONS):
-            await asyncio.start_server(self.store.view(self.rewriter(number)),
+            await asyncio.start_server(self.store.view(number, self.rewriter(number), self.isolated),
                                        self.host(20 + number), self.port)
             self.start_daemon(number, "true")
         await self.wait_until_ready()
@@ -246,21 +309,25 @@
             for caller in range(CALLERS_PER_DAEMON):
                 asyncio.ensure_future(self.call(number, caller, "desk"))
             for caller in range(READERS_PER_DAEMON):
-                asyncio.ensure_future(self.call(number, CALLERS_PER_DAEMON + caller, "look"))
+                asyncio.ensure_future(self.call(number, 4 + caller, "look"))
+                asyncio.ensure_future(self.call(number, 6 + caller, "desk", reads=True))
 
     def rewriter(self, number):
         def rewrite(text):
             for (daemon, name), link in self.links.items():
                 if daemon == number:
                     text = text.replace('"@%s"' % name, '"%s:%d"' % (link.host, link.port))
+            for other in range(DAEMONS):
+                if other != number:
+                    text = text.replace('"%s:%d"' % (self.host(1 + other), self.port + 3),
+                                        '"%s:%d"' % (self.peer_host(number, other), self.port + 3))
             return text
         return rewrite
 
     async def add_instance(self, name, index, primary=False):
         instance = ReviewInstance(self.group, name, self.host(30 + index), self.port)
         instance.primary, instance.zone = primary, "zone-%d" % (index % 3)
-        instance.on_request = lambda each, request: self.record.write(
-            "%s runs %s" % (each.name, request)) if request != "-" else None
+        instance.on_request = self.on_request
         for number in range(DAEMONS):
             link = Link(self.host(40 + 5 * number + index), self.port, instance.host, instance.port)
             await link.start()
@@ -270,6 +337,13 @@
         await self.announce(instance)
         return instance
 
+    def on_request(self, instance, request):
+        if request == "-":
+            return
+        self.record.write("%s runs %s" % (instance.name, request))
+        if request in self.needed:
+            self.group.check_read(instance, request, self.acknowledged[:self.needed[request]])
+
     async def announce(self, instance):
         self.beats[instance.name] = time.monotonic()
         await self.store.put("servers", instance.name, {
@@ -303,7 +377,8 @@
             name="daemon-%d" % number, zone="zone-%d" % number, first=first,
             host=self.host(1 + number), port=self.port, health=self.port + 1, admin=self.port + 2,
             peer=self.port + 3, store="%s:%d" % (self.host(20 + number), self.port),
-            seeds=json.dumps(["%s:%d" % (self.host(1 + each), self.port + 2)
+            seeds=json.dumps(["%s:%d" % (self.host(1 + each) if each == number else
+                                         self.peer_host(number, each), self.port + 2)
                               for each in range(DAEMONS)])))
         log = open(Path(self.logs) / ("daemon-%d.log" % number), "ab")
         self.processes[number] = subprocess.Popen(
@@ -338,7 +413,7 @@
 
     # Callers: each writes one key after the other, or reads keys, on one session at a time.
 
-    async def call(self, number, caller, database):
+    async def call(self, number, caller, database, reads=False):
         count = 0
         while True:
             try:
@@ -348,9 +423,12 @@
                 while line.startswith(b"READY I"):
                     count += 1
                     request = "%d%d%06d" % (number, caller, count)
-                    text = "PUT k%s 1" % request if database == "desk" else "READ k%d" % count
+                    writes = database == "desk" and not reads
+                    if reads:
+                        self.needed[request] = len(self.acknowledged)
+                    text = "PUT k%s 1" % request if writes else "READ k%d" % count
                     done = await self.ask(reader, writer, request, text, number)
-                    if done and database == "desk":
+                    if done and writes:
                         self.acknowledged.append(request)
                     await asyncio.sleep(WRITE_PAUSE_SECONDS)
             except (OSError, asyncio.TimeoutError, EOFError):
@@ -443,6 +521,29 @@
         await self.crash("p")
         await self.wait_for_promotion(8)
 
+    async def old_lease(self):
+        """A daemon is isolated; the primary is cut off from the others and from the replicas."""
+        if not self.trouble:
+            return await asyncio.sleep(10)
+        self.record.write("daemon-2 is cut off from the store and from the other daemons")
+        self.isolated.add(2)
+        await asyncio.sleep(0.3)
+        self.make_deaf("r2")
+        await self.add_instance("r3", 3)
+        self.record.write("r3 starts and writes its entry to the store")
+        await asyncio.sleep(1)
+        self.record.write("r1 drains")
+        self.instance("r1").state = "draining"
+        await self.announce(self.instance("r1"))
+        await asyncio.sleep(0.5)
+        self.record.write("p is cut off from the replicas, daemon-0 and daemon-1")
+        self.instance("p").cut_off = True
+        for number in range(2):
+            link = self.links[number, "p"]
+            link.blocked_in = link.blocked_out = True
+        await self.wait_for_promotion(6)
+        await asyncio.sleep(3)
+
     async def run(self, name):
         try:
             await self.start()
@@ -455,12 +556,14 @@
                 if process.poll() is None:
                     process.kill()
                 process.wait()
-        self.record.write("%d writes acknowledged, %d promotions, %d acknowledged commits lost" % (
-            len(self.acknowledged), self.group.promotions, len(self.group.lost)))
-        return 1 if self.group.lost else 0
+        self.outcome = ("%d writes acknowledged, %d promotions, LOST: %d commits, STALE: %d reads" % (
+            len(self.acknowledged), self.group.promotions, len(self.group.lost),
+            len(self.group.stale)))
+        self.record.write(self.outcome)
+        return 1 if self.group.lost or self.group.stale else 0
 
 
-CASES = ("forgotten", "unseen", "cut")
+CASES = ("forgotten", "unseen", "old_lease", "cut")
 
 
 def main():
@@ -481,7 +584,7 @@
             if os.environ.get("KEEP"):
                 subprocess.run(["cp", "-r", logs, os.environ["KEEP"]], check=False)
     if status != 2:
-        print("LOST: %d acknowledged commits" % len(case.group.lost) if status else "held")
+        print(("broken: " if status else "held: ") + case.outcome)
     sys.stdout.flush()
     return status
 
