--- a/review/standins.py
+++ b/review/standins.py
@@ -254,6 +254,8 @@
         self.processes = {}
         self.paths = {}      # by the numbers of two daemons
         self.isolated = set()  # numbers of the daemons cut off from the store and the others
+        self.ended = {}      # exit status by the number of a daemon that ended by itself
+        self.ran = {}        # name of the instance that ran a request
         self.needed = {}     # number of commits acknowledged when a read was sent, by its request
         self.draw = random.Random()
         self.choose_addresses()
@@ -341,6 +343,7 @@
         if request == "-":
             return
         self.record.write("%s runs %s" % (instance.name, request))
+        self.ran[request] = instance.name
         if request in self.needed:
             self.group.check_read(instance, request, self.acknowledged[:self.needed[request]])
 
@@ -544,6 +547,46 @@
         await self.wait_for_promotion(6)
         await asyncio.sleep(3)
 
+    async def dark(self):
+        """A transaction stays open at an instance that goes dark and is never listed again."""
+        sessions = []
+        for attempt in range(500):
+            reader, writer = await asyncio.open_connection(self.host(3), self.port)
+            writer.write(b"START look u9\r\n")
+            await reader.readline()
+            await self.ask(reader, writer, "b%d" % attempt, "BEGIN READ", 2)
+            await self.ask(reader, writer, "r%d" % attempt, "READ k1", 2)
+            if self.ran.get("r%d" % attempt) != "r2":
+                writer.close()
+                await asyncio.sleep(0.02)
+                continue
+            sessions.append((reader, writer))
+            if len(sessions) == 2:
+                break
+        else:
+            raise CannotRun("no two transactions run at r2")
+        if self.trouble:
+            self.record.write("r2 goes dark")
+            self.silent.add("r2")
+            for number in range(DAEMONS):
+                link = self.links[number, "r2"]
+                link.blocked_in = link.blocked_out = True
+        # The daemon learns from a statement without an answer that r2 is lost.
+        sessions[1][1].write(b"QUERY other READ k3\r\n")
+        reader, writer = sessions[0]
+        for count in range(17):  # the transaction never rests for `tx_idle_ms`
+            await asyncio.sleep(2.2)
+            await self.ask(reader, writer, "s%d" % count, "SET who v%d" % count, 2)
+        try:
+            await self.ask(reader, writer, "last", "READ k2", 2)
+        except (EOFError, ConnectionError):
+            pass
+        await asyncio.sleep(1)
+        self.ended = {number: each.returncode for number, each in self.processes.items()
+                      if each.poll() is not None}
+        for number, status in self.ended.items():
+            self.record.write("daemon-%d has ended by itself with %d" % (number, status))
+
     async def run(self, name):
         try:
             await self.start()
@@ -556,14 +599,15 @@
                 if process.poll() is None:
                     process.kill()
                 process.wait()
-        self.outcome = ("%d writes acknowledged, %d promotions, LOST: %d commits, STALE: %d reads" % (
-            len(self.acknowledged), self.group.promotions, len(self.group.lost),
-            len(self.group.stale)))
+        self.outcome = ("%d writes acknowledged, %d promotions, LOST: %d commits, STALE: %d reads, "
+                        "daemons ended by themselves: %d" % (
+                            len(self.acknowledged), self.group.promotions, len(self.group.lost),
+                            len(self.group.stale), len(self.ended)))
         self.record.write(self.outcome)
-        return 1 if self.group.lost or self.group.stale else 0
+        return 1 if self.group.lost or self.group.stale or self.ended else 0
 
 
-CASES = ("forgotten", "unseen", "old_lease", "cut")
+CASES = ("forgotten", "unseen", "old_lease", "cut", "dark")
 
 
 def main():
