--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -587,6 +588,13 @@
         for number, status in self.ended.items():
             self.record.write("daemon-%d has ended by itself with %d" % (number, status))
 
+    def stop(self, logs):
+        """Ends at once, with all that was started."""
+        for process in self.processes.values():
+            process.kill()
+        shutil.rmtree(logs, ignore_errors=True)
+        os._exit(2)
+
     async def run(self, name):
         try:
             await self.start()
@@ -618,6 +626,7 @@
     with tempfile.TemporaryDirectory(prefix="valvekeel-review-") as logs:
         try:
             case = Case(folder, logs)
+            signal.signal(signal.SIGTERM, lambda *_: case.stop(logs))
             # The loop's open connections end with this process; closing the loop would report each.
             loop = asyncio.new_event_loop()
             status = loop.run_until_complete(case.run(name))
