--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -236,7 +236,33 @@
   return nullptr;
 }
 
+void Cluster::CutOffInstance(const std::string& id) {
+  cut_off_instances_.insert(id);
+  for (const auto& daemon : daemons_) {
+    world_.CutBoth(daemon->Name(), id);
+  }
+  world_.After(kUnlistDelay, [this, id] {
+    if (cut_off_instances_.contains(id)) {
+      store_.Delete(Collection::kInstances, id);
+    }
+  });
+}
+
+void Cluster::ReconnectInstance(const std::string& id) {
+  cut_off_instances_.erase(id);
+  for (const auto& daemon : daemons_) {
+    world_.HealBoth(daemon->Name(), id);
+  }
+  DatabaseGroup* group = GroupOfInstance(id);
+  if (group != nullptr && group->Instances().at(id).alive) {
+    WriteInstanceEntry(*group, group->Instances().at(id));
+  }
+}
+
 void Cluster::WriteInstanceEntry(const DatabaseGroup& group, const SimulatedInstance& instance) {
+  if (cut_off_instances_.contains(instance.id)) {
+    return;
+  }
   model::InstanceEntry entry;
   entry.id = instance.id;
   entry.service = group.Service();
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,13 @@
   /// Writes an instance's entry to the store, as the instance itself would.
   void WriteInstanceEntry(const DatabaseGroup& group, const SimulatedInstance& instance);
 
+  /// Cuts an instance off from the store and from all daemons; the other instances reach it. Its
+  /// entry lapses.
+  void CutOffInstance(const std::string& id);
+
+  /// Ends that: the instance writes its entry again.
+  void ReconnectInstance(const std::string& id);
+
   /// A daemon requests a promotion from the platform. Passes kNoAnswer if it is not answered.
   void Promote(const std::string& daemon, const proxy::Promote& promotion,
                const std::function<void(failover::PromotionStatus)>& handler);
@@ -125,6 +133,7 @@
   std::uint64_t highest_token_ = 0;
   std::uint64_t entry_writes_ = 0;
   std::map<std::uint64_t, std::string> token_holders_;
+  std::set<std::string> cut_off_instances_;
   std::map<std::string, std::string> written_states_;  // last state of each instance's entry
 };
 
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -500,6 +500,11 @@
       world_.Report("LOST", commit.id + " is missing at " + id);
     }
   }
+  if (shape_.promotion_lifts_fences) {
+    for (auto& [other, instance] : instances_) {
+      instance.fenced_term = 0;
+    }
+  }
   // Commits of the former primary that no replica confirmed may be rolled back.
   for (auto& [other, instance] : instances_) {
     if (other == id || !instance.primary) {
@@ -562,6 +567,9 @@
 }
 
 void DatabaseGroup::RestartEmpty(const std::string& id, bool leads) {
+  if (!instances_.contains(id)) {
+    return;  // removed meanwhile
+  }
   if (instances_.at(id).alive) {
     Crash(id, false);
   }
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -77,6 +77,9 @@
   common::Duration promotion_time{300'000};
   model::WarmUp warm_up;         // of instances that start during the run; off by default
   warm_up::tolerance tolerance;  // requests allowed beyond the warm-up rate
+  /// A promotion lifts all fences of the group, also at replicas that don't receive from the new
+  /// primary; otherwise a fence lasts until they do.
+  bool promotion_lifts_fences = false;
   /// A restarted primary sends its log to the replicas at once; otherwise with its next commit.
   bool sends_log_at_restart = false;
 };
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "proxysim/callers.h"
+#include "proxysim/fault_sequences.h"
 
 namespace valvekeel::proxysim {
 namespace {
@@ -724,6 +725,7 @@
   ScenarioResult result;
   ClusterShape shape = ShapeOf(options);
   shape.record_load = options.record_load;
+  shape.group.promotion_lifts_fences = options.sequences > 0;
   Cluster cluster(options.seed, shape);
   World& world = cluster.SimWorld();
   if (options.print_log) {
@@ -740,6 +742,12 @@
         options.time_before_faults + world.RandomBetween(Duration(0), options.fault_time);
     world.After(at, [&injector] { injector.Begin(); });
   }
+  FaultSequences sequences(cluster, result.faults);
+  for (std::size_t sequence = 0; sequence < options.sequences; ++sequence) {
+    const Duration at =
+        options.time_before_faults + world.RandomBetween(Duration(0), options.fault_time);
+    world.After(at, [&sequences] { sequences.Begin(); });
+  }
   RollingStops rolling_stops(cluster, result.faults);
   if (options.planned_stops) {
     const Instant until = world.Now() + options.time_before_faults + options.fault_time;
@@ -782,8 +790,10 @@
     world.After(options.time_before_faults + options.fault_time + kMaxFaultTime,
                 [&regions] { regions.SetFinalLimits(); });
   }
-  const Instant end = world.Now() + options.time_before_faults + options.fault_time +
-                      kMaxFaultTime + options.recovery_time;
+  const Instant end =
+      world.Now() + options.time_before_faults + options.fault_time +
+      std::max(kMaxFaultTime, options.sequences > 0 ? FaultSequences::kLongest : Duration(0)) +
+      options.recovery_time;
   callers.StopAt(end);
   world.RunUntil(end + kFinalPeriod);
   result.served_at_end = ServedAtEnd(callers, end);
--- a/src/proxysim/store.cc
+++ b/src/proxysim/store.cc
@@ -164,6 +164,11 @@
   metadata::ReadResult result;
   result.revision = {revision_, era_};
   const std::uint64_t after = call.after_revision->number;
+  if (faults.watches_blind) {
+    result.status = ReadStatus::kOk;
+    result.revision = *call.after_revision;
+    return result;
+  }
   if (after < oldest_kept_revision_ || after > revision_) {
     result.status = ReadStatus::kHistoryGone;
     return result;
@@ -222,6 +227,9 @@
 }
 
 void SimulatedStore::WakeWatches(Collection collection) {
+  if (faults.watches_blind) {
+    return;
+  }
   const auto watches = std::exchange(watches_, {});
   for (const auto& watch : watches) {
     if (watch->done) {
--- a/src/proxysim/store.h
+++ b/src/proxysim/store.h
@@ -26,6 +26,7 @@
   bool refusing = false;            // every call is refused
   bool unresponsive = false;        // calls are neither executed nor answered
   double lost_answer_share = 0;     // share of leadership writes that are executed and not answered
+  bool watches_blind = false;       // watches report nothing; lists are right
   bool late_writes = false;         // writes with a lost answer are executed seconds later
   common::Duration extra_delay{0};  // added to the service time of every call
 
