A transaction at an instance that is removed is lost, not forgotten

Callers saw a daemon end with signal 11: all of its sessions broke off. One client does it with a transaction that stays open at an instance which has been silent and unlisted for 30 s, as long as it sends SET from time to time.

Cause: BackendSet::CloseIfTerminated closed the instance's connections without a word to the sessions that used them. The next statement of the transaction found no instance, and Dispatcher::TryStart used the null pointer.

Now the connections are handled like broken ones, so OnLost marks the transaction as failed.

--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -536,8 +536,15 @@
   if (!terminated) {
     return false;
   }
+  // Sessions whose transaction is open there learn that it is lost.
   while (!backend.Connections().empty()) {
-    Close(backend, backend.Connections().begin()->first);
+    const ConnectionNumber number = backend.Connections().begin()->first;
+    outbox_.Emit(CloseConnection{number});
+    DropLostConnection(backend, number, now);
+  }
+  const std::deque<QueuedControlRequest> queued = std::exchange(backend.control_queue, {});
+  for (const QueuedControlRequest& item : queued) {
+    FinishControl(item.number, std::nullopt, now);
   }
   return true;
 }
--- a/tests/proxy/backend_set_test.cc
+++ b/tests/proxy/backend_set_test.cc
@@ -1,6 +1,7 @@
 #include "proxy/backend_set.h"
 
 #include <catch2/catch.hpp>
+#include <vector>
 
 namespace valvekeel::proxy {
 namespace {
@@ -241,4 +242,28 @@
   CHECK_FALSE(fixture.backends.HasSuccessor(*fixture.backends.Find("i")));
 }
 
+TEST_CASE("A session learns that its transaction is lost when a silent instance is removed",
+          "[proxy]") {
+  // Guards against the end of a whole daemon: the next statement of such a transaction found no
+  // instance, and the daemon crashed.
+  class LossObserver : public NoOpObserver {
+   public:
+    void OnLost(Backend&, Connection& connection, Instant) override {
+      lost_sessions.push_back(connection.session.value());
+    }
+    std::vector<SessionNumber> lost_sessions;
+  };
+  BackendFixture fixture(2, true);
+  LossObserver observer;
+  fixture.backends.SetObserver(&observer);
+  Connection& used = fixture.backends.Find("i")->Connections().begin()->second;
+  used.session = 7;
+  used.state = model::TransactionState::kOpen;
+  fixture.backends.OnEntryRemoved("i", kStart);
+  fixture.backends.Find("i")->OnOpenFailed(kStart, true);
+  fixture.backends.Tick(kStart + std::chrono::seconds(31));
+  CHECK(fixture.backends.Find("i") == nullptr);
+  CHECK(observer.lost_sessions == std::vector<SessionNumber>{7});
+}
+
 }  // namespace valvekeel::proxy
