Read leases begin with the leadership record; rounds only extend them

Cause: before a promotion every majority contains a fenced instance, so rounds of STATUS fail; the promotion lifts the fences. A member that hears nothing and the former primary then are a majority of the former term, and the daemon took their round for proof that nothing had been replaced.

Now a round extends a lease that holds when the round starts, and otherwise only proposes a primary. The proposal is confirmed by the leadership record, which names each replacement before anything is fenced, or replaced by another daemon's lease. The promoter waits for one lease time with the fences in place, so each lease that it doesn't hear of lapses before the promotion, and no round revives it. A round needs two votes, and an answer of a later term releases all earlier ones, also after the round has ended.

With the store down rounds go on extending leases. After a promotion the confirming read is sent with the round, so the gap grows by less than a read.

--- a/src/group/read_lease.cc
+++ b/src/group/read_lease.cc
@@ -1,12 +1,15 @@
 #include "group/read_lease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace valvekeel::group {
 namespace {
 
 /// Rounds kept while answers are missing.
 constexpr std::size_t kMaxOpenRounds = 8;
+/// A primary that votes for itself alone doesn't show that it is still followed.
+constexpr std::size_t kMinVotes = 2;
 
 }  // namespace
 
@@ -21,6 +24,9 @@
 
 bool ReadLease::OnAnswer(RoundNumber round, const std::string& instance,
                          const model::InstanceStatus& status) {
+  if (status.term > newest_.term) {
+    Release(status.term - 1);
+  }
   const auto found = rounds_.find(round);
   if (found == rounds_.end()) {
     return false;
@@ -29,11 +35,21 @@
   if (status.received.term == status.term) {
     highest_received_ = std::max(highest_received_, status.received);
   }
-  if (!TryConfirm(found->second)) {
+  const std::optional<Confirmation> primary = MajorityPrimary(found->second);
+  if (!primary || primary->term < newest_.term) {
     return false;
   }
+  const bool extends = HeldAt(primary->started, primary->term) &&
+                       CountVotes(found->second, primary->term) >= kMinVotes;
+  if (extends) {
+    Renew(*primary);
+  } else if (!HeldAt(primary->started, primary->term)) {
+    proposed_ = primary;
+  } else {
+    return false;  // more votes may arrive
+  }
   rounds_.erase(found);
-  return true;
+  return extends;
 }
 
 bool ReadLease::HasCompleteLog(const Round& round, const std::string& primary) const {
@@ -52,7 +68,14 @@
   });
 }
 
-bool ReadLease::TryConfirm(const Round& round) {
+std::size_t ReadLease::CountVotes(const Round& round, common::Term term) {
+  return static_cast<std::size_t>(
+      std::count_if(round.answers.begin(), round.answers.end(), [term](const auto& entry) {
+        return entry.second.term <= term && entry.second.fenced_term <= term;
+      }));
+}
+
+std::optional<Confirmation> ReadLease::MajorityPrimary(const Round& round) const {
   const auto primary = std::max_element(
       round.answers.begin(), round.answers.end(), [](const auto& a, const auto& b) {
         const common::Term a_term = a.second.primary ? a.second.term : 0;
@@ -60,22 +83,26 @@
         return a_term < b_term;
       });
   if (primary == round.answers.end() || !primary->second.primary) {
-    return false;
+    return std::nullopt;
   }
   const common::Term term = primary->second.term;
-  const auto agrees = [term](const auto& entry) {
-    return entry.second.term <= term && entry.second.fenced_term <= term;
-  };
-  const auto votes = std::count_if(round.answers.begin(), round.answers.end(), agrees);
   const std::size_t majority = round.members / 2 + 1;
-  if (static_cast<std::size_t>(votes) < majority || term <= released_term_) {
-    return false;
+  const bool followed = CountVotes(round, term) >= majority && term > released_term_;
+  if (!followed || !HasCompleteLog(round, primary->first)) {
+    return std::nullopt;
   }
-  if (!HasCompleteLog(round, primary->first)) {
-    return false;
+  return Confirmation{term, primary->first, round.started};
+}
+
+bool ReadLease::ConfirmByRecord(common::Term replaced_term, common::Instant asked) {
+  const std::optional<Confirmation> proposed = std::exchange(proposed_, std::nullopt);
+  if (proposed && proposed->term > replaced_term) {
+    Renew({proposed->term, proposed->primary, asked});
   }
-  Renew({term, primary->first, round.started});
-  return true;
+  if (newest_.term > replaced_term) {
+    Renew({newest_.term, newest_.primary, asked});
+  }
+  return newest_.term > replaced_term && HeldAt(asked, newest_.term);
 }
 
 void ReadLease::Renew(const Confirmation& confirmation) {
@@ -85,6 +112,9 @@
   if (confirmation.term > newest_.term || confirmation.started > newest_.started) {
     newest_ = confirmation;
   }
+  if (proposed_ && proposed_->term <= newest_.term && HeldAt(proposed_->started, newest_.term)) {
+    proposed_.reset();
+  }
 }
 
 void ReadLease::Release(common::Term term) { released_term_ = std::max(released_term_, term); }
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -15,6 +15,8 @@
 /// Age of the lease at which a round queries all members, not just a majority.
 constexpr common::Duration kAskAllAge{450'000};
 constexpr common::Duration kOwnRoundPause{200'000};
+/// Time for the prober to read the leadership record and to report the new primary.
+constexpr common::Duration kProposalReportTime{150'000};
 /// Time without a lease after which the primary is suspected.
 constexpr common::Duration kLeaselessLimit{500'000};
 /// Time for connecting to a new primary that was unreachable before it became primary.
@@ -131,6 +133,7 @@
 
 void GroupSet::StartRoundNow(const std::string& service, common::Instant now) {
   if (GroupState* state = Find(service)) {
+    state->reads_record_at_once = true;
     StartRound(*state, now);
   }
 }
@@ -169,21 +172,57 @@
 
 void GroupSet::RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked) {
   for (auto& [service, state] : groups_) {
-    const group::Confirmation newest = state.lease.Newest();
+    const group::Confirmation before = state.lease.Newest();
+    const std::optional<group::Confirmation> proposed = state.lease.Proposed();
     const auto attempt = record.attempts.find(service);
-    const bool begun =
-        attempt != record.attempts.end() && attempt->second.replaced_term >= newest.term;
+    const common::Term replaced =
+        attempt == record.attempts.end() ? 0 : attempt->second.replaced_term;
     // The record may have lost a replacement in a restore of the store. Only a round that began
     // after a lost claim could no longer be acted on is reliable, because it queried the instances
     // themselves.
-    const bool asked_since = newest.started >= record_complete_from_;
-    if (newest.term != 0 && !begun && asked_since) {
-      state.lease.Renew({newest.term, newest.primary, asked});
-      lease_renewed_ = true;
+    const bool asked_since = before.started >= record_complete_from_;
+    const bool just_proposed = proposed && asked < proposed->started + group::kLeaseTime;
+    if (!asked_since && !just_proposed) {
+      continue;
+    }
+    state.reads_record_at_once = false;
+    if (proposed && proposed->term <= replaced) {
+      state.rejected_term = std::max(state.rejected_term, proposed->term);
+      outbox_.Log("primary_rejected", {{"service", service},
+                                       {"primary", proposed->primary},
+                                       {"term", std::to_string(proposed->term)},
+                                       {"replaced_term", std::to_string(replaced)}});
+    }
+    if (!state.lease.ConfirmByRecord(replaced, asked)) {
+      continue;
+    }
+    lease_renewed_ = true;
+    if (state.lease.Newest().term > before.term) {
+      primary_changed_ = true;
+      state.writes_stalled_since.reset();
+      state.term_learned_at = proposed->started;
+      outbox_.Log("primary_confirmed", {{"service", service},
+                                        {"primary", state.lease.Newest().primary},
+                                        {"term", std::to_string(state.lease.Newest().term)}});
     }
   }
 }
 
+bool GroupSet::AwaitsRecord(const GroupState& state) {
+  const std::optional<group::Confirmation>& proposed = state.lease.Proposed();
+  return proposed && proposed->term > state.rejected_term;
+}
+
+bool GroupSet::NeedsRecord(common::Instant now) const {
+  return std::any_of(watched_.begin(), watched_.end(), [&](const GroupState* state) {
+    if (!AwaitsRecord(*state)) {
+      return false;
+    }
+    const bool at_once = state->reads_record_at_once || IsProber(state->service);
+    return at_once || now >= state->lease.Proposed()->started + kProposalReportTime;
+  });
+}
+
 common::Duration GroupSet::OldestLeaseAge(common::Instant now) const {
   common::Duration oldest{0};
   for (const GroupState* state : watched_) {
@@ -323,30 +362,29 @@
   for (const std::string& id : targets) {
     const auto answered = [this, service, id, round, now](
                               const std::optional<model::InstanceStatus>& status, common::Instant) {
-      GroupState* group = Find(service);
-      if (group == nullptr || !status) {
-        return;
-      }
-      const group::Confirmation before = group->lease.Newest();
-      if (group->lease.OnAnswer(round, id, *status)) {
-        lease_renewed_ = true;
-        if (group->lease.Newest().term > before.term) {
-          primary_changed_ = true;
-          group->writes_stalled_since.reset();
-          group->term_learned_at = now;
-          outbox_.Log("primary_confirmed", {{"service", service},
-                                            {"primary", group->lease.Newest().primary},
-                                            {"term", std::to_string(group->lease.Newest().term)}});
-        }
-      }
-      if (status->primary) {
-        RecordPosition(service, id, status->received, now);
+      if (status) {
+        OnRoundAnswer(service, id, round, *status, now);
       }
     };
     backends_.QueueControlRequest(id, {model::ControlKind::kStatus, 0}, answered, now);
   }
 }
 
+void GroupSet::OnRoundAnswer(const std::string& service, const std::string& instance,
+                             group::RoundNumber round, const model::InstanceStatus& status,
+                             common::Instant started) {
+  GroupState* group = Find(service);
+  if (group == nullptr) {
+    return;
+  }
+  if (group->lease.OnAnswer(round, instance, status)) {
+    lease_renewed_ = true;
+  }
+  if (status.primary) {
+    RecordPosition(service, instance, status.received, started);
+  }
+}
+
 std::string GroupSet::SuspicionReason(const GroupState& state, common::Instant now) const {
   if (now < state.observed_since + kEvaluationDelay) {
     return "";
@@ -455,7 +493,10 @@
 void GroupSet::EvaluatePrimary(GroupState& state, common::Instant now) {
   // A daemon without connections to a majority cannot renew a lease, so a missing lease is no sign
   // of a failed primary. Without this rule, a first start with 1,000 groups replaced 41 primaries.
-  if (state.lease.Holds(now) || !ReachesMajority(state, now)) {
+  // A majority that follows the primary clears it too; only the store's word is missing then.
+  const bool followed =
+      AwaitsRecord(state) && now < state.lease.Proposed()->started + group::kLeaseTime;
+  if (state.lease.Holds(now) || followed || !ReachesMajority(state, now)) {
     state.lease_last_held_at = now;
   }
   if (state.oldest_unanswered_write && now >= *state.oldest_unanswered_write + kStallLimit &&
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -38,6 +38,8 @@
   std::size_t next_replica = 0;           // rotates the replicas that rounds query
   std::optional<common::Instant> oldest_unanswered_write;  // time it was sent to the primary
   std::optional<common::Instant> writes_stalled_since;     // none answered since
+  bool reads_record_at_once = false;                       // if the next round proposes a primary
+  common::Term rejected_term = 0;  // proposed primary that the leadership record rejected
   /// Replicas that terminated, perhaps with the only copy of a commit, by id, with the time at
   /// which that was detected. Kept until a position of the primary from that time or later is
   /// known.
@@ -122,10 +124,16 @@
   /// the former era.
   void BeginEra(common::Instant now) { record_complete_from_ = now + failover::kTakeoverTime; }
 
-  /// Applies the leadership record as it was at `asked` or later. Renews the lease from `asked` for
-  /// each group for which the record has no replacement of the primary's term or a later one.
+  /// Applies the leadership record as it was at `asked` or later. Begins or renews the lease from
+  /// `asked` for each group for which the record has no replacement of the primary's term or a
+  /// later one.
   void RenewFromRecord(const model::LeadershipRecord& record, common::Instant asked);
 
+  /// @return true if a read of the leadership record is due because a round has proposed a primary:
+  /// at once on the group's prober and after StartRoundNow, otherwise once the prober's heartbeat
+  /// should have arrived.
+  bool NeedsRecord(common::Instant now) const;
+
   /// @return the longest time since the lease of a watched group was renewed.
   common::Duration OldestLeaseAge(common::Instant now) const;
 
@@ -173,6 +181,11 @@
   static bool IsDegraded(const GroupState& state, common::Instant now);
   void UpdateWatched(GroupState& state, common::Instant now);
   void StartRound(GroupState& state, common::Instant now);
+  void OnRoundAnswer(const std::string& service, const std::string& instance,
+                     group::RoundNumber round, const model::InstanceStatus& status,
+                     common::Instant started);
+  /// @return true if a primary is proposed that the leadership record has not rejected.
+  static bool AwaitsRecord(const GroupState& state);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
   void RecordTerminations(GroupState& state, common::Instant now);
   static void CoverLogLosses(GroupState& state);
--- a/src/proxy/lease_renewer.cc
+++ b/src/proxy/lease_renewer.cc
@@ -7,6 +7,8 @@
 /// lease by then.
 constexpr common::Duration kOwnReadAge{700'000};
 constexpr common::Duration kOwnReadPause{200'000};
+/// Pause between reads for primaries that rounds have proposed.
+constexpr common::Duration kProposalReadPause{40'000};
 
 }  // namespace
 
@@ -23,7 +25,8 @@
   const bool as_reader = now >= asked_at_ + settings_.lease_round_interval && IsReader();
   const bool by_itself =
       now >= asked_at_ + kOwnReadPause && groups_.OldestLeaseAge(now) >= kOwnReadAge;
-  if (!as_reader && !by_itself) {
+  const bool for_proposal = groups_.NeedsRecord(now) && now >= asked_at_ + kProposalReadPause;
+  if (!as_reader && !by_itself && !for_proposal) {
     return;
   }
   call_ = outbox_.NextNumber();
--- a/src/proxy/lease_renewer.h
+++ b/src/proxy/lease_renewer.h
@@ -4,7 +4,8 @@
 // lease time or for every registered daemon to release its lease. If a read of the record shows no
 // replacement of the known primary's term or a later one, a daemon may therefore read at that
 // primary for the lease time, counted from when it sent that read. One daemon reads the record for
-// all; the others receive the result in heartbeats.
+// all; the others receive the result in heartbeats. A primary that a round has proposed is
+// confirmed by a read at once.
 //
 // Owns: the schedule of these reads. Invariant: a lease is renewed only from the time at which the
 // read was sent. No I/O and no clock; not thread-safe.
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -229,6 +229,10 @@
   groups.RecordMembersKnown(kStart);
   CHECK_FALSE(groups.MembersIncomplete());
   CHECK(ask(kStart + Duration(200'000)));
+  // A round proposes the primary; the leadership record confirms it.
+  CHECK(groups.UsablePrimary("group", kStart + Duration(200'000)).empty());
+  CHECK(groups.NeedsRecord(kStart + Duration(200'000)));
+  groups.RenewFromRecord({}, kStart + Duration(200'000));
   CHECK(groups.UsablePrimary("group", kStart + Duration(200'000)) == "p");
 }
 
--- a/tests/proxy/proxy_stop_test.cc
+++ b/tests/proxy/proxy_stop_test.cc
@@ -63,6 +63,9 @@
       for (const Action& action : actions) {
         if (const auto* read = std::get_if<ReadCatalog>(&action)) {
           AnswerRead(*read);
+        } else if (const auto* leadership = std::get_if<ReadLeadership>(&action)) {
+          // Nothing was ever replaced.
+          proxy.LeadershipRead(leadership->call, model::LeadershipRecord{}, 0, now);
         } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
           if (!refuses_connections) {
             proxy.ConnectionOpened(open->connection, now);
