--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "group/read_lease.h"
 
@@ -18,9 +19,21 @@
 constexpr common::Duration kPromotionRetryInterval{100'000};
 constexpr common::Duration kVerifyTimeout{1'500'000};
 constexpr common::Duration kReleaseRequestInterval{50'000};
+constexpr common::Duration kListRequestInterval{50'000};
+/// Time for other candidates before the old primary, which was demoted, is promoted again.
+constexpr common::Duration kOldPrimaryWait{300'000};
+/// For the choice of a candidate, from the time at which enough replicas are fenced.
+constexpr common::Duration kChoiceTimeout{4'000'000};
+/// Time after the fences in which an instance that holds commits of the old primary may still be
+/// missing in the store's list, because it has just started or the store was away.
+constexpr common::Duration kUnlistedTime{2'000'000};
 /// Least remainder of the action window in which a promotion may still be sent.
 constexpr common::Duration kActionReserve{100'000};
 
+std::string TextOf(const common::Position& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.lsn);
+}
+
 }  // namespace
 
 const char* StepName(Step step) {
@@ -46,7 +59,10 @@
 }
 
 Attempt::Attempt(std::string service, Leadership& leadership, common::Instant now)
-    : service_(std::move(service)), leadership_(leadership), step_entered_at_(now) {}
+    : service_(std::move(service)),
+      leadership_(leadership),
+      step_entered_at_(now),
+      created_at_(now) {}
 
 std::vector<AttemptAction> Attempt::Advance(const GroupView& view, common::Instant now) {
   Actions actions;
@@ -64,6 +80,14 @@
   if (ClaimIsLost()) {
     RestartClaim(now, actions);
   }
+  const bool chosen = step_ == Step::kRecord || step_ == Step::kPromote;
+  if (chosen && !promotion_was_sent_ && !candidate_holds_all_ && candidate_ != view.primary &&
+      FencedReplicas(view) < RequiredFences(view)) {
+    // A replica has become known that may hold more than the candidate.
+    actions.emplace_back(AttemptLogEntry{"replica_learned", UnfencedReplicas(view)});
+    fenced_at_ = common::Instant(0);
+    Enter(Step::kFence, now);
+  }
   // When a step completes, the next one starts at once.
   Step before = Step::kGivenUp;
   while (before != step_ && !Ended()) {
@@ -127,7 +151,8 @@
     // Another coordinator may have promoted a primary that this daemon can't reach. The fences and
     // the record's entry keep the old primary from being taken for the newest, so they must stay.
     const bool promoted = EarlierReplacementStarted() && !earlier_attempt_.candidate.empty();
-    if (!promoted) {
+    // Another holder may rely on the fences.
+    if (!promoted && leadership_.IsHolder()) {
       ResumeOtherReplicas(view, actions);
     }
     if (leadership_.MayWrite(now) && leadership_.IsHolder()) {
@@ -217,13 +242,37 @@
 
 bool Attempt::IsFeasible(const GroupView& view) {
   const FenceCount fences = CountFences(view);
-  return fences.reachable >= fences.needed;
+  return fences.reachable >= fences.needed || MayNeedOldPrimary(view) ||
+         (view.acknowledged_complete && fences.reachable > 0);
+}
+
+bool Attempt::MayNeedOldPrimary(const GroupView& view) {
+  return view.primary_unusable && !view.primary_restarted && !view.fitness_to_exceed &&
+         std::any_of(view.members.begin(), view.members.end(), [&](const MemberView& member) {
+           return member.id == view.primary && member.reachable;
+         });
+}
+
+bool Attempt::EarlierPromotionMayStand(const GroupView& view) const {
+  if (earlier_attempt_.replaced_term > old_term_) {
+    return true;
+  }
+  return EarlierReplacementStarted() && !earlier_attempt_.candidate.empty() &&
+         FencedReplicas(view) < RequiredFences(view);
+}
+
+void Attempt::BeginRelease(const GroupView& view, common::Instant now, Actions& actions) {
+  actions.emplace_back(RequestLeaseRelease{old_term_});
+  release_requested_at_ = now;
+  Enter(Step::kRelease, now);
+  DemoteOldPrimary(view, now, actions);
 }
 
 std::size_t Attempt::FencedReplicas(const GroupView& view) const {
-  return static_cast<std::size_t>(std::count_if(
-      view.members.begin(), view.members.end(),
-      [&](const MemberView& member) { return !member.terminated && fenced_.contains(member.id); }));
+  return static_cast<std::size_t>(
+      std::count_if(view.members.begin(), view.members.end(), [&](const MemberView& member) {
+        return member.id != view.primary && !member.terminated && fenced_.contains(member.id);
+      }));
 }
 
 std::size_t Attempt::ReplicaCount(const GroupView& view) {
@@ -251,42 +300,49 @@
 }
 
 void Attempt::Fence(const GroupView& view, common::Instant now, Actions& actions) {
-  const model::ControlRequest pause{model::ControlKind::kPauseReplication, fence_term_};
-  const model::ControlRequest demote{model::ControlKind::kDemote, fence_term_};
+  FenceMembers(view, now, actions);
   const std::size_t replicas = ReplicaCount(view);
-  for (const MemberView& member : view.members) {
-    if (member.id == view.primary) {
-      continue;
-    }
-    if (!fenced_.contains(member.id)) {
-      const bool leads = primaries_of_old_term_.contains(member.id) ||
-                         primaries_of_earlier_terms_.contains(member.id);
-      SendIfDue(member.id, leads ? demote : pause, kControlRepeatInterval, now, actions);
-    }
-  }
   const std::size_t fenced = FencedReplicas(view);
-  const bool enough = fenced >= RequiredFences(view);
+  const bool holders_known = view.holders_as_of && *view.holders_as_of >= created_at_;
+  const bool one_may_do = view.acknowledged_complete && fenced > 0;
+  const bool enough = holders_known && (one_may_do || fenced >= RequiredFences(view));
   const bool all = fenced >= replicas;
   if (enough && fenced_at_ == common::Instant(0)) {
     fenced_at_ = now;
   }
   if (enough && (all || now >= fenced_at_ + kStragglerWait)) {
-    if (ChooseCandidate(view)) {
-      actions.emplace_back(RequestLeaseRelease{old_term_});
-      release_requested_at_ = now;
-      Enter(Step::kRelease, now);
-      DemoteOldPrimary(view, now, actions);
+    // Leases once released can't be taken back, so a choice that rests on what daemons have
+    // acknowledged must hold already.
+    const bool eligible = ChooseCandidate(view);
+    const bool all_known =
+        fenced >= RequiredFences(view) ||
+        (eligible && fenced_.at(candidate_).received >= view.acknowledged.at_most);
+    if (eligible && all_known) {
+      BeginRelease(view, now, actions);
       return;
     }
-    if (all) {
-      // Fenced replicas receive nothing, so none of them can become eligible later.
-      GiveUp(view, "no eligible replica holds every commit that may have been acknowledged", now,
-             actions);
+    // Fenced replicas receive nothing, so none of them can become eligible later; one that has
+    // just joined may be.
+    if (all && IsListedSinceFences(view) && !MayNeedOldPrimary(view)) {
+      GiveUp(view,
+             "no eligible replica holds every commit that may have been acknowledged: " +
+                 PositionsText(view),
+             now, actions);
       return;
     }
+    RequestList(now, actions);
+  }
+  // The log of the old primary is complete, so with it no fence is needed.
+  if (MayNeedOldPrimary(view) && holders_known && !EarlierPromotionMayStand(view) &&
+      now >= step_entered_at_ + kOldPrimaryWait) {
+    fenced_at_ = now;
+    BeginRelease(view, now, actions);
+    return;
   }
   if (now >= step_entered_at_ + kFenceTimeout) {
-    GiveUp(view, enough ? "no eligible candidate" : "too few replicas fenced", now, actions);
+    const std::string reason = holders_known ? "too few replicas fenced: " + UnfencedReplicas(view)
+                                             : "the record of commit holders could not be read";
+    GiveUp(view, enough ? "no eligible candidate: " + PositionsText(view) : reason, now, actions);
   }
 }
 
@@ -313,14 +369,22 @@
   const MemberView* best = nullptr;
   for (const MemberView& member : view.members) {
     const Rank current = rank(member);
-    if (!current.usable) {
+    if (!current.usable || member.id == view.primary) {
       continue;
     }
     if (best == nullptr || rank(*best) < current) {
       best = &member;
     }
   }
-  if (best == nullptr || rank(*best).received < view.minimum_position) {
+  if (best == nullptr) {
+    return false;
+  }
+  const common::Position received = rank(*best).received;
+  if (received < view.commit_floor || received < view.acknowledged.at_least) {
+    return false;
+  }
+  const common::Position& log_end = view.acknowledged.log_end;
+  if (!view.silent_holders.empty() && (log_end.term < old_term_ || received < log_end)) {
     return false;
   }
   if (view.fitness_to_exceed && best->fitness <= *view.fitness_to_exceed) {
@@ -341,25 +405,144 @@
   }
 }
 
-void Attempt::FenceReturnedReplicas(const GroupView& view, common::Instant now, Actions& actions) {
+void Attempt::FenceMembers(const GroupView& view, common::Instant now, Actions& actions) {
+  const model::ControlRequest pause{model::ControlKind::kPauseReplication, fence_term_};
+  const model::ControlRequest demote{model::ControlKind::kDemote, fence_term_};
+  for (const MemberView& member : view.members) {
+    const bool leading = member.id == view.primary && !old_primary_demoted_;
+    if (leading || fenced_.contains(member.id)) {
+      continue;
+    }
+    const bool leads = primaries_of_old_term_.contains(member.id) ||
+                       primaries_of_earlier_terms_.contains(member.id);
+    SendIfDue(member.id, leads ? demote : pause, kControlRepeatInterval, now, actions);
+  }
+}
+
+bool Attempt::LeasesReleased(const GroupView& view, common::Instant now) const {
+  return view.unreleased_daemons.empty() || now >= fenced_at_ + group::kLeaseTime;
+}
+
+std::string Attempt::PositionsText(const GroupView& view) const {
+  std::string text = "floor " + TextOf(view.commit_floor) + ", acknowledged " +
+                     TextOf(view.acknowledged.at_least) + " to " +
+                     TextOf(view.acknowledged.at_most) + ", log end " +
+                     TextOf(view.acknowledged.log_end);
+  for (const std::string& id : view.silent_holders) {
+    text += ", " + id + " is silent";
+  }
+  for (const auto& [id, fenced] : fenced_) {
+    text += ", " + id + " holds " + TextOf(fenced.received);
+  }
+  return text;
+}
+
+std::string Attempt::UnfencedReplicas(const GroupView& view) const {
+  std::string names;
   for (const MemberView& member : view.members) {
-    if (member.id != view.primary && !fenced_.contains(member.id)) {
-      SendIfDue(member.id, {model::ControlKind::kPauseReplication, fence_term_},
-                kControlRepeatInterval, now, actions);
+    if (member.id != view.primary && !member.terminated && !fenced_.contains(member.id)) {
+      names += (names.empty() ? "" : " ") + member.id;
     }
   }
+  return names;
+}
+
+bool Attempt::HoldsAllAcknowledged(const GroupView& view) const {
+  const auto fenced = fenced_.find(candidate_);
+  return view.acknowledged_complete && view.unreleased_daemons.empty() && fenced != fenced_.end() &&
+         fenced->second.received >= view.acknowledged.at_most;
+}
+
+std::string Attempt::PendingCondition(const GroupView& view, common::Instant now) const {
+  if (!LeasesReleased(view, now)) {
+    std::string names;
+    for (const std::string& name : view.unreleased_daemons) {
+      names += " " + name;
+    }
+    return "leases of" + names;
+  }
+  if (!IsListedSinceFences(view)) {
+    return "the list of instances";
+  }
+  if (FencedReplicas(view) < RequiredFences(view)) {
+    return "fences at " + UnfencedReplicas(view);
+  }
+  return "";
+}
+
+void Attempt::RepeatRequests(const GroupView& view, common::Instant now, Actions& actions) {
+  if (!LeasesReleased(view, now) && now >= release_requested_at_ + kReleaseRequestInterval) {
+    actions.emplace_back(RequestLeaseRelease{old_term_});
+    release_requested_at_ = now;
+  }
+  const bool may_do_without = view.acknowledged_complete && !LeasesReleased(view, now);
+  if (!may_do_without && !IsListedSinceFences(view)) {
+    RequestList(now, actions);
+  }
+}
+
+bool Attempt::IsListedSinceFences(const GroupView& view) const {
+  return view.members_as_of && *view.members_as_of >= fenced_at_;
+}
+
+void Attempt::RequestList(common::Instant now, Actions& actions) {
+  if (now >= list_requested_at_ + kListRequestInterval) {
+    actions.emplace_back(RequestInstanceList{});
+    list_requested_at_ = now;
+  }
+}
+
+bool Attempt::OldPrimaryMayLead(const GroupView& view) const {
+  const auto fenced = fenced_.find(view.primary);
+  if (!old_primary_demoted_ || fenced == fenced_.end() || view.primary_restarted ||
+      view.fitness_to_exceed || EarlierPromotionMayStand(view)) {
+    return false;
+  }
+  const common::Position received = fenced->second.received;
+  return fenced->second.term >= old_term_ && received >= view.commit_floor &&
+         received >= view.acknowledged.log_end;
+}
+
+void Attempt::LogWait(const std::string& reason, Actions& actions) {
+  if (std::exchange(waits_for_, reason) != reason && !reason.empty()) {
+    actions.emplace_back(AttemptLogEntry{"waits", reason});
+  }
 }
 
 void Attempt::AwaitRelease(const GroupView& view, common::Instant now, Actions& actions) {
   DemoteOldPrimary(view, now, actions);
-  FenceReturnedReplicas(view, now, actions);
-  if (view.unreleased_daemons.empty() || now >= fenced_at_ + group::kLeaseTime) {
+  FenceMembers(view, now, actions);
+  const bool eligible = ChooseCandidate(view);
+  candidate_holds_all_ = eligible && HoldsAllAcknowledged(view);
+  if (candidate_holds_all_) {
     Enter(Step::kRecord, now);
     return;
   }
-  if (now >= release_requested_at_ + kReleaseRequestInterval) {
-    actions.emplace_back(RequestLeaseRelease{old_term_});
-    release_requested_at_ = now;
+  RepeatRequests(view, now, actions);
+  std::string pending = PendingCondition(view, now);
+  if (pending.empty() && !eligible) {
+    pending = "an instance that holds every acknowledged commit: " + PositionsText(view);
+  }
+  // The answer that showed `at_most` may have shown commits that were not acknowledged. An instance
+  // that holds more would be listed by the end of this time.
+  const bool may_be_unlisted = pending.empty() &&
+                               fenced_.at(candidate_).received < view.acknowledged.at_most &&
+                               *view.members_as_of < fenced_at_ + kUnlistedTime;
+  if (may_be_unlisted) {
+    pending = "an instance that is not listed yet";
+    RequestList(now, actions);
+  }
+  // Once demoted, the old primary's log is final, and nobody can hold more of its commits.
+  if (!pending.empty() && LeasesReleased(view, now) && now >= fenced_at_ + kOldPrimaryWait &&
+      OldPrimaryMayLead(view)) {
+    candidate_ = view.primary;
+    pending.clear();
+  }
+  LogWait(pending, actions);
+  if (pending.empty()) {
+    Enter(Step::kRecord, now);
+  } else if (now >= fenced_at_ + kChoiceTimeout) {
+    GiveUp(view, "waited for " + pending, now, actions);
   }
 }
 
@@ -481,7 +664,8 @@
     }
     return;
   }
-  if (request.kind == model::ControlKind::kPauseReplication && step_ == Step::kFence) {
+  const bool fencing = step_ == Step::kFence || step_ == Step::kRelease;
+  if (request.kind == model::ControlKind::kPauseReplication && fencing) {
     ApplyFenceAnswer(instance, request, *status, now);
     return;
   }
@@ -514,7 +698,7 @@
   }
   // A fence left by an earlier attempt counts as well.
   if (status.fenced_term >= fence_term_ && request.term == fence_term_) {
-    fenced_[instance] = {status.received};
+    fenced_[instance] = {status.received, status.term};
   }
 }
 
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -5,7 +5,8 @@
 //             acknowledged, and that every majority of the group contains a paused one;
 //             the old primary is demoted too if it answers
 //   release   wait until every daemon has released its read lease of the old primary, or until
-//             the lease time has passed
+//             the lease time has passed, and until the store has listed the instances since the
+//             fences hold; instances that become known are fenced too; choose the candidate
 //   record    write the leadership record again, with the candidate
 //   promote   ask the platform to promote the candidate
 //   verify    wait until the candidate reports that it is the primary
@@ -14,8 +15,9 @@
 // with a claim in the new era.
 //
 // Owns: the state of one attempt. Invariant: the promotion is requested only while the leadership
-// allows it, with the candidate of the highest position among the fenced replicas; so many are
-// fenced that one of them holds every acknowledged commit. No I/O and no clock; not thread-safe.
+// allows it, with the candidate of the highest position among the fenced replicas; so many of the
+// recorded and listed ones are fenced that one of them holds every acknowledged commit, and it
+// holds all that daemons report to have acknowledged. No I/O and no clock; not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -29,6 +31,7 @@
 #include "common/position.h"
 #include "common/time.h"
 #include "failover/leadership.h"
+#include "group/acknowledged_commits.h"
 #include "model/leader_fitness.h"
 #include "model/reply.h"
 #include "model/request.h"
@@ -54,7 +57,18 @@
   std::vector<MemberView> members;
   bool one_fence_is_enough = false;   // for tests of the checkers only
   std::size_t reported_replicas = 0;  // highest count reported by other daemons
-  common::Position minimum_position;  // of the candidate's log, because of terminated replicas
+  common::Position commit_floor;      // the candidate must hold it, because of terminated replicas
+  group::AcknowledgedBounds acknowledged;  // as reported by this and the other daemons
+  /// All daemons report complete bounds. Those of daemons that have released their lease are final.
+  bool acknowledged_complete = false;
+  std::optional<common::Instant> holders_as_of;  // when the record of commit holders was asked for
+  std::optional<common::Instant> members_as_of;  // when a list of all instances was asked for
+  /// Instances that are not counted, though the old primary may still reach them. With any, only
+  /// the positions that the daemons have seen speak for what they hold.
+  std::vector<std::string> silent_holders;
+  /// No daemon can lease the old primary's term again, although the primary may be well.
+  bool primary_unusable = false;
+  bool primary_restarted = false;  // under its id, perhaps without its log
   std::size_t lost_logs = 0;  // restarted replicas that may have held the only copy of a commit
   std::set<std::string> unreleased_daemons;  // may still read from the old primary
   /// Set for a planned replacement: the candidate must have a higher fitness than this.
@@ -77,6 +91,9 @@
   ConditionalWrite write;
 };
 
+/// Asks the store for the present list of instances.
+struct RequestInstanceList {};
+
 /// Asks the platform to promote the candidate.
 struct RequestPromotion {
   std::string candidate;
@@ -90,8 +107,8 @@
   std::string detail;
 };
 
-using AttemptAction =
-    std::variant<SendControl, RequestLeaseRelease, WriteRecord, RequestPromotion, AttemptLogEntry>;
+using AttemptAction = std::variant<SendControl, RequestLeaseRelease, WriteRecord,
+                                   RequestInstanceList, RequestPromotion, AttemptLogEntry>;
 
 /// How the platform answered a promotion request.
 enum class PromotionStatus : std::uint8_t { kAccepted, kNotRunning, kRefused, kNoAnswer };
@@ -138,7 +155,8 @@
   /// @return how many replicas must be fenced, and how many are reachable.
   static FenceCount CountFences(const GroupView& view);
 
-  /// @return true if enough replicas are reachable to replace the primary.
+  /// @return true if enough replicas are reachable to replace the primary, or if what the daemons
+  /// have acknowledged may show that one replica is enough.
   static bool IsFeasible(const GroupView& view);
 
   /// Handles the result of writing the record. @param is_holder the return value of
@@ -157,6 +175,7 @@
  private:
   struct Fenced {
     common::Position received;
+    common::Term term = 0;
   };
   struct SentRequest {
     common::Instant sent{0};
@@ -189,7 +208,33 @@
   void SendIfDue(const std::string& instance, const model::ControlRequest& request,
                  common::Duration interval, common::Instant now, Actions& actions);
   void DemoteOldPrimary(const GroupView& view, common::Instant now, Actions& actions);
-  void FenceReturnedReplicas(const GroupView& view, common::Instant now, Actions& actions);
+  /// Sends a fence to each member that is not fenced yet, the old primary excepted.
+  void FenceMembers(const GroupView& view, common::Instant now, Actions& actions);
+  /// @return true if the candidate holds all that any daemon has acknowledged or ever will: no
+  /// other instance can hold an acknowledged commit alone.
+  bool HoldsAllAcknowledged(const GroupView& view) const;
+  /// @return what the choice of a candidate still waits for, or an empty text.
+  std::string PendingCondition(const GroupView& view, common::Instant now) const;
+  /// @return true if no daemon can hold a read lease of the old primary any more.
+  bool LeasesReleased(const GroupView& view, common::Instant now) const;
+  /// Requests what the release step waits for, if it is time to repeat the request.
+  void RepeatRequests(const GroupView& view, common::Instant now, Actions& actions);
+  /// @return true if the store has listed all instances since the fences hold.
+  bool IsListedSinceFences(const GroupView& view) const;
+  void RequestList(common::Instant now, Actions& actions);
+  /// @return true if an earlier attempt may have promoted an instance that is not fenced.
+  bool EarlierPromotionMayStand(const GroupView& view) const;
+  /// @return true if promoting the old primary again may be the only way.
+  static bool MayNeedOldPrimary(const GroupView& view);
+  /// Requests the release of all leases and waits for it.
+  void BeginRelease(const GroupView& view, common::Instant now, Actions& actions);
+  /// @return true if the old primary was demoted and fenced and may be promoted again.
+  bool OldPrimaryMayLead(const GroupView& view) const;
+  void LogWait(const std::string& reason, Actions& actions);
+  /// @return what a candidate must hold, and what the fenced instances hold, for the log.
+  std::string PositionsText(const GroupView& view) const;
+  /// @return ids of the replicas that are counted but not fenced, separated by blanks.
+  std::string UnfencedReplicas(const GroupView& view) const;
   void ResumeOtherReplicas(const GroupView& view, Actions& actions);
   std::size_t FencedReplicas(const GroupView& view) const;
   bool ChooseCandidate(const GroupView& view);
@@ -200,6 +245,7 @@
   Leadership& leadership_;
   Step step_ = Step::kClaim;
   common::Instant step_entered_at_{0};
+  common::Instant created_at_{0};
   model::AttemptRecord earlier_attempt_;  // entry in the record before this attempt
   std::uint64_t claimed_era_ = 0;
   common::Term old_term_ = 0;
@@ -214,7 +260,10 @@
   std::map<std::string, SentRequest> requests_;
   common::Instant fenced_at_{0};
   common::Instant release_requested_at_{0};
+  common::Instant list_requested_at_{0};
+  std::string waits_for_;  // as logged last
   std::string candidate_;
+  bool candidate_holds_all_ = false;  // whatever instances become known
   std::optional<PromotionStatus> promotion_;
   common::Instant promotion_sent_at_{0};
   bool promotion_outstanding_ = false;
--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -122,6 +122,13 @@
   /// Reads the current configuration, never a stale one.
   virtual void ReadConfiguration(ConfigurationHandler handler) = 0;
   virtual void WriteLeadership(const failover::ConditionalWrite& write, WriteHandler handler) = 0;
+
+  using HolderHandler = std::function<void(const proxy::HolderResult&)>;
+
+  /// Reads the record of a group's commit holders, never a stale one.
+  virtual void ReadHolders(const std::string& service, HolderHandler handler) = 0;
+  /// Writes the record of a group's commit holders, if it has the revision.
+  virtual void WriteHolders(const proxy::WriteHolders& write, HolderHandler handler) = 0;
   virtual void WriteDaemon(const model::DaemonEntry& entry, DaemonWriteHandler handler) = 0;
 };
 
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -127,6 +127,8 @@
   void Execute(const proxy::ReadLeadership& action);
   void Execute(const proxy::ReadConfiguration& action);
   void Execute(const proxy::WriteLeadership& action);
+  void Execute(const proxy::ReadHolders& action);
+  void Execute(const proxy::WriteHolders& action);
   void Execute(const proxy::WriteDaemonEntry& action);
   void Execute(const proxy::Promote& action);
   void Execute(const proxy::SendPeerMessage& action);
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -236,6 +236,22 @@
   });
 }
 
+void ProxyHost::Execute(const proxy::ReadHolders& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().ReadHolders(action.service, [this, call](const proxy::HolderResult& result) {
+    proxy_.HoldersAnswered(call, result, common::SteadyNow());
+    ExecuteActions();
+  });
+}
+
+void ProxyHost::Execute(const proxy::WriteHolders& action) {
+  const proxy::CallNumber call = action.call;
+  adapter_.Store().WriteHolders(action, [this, call](const proxy::HolderResult& result) {
+    proxy_.HoldersAnswered(call, result, common::SteadyNow());
+    ExecuteActions();
+  });
+}
+
 void ProxyHost::Execute(const proxy::WriteDaemonEntry& action) {
   const proxy::CallNumber call = action.call;
   adapter_.Store().WriteDaemon(action.entry, [this, call](bool written) {
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -148,6 +148,24 @@
   std::map<std::string, AttemptRecord> attempts;  // latest one of each service
 };
 
+/// An instance that may hold a commit which no other instance of its group holds.
+struct CommitHolder {
+  common::Endpoint address;
+  std::string zone;
+
+  bool operator==(const CommitHolder&) const = default;
+};
+
+/// What the store keeps on the commits of one group; see docs/design/commit-holders.md.
+struct HolderRecord {
+  std::map<std::string, CommitHolder> holders;  // by instance id
+  /// A promoted instance must hold it: former holders had no later commit alone.
+  common::Position floor;
+  std::size_t lost_logs = 0;  // of instances that restarted empty, not covered by `floor` yet
+
+  bool operator==(const HolderRecord&) const = default;
+};
+
 /// The collections of the metadata store.
 enum class Collection : std::uint8_t {
   kConfiguration,
@@ -155,10 +173,11 @@
   kDaemons,
   kLeadership,
   kEvacuations,
+  kHolders,  // of commits, by group
 };
 
 using CatalogPayload = std::variant<std::monostate, Configuration, InstanceEntry, DaemonEntry,
-                                    LeadershipRecord, ZoneEvacuation, UnusableEntry>;
+                                    LeadershipRecord, ZoneEvacuation, HolderRecord, UnusableEntry>;
 
 /// One object of a collection. The payload is empty if it could not be read.
 struct CatalogObject {
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -120,6 +120,28 @@
   std::uint64_t era = 0;  // of the store, whose record is read
 };
 
+/// Reads the record of a group's commit holders, never from a stale state.
+struct ReadHolders {
+  CallNumber call = 0;
+  std::string service;
+};
+
+/// Writes the record of a group's commit holders, if it still has the expected revision.
+struct WriteHolders {
+  CallNumber call = 0;
+  std::string service;
+  model::HolderRecord record;
+  model::Revision revision;  // that the record must have; number 0: none may exist
+};
+
+/// How a call on the record of a group's commit holders ended.
+struct HolderResult {
+  /// kWritten or kConflict if the present record is known, as after each answered read.
+  failover::WriteStatus status = failover::WriteStatus::kNoAnswer;
+  model::Revision revision;  // number 0: no record exists
+  model::HolderRecord record;
+};
+
 /// Writes this daemon's own entry to the store, replacing any existing entry.
 struct WriteDaemonEntry {
   CallNumber call = 0;
@@ -165,10 +187,10 @@
   std::vector<std::pair<const char*, std::string>> fields;
 };
 
-using Action =
-    std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession, AnswerCaller,
-                 CloseSession, RelaySession, CloseRelay, RequestSessionEnd, ReadCatalog,
-                 ReadLeadership, ReadConfiguration, WriteLeadership, WriteDaemonEntry, Promote,
-                 SendPeerMessage, FetchCatalog, SetReady, Exit, LogEvent>;
+using Action = std::variant<OpenConnection, SendRequests, CloseConnection, AcceptSession,
+                            AnswerCaller, CloseSession, RelaySession, CloseRelay, RequestSessionEnd,
+                            ReadCatalog, ReadLeadership, ReadConfiguration, WriteLeadership,
+                            ReadHolders, WriteHolders, WriteDaemonEntry, Promote, SendPeerMessage,
+                            FetchCatalog, SetReady, Exit, LogEvent>;
 
 }  // namespace valvekeel::proxy
--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -107,10 +107,12 @@
 void Backend::OnContact(common::Instant now) {
   last_contact_ = now;
   unreachable_since_.reset();
+  refused_ = false;
 }
 
 void Backend::OnOpenFailed(common::Instant now, bool refused) {
   open_not_before_ = now + kReopenPause;
+  refused_ = refused_ || refused;
   const bool unresponsive = now >= last_contact_ + kUnresponsiveLimit;
   if ((refused || unresponsive) && !unreachable_since_) {
     unreachable_since_ = now;
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -40,6 +40,7 @@
   RequestPurpose purpose = RequestPurpose::kStatement;
   common::Instant sent{0};
   ControlNumber control = 0;
+  common::Position log_end;  // of the instance, as far as known when the request was sent
 };
 
 struct Connection {
@@ -124,6 +125,9 @@
   bool Unreachable() const { return unreachable_since_.has_value(); }
   std::optional<common::Instant> UnreachableSince() const { return unreachable_since_; }
 
+  /// @return true if a connection was refused since the last contact: the instance has ended.
+  bool HasRefused() const { return refused_; }
+
   bool MayOpen(common::Instant now) const { return now >= open_not_before_; }
   void DelayOpening(common::Instant until) { open_not_before_ = until; }
 
@@ -156,9 +160,12 @@
   common::Instant probe_sent_at{0};  // of the last health probe
   std::deque<QueuedControlRequest> control_queue;
   std::optional<common::Instant> unlisted_since;  // the store no longer lists its entry
+  /// Unlisted when this daemon learned of it, so for an unknown time: it gets no callers' work.
+  bool left_before = false;
   std::optional<common::Instant> draining_since;  // its entry announces that it will stop
   std::optional<model::InstanceStatus> status;    // last received
   common::Instant status_received_at{0};          // time at which `status` was received
+  common::Position log_end;                       // highest position reported with an answer
   bool address_taken = false;                     // another instance answers at its address
   warm_up::restart_detector restart_detection;
 
@@ -169,6 +176,7 @@
   std::map<ConnectionNumber, Connection> connections_;
   common::Instant last_contact_{0};
   std::optional<common::Instant> unreachable_since_;
+  bool refused_ = false;
   common::Instant open_not_before_{0};
   double latency_us_ = kInitialLatencyUs;
   double baseline_latency_us_ = kInitialLatencyUs;
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -61,6 +61,7 @@
   }
   backend.SetEntry(entry);
   backend.unlisted_since.reset();
+  backend.left_before = false;
   if (!entry.draining) {
     backend.draining_since.reset();
   } else if (!backend.draining_since) {
@@ -69,6 +70,22 @@
   }
 }
 
+void BackendSet::AddUnlisted(const std::string& service, const std::string& id,
+                             const model::CommitHolder& holder, common::Instant now) {
+  model::InstanceEntry entry;
+  entry.id = id;
+  entry.service = service;
+  entry.address = holder.address;
+  entry.zone = holder.zone;
+  Backend& backend = backends_.emplace(id, Backend(entry)).first->second;
+  backend.unlisted_since = now;
+  backend.left_before = true;
+  AddToService(entry);
+  outbox_.Log("instance_recorded", {{"instance", id},
+                                    {"service", service},
+                                    {"address", common::FormatEndpoint(holder.address)}});
+}
+
 void BackendSet::BeginIncarnation(Backend& backend, const model::InstanceEntry& entry,
                                   common::Instant now) {
   outbox_.Log("instance_restarted",
@@ -216,9 +233,8 @@
 void BackendSet::Send(Backend& backend, Connection& connection,
                       std::vector<model::InstanceRequest> requests, RequestPurpose purpose,
                       common::Instant now) {
-  static_cast<void>(backend);
   for (std::size_t i = 0; i < requests.size(); ++i) {
-    connection.outstanding.push_back({purpose, now, 0});
+    connection.outstanding.push_back({purpose, now, 0, backend.log_end});
   }
   connection.last_used = now;
   outbox_.Emit(SendRequests{connection.number, std::move(requests)});
@@ -249,7 +265,8 @@
     }
     const QueuedControlRequest item = backend.control_queue.front();
     backend.control_queue.pop_front();
-    connection->outstanding.push_back({RequestPurpose::kControl, now, item.number});
+    connection->outstanding.push_back(
+        {RequestPurpose::kControl, now, item.number, backend.log_end});
     outbox_.Emit(SendRequests{connection->number, {item.request}});
   }
 }
@@ -397,6 +414,9 @@
   connection->outstanding.pop_front();
   connection->state = reply.state;
   connection->last_used = now;
+  if (reply.position) {
+    backend->log_end = std::max(backend->log_end, *reply.position);
+  }
   const bool not_restarted =
       backend->restart_detection.on_answer(connection->opened, outstanding.sent);
   if (not_restarted && warm_up_observer_ != nullptr) {
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -66,6 +66,10 @@
   /// Adds or updates an instance by its entry in the store.
   void SetEntry(const model::InstanceEntry& entry, common::Instant now);
 
+  /// Adds an instance that the store doesn't list but that may still run, as it may hold commits.
+  void AddUnlisted(const std::string& service, const std::string& id,
+                   const model::CommitHolder& holder, common::Instant now);
+
   /// Handles the removal of an instance's entry from the store. The instance may still serve.
   void OnEntryRemoved(const std::string& id, common::Instant now);
 
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -36,6 +36,8 @@
       return "leadership";
     case Collection::kEvacuations:
       return "evacuations";
+    case Collection::kHolders:
+      return "holders";
   }
   return "unknown";
 }
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -91,6 +91,11 @@
     return followers_.at(model::Collection::kInstances).CompleteAsOf();
   }
 
+  /// @return the time at which the newest list that RelistInstances has brought was requested.
+  std::optional<common::Instant> InstancesListedAsOf() const {
+    return followers_.at(model::Collection::kInstances).FreshAsOf();
+  }
+
   /// @return the time as of which all instances are known, at the earliest.
   std::optional<common::Instant> InstancesFreshAsOf(common::Instant now) const;
 
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -247,6 +247,9 @@
                common::Duration pause, common::Instant now);
   void OnStatementAnswer(Session& session, Backend& backend, Connection& connection,
                          const model::Reply& reply, common::Instant now);
+  /// Finishes a commit with an unknown outcome, since this daemon holds no lease of the primary
+  /// that committed it.
+  void WithholdAcknowledgement(Session& session, Connection& connection, common::Instant now);
   void OnPreparationAnswer(Session& session, Backend& backend, Connection& connection,
                            const model::Reply& reply, common::Instant now);
   void OnStatementSucceeded(Session& session, Backend& backend, Connection& connection,
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -322,9 +322,26 @@
   }
   if (outstanding.purpose == RequestPurpose::kPreparation) {
     OnPreparationAnswer(*session, backend, connection, reply, now);
-  } else {
-    OnStatementAnswer(*session, backend, connection, reply, now);
+    return;
+  }
+  if (reply.succeeded && reply.position && WouldCommit(*session)) {
+    const std::string& service = session->operation->route.service;
+    if (!groups_.MayAcknowledge(service, reply.position->term, now)) {
+      WithholdAcknowledgement(*session, connection, now);
+      return;
+    }
+    groups_.RecordAcknowledged(service, outstanding.log_end, *reply.position);
+  }
+  OnStatementAnswer(*session, backend, connection, reply, now);
+}
+
+void Dispatcher::WithholdAcknowledgement(Session& session, Connection& connection,
+                                         common::Instant now) {
+  // The promoted instance need not hold the commit.
+  if (!session.transaction.open) {
+    connection.session.reset();
   }
+  FinishWithError(session, model::ErrorCode::kInDoubt, "no lease of the primary's term", now);
 }
 
 void Dispatcher::OnPreparationAnswer(Session& session, Backend& backend, Connection& connection,
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -44,7 +44,7 @@
 FailoverDriver::FailoverDriver(const ProxySettings& settings, BackendSet& backends,
                                GroupSet& groups, const access::rule_set& access,
                                const PeerTable& peers, const membership::live_view& view,
-                               const relay::role_map& roles, Outbox& outbox)
+                               const relay::role_map& roles, HolderKeeper& holders, Outbox& outbox)
     : settings_(settings),
       backends_(backends),
       groups_(groups),
@@ -52,6 +52,7 @@
       peers_(peers),
       view_(view),
       roles_(roles),
+      holders_(holders),
       outbox_(outbox),
       leadership_(HolderName(settings)) {}
 
@@ -205,6 +206,7 @@
   const std::vector<std::string> replicas = groups_.Replicas(group.service, now);
   for (const std::string& id : groups_.Members(group.service)) {
     const Backend& backend = backends_.All().at(id);
+    view.term = std::max(view.term, backend.status ? backend.status->term : 0);
     const bool counted =
         id == view.primary || std::find(replicas.begin(), replicas.end(), id) != replicas.end();
     view.members.push_back({id, backend.draining_since.has_value(),
@@ -213,18 +215,26 @@
                             access_.evaluate_leader(backend.Entry(), now).fitness});
   }
   view.one_fence_is_enough = !settings_.mechanisms.enough_fences;
-  view.minimum_position = group.minimum_position;
-  view.lost_logs = group.log_loss_times.size();
-  view.reported_replicas = MaxReportedReplicas(group.service, now);
+  view.silent_holders = groups_.SilentHolders(group, now);
+  view.commit_floor = group.holders.Floor();
+  if (settings_.mechanisms.acknowledged_commits) {
+    view.acknowledged = AcknowledgedByAll(group);
+    view.acknowledged_complete = IsAcknowledgedComplete(group, registered, now);
+  }
+  view.primary_unusable = std::max(group.rejected_term, group.lease.ReleasedTerm()) >=
+                          std::max<common::Term>(1, view.term);
+  view.primary_restarted = group.restarted_primary_term >= std::max<common::Term>(1, view.term);
+  view.lost_logs = group.holders.LostLogs();
+  view.reported_replicas = holders_.MaxReportedReplicas(group.service, now);
+  view.holders_as_of = settings_.mechanisms.recorded_holders ? group.holders.RecordedAsOf() : now;
+  view.members_as_of = store_.members_as_of;
   view.unreleased_daemons = UnreleasedDaemons(group.service, registered, new_term, now);
   view.fitness_to_exceed = cause.better_than;
   return view;
 }
 
-std::set<std::string> FailoverDriver::UnreleasedDaemons(const std::string& service,
-                                                        const RegisteredDaemons& registered,
-                                                        common::Term new_term,
-                                                        common::Instant now) const {
+std::set<std::string> FailoverDriver::OtherDaemons(const RegisteredDaemons& registered,
+                                                   common::Instant now) const {
   std::set<std::string> daemons;
   for (const auto& [name, daemon] : registered) {
     daemons.insert(name);
@@ -237,38 +247,61 @@
     daemons.insert(each.name);
   }
   daemons.erase(settings_.name);
+  return daemons;
+}
+
+const GroupReport* FailoverDriver::LiveReport(const std::string& daemon, const std::string& service,
+                                              common::Instant now) const {
+  const Peer* peer = peers_.FindByName(daemon);
+  if (peer == nullptr || !peers_.IsAlive(*peer, now)) {
+    return nullptr;
+  }
+  const std::vector<GroupReport>& groups = peer->last.groups;
+  const auto report = std::find_if(groups.begin(), groups.end(), [&](const GroupReport& each) {
+    return each.service == service;
+  });
+  return report == groups.end() ? nullptr : &*report;
+}
+
+bool FailoverDriver::IsAcknowledgedComplete(const GroupState& group,
+                                            const RegisteredDaemons& registered,
+                                            common::Instant now) const {
+  const std::set<std::string> others = OtherDaemons(registered, now);
+  return group.acknowledged.IsComplete() &&
+         std::all_of(others.begin(), others.end(), [&](const std::string& name) {
+           const GroupReport* report = LiveReport(name, group.service, now);
+           return report != nullptr && report->acknowledged && report->acknowledged_complete;
+         });
+}
+
+std::set<std::string> FailoverDriver::UnreleasedDaemons(const std::string& service,
+                                                        const RegisteredDaemons& registered,
+                                                        common::Term new_term,
+                                                        common::Instant now) const {
+  std::set<std::string> daemons = OtherDaemons(registered, now);
   std::erase_if(daemons, [&](const std::string& name) {
-    const Peer* peer = peers_.FindByName(name);
-    if (peer == nullptr || !peers_.IsAlive(*peer, now)) {
-      return false;
-    }
-    const std::vector<GroupReport>& groups = peer->last.groups;
-    return std::any_of(groups.begin(), groups.end(), [&](const GroupReport& report) {
-      return report.service == service && report.released_below >= new_term;
-    });
+    const GroupReport* report = LiveReport(name, service, now);
+    return report != nullptr && report->released_below >= new_term;
   });
   return daemons;
 }
 
-std::size_t FailoverDriver::MaxReportedReplicas(const std::string& service,
-                                                common::Instant now) const {
-  std::size_t most = 0;
+group::AcknowledgedBounds FailoverDriver::AcknowledgedByAll(const GroupState& group) const {
+  group::AcknowledgedBounds bounds = group.acknowledged.Bounds();
   for (const auto& [address, peer] : peers_.All()) {
-    // A daemon that does not connect to the instances does not detect terminations.
-    if (!peers_.IsAlive(peer, now) || !roles_.watches(service, peer.name)) {
-      continue;
-    }
     for (const GroupReport& report : peer.last.groups) {
-      most = report.service == service ? std::max(most, report.replica_count) : most;
+      if (report.service == group.service && report.acknowledged) {
+        bounds.Include(*report.acknowledged);
+      }
     }
   }
-  return most;
+  return bounds;
 }
 
 void FailoverDriver::Tick(const model::Configuration& configuration,
-                          const RegisteredDaemons& registered, bool store_connected,
+                          const RegisteredDaemons& registered, const StoreView& store,
                           common::Instant now) {
-  store_connected_ = store_connected;
+  store_ = store;
   if (!roles_.coordinates() && attempts_.empty()) {
     pending_replacements_.clear();
     return;
@@ -298,7 +331,7 @@
     PendingReplacement& pending =
         pending_replacements_.try_emplace(name, PendingReplacement{now, cause}).first->second;
     pending.cause = cause;
-    const bool allowed = store_connected && now >= not_before_[name] && IsTurn(pending, now) &&
+    const bool allowed = store.connected && now >= not_before_[name] && IsTurn(pending, now) &&
                          now >= group->observed_since + kMinObservedTime && group->members_known &&
                          !(cause.better_than && now < planned_pauses_[name].until);
     if (!allowed) {
@@ -315,6 +348,7 @@
                                      {"primary", group->lease.Newest().primary},
                                      {"term", std::to_string(group->lease.Newest().term)}});
     attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
+    holders_.RequestRead(name);
     AdvanceAttempt(name, configuration, registered, now);
   }
 }
@@ -348,7 +382,7 @@
   // The lease is held by confirmation of a majority although the record does not renew it, and no
   // daemon can act on the entry any more: the replacement did not take place.
   const bool certain =
-      stale && group.lease.Holds(now) && leadership_.LastWriteExpired(now) && store_connected_;
+      stale && group.lease.Holds(now) && leadership_.LastWriteExpired(now) && store_.connected;
   if (certain && leadership_.MayWrite(now) && groups_.IsProber(group.service)) {
     outbox_.Log("failover_entry_dropped", {{"service", group.service}});
     // All earlier terms stay replaced: daemons that have been cut off since may still hold a lease
@@ -444,6 +478,14 @@
   static_cast<void>(now);
 }
 
+void FailoverDriver::Execute(GroupState& group, const failover::RequestInstanceList& action,
+                             common::Instant now) {
+  list_requested_ = true;
+  static_cast<void>(group);
+  static_cast<void>(action);
+  static_cast<void>(now);
+}
+
 void FailoverDriver::Execute(GroupState& group, const failover::RequestPromotion& action,
                              common::Instant now) {
   const CallNumber call = outbox_.NextNumber();
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -17,6 +17,7 @@
 #include "failover/leadership.h"
 #include "proxy/backend_set.h"
 #include "proxy/group_set.h"
+#include "proxy/holder_keeper.h"
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
 #include "proxy/proxy_settings.h"
@@ -31,7 +32,8 @@
  public:
   FailoverDriver(const ProxySettings& settings, BackendSet& backends, GroupSet& groups,
                  const access::rule_set& access, const PeerTable& peers,
-                 const membership::live_view& view, const relay::role_map& roles, Outbox& outbox);
+                 const membership::live_view& view, const relay::role_map& roles,
+                 HolderKeeper& holders, Outbox& outbox);
 
   /// Handles the leadership record as read from the store.
   /// @param revision its revision; number 0 if there is no record.
@@ -48,11 +50,20 @@
   void OnRecordWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
   void OnPromotionAnswered(CallNumber call, failover::PromotionStatus status, common::Instant now);
 
+  /// What the store has shown.
+  struct StoreView {
+    bool connected = false;
+    std::optional<common::Instant> members_as_of;  // when a list of all instances was asked for
+  };
+
   /// Advances the attempts and starts those that are due.
   /// @param configuration in force.
   /// @param registered all daemons in the store.
   void Tick(const model::Configuration& configuration, const RegisteredDaemons& registered,
-            bool store_connected, common::Instant now);
+            const StoreView& store, common::Instant now);
+
+  /// @return true if an attempt has requested a list of all instances since the last call.
+  bool ConsumeListRequested() { return std::exchange(list_requested_, false); }
 
   /// @return true if an attempt of this daemon is in progress.
   bool HasAttempts() const { return !attempts_.empty(); }
@@ -97,12 +108,23 @@
   std::set<std::string> UnreleasedDaemons(const std::string& service,
                                           const RegisteredDaemons& registered,
                                           common::Term new_term, common::Instant now) const;
-  std::size_t MaxReportedReplicas(const std::string& service, common::Instant now) const;
+  /// @return names of the other daemons that may hold leases.
+  std::set<std::string> OtherDaemons(const RegisteredDaemons& registered,
+                                     common::Instant now) const;
+  /// @return a live daemon's report of the group, or nullptr.
+  const GroupReport* LiveReport(const std::string& daemon, const std::string& service,
+                                common::Instant now) const;
+  /// @return true if all daemons report complete bounds of what they have acknowledged.
+  bool IsAcknowledgedComplete(const GroupState& group, const RegisteredDaemons& registered,
+                              common::Instant now) const;
+  /// @return bounds of the last commit that any daemon has acknowledged, as far as reported.
+  group::AcknowledgedBounds AcknowledgedByAll(const GroupState& group) const;
   void ExecuteAll(GroupState& group, const std::vector<failover::AttemptAction>& actions,
                   common::Instant now);
   void Execute(GroupState& group, const failover::SendControl& action, common::Instant now);
   void Execute(GroupState& group, const failover::RequestLeaseRelease& action, common::Instant now);
   void Execute(GroupState& group, const failover::WriteRecord& action, common::Instant now);
+  void Execute(GroupState& group, const failover::RequestInstanceList& action, common::Instant now);
   void Execute(GroupState& group, const failover::RequestPromotion& action, common::Instant now);
   void Execute(GroupState& group, const failover::AttemptLogEntry& action, common::Instant now);
   /// Logs which replicas a replacement waits for.
@@ -119,6 +141,7 @@
   const PeerTable& peers_;
   const membership::live_view& view_;
   const relay::role_map& roles_;
+  HolderKeeper& holders_;
   Outbox& outbox_;
   failover::Leadership leadership_;
   std::map<std::string, std::unique_ptr<failover::Attempt>> attempts_;  // by service
@@ -129,7 +152,8 @@
   std::map<CallNumber, std::string> promotions_;                        // service by call
   common::Instant evaluation_due_{0};
   bool any_primary_suspected_ = false;  // by a live daemon, at the last evaluation
-  bool store_connected_ = false;
+  StoreView store_;
+  bool list_requested_ = false;
   bool fence_announced_ = false;
 };
 
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -77,10 +77,16 @@
     return;
   }
   const group::Confirmation& newest = state->lease.Newest();
-  // A primary that restarted under its id with an empty log reports a lower position than before.
+  if (instance == newest.primary && position.term == newest.term) {
+    state->acknowledged.OnPrimaryPosition(position);
+  }
+  // A primary that restarted under its id with an empty log reports a lower position than before,
+  // or than it must hold.
   const std::optional<common::Position> known = state->PrimaryPosition();
-  const bool plausible =
-      !settings_.mechanisms.instance_incarnations || !known || *known <= position;
+  const common::Position& least =
+      std::max(state->acknowledged.Bounds().at_least, state->holders.Floor());
+  const bool plausible = !settings_.mechanisms.instance_incarnations ||
+                         (least <= position && (!known || *known <= position));
   if (plausible && instance == newest.primary && state->lease.HeldAt(sent, newest.term)) {
     state->history.Add({sent, position});
     state->sampled_term = newest.term;
@@ -103,22 +109,96 @@
   return present;
 }
 
-std::vector<std::string> GroupSet::Replicas(const std::string& service, common::Instant now) const {
-  std::vector<std::string> replicas;
+std::vector<std::string> GroupSet::CommitHolders(const std::string& service,
+                                                 common::Instant now) const {
+  std::vector<std::string> holders;
   const auto group = groups_.find(service);
   for (const std::string& id : Members(service)) {
-    const Backend& backend = backends_.All().at(id);
-    // A replica whose termination is not covered yet may hold the only copy of a commit.
-    const bool covered = group != groups_.end() && group->second.covered_terminations.contains(id);
-    const bool terminated = covered && HasTerminated(backend, now);
-    const bool is_primary = group != groups_.end() && id == PrimaryHint(group->second);
-    if (!terminated && !is_primary) {
-      replicas.push_back(id);
+    const bool covered = group != groups_.end() && group->second.holders.IsCovered(id);
+    if (!covered || !HasTerminated(backends_.All().at(id), now)) {
+      holders.push_back(id);
     }
   }
+  return holders;
+}
+
+std::vector<std::string> GroupSet::Replicas(const std::string& service, common::Instant now) const {
+  std::vector<std::string> replicas = CommitHolders(service, now);
+  const auto group = groups_.find(service);
+  if (group != groups_.end()) {
+    std::erase(replicas, PrimaryHint(group->second));
+  }
   return replicas;
 }
 
+std::vector<std::string> GroupSet::SilentHolders(const GroupState& state,
+                                                 common::Instant now) const {
+  std::vector<std::string> silent;
+  for (const std::string& id : Members(state.service)) {
+    const Backend& backend = backends_.All().at(id);
+    if (state.holders.IsCovered(id) && HasTerminated(backend, now) && !backend.HasRefused()) {
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
+std::vector<std::string> GroupSet::PresentReplicas(const GroupState& state) const {
+  std::vector<std::string> present;
+  for (const std::string& id : Members(state.service)) {
+    const Backend& backend = backends_.All().at(id);
+    const bool absent = backend.unlisted_since && backend.Unreachable();
+    if (!absent && id != PrimaryHint(state)) {
+      present.push_back(id);
+    }
+  }
+  return present;
+}
+
+bool GroupSet::MayAcknowledge(const std::string& service, common::Term term,
+                              common::Instant now) const {
+  const auto group = groups_.find(service);
+  return !settings_.mechanisms.read_lease ||
+         (group != groups_.end() && group->second.lease.HeldAt(now, term));
+}
+
+void GroupSet::RecordAcknowledged(const std::string& service, const common::Position& before,
+                                  const common::Position& after) {
+  if (GroupState* state = Find(service)) {
+    state->acknowledged.OnAcknowledged(before, after);
+  }
+}
+
+void GroupSet::ApplyHolderRecord(const std::string& service, const model::HolderRecord& record,
+                                 const model::Revision& revision, common::Instant asked,
+                                 common::Instant now) {
+  GroupState* state = Find(service);
+  if (state == nullptr) {
+    return;
+  }
+  state->holders.ApplyRecord(record, revision, asked);
+  for (const auto& [id, holder] : record.holders) {
+    if (backends_.Find(id) == nullptr && !state->forgotten_holders.contains(id)) {
+      backends_.AddUnlisted(service, id, holder, now);
+    }
+  }
+}
+
+model::HolderRecord GroupSet::WantedHolderRecord(const GroupState& state,
+                                                 common::Instant now) const {
+  model::HolderRecord record;
+  std::vector<std::string> holders = CommitHolders(state.service, now);
+  const std::vector<std::string> silent = SilentHolders(state, now);
+  holders.insert(holders.end(), silent.begin(), silent.end());
+  for (const std::string& id : holders) {
+    const model::InstanceEntry& entry = backends_.All().at(id).Entry();
+    record.holders[id] = {entry.address, entry.zone};
+  }
+  record.floor = state.holders.Floor();
+  record.lost_logs = state.holders.LostLogs();
+  return record;
+}
+
 std::string GroupSet::PrimaryHint(const GroupState& state) const {
   if (state.lease.Newest().term != 0) {
     return state.lease.Newest().primary;
@@ -146,7 +226,7 @@
     if (state == nullptr) {
       continue;
     }
-    state->minimum_position = std::max(state->minimum_position, report.minimum_position);
+    state->holders.RaiseFloor(report.commit_floor);
     state->observed_fence = std::max(state->observed_fence, report.fence_below);
     released = ReleaseTermsBelow(*state, report.fence_below) || released;
     if (!counted_from || !report.confirmation_age) {
@@ -271,12 +351,16 @@
         report.sample = sample->position;
       }
     }
-    report.minimum_position = state.minimum_position;
-    report.replica_count = Replicas(service, now).size();
+    report.commit_floor = state.holders.Floor();
+    report.replica_count = PresentReplicas(state).size();
     report.primary_suspected = state.primary_suspected;
     report.degraded = degraded;
     report.fence_below = state.fence_below;
     report.released_below = state.lease.ReleasedTerm() + 1;
+    if (state.primary_suspected || state.lease.ReleasedTerm() >= newest.term) {
+      report.acknowledged = state.acknowledged.Bounds();
+      report.acknowledged_complete = state.acknowledged.IsComplete();
+    }
     reports.push_back(std::move(report));
   }
   return reports;
@@ -284,7 +368,7 @@
 
 bool GroupSet::IsDegraded(const GroupState& state, common::Instant now) {
   const bool released = state.lease.ReleasedTerm() >= state.lease.Newest().term;
-  if (state.primary_suspected || state.fence_below > 0 || state.minimum_position.lsn > 0) {
+  if (state.primary_suspected || state.fence_below > 0 || state.holders.Floor().lsn > 0) {
     return true;
   }
   // A daemon that does not watch the group receives no renewals of its lease and does not need
@@ -416,46 +500,29 @@
   return "";
 }
 
-void GroupSet::RecordTerminations(GroupState& state, common::Instant now) {
+void GroupSet::UpdateHolders(GroupState& state, common::Instant now) {
   for (const std::string& id : backends_.IdsOf(state.service)) {
     const Backend& backend = backends_.All().at(id);
     if (backends_.HasSuccessor(backend)) {
       continue;
     }
-    const bool ended = backend.unlisted_since && backend.Unreachable();
-    if (!ended) {
-      state.uncovered_terminations.erase(id);
-      state.covered_terminations.erase(id);
-    } else if (!state.covered_terminations.contains(id)) {
-      state.uncovered_terminations.try_emplace(id, now);
+    if (backend.unlisted_since && backend.Unreachable()) {
+      state.holders.OnAbsent(id, now);
+    } else {
+      state.holders.OnPresent(id);
+      state.forgotten_holders.erase(id);
     }
   }
-  for (auto termination = state.uncovered_terminations.begin();
-       termination != state.uncovered_terminations.end();) {
-    const auto covering = state.history.Covering(termination->second);
-    if (!covering) {
-      ++termination;
-      continue;
-    }
-    state.minimum_position = std::max(state.minimum_position, *covering);
-    state.covered_terminations.insert(termination->first);
-    termination = state.uncovered_terminations.erase(termination);
+  state.holders.Cover(state.history);
+  if (!state.holders.Recorded()) {
+    return;
   }
-}
-
-void GroupSet::CoverLogLosses(GroupState& state) {
-  std::erase_if(state.log_loss_times, [&](common::Instant noticed) {
-    const auto covering = state.history.Covering(noticed);
-    if (covering) {
-      state.minimum_position = std::max(state.minimum_position, *covering);
+  for (const auto& [id, holder] : state.holders.Recorded()->holders) {
+    if (backends_.Find(id) == nullptr && state.forgotten_holders.insert(id).second) {
+      outbox_.Log("holder_forgotten", {{"service", state.service}, {"instance", id}},
+                  LogLevel::kWarning);
     }
-    return covering.has_value();
-  });
-}
-
-std::size_t GroupSet::LogLossCount(const std::string& service) const {
-  const auto found = groups_.find(service);
-  return found == groups_.end() ? 0 : found->second.log_loss_times.size();
+  }
 }
 
 void GroupSet::OnMemberRestarted(const model::InstanceEntry& entry, common::Instant now) {
@@ -463,13 +530,12 @@
   if (state == nullptr) {
     return;
   }
-  state->uncovered_terminations.erase(entry.id);
-  state->covered_terminations.erase(entry.id);
   const group::Confirmation newest = state->lease.Newest();
   if (entry.id != newest.primary) {
-    state->log_loss_times.push_back(now);
+    state->holders.OnLogLost(entry.id, now);
     return;
   }
+  state->holders.OnPresent(entry.id);
   // The restarted instance may still claim to be primary without the confirmed commits, so its term
   // is released.
   ReleaseTermsBelow(*state, newest.term + 1);
@@ -525,6 +591,13 @@
   }
 }
 
+void GroupSet::BeginEra(common::Instant now) {
+  record_complete_from_ = now + failover::kTakeoverTime;
+  for (auto& [service, state] : groups_) {
+    state.holders.BeginEra();
+  }
+}
+
 void GroupSet::OnPauseEnded(common::Instant now) {
   for (auto& [service, state] : groups_) {
     state.lease_last_held_at = now;
@@ -579,8 +652,7 @@
     if (as_prober || by_itself) {
       StartRound(state, now);
     }
-    RecordTerminations(state, now);
-    CoverLogLosses(state);
+    UpdateHolders(state, now);
     EvaluatePrimary(state, now);
   }
 }
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "failover/leadership.h"
+#include "group/acknowledged_commits.h"
+#include "group/commit_holders.h"
 #include "group/position_history.h"
 #include "group/read_lease.h"
 #include "model/catalog.h"
@@ -40,17 +42,11 @@
   std::optional<common::Instant> writes_stalled_since;     // none answered since
   bool reads_record_at_once = false;                       // if the next round proposes a primary
   common::Term rejected_term = 0;  // proposed primary that the leadership record rejected
-  /// Replicas that terminated, perhaps with the only copy of a commit, by id, with the time at
-  /// which that was detected. Kept until a position of the primary from that time or later is
-  /// known.
-  std::map<std::string, common::Instant> uncovered_terminations;
-  std::set<std::string>
-      covered_terminations;  // replicas whose termination `minimum_position` covers
-  /// Times at which restarts of replicas under the same id were detected. The log that such a
-  /// replica lost may have held the only copy of a commit. Kept until `minimum_position` covers it.
-  std::vector<common::Instant> log_loss_times;
+  group::CommitHolders holders;
+  /// Recorded holders that were neither listed nor reachable for so long that they are gone.
+  std::set<std::string> forgotten_holders;
+  group::AcknowledgedCommits acknowledged;  // by this daemon
   common::Term restarted_primary_term = 0;  // whose primary restarted under its id
-  common::Position minimum_position;        // a replica must hold it to be promoted
   bool watched = true;                      // this daemon connects to the group's instances
   common::Instant watched_since{0};
   /// True if all members were known at some time since `watched_since`. Otherwise the group may
@@ -93,9 +89,11 @@
   /// over these.
   std::vector<std::string> QuorumMembers(const std::string& service, common::Instant now) const;
 
-  /// @return ids of the group's replicas that may hold the only copy of a commit: all but those
-  /// that have been unlisted and unreachable for a while and whose termination `minimum_position`
-  /// covers.
+  /// @return ids of the group's instances that may hold the only copy of a commit: all but those
+  /// that have been unlisted and unreachable for a while and whose absence the floor covers.
+  std::vector<std::string> CommitHolders(const std::string& service, common::Instant now) const;
+
+  /// @return the commit holders without the primary.
   std::vector<std::string> Replicas(const std::string& service, common::Instant now) const;
 
   /// @return the id of the known primary; before one is known, that of the instance whose entry
@@ -122,7 +120,7 @@
 
   /// Starts a new era of the store's history. The record may lack replacements that were begun in
   /// the former era.
-  void BeginEra(common::Instant now) { record_complete_from_ = now + failover::kTakeoverTime; }
+  void BeginEra(common::Instant now);
 
   /// Applies the leadership record as it was at `asked` or later. Begins or renews the lease from
   /// `asked` for each group for which the record has no replacement of the primary's term or a
@@ -147,6 +145,33 @@
   /// since a promoter waits for those alone.
   void SetRegistered(bool registered) { registered_ = registered; }
 
+  /// @return ids of the replicas that are listed or reachable. The others that count are in the
+  /// store's record, which each daemon reads itself.
+  std::vector<std::string> PresentReplicas(const GroupState& state) const;
+
+  /// @return ids of holders that are not counted as they seem to have ended, though nothing shows
+  /// that they have: no connection to them was refused. The primary may still reach them.
+  std::vector<std::string> SilentHolders(const GroupState& state, common::Instant now) const;
+
+  /// @return true if commits of the term may be acknowledged to callers: this daemon holds a lease
+  /// of it, so a promoting daemon still waits for this one.
+  bool MayAcknowledge(const std::string& service, common::Term term, common::Instant now) const;
+
+  /// Records a commit that this daemon acknowledges to a caller.
+  /// @param before position of the primary that was known when the commit was sent.
+  /// @param after position that the primary reported with its answer.
+  void RecordAcknowledged(const std::string& service, const common::Position& before,
+                          const common::Position& after);
+
+  /// Applies the store's record of a group's commit holders, as it was at `asked` or later. Holders
+  /// that are not listed are connected to.
+  void ApplyHolderRecord(const std::string& service, const model::HolderRecord& record,
+                         const model::Revision& revision, common::Instant asked,
+                         common::Instant now);
+
+  /// @return the record that the store should have, according to this daemon.
+  model::HolderRecord WantedHolderRecord(const GroupState& state, common::Instant now) const;
+
   /// Handles a write acknowledged by the instance.
   void OnWriteAnswered(const std::string& service, const std::string& instance);
 
@@ -159,10 +184,6 @@
   /// Releases the lease of all terms below `term`. @return true if any was not released before.
   bool ReleaseTermsBelow(GroupState& state, common::Term term);
 
-  /// @return the number of replicas that lost their log, which may have held the only copy of a
-  /// commit, and whose loss `minimum_position` does not cover yet.
-  std::size_t LogLossCount(const std::string& service) const;
-
   /// Handles an instance that restarted under its id, or lost its log.
   void OnMemberRestarted(const model::InstanceEntry& entry, common::Instant now);
 
@@ -187,8 +208,8 @@
   /// @return true if a primary is proposed that the leadership record has not rejected.
   static bool AwaitsRecord(const GroupState& state);
   std::vector<std::string> RoundTargets(GroupState& state, bool all, common::Instant now);
-  void RecordTerminations(GroupState& state, common::Instant now);
-  static void CoverLogLosses(GroupState& state);
+  /// Updates which instances are absent, and the floor that covers absent ones.
+  void UpdateHolders(GroupState& state, common::Instant now);
   /// Computes which groups this daemon watches, if that may have changed.
   void UpdateWatchedGroups(common::Instant now);
   void EvaluatePrimary(GroupState& state, common::Instant now);
--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -34,10 +34,20 @@
 }
 
 json GroupToJson(const GroupReport& group) {
-  return json::array({group.service, group.term, group.primary, AgeToJson(group.confirmation_age),
-                      AgeToJson(group.sample_age), group.sample.term, group.sample.lsn,
-                      group.minimum_position.term, group.minimum_position.lsn, group.replica_count,
-                      group.primary_suspected, group.fence_below, group.released_below});
+  json report =
+      json::array({group.service, group.term, group.primary, AgeToJson(group.confirmation_age),
+                   AgeToJson(group.sample_age), group.sample.term, group.sample.lsn,
+                   group.commit_floor.term, group.commit_floor.lsn, group.replica_count,
+                   group.primary_suspected, group.fence_below, group.released_below});
+  if (group.acknowledged) {
+    const group::AcknowledgedBounds& bounds = *group.acknowledged;
+    for (const common::Position& each : {bounds.at_least, bounds.at_most, bounds.log_end}) {
+      report.push_back(each.term);
+      report.push_back(each.lsn);
+    }
+    report.push_back(group.acknowledged_complete);
+  }
+  return report;
 }
 
 GroupReport GroupFromJson(const json& value) {
@@ -51,12 +61,22 @@
   group.sample_age = AgeFromJson(next());
   group.sample.term = next().get<common::Term>();
   group.sample.lsn = next().get<common::Lsn>();
-  group.minimum_position.term = next().get<common::Term>();
-  group.minimum_position.lsn = next().get<common::Lsn>();
+  group.commit_floor.term = next().get<common::Term>();
+  group.commit_floor.lsn = next().get<common::Lsn>();
   group.replica_count = next().get<std::size_t>();
   group.primary_suspected = next().get<bool>();
   group.fence_below = next().get<common::Term>();
   group.released_below = next().get<common::Term>();
+  // Earlier versions don't report it.
+  if (field < value.size()) {
+    group::AcknowledgedBounds bounds;
+    for (common::Position* each : {&bounds.at_least, &bounds.at_most, &bounds.log_end}) {
+      each->term = next().get<common::Term>();
+      each->lsn = next().get<common::Lsn>();
+    }
+    group.acknowledged = bounds;
+    group.acknowledged_complete = next().get<bool>();
+  }
   return group;
 }
 
--- a/src/proxy/peer_message.h
+++ b/src/proxy/peer_message.h
@@ -15,6 +15,7 @@
 #include "common/result.h"
 #include "common/time.h"
 #include "evacuation/zone_view.h"
+#include "group/acknowledged_commits.h"
 #include "membership/member.h"
 #include "model/revision.h"
 #include "tenants/rate_messages.h"
@@ -29,12 +30,16 @@
   std::optional<common::Duration> confirmation_age;  // since the read lease's newest renewal began
   std::optional<common::Duration> sample_age;        // of `sample`
   common::Position sample;                           // position of the primary, see PositionHistory
-  common::Position minimum_position;                 // a replica must hold it to be promoted
-  std::size_t replica_count = 0;                     // counted by the sender
+  common::Position commit_floor;                     // a replica must hold it to be promoted
+  std::size_t replica_count = 0;                     // listed or reachable for the sender
   bool primary_suspected = false;
   bool degraded = false;            // the report goes to all daemons; not encoded
   common::Term fence_below = 0;     // all daemons are asked to release leases of terms below
   common::Term released_below = 0;  // the sender has released leases of terms below
+  /// Of the sender's last acknowledged commit, once it suspects the primary; final once it has
+  /// released its lease.
+  std::optional<group::AcknowledgedBounds> acknowledged;
+  bool acknowledged_complete = false;  // the bounds cover the sender's earlier processes too
 };
 
 struct PeerMessage {
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -67,7 +67,9 @@
       backends_(outbox_),
       groups_(settings_, backends_, roles_, outbox_),
       catalog_(settings_, outbox_),
-      failover_(settings_, backends_, groups_, access_, peers_, membership_, roles_, outbox_),
+      holder_keeper_(settings_, groups_, peers_, roles_, outbox_),
+      failover_(settings_, backends_, groups_, access_, peers_, membership_, roles_, holder_keeper_,
+                outbox_),
       lease_renewer_(settings_, groups_, roles_, outbox_),
       prover_(settings_, admission_, outbox_),
       dispatcher_(settings_, backends_, groups_, admission_, access_, outbox_),
@@ -229,12 +231,28 @@
                               common::Instant now) {
   OnStoreEra(result.revision.era, now);
   failover_.OnRecordWritten(call, result, now);
-  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
+  AdvanceFailovers(now);
 }
 
 void Proxy::Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now) {
   failover_.OnPromotionAnswered(call, status, now);
-  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
+  AdvanceFailovers(now);
+}
+
+void Proxy::HoldersAnswered(CallNumber call, const HolderResult& result, common::Instant now) {
+  OnStoreEra(result.revision.era, now);
+  if (holder_keeper_.OnAnswered(call, result, now)) {
+    AdvanceFailovers(now);
+  }
+}
+
+void Proxy::AdvanceFailovers(common::Instant now) {
+  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(),
+                 {catalog_.Connected(), catalog_.InstancesListedAsOf()}, now);
+  if (failover_.ConsumeListRequested()) {
+    catalog_.RelistInstances();
+    catalog_.Tick(now);
+  }
 }
 
 void Proxy::DaemonWritten(CallNumber call, bool written, common::Instant now) {
@@ -597,12 +615,13 @@
   backends_.Tick(now);
   AdvanceWarmUps(now);
   lease_renewer_.Tick(catalog_.Connected(), catalog_.Era(), now);
+  holder_keeper_.Tick(catalog_.Configuration(), catalog_.Connected(), now);
   prover_.Tick({lease_renewer_.IsReader(), Admits(), catalog_.Connected()}, now);
   AdvanceEvacuations(now);
   AdvanceRates(now);
   groups_.Tick(now);
   EnsureMembersKnown();
-  failover_.Tick(catalog_.Configuration(), catalog_.Daemons(), catalog_.Connected(), now);
+  AdvanceFailovers(now);
   dispatcher_.Tick(now);
   session_relay_.Tick(now);
   UpdateReadiness(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -27,6 +27,7 @@
 #include "proxy/dispatcher.h"
 #include "proxy/failover_driver.h"
 #include "proxy/group_set.h"
+#include "proxy/holder_keeper.h"
 #include "proxy/lease_renewer.h"
 #include "proxy/outbox.h"
 #include "proxy/peer_table.h"
@@ -93,6 +94,7 @@
   void ConfigurationRead(CallNumber call, const std::optional<model::Configuration>& configuration,
                          const model::Revision& revision, common::Instant now);
   void LeadershipWritten(CallNumber call, const failover::WriteResult& result, common::Instant now);
+  void HoldersAnswered(CallNumber call, const HolderResult& result, common::Instant now);
   void DaemonWritten(CallNumber call, bool written, common::Instant now);
   void Promoted(CallNumber call, failover::PromotionStatus status, common::Instant now);
 
@@ -238,6 +240,8 @@
   void LogWarmUps(common::Instant now);
   warm_up::reachability CountReachableDaemons(common::Instant now) const;
   void UpdateReadiness(common::Instant now);
+  /// Advances the replacements of primaries.
+  void AdvanceFailovers(common::Instant now);
   /// Requests a new list of instances if members of watched groups are unknown.
   void EnsureMembersKnown();
   /// @return true if an instance of each service that this daemon connects to is known.
@@ -273,6 +277,7 @@
   BackendSet backends_;
   GroupSet groups_;
   CatalogState catalog_;
+  HolderKeeper holder_keeper_;
   FailoverDriver failover_;
   LeaseRenewer lease_renewer_;
   ConfigurationProver prover_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -33,6 +33,8 @@
   bool evacuation_bound = true;       // requests to instances of an evacuated zone end in time
   bool warm_up_limit = true;          // recently started instances get few requests
   bool allowed_regions = true;        // requests run only in the regions allowed for them
+  bool acknowledged_commits = true;   // a promoted instance holds what daemons have acknowledged
+  bool recorded_holders = true;       // commit holders are kept in the store
   bool instance_incarnations = true;  // the log of an instance counts as lost when it restarts
 };
 
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -51,7 +51,7 @@
   const common::Instant since =
       std::min(backend.draining_since.value_or(now), backend.unlisted_since.value_or(now));
   const bool drained = draining && now >= since + usable;
-  return !drained && !backend.Unreachable() && !backend.IsUnresponsive(now);
+  return !drained && !backend.left_before && !backend.Unreachable() && !backend.IsUnresponsive(now);
 }
 
 double ReadPlacement::NetworkCost(const std::string& zone) const {
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -578,6 +578,29 @@
       });
 }
 
+void DaemonHost::Perform(const proxy::ReadHolders& action) {
+  ++traffic_.store_calls;
+  const std::uint64_t incarnation = incarnation_;
+  cluster_.Store().ReadHolders(
+      name_, action.service,
+      [this, incarnation, call = action.call](const proxy::HolderResult& result) {
+        Deliver(incarnation, [this, call, result] {
+          proxy_->HoldersAnswered(call, result, cluster_.SimWorld().Now());
+        });
+      });
+}
+
+void DaemonHost::Perform(const proxy::WriteHolders& action) {
+  ++traffic_.store_calls;
+  const std::uint64_t incarnation = incarnation_;
+  cluster_.Store().WriteHolders(
+      name_, action, [this, incarnation, call = action.call](const proxy::HolderResult& result) {
+        Deliver(incarnation, [this, call, result] {
+          proxy_->HoldersAnswered(call, result, cluster_.SimWorld().Now());
+        });
+      });
+}
+
 void DaemonHost::Perform(const proxy::WriteDaemonEntry& action) {
   ++traffic_.store_calls;
   const std::uint64_t incarnation = incarnation_;
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -150,6 +150,8 @@
   void Perform(const proxy::ReadLeadership& action);
   void Perform(const proxy::ReadConfiguration& action);
   void Perform(const proxy::WriteLeadership& action);
+  void Perform(const proxy::ReadHolders& action);
+  void Perform(const proxy::WriteHolders& action);
   void Perform(const proxy::WriteDaemonEntry& action);
   void Perform(const proxy::Promote& action);
   void Perform(const proxy::SendPeerMessage& action);
--- a/src/proxysim/store.cc
+++ b/src/proxysim/store.cc
@@ -321,6 +321,75 @@
   });
 }
 
+proxy::HolderResult SimulatedStore::CurrentHolders(const std::string& service) const {
+  proxy::HolderResult result;
+  result.status = failover::WriteStatus::kWritten;
+  result.revision.era = era_;
+  const auto records = objects_.find(Collection::kHolders);
+  if (records != objects_.end() && records->second.contains(service)) {
+    const Object& object = records->second.at(service);
+    result.record = std::get<model::HolderRecord>(object.payload);
+    result.revision.number = object.revision;
+  }
+  return result;
+}
+
+proxy::HolderResult SimulatedStore::TryWrite(const proxy::WriteHolders& write) {
+  proxy::HolderResult result = CurrentHolders(write.service);
+  if (result.revision.number != write.revision.number) {
+    result.status = failover::WriteStatus::kConflict;
+    return result;
+  }
+  Put(Collection::kHolders, write.service, write.record);
+  return CurrentHolders(write.service);
+}
+
+void SimulatedStore::ReadHolders(const std::string& daemon, const std::string& service,
+                                 const HolderHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const proxy::HolderResult& result) {
+    if (!std::exchange(*ended, true)) {
+      handler(result);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish({}); });
+  SendToStore(daemon, [this, daemon, service, finish] {
+    proxy::HolderResult result;
+    if (!faults.refusing) {
+      result = CurrentHolders(service);
+    }
+    Reply(daemon, [finish, result] { finish(result); });
+  });
+}
+
+void SimulatedStore::WriteHolders(const std::string& daemon, const proxy::WriteHolders& write,
+                                  const HolderHandler& handler) {
+  auto ended = std::make_shared<bool>(false);
+  const auto finish = [ended, handler](const proxy::HolderResult& result) {
+    if (!std::exchange(*ended, true)) {
+      handler(result);
+    }
+  };
+  world_.After(kWriteTimeout, [finish] { finish({}); });
+  SendToStore(daemon, [this, daemon, write, finish] {
+    if (faults.refusing) {
+      Reply(daemon, [finish] { finish({failover::WriteStatus::kRefused, 0, {}}); });
+      return;
+    }
+    if (world_.Chance(faults.lost_answer_share)) {
+      if (faults.late_writes) {
+        world_.After(world_.RandomBetween(kMinLateWriteDelay, kMaxLateWriteDelay),
+                     [this, write] { TryWrite(write); });
+      } else {
+        TryWrite(write);
+      }
+      return;
+    }
+    const proxy::HolderResult result = TryWrite(write);
+    Reply(daemon, [finish, result] { finish(result); });
+  });
+}
+
 void SimulatedStore::ReadConfiguration(const std::string& daemon,
                                        const ConfigurationHandler& handler) {
   auto ended = std::make_shared<bool>(false);
--- a/src/proxysim/store.h
+++ b/src/proxysim/store.h
@@ -17,6 +17,7 @@
 #include "failover/leadership.h"
 #include "metadata/collection_follower.h"
 #include "model/catalog.h"
+#include "proxy/actions.h"
 #include "proxysim/world.h"
 
 namespace valvekeel::proxysim {
@@ -53,6 +54,14 @@
   /// kNoAnswer if there was no answer.
   void ReadLeadership(const std::string& daemon, std::uint64_t era, const WriteHandler& handler);
 
+  using HolderHandler = std::function<void(const proxy::HolderResult&)>;
+
+  /// Reads the record of a group's commit holders.
+  void ReadHolders(const std::string& daemon, const std::string& service,
+                   const HolderHandler& handler);
+  void WriteHolders(const std::string& daemon, const proxy::WriteHolders& write,
+                    const HolderHandler& handler);
+
   /// Receives the newest configuration and its revision; nullopt if there was no answer.
   using ConfigurationHandler =
       std::function<void(const std::optional<model::Configuration>&, const model::Revision&)>;
@@ -127,6 +136,9 @@
   metadata::ReadResult EventsAfter(const metadata::ReadCall& call) const;
   void WakeWatches(model::Collection collection);
   failover::WriteResult TryWrite(const failover::ConditionalWrite& write);
+  /// @return the group's present record with the status kWritten.
+  proxy::HolderResult CurrentHolders(const std::string& service) const;
+  proxy::HolderResult TryWrite(const proxy::WriteHolders& write);
 
   World& world_;
   std::uint64_t revision_ = 1;
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -27,6 +27,8 @@
     view.members = {{"p", false, false, false, false},
                     {"a", false, true, false, false},
                     {"b", false, true, false, false}};
+    view.holders_as_of = Instant::max();  // the store answers at once
+    view.members_as_of = Instant::max();
     leadership.OnRecordRead({}, 0, now);
   }
 
@@ -163,12 +165,145 @@
   AttemptFixture fixture;
   fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
                      {"b", AttemptFixture::Replica({1, 39})}};
-  fixture.view.minimum_position = Position{1, 40};
+  fixture.view.commit_floor = Position{1, 40};
   fixture.RunFor(Duration(10'000'000));
   CHECK(fixture.promotions.empty());
   CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
 }
 
+TEST_CASE("A replacement waits for the record of commit holders", "[failover]") {
+  // Guards against a loss of commits after a restart of all daemons: a replica that the store no
+  // longer lists was not counted, since only the earlier processes knew of it.
+  AttemptFixture fixture;
+  fixture.view.holders_as_of = kStart - Duration(1);
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})}};
+  fixture.RunFor(Duration(1'000'000));
+  CHECK(fixture.promotions.empty());
+  fixture.view.holders_as_of = kStart;
+  fixture.view.members.push_back({"c", false, false, false, true});
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.promotions.empty());
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+}
+
+TEST_CASE("No candidate is chosen before the store has listed the instances since the fences",
+          "[failover]") {
+  // Guards against a loss of commits: a replica that had just joined was neither fenced nor
+  // compared, because no watch had reported it yet.
+  AttemptFixture fixture;
+  fixture.view.members_as_of = kStart;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})},
+                     {"c", AttemptFixture::Replica({1, 90})}};
+  bool listed = false;
+  for (std::size_t step = 0; step < 20; ++step) {
+    for (const AttemptAction& action : fixture.Step()) {
+      listed = listed || std::holds_alternative<RequestInstanceList>(action);
+    }
+  }
+  CHECK(listed);
+  CHECK(fixture.promotions.empty());
+  fixture.view.members.push_back({"c", false, true, false, false});
+  fixture.view.members_as_of = fixture.now;
+  fixture.RunFor(Duration(2'000'000));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "c");
+}
+
+TEST_CASE("A replica that is learned of after the choice starts the choice again", "[failover]") {
+  // Guards against a loss of commits: a replica that joined during the last steps was fenced, but
+  // its higher position was ignored.
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})},
+                     {"c", AttemptFixture::Replica({1, 90})}};
+  fixture.drop_record_answer = true;
+  while (fixture.attempt.CurrentStep() != Step::kRecord) {
+    fixture.Step();
+  }
+  REQUIRE(fixture.attempt.Candidate() == "b");
+  fixture.view.members.push_back({"c", false, true, false, false});
+  fixture.drop_record_answer = false;
+  REQUIRE(fixture.unanswered_record);
+  fixture.attempt.OnRecordWritten(fixture.leadership.OnWriteResult(
+      {WriteStatus::kWritten, ++fixture.last_revision, *fixture.unanswered_record}, fixture.now));
+  fixture.RunFor(Duration(2'000'000));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "c");
+}
+
+TEST_CASE("A candidate must hold every commit that a daemon reports to have acknowledged",
+          "[failover]") {
+  // Guards against a loss of commits: an instance that neither the store lists nor the daemons
+  // reach may hold commits that the daemons have passed on.
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})}};
+  fixture.view.unreleased_daemons = {"other"};
+  while (fixture.attempt.CurrentStep() != Step::kRelease) {
+    fixture.Step();
+  }
+  // The other daemon reports with the release of its lease.
+  fixture.view.unreleased_daemons.clear();
+  fixture.view.acknowledged = {{1, 40}, {1, 41}, {1, 41}};
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.promotions.empty());
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+}
+
+TEST_CASE("A candidate that may lack the last commit waits for instances that are not listed yet",
+          "[failover]") {
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})}};
+  fixture.view.acknowledged = {{1, 39}, {1, 40}, {1, 40}};
+  fixture.view.members_as_of = kStart + Duration(1'000'000);
+  fixture.RunFor(Duration(1'500'000));
+  CHECK(fixture.promotions.empty());
+  fixture.view.members_as_of = Instant::max();
+  fixture.RunFor(Duration(1'000'000));
+  CHECK(fixture.promotions.size() == 1);
+}
+
+TEST_CASE("A demoted primary leads again if no replica holds every acknowledged commit",
+          "[failover]") {
+  // All daemons have released the lease of its term, so nothing else would end the outage.
+  AttemptFixture fixture;
+  fixture.view.members[0].reachable = true;
+  model::InstanceStatus primary = AttemptFixture::Replica({1, 45});
+  primary.primary = true;
+  fixture.answers = {{"p", primary},
+                     {"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})}};
+  fixture.view.unreleased_daemons = {"other"};
+  while (fixture.attempt.CurrentStep() != Step::kRelease) {
+    fixture.Step();
+  }
+  fixture.view.unreleased_daemons.clear();
+  fixture.view.acknowledged = {{1, 40}, {1, 45}, {1, 45}};
+  fixture.RunFor(Duration(4'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kFinished);
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "p");
+}
+
+TEST_CASE("An attempt whose leadership was taken over lifts no fences", "[failover]") {
+  // Guards against a loss of commits: the other holder may rely on the fences.
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})}};
+  fixture.RunFor(Duration(1'000'000));
+  model::LeadershipRecord record = fixture.leadership.Record();
+  record.holder = "other.1";
+  ++record.token;
+  fixture.leadership.OnRecordRead(record, 100, fixture.now);
+  fixture.RunFor(Duration(10'000'000));
+  CHECK(fixture.attempt.CurrentStep() == Step::kGivenUp);
+  CHECK(std::none_of(fixture.controls.begin(), fixture.controls.end(), [](const auto& control) {
+    return control.request.kind == model::ControlKind::kResumeReplication;
+  }));
+}
+
 TEST_CASE("Daemons that have not released their lease are waited for, at most the lease time",
           "[failover]") {
   AttemptFixture fixture;
--- a/tests/host/planned_end_test.cc
+++ b/tests/host/planned_end_test.cc
@@ -86,6 +86,8 @@
   void ReadLeadership(std::uint64_t, LeadershipHandler) override {}
   void ReadConfiguration(ConfigurationHandler) override {}
   void WriteLeadership(const failover::ConditionalWrite&, WriteHandler) override {}
+  void ReadHolders(const std::string&, HolderHandler) override {}
+  void WriteHolders(const proxy::WriteHolders&, HolderHandler) override {}
   void WriteDaemon(const model::DaemonEntry&, DaemonWriteHandler) override {}
 
  private:
--- a/tests/platform/catalog_translation_test.cc
+++ b/tests/platform/catalog_translation_test.cc
@@ -165,6 +165,16 @@
   CHECK(read.attempts == record.attempts);
 }
 
+TEST_CASE("The record of commit holders survives encoding and parsing", "[platform]") {
+  model::HolderRecord record;
+  record.holders["i-7"] = {{"10.0.0.7", 5432}, "near"};
+  record.floor = {3, 1209};
+  record.lost_logs = 1;
+  const auto [read, revision] = ParseHolderRecord(Object("group", SpecOf(record)));
+  CHECK(revision == 12);
+  CHECK(read == record);
+}
+
 TEST_CASE("Regions and warm-up are translated and kept in catalog copies between daemons",
           "[platform][access]") {
   json route = Route("db1", "primary");
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -90,7 +90,32 @@
   fixture.groups.RecordPosition("group", "p", Position{1, 40}, kStart + Duration(1));
   fixture.groups.Tick(kStart + Duration(2));
   CHECK(fixture.groups.Replicas("group", kStart + kLong).size() == 1);
-  CHECK(fixture.groups.Find("group")->minimum_position == Position{1, 40});
+  CHECK(fixture.groups.Find("group")->holders.Floor() == Position{1, 40});
+}
+
+TEST_CASE("A recorded commit holder counts although the store does not list it", "[proxy]") {
+  // Guards against a loss of commits after a restart of all daemons: what they knew of a replica
+  // that had left was lost with them, and a replica without its commits was promoted.
+  GroupFixture fixture;
+  model::HolderRecord record;
+  record.holders["c"] = {{"10.0.0.9", 7}, "zone"};
+  record.floor = {1, 30};
+  fixture.groups.ApplyHolderRecord("group", record, 5, kStart, kStart);
+  CHECK(fixture.groups.Replicas("group", kStart).size() == 3);
+  CHECK(fixture.groups.Find("group")->holders.Floor() == Position{1, 30});
+  REQUIRE(fixture.backends.Find("c") != nullptr);
+  CHECK(fixture.backends.Find("c")->unlisted_since);
+  // It no longer counts once it has ended and the primary has reported a position since.
+  fixture.backends.Find("c")->OnOpenFailed(kStart, true);
+  fixture.groups.Tick(kStart);
+  CHECK(fixture.groups.Replicas("group", kStart + kLong).size() == 3);
+  fixture.groups.RecordPosition("group", "p", Position{1, 40}, kStart + Duration(1));
+  fixture.groups.Tick(kStart + Duration(2));
+  CHECK(fixture.groups.Replicas("group", kStart + kLong).size() == 2);
+  const model::HolderRecord wanted =
+      fixture.groups.WantedHolderRecord(*fixture.groups.Find("group"), kStart + kLong);
+  CHECK(wanted.holders.size() == 3);
+  CHECK(wanted.floor == Position{1, 40});
 }
 
 TEST_CASE("An instance whose address another instance of its service has taken is no member",
@@ -276,14 +301,14 @@
   const Instant later = kStart + Duration(100'000);
   fixture.groups.OnMemberRestarted(fixture.backends.Find("a")->Entry(), later);
   fixture.groups.Tick(later);
-  CHECK(fixture.groups.LogLossCount("group") == 1);
+  CHECK(fixture.groups.Find("group")->holders.LostLogs() == 1);
   fixture.groups.RecordPosition("group", "p", Position{1, 40}, later - Duration(1));
   fixture.groups.Tick(later);
-  CHECK(fixture.groups.LogLossCount("group") == 1);
+  CHECK(fixture.groups.Find("group")->holders.LostLogs() == 1);
   fixture.groups.RecordPosition("group", "p", Position{1, 41}, later);
   fixture.groups.Tick(later);
-  CHECK(fixture.groups.LogLossCount("group") == 0);
-  CHECK(fixture.groups.Find("group")->minimum_position == Position{1, 41});
+  CHECK(fixture.groups.Find("group")->holders.LostLogs() == 0);
+  CHECK(fixture.groups.Find("group")->holders.Floor() == Position{1, 41});
 }
 
 TEST_CASE("A lower position than the primary reported before is ignored", "[proxy]") {
--- a/tests/proxy/peer_table_test.cc
+++ b/tests/proxy/peer_table_test.cc
@@ -34,7 +34,8 @@
   group.term = 2;
   group.primary = "i-1";
   group.confirmation_age = Duration(1234);
-  group.minimum_position = {1, 40};
+  group.commit_floor = {1, 40};
+  group.acknowledged = group::AcknowledgedBounds{{1, 41}, {1, 43}, {1, 44}};
   group.replica_count = 2;
   group.released_below = 3;
   message.groups.push_back(group);
@@ -48,7 +49,8 @@
   REQUIRE(read.groups.size() == 1);
   CHECK(read.groups[0].confirmation_age == Duration(1234));
   CHECK_FALSE(read.groups[0].sample_age);
-  CHECK(read.groups[0].minimum_position == common::Position{1, 40});
+  CHECK(read.groups[0].commit_floor == common::Position{1, 40});
+  CHECK(read.groups[0].acknowledged == group.acknowledged);
   CHECK(read.groups[0].released_below == 3);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     CHECK_FALSE(common::IsOk(DecodePeerMessage(bytes.substr(0, size))));
--- a/tests/proxysim/evacuation_test.cc
+++ b/tests/proxysim/evacuation_test.cc
@@ -26,8 +26,9 @@
 /// A replacement without a failure takes 0.4 s here; a further coordinator takes over after 2.3 s.
 constexpr Duration kReplacementTimeout = seconds(8);
 
-ClusterShape MakeShape(std::uint32_t sync_replicas) {
+ClusterShape MakeShape(std::uint32_t sync_replicas, const proxy::Mechanisms& mechanisms) {
   ClusterShape shape;
+  shape.mechanisms = mechanisms;
   shape.group.sync_replicas = sync_replicas;
   shape.zones = 5;
   shape.groups = 1;
@@ -41,8 +42,9 @@
  public:
   /// @param sync_replicas with 2 of 4 replicas a replacement tolerates the loss of one, with 1 it
   /// waits for it.
-  explicit EvacuationScenario(std::uint32_t sync_replicas = 2)
-      : cluster(kSeed, MakeShape(sync_replicas)) {
+  explicit EvacuationScenario(std::uint32_t sync_replicas = 2,
+                              const proxy::Mechanisms& mechanisms = {})
+      : cluster(kSeed, MakeShape(sync_replicas, mechanisms)) {
     monitor_ = group.on_request;
     group.on_request = [this](const std::string& instance, const std::string& daemon) {
       RecordRequest(instance, daemon);
@@ -263,22 +265,29 @@
 }
 
 TEST_CASE(
-    "The chosen replica crashes, and the promotion waits for it if all replicas must be fenced",
+    "The chosen replica crashes, and another that holds all that was acknowledged is promoted",
     "[proxysim][evacuation]") {
+  // One synchronous replica: all replicas must be fenced, unless the daemons together know what
+  // they have acknowledged. Without that knowledge the promotion waits for the crashed replica.
   constexpr Duration kDownTime = seconds(3);
-  EvacuationScenario scenario(1);
-  bool crashed = false;
-  scenario.OnStep("record", [&](const std::string&, const std::string& candidate) {
-    crashed = true;
-    scenario.group.Crash(candidate, false);
-    scenario.world.After(kDownTime, [&scenario, candidate] { scenario.group.Restart(candidate); });
-  });
-  scenario.Evacuate(scenario.zone);
-  const Duration taken = scenario.RunUntilPrimaryElsewhere();
-  CHECK(crashed);
-  CHECK(taken > kDownTime);
-  CHECK(taken < kDownTime + kReplacementTimeout);
-  scenario.CheckOutcome();
+  for (const bool knows_acknowledged : {true, false}) {
+    proxy::Mechanisms mechanisms;
+    mechanisms.acknowledged_commits = knows_acknowledged;
+    EvacuationScenario scenario(1, mechanisms);
+    bool crashed = false;
+    scenario.OnStep("record", [&](const std::string&, const std::string& candidate) {
+      crashed = true;
+      scenario.group.Crash(candidate, false);
+      scenario.world.After(kDownTime,
+                           [&scenario, candidate] { scenario.group.Restart(candidate); });
+    });
+    scenario.Evacuate(scenario.zone);
+    const Duration taken = scenario.RunUntilPrimaryElsewhere();
+    CHECK(crashed);
+    CHECK((taken > kDownTime) == !knows_acknowledged);
+    CHECK(taken < (knows_acknowledged ? Duration(0) : kDownTime) + kReplacementTimeout);
+    scenario.CheckOutcome();
+  }
 }
 
 TEST_CASE("The chosen replica's zone is evacuated too", "[proxysim][evacuation]") {
--- a/tests/proxysim/restart_test.cc
+++ b/tests/proxysim/restart_test.cc
@@ -92,9 +92,15 @@
 
 TEST_CASE("Commits that only a restarted replica had are not taken for nonexistent", "[proxysim]") {
   CHECK(CommitsLost({}) == 0);
+  // What the daemons have acknowledged protects the same commits.
   proxy::Mechanisms without;
   without.instance_incarnations = false;
+  CHECK(CommitsLost(without) == 0);
+  without.acknowledged_commits = false;
   CHECK(CommitsLost(without) > 0);
+  proxy::Mechanisms incarnations_only;
+  incarnations_only.acknowledged_commits = false;
+  CHECK(CommitsLost(incarnations_only) == 0);
 }
 
 TEST_CASE("A primary that restarts without its data serves no reads and is replaced",
