Count an instance's drain from when the store may have acknowledged it

Cause: each daemon counted from when it learned of the drain. One that starts then, or whose watch is late, counted too long. Now the time counts from the last answer in which the instance did not drain, at most the longest delay of a watch back, and an instance that drains when it is first listed gets no callers' work.

backend_set_test "An instance that drains is known to do so from the last time it did not" fails with the former count.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -160,8 +160,9 @@
   common::Instant probe_sent_at{0};  // of the last health probe
   std::deque<QueuedControlRequest> control_queue;
   std::optional<common::Instant> unlisted_since;  // the store no longer lists its entry
-  /// Unlisted when this daemon learned of it, so for an unknown time: it gets no callers' work.
-  bool left_before = false;
+  /// When the store may have acknowledged, at the earliest, that it drains or is gone. The daemon
+  /// may learn of it late.
+  std::optional<common::Instant> leaving_since;
   std::optional<common::Instant> draining_since;  // its entry announces that it will stop
   std::optional<model::InstanceStatus> status;    // last received
   common::Instant status_received_at{0};          // time at which `status` was received
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -25,6 +25,17 @@
 /// Idle time after which a connection to an instance that is not watched is closed.
 constexpr common::Duration kUnwatchedIdleLimit{100'000};
 
+/// Longest delay with which a change is learned of while the store answers: a watch that hears
+/// nothing is given up after it.
+constexpr common::Duration kLongestDelay{3'700'000};
+
+/// @return when a change that was learned of now may have been made at the earliest.
+/// @param changed_after when the former state was still in force, if known.
+common::Instant EarliestChange(const std::optional<common::Instant>& changed_after,
+                               common::Instant now) {
+  return std::max(changed_after.value_or(now), now - kLongestDelay);
+}
+
 const char* OpenFailureName(OpenFailure failure) {
   switch (failure) {
     case OpenFailure::kRefused:
@@ -39,9 +50,10 @@
 
 }  // namespace
 
-void BackendSet::SetEntry(const model::InstanceEntry& entry, common::Instant now) {
-  const auto found = backends_.find(entry.id);
-  if (found == backends_.end()) {
+void BackendSet::SetEntry(const model::InstanceEntry& entry, common::Instant now,
+                          std::optional<common::Instant> changed_after) {
+  const bool added = !backends_.contains(entry.id);
+  if (added) {
     backends_.emplace(entry.id, Backend(entry));
     AddToService(entry);
     outbox_.Log("instance_listed", {{"instance", entry.id},
@@ -61,11 +73,14 @@
   }
   backend.SetEntry(entry);
   backend.unlisted_since.reset();
-  backend.left_before = false;
   if (!entry.draining) {
     backend.draining_since.reset();
+    backend.leaving_since.reset();
   } else if (!backend.draining_since) {
     backend.draining_since = now;
+    backend.leaving_since =
+        std::min(backend.leaving_since.value_or(now),
+                 added ? common::Instant(0) : EarliestChange(changed_after, now));
     outbox_.Log("instance_draining", {{"instance", entry.id}, {"service", entry.service}});
   }
 }
@@ -79,7 +94,7 @@
   entry.zone = holder.zone;
   Backend& backend = backends_.emplace(id, Backend(entry)).first->second;
   backend.unlisted_since = now;
-  backend.left_before = true;
+  backend.leaving_since = common::Instant(0);
   AddToService(entry);
   outbox_.Log("instance_recorded", {{"instance", id},
                                     {"service", service},
@@ -153,10 +168,13 @@
   return found == ids_by_service_.end() ? kNone : found->second;
 }
 
-void BackendSet::OnEntryRemoved(const std::string& id, common::Instant now) {
+void BackendSet::OnEntryRemoved(const std::string& id, common::Instant now,
+                                std::optional<common::Instant> changed_after) {
   Backend* backend = Find(id);
   if (backend != nullptr && !backend->unlisted_since) {
     backend->unlisted_since = now;
+    backend->leaving_since =
+        std::min(backend->leaving_since.value_or(now), EarliestChange(changed_after, now));
     outbox_.Log("instance_unlisted", {{"instance", id}, {"service", backend->Entry().service}});
   }
 }
--- a/src/proxy/backend_set.h
+++ b/src/proxy/backend_set.h
@@ -63,15 +63,24 @@
   void SetWarmUpObserver(warm_up::warm_up_observer* observer) { warm_up_observer_ = observer; }
   void SetRestartObserver(RestartObserver* observer) { restart_observer_ = observer; }
 
-  /// Adds or updates an instance by its entry in the store.
-  void SetEntry(const model::InstanceEntry& entry, common::Instant now);
+  /// Adds or updates an instance by its entry in the store. One that drains already when it is
+  /// added has done so for an unknown time.
+  /// @param changed_after when the former entry was still in force, if known.
+  void SetEntry(const model::InstanceEntry& entry, common::Instant now,
+                std::optional<common::Instant> changed_after);
+  void SetEntry(const model::InstanceEntry& entry, common::Instant now) {
+    SetEntry(entry, now, now);
+  }
 
   /// Adds an instance that the store doesn't list but that may still run, as it may hold commits.
   void AddUnlisted(const std::string& service, const std::string& id,
                    const model::CommitHolder& holder, common::Instant now);
 
   /// Handles the removal of an instance's entry from the store. The instance may still serve.
-  void OnEntryRemoved(const std::string& id, common::Instant now);
+  /// @param changed_after when the entry still existed, if known.
+  void OnEntryRemoved(const std::string& id, common::Instant now,
+                      std::optional<common::Instant> changed_after);
+  void OnEntryRemoved(const std::string& id, common::Instant now) { OnEntryRemoved(id, now, now); }
 
   Backend* Find(const std::string& id);
 
--- a/src/proxy/catalog_state.cc
+++ b/src/proxy/catalog_state.cc
@@ -268,6 +268,7 @@
   ApplyEra(result.revision.era, "store", now);
   metadata::CollectionFollower& follower = followers_.at(collection);
   const bool was_listed = follower.Listed();
+  update.instances_changed_after = InstancesCompleteAsOf();
   for (const metadata::CatalogChange& change : follower.OnAnswer(result, now, jitter)) {
     Apply(change.object, collection, now, update);
   }
--- a/src/proxy/catalog_state.h
+++ b/src/proxy/catalog_state.h
@@ -37,6 +37,8 @@
   bool configuration = false;
   std::vector<model::InstanceEntry> instances;
   std::vector<std::string> removed_instances;
+  /// When the former state of the instances was still in force, if known.
+  std::optional<common::Instant> instances_changed_after;
   std::vector<model::DaemonEntry> daemons;
   std::optional<std::pair<model::LeadershipRecord, model::Revision>> leadership;
 };
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -310,7 +310,7 @@
 void Proxy::ApplyCatalogUpdate(const CatalogUpdate& update, common::Instant now) {
   RecordWarmUpEntries(update, now);
   for (const model::InstanceEntry& instance : update.instances) {
-    backends_.SetEntry(instance, now);
+    backends_.SetEntry(instance, now, update.instances_changed_after);
     // An entry of another writer may name any service. No state is kept for one that isn't
     // configured.
     if (catalog_.Configuration().services.contains(instance.service)) {
@@ -318,7 +318,7 @@
     }
   }
   for (const std::string& id : update.removed_instances) {
-    backends_.OnEntryRemoved(id, now);
+    backends_.OnEntryRemoved(id, now, update.instances_changed_after);
   }
   for (const model::DaemonEntry& daemon : update.daemons) {
     if (catalog_.ListsDaemon(settings_.name)) {
--- a/src/proxy/read_placement.cc
+++ b/src/proxy/read_placement.cc
@@ -47,11 +47,8 @@
 bool ReadPlacement::AcceptsWork(const Backend& backend, common::Instant now) const {
   const common::Duration usable =
       settings_.drain_limit - std::min(kDrainMargin, settings_.drain_limit);
-  const bool draining = backend.draining_since || backend.unlisted_since;
-  const common::Instant since =
-      std::min(backend.draining_since.value_or(now), backend.unlisted_since.value_or(now));
-  const bool drained = draining && now >= since + usable;
-  return !drained && !backend.left_before && !backend.Unreachable() && !backend.IsUnresponsive(now);
+  const bool drained = backend.leaving_since && now >= *backend.leaving_since + usable;
+  return !drained && !backend.Unreachable() && !backend.IsUnresponsive(now);
 }
 
 double ReadPlacement::NetworkCost(const std::string& zone) const {
--- a/tests/proxy/backend_set_test.cc
+++ b/tests/proxy/backend_set_test.cc
@@ -266,4 +266,20 @@
   CHECK(observer.lost_sessions == std::vector<SessionNumber>{7});
 }
 
+TEST_CASE("An instance that drains is known to do so from the last time it did not", "[proxy]") {
+  // Guards against requests to a draining instance after its limit: a daemon that learned of it
+  // late counted from then.
+  BackendFixture fixture(1, true);
+  model::InstanceEntry entry = fixture.backends.Find("i")->Entry();
+  entry.draining = true;
+  const Instant learned = kStart + kLong;
+  fixture.backends.SetEntry(entry, learned, learned - Duration(1'500'000));
+  CHECK(fixture.backends.Find("i")->draining_since == learned);
+  CHECK(fixture.backends.Find("i")->leaving_since == learned - Duration(1'500'000));
+  // An instance that drains when this daemon first lists it may have done so for any time.
+  entry.id = "j";
+  fixture.backends.SetEntry(entry, learned, learned);
+  CHECK(fixture.backends.Find("j")->leaving_since == Instant(0));
+}
+
 }  // namespace valvekeel::proxy
