--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -35,6 +35,7 @@
         self.alive = False
         self.state = "ready"
         self.lag = 0.005
+        self.receives_nothing = False
         self.server = None
         self.connections = set()  # open sessions
         self.promoting = False
@@ -275,6 +276,7 @@
         self.instances = []
         self.slow_share, self.random = 0.0, random.Random(service)  # share of slow statements
         self.on_change = lambda: None
+        self.promotion_lifts_fences = False  # also at replicas that receive nothing
 
     def draw_statement_seconds(self):
         if self.random.random() < self.slow_share:
@@ -306,6 +308,9 @@
             return
         chosen.term = max(each.term for each in self.instances) + 1
         chosen.primary, chosen.fence = True, 0
+        if self.promotion_lifts_fences:
+            for each in self.instances:
+                each.fence = 0
         self.on_change()
         await asyncio.sleep(DEMOTE_SECONDS)
         for each in self.instances:
@@ -324,7 +329,8 @@
         if newest_primary is None:
             return
         for each in self.instances:
-            follows = each is not newest_primary and each.alive and not each.primary
+            follows = (each is not newest_primary and each.alive and not each.primary
+                       and not each.receives_nothing)
             if not follows or each.fence > newest_primary.term:
                 continue
             common = 0
--- a/tests/platform/soak/short.py
+++ b/tests/platform/soak/short.py
@@ -22,6 +22,8 @@
         "--planned --seed 1 --seconds 20 --grace_ms 6000",
     "Soak: planned work leaves no relayed request without an answer":
         "--planned --seed 2 --seconds 25 --daemons 9 --connections 14 --meshed 4",
+    "Soak: replicas that leave or fall silent before all daemons restart cost no commit":
+        "--sequences --seed 1 --seconds 45",
     "Soak: a store that returns from older copies breaks no rule":
         "--restores --seed 3 --seconds 30",
 }
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -60,6 +60,8 @@
 INSTANCES = 3
 FAULT_START_DELAY_SECONDS = 6
 FAULT_FREE_END_SECONDS = 12
+LAPSE_SECONDS = 3.6  # after an instance's last heartbeat, until its entry goes
+SEQUENCE_FREE_END_SECONDS = 26  # a sequence takes up to 14 s
 MIN_SERVED_SHARE = 0.9
 PLANNED_START_DELAY_SECONDS = 2
 SLOW_SHARE = 0.2  # of statements, so that some are in progress at each planned stop
@@ -111,6 +113,8 @@
         self.exits = 0
         self.evacuated = {}  # time of the evacuation by zone
         self.empty_restart_until = {}  # by group: end of the recovery from an empty restart
+        self.unlisted = set()     # names of instances that do not reach the store
+        self.in_sequence = set()  # groups that a sequence of faults is hitting
         self.fault_until = {}  # end of the fault by "daemon", "store" or name of the instance
         self.end = None
 
@@ -141,6 +145,7 @@
 
     async def add_group(self, service, number):
         group = Group(service, self.options.connections, self.options.plant)
+        group.promotion_lifts_fences = self.options.sequences
         group.slow_share = SLOW_SHARE if self.options.planned else 0.0
         self.groups[service] = group
         for index in range(INSTANCES):
@@ -161,7 +166,7 @@
 
     async def announce(self, group):
         for instance in group.instances:
-            if instance.alive:
+            if instance.alive and instance.name not in self.unlisted:
                 link = self.links[instance.name]
                 await self.store.put("servers", instance.name, {
                     "service": group.service, "addr": "%s:%d" % (link.host, link.port),
@@ -366,6 +371,107 @@
             await self.store.remove("evacuations", zone)
             self.evacuated.pop(zone, None)
 
+    # Sequences of faults that hit one group in an order in which each makes the next dangerous.
+
+    def draw_replicas(self):
+        """Draws a group that is well; returns it, its primary and its replicas in any order."""
+        group = self.random.choice(list(self.groups.values()))
+        up = [each for each in group.instances if each.alive and not each.receives_nothing
+              and each.name not in self.unlisted]
+        primary = group.newest_primary()
+        if len(up) < INSTANCES or primary is None or group in self.in_sequence:
+            return None
+        replicas = [each for each in up if each is not primary]
+        self.random.shuffle(replicas)
+        return group, primary, replicas
+
+    async def block(self, instance, seconds):
+        self.record_event("%s receives nothing" % instance.name)
+        instance.receives_nothing = True
+        await asyncio.sleep(seconds)
+        instance.receives_nothing = False
+
+    async def crash_for(self, group, instance, seconds):
+        if not instance.alive:
+            return
+        self.record_event("crash %s" % instance.name)
+        await instance.crash()
+        asyncio.ensure_future(self.lapse(instance))
+        await asyncio.sleep(seconds)
+        newest = group.newest_primary()
+        if newest is not None and newest is not instance:
+            instance.primary = False
+        await instance.start()
+        await self.announce(group)
+
+    async def lapse(self, instance):
+        """Removes the entry of an instance that has missed three heartbeats."""
+        await asyncio.sleep(LAPSE_SECONDS)
+        if not instance.alive or instance.name in self.unlisted:
+            await self.store.remove("servers", instance.name)
+
+    async def restart_all(self):
+        planned = self.random.random() < 0.4
+        self.record_event("%s all daemons" % ("stop" if planned else "kill"))
+        for daemon in self.daemons:
+            daemon.send(signal.SIGTERM if planned else signal.SIGKILL)
+        while any(daemon.process.poll() is None for daemon in self.daemons):
+            await asyncio.sleep(0.1)
+        self.store.down = self.random.random() < 0.3
+        await asyncio.sleep(0.5)
+        for daemon in self.daemons:
+            daemon.start()
+        await asyncio.sleep(1.2)
+        self.store.down = False
+
+    async def leave_with_commits(self, group, primary, replicas):
+        """A replica leaves with the only copies of commits; then all daemons restart."""
+        deaf = asyncio.ensure_future(self.block(replicas[0], 12))
+        await asyncio.sleep(1.5)
+        gone = asyncio.ensure_future(self.crash_for(group, replicas[1], 10))
+        await asyncio.sleep(self.random.uniform(2, 6))
+        await self.restart_all()
+        if self.random.random() < 0.5:
+            await self.crash_for(group, primary, 6)
+        await asyncio.gather(deaf, gone)
+
+    async def hide_replica(self, group, primary, replicas):
+        """Daemons and store lose a replica that goes on acknowledging commits."""
+        hidden = replicas[1]
+        self.record_event("cut %s from the store and all daemons" % hidden.name)
+        link = self.links[hidden.name]
+        self.unlisted.add(hidden.name)
+        link.blocked_in = link.blocked_out = True
+        asyncio.ensure_future(self.lapse(hidden))
+        await asyncio.sleep(5.5)
+        deaf = asyncio.ensure_future(self.block(replicas[0], 6))
+        await asyncio.sleep(1)
+        if self.random.random() < 0.5:
+            await self.restart_all()
+        await self.crash_for(group, primary, 7)
+        self.unlisted.discard(hidden.name)
+        link.heal()
+        link.reset()
+        await self.announce(group)
+        await deaf
+
+    async def sequence(self):
+        drawn = self.draw_replicas()
+        if drawn is None:
+            return
+        group = drawn[0]
+        self.in_sequence.add(group)
+        await self.random.choice([self.leave_with_commits, self.hide_replica])(*drawn)
+        self.in_sequence.discard(group)
+
+    async def inject_sequences(self):
+        await asyncio.sleep(FAULT_START_DELAY_SECONDS)
+        running = []
+        while time.monotonic() < self.end - SEQUENCE_FREE_END_SECONDS:
+            running.append(asyncio.ensure_future(self.sequence()))
+            await asyncio.sleep(self.random.uniform(3, 9))
+        await asyncio.gather(*running)
+
     async def lag(self):
         group = self.random.choice(list(self.groups.values()))
         self.record_event("replicas of %s lag" % group.service)
@@ -409,7 +515,8 @@
         if self.options.planned:
             await self.run_planned()
         else:
-            injector = asyncio.ensure_future(self.inject_faults())
+            injector = asyncio.ensure_future(self.inject_sequences() if self.options.sequences
+                                             else self.inject_faults())
             await asyncio.sleep(self.options.seconds - 4)
             await injector
             done, failed = await self.count_operations(4)
@@ -490,6 +597,8 @@
     parser.add_argument("--services", type=int, default=2)
     parser.add_argument("--callers", type=int, default=4, help="for each service and kind")
     parser.add_argument("--planned", action="store_true", help="planned work alone, no faults")
+    parser.add_argument("--sequences", action="store_true",
+                        help="sequences of faults that hit one group, instead of single ones")
     parser.add_argument("--restores", action="store_true",
                         help="the store returns from older copies, several times")
     parser.add_argument("--plant", default="",
