List the instances once no daemon can acknowledge any more; read the holders with the claim

The list of instances had been asked for when the fences held. Now it is asked for once all leases are released or have lapsed.

The record of commit holders was read one tick (10 ms) after the claim; it is read together with it.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -24,7 +24,7 @@
 constexpr common::Duration kOldPrimaryWait{300'000};
 /// For the choice of a candidate, from the time at which enough replicas are fenced.
 constexpr common::Duration kChoiceTimeout{4'000'000};
-/// Time after the fences in which an instance that holds commits of the old primary may still be
+/// Time after the release in which an instance that holds commits of the old primary may still be
 /// missing in the store's list, because it has just started or the store was away.
 constexpr common::Duration kUnlistedTime{2'000'000};
 /// Least remainder of the action window in which a promotion may still be sent.
@@ -231,6 +231,7 @@
 void Attempt::BeginRelease(const GroupView& view, common::Instant now, Actions& actions) {
   actions.emplace_back(RequestLeaseRelease{old_term_});
   release_requested_at_ = now;
+  released_at_ = common::Instant(0);
   Enter(Step::kRelease, now);
   DemoteOldPrimary(view, now, actions);
 }
@@ -259,7 +260,7 @@
     }
     // Fenced replicas receive nothing, so none of them can become eligible later; one that has
     // just joined may be.
-    if (all && IsListedSinceFences(view) && !MayNeedOldPrimary(view)) {
+    if (all && IsListedSince(fenced_at_, view) && !MayNeedOldPrimary(view)) {
       GiveUp(view,
              "no eligible replica holds every commit that may have been acknowledged: " +
                  PositionsText(view),
@@ -319,7 +320,8 @@
     }
     return "leases of" + names;
   }
-  if (!IsListedSinceFences(view)) {
+  // Until now an instance that joined may have received commits that a daemon acknowledged.
+  if (!IsListedSince(released_at_, view)) {
     return "the list of instances";
   }
   if (FencedReplicas(view) < RequiredFences(view)) {
@@ -329,18 +331,18 @@
 }
 
 void Attempt::RepeatRequests(const GroupView& view, common::Instant now, Actions& actions) {
-  if (!LeasesReleased(view, now) && now >= release_requested_at_ + kReleaseRequestInterval) {
-    actions.emplace_back(RequestLeaseRelease{old_term_});
-    release_requested_at_ = now;
-  }
-  const bool may_do_without = view.acknowledged_complete && !LeasesReleased(view, now);
-  if (!may_do_without && !IsListedSinceFences(view)) {
+  if (released_at_ == common::Instant(0)) {
+    if (now >= release_requested_at_ + kReleaseRequestInterval) {
+      actions.emplace_back(RequestLeaseRelease{old_term_});
+      release_requested_at_ = now;
+    }
+  } else if (!IsListedSince(released_at_, view)) {
     RequestList(now, actions);
   }
 }
 
-bool Attempt::IsListedSinceFences(const GroupView& view) const {
-  return view.members_as_of && *view.members_as_of >= fenced_at_;
+bool Attempt::IsListedSince(common::Instant instant, const GroupView& view) {
+  return view.members_as_of && *view.members_as_of >= instant;
 }
 
 void Attempt::RequestList(common::Instant now, Actions& actions) {
@@ -359,6 +361,9 @@
 void Attempt::AwaitRelease(const GroupView& view, common::Instant now, Actions& actions) {
   DemoteOldPrimary(view, now, actions);
   FenceMembers(view, now, actions);
+  if (released_at_ == common::Instant(0) && LeasesReleased(view, now)) {
+    released_at_ = now;
+  }
   const bool eligible = ChooseCandidate(view);
   candidate_holds_all_ = eligible && HoldsAllAcknowledged(view);
   if (candidate_holds_all_) {
@@ -374,7 +379,7 @@
   // that holds more would be listed by the end of this time.
   const bool may_be_unlisted = pending.empty() &&
                                fenced_.at(candidate_).received < view.acknowledged.at_most &&
-                               *view.members_as_of < fenced_at_ + kUnlistedTime;
+                               *view.members_as_of < released_at_ + kUnlistedTime;
   if (may_be_unlisted) {
     pending = "an instance that is not listed yet";
     RequestList(now, actions);
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -5,8 +5,9 @@
 //             acknowledged, and that every majority of the group contains a paused one;
 //             the old primary is demoted too if it answers
 //   release   wait until every daemon has released its read lease of the old primary, or until
-//             the lease time has passed, and until the store has listed the instances since the
-//             fences hold; instances that become known are fenced too; choose the candidate
+//             the lease time has passed; unless the daemons then know what they acknowledged, until
+//             the store has listed the instances since; instances that become known are fenced too;
+//             choose the candidate
 //   record    write the leadership record again, with the candidate
 //   promote   ask the platform to promote the candidate
 //   verify    wait until the candidate reports that it is the primary
@@ -219,8 +220,8 @@
   bool LeasesReleased(const GroupView& view, common::Instant now) const;
   /// Requests what the release step waits for, if it is time to repeat the request.
   void RepeatRequests(const GroupView& view, common::Instant now, Actions& actions);
-  /// @return true if the store has listed all instances since the fences hold.
-  bool IsListedSinceFences(const GroupView& view) const;
+  /// @return true if the store was asked for all instances at this time or later.
+  static bool IsListedSince(common::Instant instant, const GroupView& view);
   void RequestList(common::Instant now, Actions& actions);
   /// @return true if an earlier attempt may have promoted an instance that is not fenced.
   bool EarlierPromotionMayStand(const GroupView& view) const;
@@ -260,6 +261,7 @@
   std::map<std::string, SentRequest> requests_;
   common::Instant fenced_at_{0};
   common::Instant release_requested_at_{0};
+  common::Instant released_at_{0};  // when no daemon could hold a lease any more; 0: not yet
   common::Instant list_requested_at_{0};
   std::string waits_for_;  // as logged last
   std::string candidate_;
--- a/src/proxy/holder_keeper.cc
+++ b/src/proxy/holder_keeper.cc
@@ -48,8 +48,7 @@
          MaxReportedReplicas(group.service, now) > groups_.Replicas(group.service, now).size();
 }
 
-void HolderKeeper::Tick(const model::Configuration& configuration, bool store_connected,
-                        common::Instant now) {
+void HolderKeeper::SendRequestedReads(bool store_connected, common::Instant now) {
   if (!store_connected || !settings_.mechanisms.recorded_holders) {
     return;
   }
@@ -60,7 +59,12 @@
       Read(service, now);
     }
   }
-  if (now < check_due_) {
+}
+
+void HolderKeeper::Tick(const model::Configuration& configuration, bool store_connected,
+                        common::Instant now) {
+  SendRequestedReads(store_connected, now);
+  if (!store_connected || !settings_.mechanisms.recorded_holders || now < check_due_) {
     return;
   }
   check_due_ = now + kCheckInterval;
--- a/src/proxy/holder_keeper.h
+++ b/src/proxy/holder_keeper.h
@@ -30,7 +30,10 @@
   /// @param configuration in force; records are kept for its services.
   void Tick(const model::Configuration& configuration, bool store_connected, common::Instant now);
 
-  /// Reads a group's record now, even if it is known.
+  /// Sends the reads that were requested.
+  void SendRequestedReads(bool store_connected, common::Instant now);
+
+  /// Requests a read of a group's record, even if it is known.
   void RequestRead(const std::string& service) { requested_reads_.insert(service); }
 
   /// Handles the store's answer. @return true if this object made the call.
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -249,6 +249,7 @@
 void Proxy::AdvanceFailovers(common::Instant now) {
   failover_.Tick(catalog_.Configuration(), catalog_.Daemons(),
                  {catalog_.Connected(), catalog_.InstancesListedAsOf()}, now);
+  holder_keeper_.SendRequestedReads(catalog_.Connected(), now);
   if (failover_.ConsumeListRequested()) {
     catalog_.RelistInstances();
     catalog_.Tick(now);
--- a/tests/failover/attempt_test.cc
+++ b/tests/failover/attempt_test.cc
@@ -211,6 +211,25 @@
   CHECK(fixture.promotions[0].candidate == "c");
 }
 
+TEST_CASE("Without word of a daemon the instances are listed once its lease has lapsed",
+          "[failover]") {
+  // Guards against a loss of commits: a replica that joined after the fences received commits that
+  // a daemon which the promoting one did not hear of acknowledged until its lease lapsed.
+  AttemptFixture fixture;
+  fixture.answers = {{"a", AttemptFixture::Replica({1, 38})},
+                     {"b", AttemptFixture::Replica({1, 39})},
+                     {"c", AttemptFixture::Replica({1, 90})}};
+  fixture.view.unreleased_daemons = {"other"};
+  fixture.view.members_as_of = kStart + Duration(500'000);
+  fixture.RunFor(group::kLeaseTime + Duration(500'000));
+  CHECK(fixture.promotions.empty());
+  fixture.view.members.push_back({"c", false, true, false, false});
+  fixture.view.members_as_of = Instant::max();
+  fixture.RunFor(Duration(1'000'000));
+  REQUIRE(fixture.promotions.size() == 1);
+  CHECK(fixture.promotions[0].candidate == "c");
+}
+
 TEST_CASE("A replica that is learned of after the choice starts the choice again", "[failover]") {
   // Guards against a loss of commits: a replica that joined during the last steps was fenced, but
   // its higher position was ignored.
