--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -9,7 +9,7 @@
 The soak checks what callers and instances observed against the rules. It ends only processes that
 it started. With --planned there are no faults, only planned operations that overlap: then no
 request may end without an answer. Exits with 1 if a rule was broken or callers were not served
-again, with 2 if it could not run. Its addresses are fixed, so only one run at a time is possible.
+again, with 2 if it could not run. Runs at the same time need different values of --network.
 """
 
 import argparse
@@ -35,7 +35,7 @@
 SETTINGS = """[daemon]
 name = "{name}"
 zone = "{zone}"
-seeds = ["127.1.0.1:8782", "127.1.0.2:8782"]
+seeds = ["{network}.1:8782", "{network}.2:8782"]
 first_start = "{first}"
 stop_grace_ms = {grace_ms}
 drain_limit_ms = 7000
@@ -75,11 +75,12 @@
 class Daemon:
     def __init__(self, binary, folder, number, options, store):
         self.binary, self.number = binary, number
-        self.host = "127.1.0.%d" % (number + 1)
+        network = "127.%d.0" % (options.network + 1)
+        self.host = "%s.%d" % (network, number + 1)
         self.path = os.path.join(folder, "daemon-%d.toml" % number)
         self.log = open(os.path.join(folder, "daemon-%d.log" % number), "ab")
         self.text = dict(name="daemon-%d" % number, zone="zone-%d" % (number % 2), host=self.host,
-                         store=store, meshed=options.meshed, grace_ms=options.grace_ms,
+                         network=network, store=store, meshed=options.meshed, grace_ms=options.grace_ms,
                          evacuation_ms=0 if options.plant == "evacuated"
                          else EVACUATION_SECONDS * 1000)
         self.process = None
@@ -121,19 +122,22 @@
     async def start(self):
         self.check_addresses_free()
         self.store.promote = self.promote
-        await asyncio.start_server(self.store.serve, "127.2.0.1", 8783)
-        self.store_link = Link("127.2.0.2", 8783, "127.2.0.1", 8783)
+        network = self.options.network
+        store, link = ("127.%d.0.%d" % (network + 2, number) for number in (1, 2))
+        await asyncio.start_server(self.store.serve, store, 8783)
+        self.store_link = Link(link, 8783, store, 8783)
         await self.store_link.start()
         for number in range(self.options.services):
             await self.add_group("group%d" % number, number)
         await self.configure(1)
         for number in range(self.options.daemons):
             self.daemons.append(Daemon(self.options.binary, self.folder, number, self.options,
-                                       "127.2.0.2:8783"))
+                                       link + ":8783"))
 
     def check_addresses_free(self):
         """Raises OSError if a daemon of another run listens on an address of this run."""
-        addresses = [("127.1.0.%d" % (number + 1), port) for number in range(self.options.daemons)
+        addresses = [("127.%d.0.%d" % (self.options.network + 1, number + 1), port)
+                     for number in range(self.options.daemons)
                      for port in (CALLER_PORT, 8785, 8782)]
         for address in addresses:
             with socket.socket() as probe:
@@ -149,7 +153,7 @@
         group.slow_share = SLOW_SHARE if self.options.planned else 0.0
         self.groups[service] = group
         for index in range(INSTANCES):
-            host = "127.3.%d.%d" % (number, index + 1)
+            host = "127.%d.%d.%d" % (self.options.network + 3, number, index + 1)
             instance = Instance(group, "%s-i%d" % (service, index), host, 8000)
             instance.primary = index == 0
             instance.zone = "zone-%d" % (index % ZONES)
@@ -157,7 +161,8 @@
             instance.on_abort = self.requests.aborted.add
             group.instances.append(instance)
             await instance.start()
-            link = Link("127.4.%d.%d" % (number, index + 1), 8000, host, 8000)
+            link = Link("127.%d.%d.%d" % (self.options.network + 4, number, index + 1), 8000, host,
+                        8000)
             await link.start()
             self.links[instance.name] = link
         group.on_change = lambda: asyncio.ensure_future(self.announce(group))
@@ -290,7 +295,8 @@
         self.record_event("entries of another writer")
         group = self.random.choice(list(self.groups.values()))
         bad = [{}, {"service": 7}, "text", {"service": "nobody", "addr": "here", "state": "odd"},
-               {"service": group.service, "addr": "127.3.0.1:8000", "state": "resting"}]
+               {"service": group.service, "addr": "127.%d.0.1:8000" % (
+                   self.options.network + 3), "state": "resting"}]
         names = ["stray-%d" % number for number in range(len(bad))]
         for name, spec in zip(names, bad):
             await self.store.put("servers", name, spec)
@@ -605,6 +611,8 @@
                         choices=["", "stale", "lost", "pinned", "evacuated", "cut"],
                         help="makes the stand-in break a rule, which the soak must report")
     parser.add_argument("--keep", help="folder for settings and logs")
+    parser.add_argument("--network", type=int, default=0, choices=range(0, 200, 10),
+                        help="second byte of the loopback addresses; runs at once need different ones")
     parser.add_argument("--grace_ms", type=int, default=4000, help="stop_grace_ms")
     options = parser.parse_args()
     folder = options.keep or tempfile.mkdtemp(prefix="valvekeel-edge-soak-")
@@ -616,7 +624,7 @@
     except OSError as error:
         if error.errno != errno.EADDRINUSE:
             raise
-        print("the soak can't run: its fixed addresses are taken by another run: %s" % error)
+        print("the soak can't run: its addresses are taken by another run: %s" % error)
         return 2
     finally:
         soak.close()
