A number out of range makes one object of the store unusable, not undefined

What callers saw: nothing yet; found beside the entries that end daemons. A count such as a daemon's capacity or a service's connections, written by another writer as -1, 1e300 or 2^32, was converted without a check: undefined behaviour, on some machines a count of 4,294,967,295. Cause: value<unsigned> of the parser converts any number.

--- a/tests/platform/catalog_translation_test.cc
+++ b/tests/platform/catalog_translation_test.cc
@@ -141,6 +141,26 @@
   CHECK(std::holds_alternative<model::UnusableEntry>(no_port.payload));
 }
 
+TEST_CASE("An object with a number out of range has no payload", "[platform]") {
+  const json number = GENERATE(json(-1), json(1e300), json(4'294'967'296));
+  INFO(number);
+  const auto daemon =
+      Translated(Collection::kDaemons,
+                 Object("d-1", {{"zone", "a"}, {"peer", "10.0.0.1:80"}, {"capacity", number}}));
+  CHECK(std::holds_alternative<std::monostate>(daemon.payload));
+  const auto record = Translated(Collection::kHolders, Object("g", {{"holders", json::object()},
+                                                                    {"floor_term", number},
+                                                                    {"floor_number", 0},
+                                                                    {"lost_logs", 0}}));
+  CHECK(std::holds_alternative<std::monostate>(record.payload));
+  const auto configuration =
+      Translated(Collection::kConfiguration,
+                 Object("main", {{"version", 1},
+                                 {"routes", json::array()},
+                                 {"services", {{{"name", "g"}, {"max_conns", number}}}}}));
+  CHECK(std::holds_alternative<std::monostate>(configuration.payload));
+}
+
 TEST_CASE("An instance's entry is translated", "[platform]") {
   const auto object = Translated(Collection::kInstances, Object("i-1", InstanceSpec()));
   const auto& entry = std::get<model::InstanceEntry>(object.payload);
