One odd object in the store ends no daemon and leaves no list unread

What callers saw: daemons ended with signal 11, all that follow the collection at the same moment and again after each restart, and what they had read got no answer; or no primary was replaced any more, since every list and watch counted as unanswered without a line in the log.

Cause: an answer of the store was parsed as a whole and trusted as a whole. Deep nesting overflowed the stack where the parsed value was copied (a conditional expression copied the whole answer on each read), a number out of range or an escape that is no character made the parser refuse the whole text. A name that is no text ended a list at its page, and a page that did not get on was read without end.

Why it works: bodies are parsed with a limit on nesting, which bounds every later recursion over them. If that fails, what the parser rejects is replaced by a mark within the one value that has it, so that this entry is unusable and logged (bad_text, no_name) and all others are read. An answer that is still unreadable has a status of its own in store_call_failed.

--- a/src/metadata/collection_follower.h
+++ b/src/metadata/collection_follower.h
@@ -37,6 +37,7 @@
   kHistoryGone,  // the watch's revision is no longer known
   kRefused,      // throttled or unavailable: the call was not done
   kNoAnswer,
+  kUnreadable,  // the answer is not what the store is documented to send
 };
 
 /// Result of a call to the store.
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -105,7 +105,7 @@
   kOutOfRange,
   kUnknownWord,  // unknown state or role
   kBadAddress,
-  kBadText,  // not valid text
+  kBadText,  // text, a number or nesting that can't be parsed
 };
 
 /// @return the defect's name in logs and metrics.
--- a/tests/platform/instance_translation_test.cc
+++ b/tests/platform/instance_translation_test.cc
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "catalog_translation.h"
+#include "store_body.h"
 
 namespace valvekeel::platform {
 namespace {
@@ -134,7 +135,7 @@
   invalid.replace(invalid.find("MARK"), 4, "\xC3(\xFF");
   const std::string body = "[" + valid + "," + invalid + "]";
   REQUIRE_THROWS(json::parse(body));
-  const json both = json::parse(MarkInvalidUtf8(body));
+  const json both = ParseStoreBody(body).value();
   const auto first = Translate(model::Collection::kInstances, both.at(0));
   const auto second = Translate(model::Collection::kInstances, both.at(1));
   REQUIRE(first);
@@ -142,7 +143,7 @@
   CHECK(std::holds_alternative<InstanceEntry>(first->payload));
   REQUIRE(std::holds_alternative<UnusableEntry>(second->payload));
   CHECK(std::get<UnusableEntry>(second->payload).defect == EntryDefect::kBadText);
-  CHECK(MarkInvalidUtf8("h\xC3\xA4lt") == "h\xC3\xA4lt");
+  CHECK(ParseStoreBody("\"h\xC3\xA4lt\"") == json("h\xC3\xA4lt"));
 }
 
 TEST_CASE("No malformed entry throws or makes a valid entry unusable", "[platform]") {
@@ -156,8 +157,7 @@
     if (number % 10 == 0) {
       std::string text = page.at(0).dump();
       text[random() % text.size()] = static_cast<char>(random());
-      const json read = json::parse(MarkInvalidUtf8(text), nullptr, false);
-      page[0] = read.is_discarded() ? json(nullptr) : read;
+      page[0] = ParseStoreBody(text).value_or(json(nullptr));
     }
     const auto other = Translate(model::Collection::kInstances, page.at(0));
     const auto unchanged = Translate(model::Collection::kInstances, page.at(1));
