--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from database import signature
+from database import LARGE_KEY, signature
 from unanswered import is_closed, is_written
 
 CALLER_PORT = 8784
@@ -235,3 +235,32 @@
                 if self.writer:
                     self.writer.close()
                     self.writer = None
+
+
+class SilentCaller(Caller):
+    """Sends requests for large rows and reads no answers, then ends its connection."""
+
+    REQUESTS = 200
+    BATCH = 10
+
+    def sets_value(self):
+        return False
+
+    async def run(self, until):
+        while time.monotonic() < until():
+            try:
+                await self.connect()
+                for _ in range(self.REQUESTS // self.BATCH):
+                    for _ in range(self.BATCH):
+                        self.writer.write(("QUERY %s READ %s\r\n" % (self.new_id(), LARGE_KEY))
+                                          .encode())
+                    await asyncio.sleep(0.02)
+                await asyncio.sleep(self.random.uniform(0.0, 3.0))
+                if self.random.random() < 0.5:
+                    self.writer.transport.abort()
+            except (Gone, Refused, ConnectionError, OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.2)
+            finally:
+                if self.writer:
+                    self.writer.close()
+                    self.writer = None
--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -15,6 +15,7 @@
 STATEMENT_SECONDS = 0.003
 SLOW_STATEMENT_SECONDS = (0.02, 0.12)
 SYNC_POLL_SECONDS = 0.003
+LARGE_KEY, LARGE_VALUE = "large", "x" * 60_000
 
 
 def signature(request_id, rows):
@@ -55,6 +56,8 @@
         return count
 
     def read(self, key):
+        if key == LARGE_KEY:
+            return LARGE_VALUE
         for number, _, written, value in reversed(self.log[:self.applied()]):
             if written == key:
                 return value
--- a/tests/platform/soak/planned.py
+++ b/tests/platform/soak/planned.py
@@ -7,7 +7,7 @@
 import signal
 import time
 
-EXIT_TIMEOUT_SECONDS = 30.0  # for a stopped daemon to end, and for a new one to listen
+EXIT_TIMEOUT_SECONDS = 30.0  # for a stopped daemon to end
 BUSY_STOP_TIMEOUT_SECONDS = 1.0  # for which a busy stop waits for a running request
 REPLACEMENT_TIMEOUT_SECONDS = 12.0  # for a draining primary to be replaced
 DRAIN_SECONDS = 4.0
@@ -78,21 +78,9 @@
             daemon.send(signal.SIGKILL)
             daemon.process.wait()
         daemon.start()
-        await self.wait_listening(daemon)
+        await self.soak.wait_listening(daemon)
         daemon.stopped_at = None
 
-    async def wait_listening(self, daemon):
-        """Waits until a new process listens: a signal before that would end it at once."""
-        limit = time.monotonic() + EXIT_TIMEOUT_SECONDS
-        while time.monotonic() < limit:
-            try:
-                _, writer = await asyncio.open_connection(daemon.host, 8785)
-                writer.close()
-                return
-            except OSError:
-                await asyncio.sleep(0.02)
-        self.soak.history.violations.append("EXIT: daemon-%d does not listen" % daemon.number)
-
     async def reload(self):
         daemon = self.random.choice(self.soak.daemons)
         if daemon.stopped_at is None:
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,14 +1,16 @@
 #!/usr/bin/env python3
 """Fault soak: runs real valvekeel-edge processes against stand-ins and injects external faults.
 
-  soak.py BINARY [--planned] [--seed N] [--seconds S] [--daemons N] [--keep FOLDER]
+  soak.py BINARY [--planned | --sequences | --odd_entries] [--restores] [--seed N] [--seconds S]
+          [--daemons N] [--silent_callers N] [--keep FOLDER]
 
 Processes are stopped, paused, killed and restarted by signals; connections to instances and the
 store are delayed, reset and blocked by loopback proxies; instances crash; the store refuses
 requests, stops answering, loses answers, drops its watch history and is restored from older copies.
 The soak checks what callers and instances observed against the rules. It ends only processes that
 it started. With --planned there are no faults, only planned operations that overlap: then no
-request may end without an answer. Exits with 1 if a rule was broken or callers were not served
+request may end without an answer. With --odd_entries another writer's entries are added that no
+daemon can use. A daemon may end only by a signal of the soak. Exits with 1 if a rule was broken or callers were not served
 again, with 2 if it could not run. Runs at the same time need different values of --network.
 """
 
@@ -25,9 +27,11 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from callers import CALLER_PORT, Caller, History, PersistentCaller  # noqa: E402
+from callers import (CALLER_PORT, Caller, History, PersistentCaller,  # noqa: E402
+                     SilentCaller)
 from database import Group, Instance  # noqa: E402
 from link import Link  # noqa: E402
+from odd_entries import WHOLE, OddEntries, draw_contents  # noqa: E402
 from planned import Planned  # noqa: E402
 from store import Store  # noqa: E402
 from unanswered import TIMEOUT_SECONDS, Requests  # noqa: E402
@@ -70,11 +74,23 @@
 WINDOW_SECONDS = 2
 EMPTY_RESTART_SECONDS = 8  # for a group to recover from an instance that lost its data
 CLOSE_SECONDS = 0.3  # for the stand-ins to detect that the daemons have ended
+EXIT_POLL_SECONDS = 0.05
+START_TIMEOUT_SECONDS = 30.0  # for a daemon to listen
+
+
+def catches(process, number):
+    """Returns whether a process handles a signal, False if it has ended."""
+    try:
+        with open("/proc/%d/status" % process.pid) as file:
+            masks = [line.split()[1] for line in file if line.startswith("SigCgt:")]
+    except OSError:
+        return False
+    return bool(masks and int(masks[0], 16) & (1 << (number - 1)))
 
 
 class Daemon:
-    def __init__(self, binary, folder, number, options, store):
-        self.binary, self.number = binary, number
+    def __init__(self, binary, folder, number, options, store, report):
+        self.binary, self.number, self.report = binary, number, report
         network = "127.%d.0" % (options.network + 1)
         self.host = "%s.%d" % (network, number + 1)
         self.path = os.path.join(folder, "daemon-%d.toml" % number)
@@ -90,17 +106,32 @@
     def start(self, first="false"):
         if self.process and self.process.poll() is None:
             return  # another fault has already started it
+        self.check_exit()
         with open(self.path, "w") as file:
             file.write(SETTINGS.format(first=first, **self.text))
         environment = dict(os.environ, VALVEKEEL_CONFIG=self.path)
         self.started_at = time.monotonic()
         self.process = subprocess.Popen([self.binary], stdout=self.log, stderr=self.log,
                                         env=environment)
+        self.allowed_exits, self.exit_checked = set(), False
 
     def send(self, number):
         if self.process.poll() is None:
+            if number == signal.SIGTERM:
+                self.allowed_exits.add(0)
+            if not catches(self.process, number):
+                self.allowed_exits.add(-number)
             self.process.send_signal(number)
 
+    def check_exit(self):
+        """Reports a process that ended otherwise than the signals sent to it make it end."""
+        if self.process is None or self.exit_checked or self.process.poll() is None:
+            return
+        self.exit_checked = True
+        if self.process.returncode not in self.allowed_exits:
+            self.report("EXIT: daemon-%d ended by itself with %d, %.1f s after its start" % (
+                self.number, self.process.returncode, time.monotonic() - self.started_at))
+
 
 class Soak:
     def __init__(self, options, folder):
@@ -111,7 +142,7 @@
         self.requests = Requests()
         self.extra_routes, self.latency_ms = 0, 250
         self.groups, self.links, self.daemons, self.event_log = {}, {}, [], []
-        self.exits = 0
+        self.odd_entries = OddEntries(self)
         self.evacuated = {}  # time of the evacuation by zone
         self.empty_restart_until = {}  # by group: end of the recovery from an empty restart
         self.unlisted = set()     # names of instances that do not reach the store
@@ -130,9 +161,30 @@
         for number in range(self.options.services):
             await self.add_group("group%d" % number, number)
         await self.configure(1)
+        if self.options.odd_entries:
+            await self.odd_entries.write_first()
         for number in range(self.options.daemons):
             self.daemons.append(Daemon(self.options.binary, self.folder, number, self.options,
-                                       link + ":8783"))
+                                       link + ":8783", self.history.violations.append))
+        asyncio.ensure_future(self.watch_exits())
+
+    async def watch_exits(self):
+        while True:
+            for daemon in self.daemons:
+                daemon.check_exit()
+            await asyncio.sleep(EXIT_POLL_SECONDS)
+
+    async def wait_listening(self, daemon):
+        """Waits until a process listens: a signal before that would end it at once."""
+        limit = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < limit:
+            try:
+                _, writer = await asyncio.open_connection(daemon.host, 8785)
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.02)
+        self.history.violations.append("EXIT: daemon-%d does not listen" % daemon.number)
 
     def check_addresses_free(self):
         """Raises OSError if a daemon of another run listens on an address of this run."""
@@ -297,6 +349,7 @@
         bad = [{}, {"service": 7}, "text", {"service": "nobody", "addr": "here", "state": "odd"},
                {"service": group.service, "addr": "127.%d.0.1:8000" % (
                    self.options.network + 3), "state": "resting"}]
+        bad += [draw_contents(self.random, WHOLE["servers"]) for _ in range(4)]
         names = ["stray-%d" % number for number in range(len(bad))]
         for name, spec in zip(names, bad):
             await self.store.put("servers", name, spec)
@@ -517,9 +570,14 @@
                        (group, kind) for group in self.groups.values()
                        for kind in ("primary", "bounded", "own")
                        for _ in range(self.options.callers))]
+        groups = list(self.groups.values())
+        callers += [SilentCaller(len(callers) + number, self.options.seed, self.daemons,
+                                 groups[number % len(groups)], "primary", self.history,
+                                 self.requests)
+                    for number in range(self.options.silent_callers)]
         tasks = [asyncio.ensure_future(each.run(lambda: self.end)) for each in callers]
-        if self.options.planned:
-            await self.run_planned()
+        if self.options.planned or self.options.odd_entries:
+            await self.run_series()
         else:
             injector = asyncio.ensure_future(self.inject_sequences() if self.options.sequences
                                              else self.inject_faults())
@@ -535,10 +593,14 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         await asyncio.sleep(CLOSE_SECONDS)
 
-    async def run_planned(self):
+    async def run_series(self):
         until, self.end = self.end, float("inf")
         await asyncio.sleep(PLANNED_START_DELAY_SECONDS)
-        await Planned(self).run(until)
+        if self.options.planned:
+            await Planned(self).run(until)
+        else:
+            await self.odd_entries.run(until)
+            await self.odd_entries.check_followed()
         limit = time.monotonic() + RECOVERY_TIMEOUT_SECONDS
         done, failed = await self.count_operations(WINDOW_SECONDS)
         while not self.served(done, failed) and time.monotonic() < limit:
@@ -578,7 +640,8 @@
             if request_id not in kept:
                 self.history.violations.append("LOST: " + request_id)
         for daemon in self.daemons:
-            if daemon.process.poll() is not None:
+            daemon.check_exit()
+            if daemon.process.poll() in daemon.allowed_exits:
                 self.history.violations.append("EXIT: daemon-%d ended by itself with %d" % (
                     daemon.number, daemon.process.returncode))
         self.history.violations += self.store.violations
@@ -590,6 +653,7 @@
             daemon.send(signal.SIGCONT)
             daemon.send(signal.SIGKILL)
             daemon.process.wait()
+            daemon.check_exit()
 
 
 def main():
@@ -605,6 +669,10 @@
     parser.add_argument("--planned", action="store_true", help="planned work alone, no faults")
     parser.add_argument("--sequences", action="store_true",
                         help="sequences of faults that hit one group, instead of single ones")
+    parser.add_argument("--odd_entries", action="store_true",
+                        help="entries of another writer beside signals, crashes, configurations")
+    parser.add_argument("--silent_callers", type=int, default=0,
+                        help="callers that send requests for large rows and don't read them")
     parser.add_argument("--restores", action="store_true",
                         help="the store returns from older copies, several times")
     parser.add_argument("--plant", default="",
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import re
 import time
 from urllib.parse import parse_qs, urlparse
 
@@ -10,12 +11,42 @@
 MAX_COPY_AGE_SECONDS = 8
 MAX_REWRITE_DELAY_SECONDS = 2  # for operators and instances to repeat writes lost by a restore
 EXTERNAL_KINDS = ("config", "servers", "evacuations")  # not written by daemons
+MAX_ANSWER_OBJECTS = 500
+MAX_ANSWER_BYTES = 1_000_000  # a single larger object is sent nevertheless
+
+
+class Raw:
+    """A value sent as these bytes, which need not be JSON that Python can write or read."""
+
+    def __init__(self, text):
+        self.text = text
+
+    def __eq__(self, other):
+        return isinstance(other, Raw) and self.text == other.text
+
+
+def encode(value):
+    """Returns the JSON text of a value that may contain Raw values."""
+    raw_texts = []
+
+    def mark(raw):
+        raw_texts.append(raw.text)
+        return "\0raw%d\0" % (len(raw_texts) - 1)
+    text = json.dumps(value, default=mark).encode()
+    if not raw_texts:
+        return text
+    return re.sub(rb'"\\u0000raw(\d+)\\u0000"', lambda match: raw_texts[int(match[1])], text)
+
+
+def is_full(count, size):
+    return count >= MAX_ANSWER_OBJECTS or size >= MAX_ANSWER_BYTES
 
 
 class Store:
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.objects = {}  # by kind, by name
+        self.sent_names = {}  # by kind and name: what an object's meta tells instead of its name
         self.events = []   # of (revision, kind, removed, object)
         self.revision = 0
         self.era = 1       # increases with each restore from an older copy
@@ -53,6 +84,7 @@
                 self.objects[kind].pop(name, None)
             self.revision = revision
         self.era += 1
+        self.oldest_watchable_revision = min(self.oldest_watchable_revision, self.revision)
         self.events = [event for event in self.events if event[0] <= self.revision]
         for key in list(self.pending_rewrites):
             asyncio.ensure_future(self.rewrite(key))
@@ -76,7 +108,8 @@
         self.record_replaced(kind, name)
         self.revision += 1
         made = old["meta"]["made"] if old else self.revision
-        item = {"meta": {"name": name, "revision": self.revision, "made": made, "finalizers": [],
+        item = {"meta": {"name": self.sent_names.get((kind, name), name),
+                         "revision": self.revision, "made": made, "finalizers": [],
                          "deleting": False}, "spec": spec, "status": None}
         self.objects[kind][name] = item
         await self.add_event(kind, False, item)
@@ -92,7 +125,10 @@
 
     async def add_event(self, kind, removed, item):
         self.events.append((self.revision, kind, removed, item))
-        del self.events[:-MAX_EVENTS]
+        if len(self.events) > MAX_EVENTS:
+            self.oldest_watchable_revision = max(self.oldest_watchable_revision,
+                                                 self.events[-MAX_EVENTS - 1][0])
+            del self.events[:-MAX_EVENTS]
         async with self.changed:
             self.changed.notify_all()
 
@@ -118,7 +154,7 @@
                     status, answer = await self.handle(method, target, headers, body)
                     if method != "GET" and self.random.random() < self.lost_write_share:
                         await asyncio.sleep(3600)
-                text = json.dumps(answer).encode()
+                text = encode(answer)
                 writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\n"
                              b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n" %
                              (status, self.era, len(text)) + text)
@@ -138,9 +174,7 @@
         if method == "GET" and "watch" in query:
             return await self.watch(parts[0], int(query["watch"]), int(query["wait_ms"]) / 1000)
         if method == "GET" and len(parts) == 1:
-            items = sorted(self.objects.get(parts[0], {}).values(),
-                           key=lambda item: item["meta"]["name"])
-            return 200, {"items": items, "more": False, "at": self.revision}
+            return 200, self.list(parts[0], query.get("after", ""))
         kind, name = parts[0], parts[1] if len(parts) > 1 else content["meta"]["name"]
         old = self.objects.get(kind, {}).get(name)
         if method == "GET":
@@ -154,6 +188,20 @@
             return 409, old
         return 200, await self.put(kind, name, content["spec"])
 
+    def list(self, kind, after):
+        """Returns a page of the objects behind a name."""
+        items, size, more = [], 0, False
+        for name, item in sorted(self.objects.get(kind, {}).items()):
+            if name <= after:
+                continue
+            # A page ends with a name behind which a caller can go on.
+            if is_full(len(items), size) and isinstance(items[-1]["meta"]["name"], str):
+                more = True
+                break
+            items.append(item)
+            size += len(encode(item))
+        return {"items": items, "more": more, "at": self.revision}
+
     async def watch(self, kind, after, wait):
         async def wait_for_event():
             async with self.changed:
@@ -167,8 +215,14 @@
             pass
         if not self.oldest_watchable_revision <= after <= self.revision:
             return 410, {}
-        events = [{"gone": removed, "object": item} for revision, each, removed, item in self.events
-                  if revision > after and each == kind]
+        events, size = [], 0
+        for revision, each, removed, item in self.events:
+            if revision <= after or each != kind:
+                continue
+            events.append({"gone": removed, "object": item})
+            size += len(encode(item))
+            if is_full(len(events), size):
+                return 200, {"events": events, "at": revision}
         return 200, {"events": events, "at": self.revision}
 
     async def handle_promotion(self, headers, content):
