Only the object of its own name is the leadership record

No primary was replaced while the store held a foreign object in the kind of the leadership record with contents that can be read and the present era: each daemon took it for the record and wrote with its revision, refused each time, anew each 10 ms.

--- a/tests/platform/catalog_translation_test.cc
+++ b/tests/platform/catalog_translation_test.cc
@@ -151,6 +151,22 @@
   CHECK(entry.Identity() == model::InstanceIncarnation{"i-1", 1778441011418});
 }
 
+// No primary was replaced while a foreign object of the kind was listed: each daemon took it for
+// the record and wrote with its revision, without end.
+TEST_CASE("An object that bears another name is no leadership record", "[platform]") {
+  model::LeadershipRecord record;
+  record.era = 7;
+  const json spec = SpecOf(record);
+  const auto is_record = [&](const std::string& name) {
+    const auto translated = Translated(Collection::kLeadership, Object(name, spec));
+    return std::holds_alternative<model::LeadershipRecord>(translated.payload);
+  };
+  REQUIRE(is_record("leader-7"));
+  REQUIRE_FALSE(is_record("stray"));
+  REQUIRE_FALSE(is_record("leader"));
+  REQUIRE_FALSE(is_record("leader-6"));
+}
+
 TEST_CASE("The leadership record survives encoding and parsing", "[platform]") {
   model::LeadershipRecord record;
   record.holder = "me.1";
