Peer messages: bounded nesting, checked numbers

A datagram of 65,507 bytes 0x7F (nested strings of indefinite length) to the peer port of a daemon ended it with signal 11; nested arrays did so in a build with larger frames. Numbers were truncated to the field's type, a floating-point number out of its range is undefined there, and a negative or huge interval or age overflowed the instant computed from it. A count of replicas of 2^64-1 plus the lost logs wrapped to a small number in the choice of a candidate.

Cause: json::from_cbor recurses while it reads, and json::get converts without a check.

bounded_json::parse_cbor checks the structure first, and bounded_json::to_unsigned and to_duration reject what does not fit. An age below 0 still means that it is unknown, as earlier versions read it. Every std::exception now makes the message unreadable.

--- a/src/proxy/peer_message.cc
+++ b/src/proxy/peer_message.cc
@@ -1,24 +1,31 @@
 #include "proxy/peer_message.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "bounded_json/bounded_json.h"
+#include "bounded_json/checked_value.h"
+
 namespace valvekeel::proxy {
 namespace {
 
+using bounded_json::to_duration;
+using bounded_json::to_unsigned;
 using nlohmann::json;
 
 constexpr std::int64_t kNoAge = -1;
 
 /// Rates are encoded as whole thousandths, which are shorter than a double.
 constexpr double kThousandths = 1'000;
+constexpr double kMaxRate = 1e12;
 
 std::uint64_t ThousandthsOf(double value) {
-  return static_cast<std::uint64_t>(std::lround(value * kThousandths));
+  return static_cast<std::uint64_t>(std::lround(std::min(value, kMaxRate) * kThousandths));
 }
 
 double FromThousandths(const json& value) {
-  return static_cast<double>(value.get<std::uint64_t>()) / kThousandths;
+  return static_cast<double>(to_unsigned<std::uint64_t>(value)) / kThousandths;
 }
 
 json AgeToJson(const std::optional<common::Duration>& age) {
@@ -26,11 +33,8 @@
 }
 
 std::optional<common::Duration> AgeFromJson(const json& value) {
-  const auto count = value.get<std::int64_t>();
-  if (count < 0) {
-    return std::nullopt;
-  }
-  return common::Duration(count);
+  const bool known = !value.is_number_integer() || value >= 0;
+  return known ? std::optional(to_duration(value)) : std::nullopt;
 }
 
 json GroupToJson(const GroupReport& group) {
@@ -55,24 +59,24 @@
   std::size_t field = 0;
   const auto next = [&]() -> const json& { return value.at(field++); };
   group.service = next().get<std::string>();
-  group.term = next().get<common::Term>();
+  group.term = to_unsigned<common::Term>(next());
   group.primary = next().get<std::string>();
   group.confirmation_age = AgeFromJson(next());
   group.sample_age = AgeFromJson(next());
-  group.sample.term = next().get<common::Term>();
-  group.sample.lsn = next().get<common::Lsn>();
-  group.commit_floor.term = next().get<common::Term>();
-  group.commit_floor.lsn = next().get<common::Lsn>();
-  group.replica_count = next().get<std::size_t>();
+  group.sample.term = to_unsigned<common::Term>(next());
+  group.sample.lsn = to_unsigned<common::Lsn>(next());
+  group.commit_floor.term = to_unsigned<common::Term>(next());
+  group.commit_floor.lsn = to_unsigned<common::Lsn>(next());
+  group.replica_count = to_unsigned<std::uint32_t>(next());
   group.primary_suspected = next().get<bool>();
-  group.fence_below = next().get<common::Term>();
-  group.released_below = next().get<common::Term>();
+  group.fence_below = to_unsigned<common::Term>(next());
+  group.released_below = to_unsigned<common::Term>(next());
   // Earlier versions don't report it.
   if (field < value.size()) {
     group::AcknowledgedBounds bounds;
     for (common::Position* each : {&bounds.at_least, &bounds.at_most, &bounds.log_end}) {
-      each->term = next().get<common::Term>();
-      each->lsn = next().get<common::Lsn>();
+      each->term = to_unsigned<common::Term>(next());
+      each->lsn = to_unsigned<common::Lsn>(next());
     }
     group.acknowledged = bounds;
     group.acknowledged_complete = next().get<bool>();
@@ -120,8 +124,8 @@
   membership::member member;
   member.zone = zone;
   member.name = value.at(0).get<std::string>();
-  member.address = {value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()};
-  member.capacity = value.at(3).get<std::uint32_t>();
+  member.address = {value.at(1).get<std::string>(), to_unsigned<std::uint16_t>(value.at(2))};
+  member.capacity = to_unsigned<std::uint32_t>(value.at(3));
   member.store_connected = value.at(4).get<bool>();
   member.stopping = value.at(5).get<bool>();
   return member;
@@ -155,15 +159,15 @@
   }
   for (const json& each : next()) {
     view.acknowledged_lists.push_back(
-        {each.at(0).get<std::string>(), each.at(1).get<std::uint64_t>()});
+        {each.at(0).get<std::string>(), to_unsigned<std::uint64_t>(each.at(1))});
   }
   for (const json& each : next()) {
     view.lists.push_back(ZoneListFrom(each));
   }
   // Absent in messages of earlier versions, whose hubs count as informed.
   view.complete = field < value.size() ? next().get<bool>() : view.from_hub;
-  view.epoch = field < value.size() ? next().get<std::uint64_t>() : 0;
-  view.zone_count = field < value.size() ? next().get<std::size_t>() : 0;
+  view.epoch = field < value.size() ? to_unsigned<std::uint64_t>(next()) : 0;
+  view.zone_count = field < value.size() ? to_unsigned<std::uint32_t>(next()) : 0;
   return view;
 }
 
@@ -187,11 +191,12 @@
   rates.sender_is_allocator = value.at(0).get<bool>();
   rates.receiver_is_coordinator = value.at(1).get<bool>();
   for (const json& each : value.at(2)) {
-    rates.usage.push_back({each.at(0).get<std::uint32_t>(), each.at(1).get<std::uint64_t>(),
-                           each.at(2).get<std::uint64_t>()});
+    rates.usage.push_back({to_unsigned<std::uint32_t>(each.at(0)),
+                           to_unsigned<std::uint64_t>(each.at(1)),
+                           to_unsigned<std::uint64_t>(each.at(2))});
   }
   for (const json& each : value.at(3)) {
-    rates.grants.push_back({each.at(0).get<std::uint32_t>(), FromThousandths(each.at(1)),
+    rates.grants.push_back({to_unsigned<std::uint32_t>(each.at(0)), FromThousandths(each.at(1)),
                             FromThousandths(each.at(2)), FromThousandths(each.at(3))});
   }
   return rates;
@@ -208,8 +213,8 @@
     return {};
   }
   // Earlier versions send no era.
-  const std::uint64_t era = value.size() > 3 ? value.at(3).get<std::uint64_t>() : 0;
-  return {{value.at(0).get<std::uint64_t>(), era},
+  const std::uint64_t era = value.size() > 3 ? to_unsigned<std::uint64_t>(value.at(3)) : 0;
+  return {{to_unsigned<std::uint64_t>(value.at(0)), era},
           value.at(1).get<std::vector<std::string>>(),
           AgeFromJson(value.at(2))};
 }
@@ -249,26 +254,30 @@
 }
 
 common::Result<PeerMessage, PeerMessageError> DecodePeerMessage(std::string_view bytes) {
+  const auto parsed = bounded_json::parse_cbor(bytes);
+  if (!parsed) {
+    return PeerMessageError{"not CBOR, or nested too deep"};
+  }
   try {
-    const json whole = json::from_cbor(bytes.begin(), bytes.end());
+    const json& whole = *parsed;
     PeerMessage message;
     std::size_t field = 0;
     const auto next = [&]() -> const json& { return whole.at(field++); };
     message.name = next().get<std::string>();
     message.zone = next().get<std::string>();
-    message.incarnation = next().get<std::uint64_t>();
-    message.sequence = next().get<std::uint64_t>();
-    message.echoed = next().get<std::uint64_t>();
-    message.echoed_incarnation = next().get<std::uint64_t>();
-    message.interval = common::Duration(next().get<std::int64_t>());
+    message.incarnation = to_unsigned<std::uint64_t>(next());
+    message.sequence = to_unsigned<std::uint64_t>(next());
+    message.echoed = to_unsigned<std::uint64_t>(next());
+    message.echoed_incarnation = to_unsigned<std::uint64_t>(next());
+    message.interval = to_duration(next());
     message.store_connected = next().get<bool>();
     message.stopping = next().get<bool>();
-    message.configuration_version = next().get<std::uint64_t>();
-    message.configuration_revision.number = next().get<std::uint64_t>();
-    message.instances_revision.number = next().get<std::uint64_t>();
-    message.capacity = next().get<std::uint32_t>();
+    message.configuration_version = to_unsigned<std::uint64_t>(next());
+    message.configuration_revision.number = to_unsigned<std::uint64_t>(next());
+    message.instances_revision.number = to_unsigned<std::uint64_t>(next());
+    message.capacity = to_unsigned<std::uint32_t>(next());
     message.view = ViewFrom(next());
-    message.proven_version = next().get<std::uint64_t>();
+    message.proven_version = to_unsigned<std::uint64_t>(next());
     message.proof_age = AgeFromJson(next());
     message.rates = RatesFrom(next());
     message.evacuations = EvacuationsFrom(next());
@@ -278,11 +287,11 @@
     // Absent in messages of earlier versions, which send all groups in one message.
     message.is_continuation = field < whole.size() && next().get<bool>();
     // Earlier versions send no era; their revisions count as older than any with an era.
-    const auto era = [&] { return field < whole.size() ? next().get<std::uint64_t>() : 0; };
+    const auto era = [&] { return field < whole.size() ? to_unsigned<std::uint64_t>(next()) : 0; };
     message.configuration_revision.era = era();
     message.instances_revision.era = era();
     return message;
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return PeerMessageError{error.what()};
   }
 }
