Log datagrams to the peer port that can't be read

A datagram that was no heartbeat was dropped without a line in the log, so a sender of another version or of something else showed nowhere. The event heartbeat_unreadable, counted and written at powers of two as other repeated events, names the sender, the size and the reason. A heartbeat to an address that is no IP number was dropped silently too; it now counts as heartbeat_not_sent.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,5 +1,6 @@
 #include "host/proxy_host.h"
 
+#include <bit>
 #include <random>
 #include <utility>
 
@@ -309,22 +310,34 @@
 }
 
 void ProxyHost::ReceivePeerMessage() {
-  peers_.async_receive_from(
-      asio::buffer(peer_buffer_), peer_sender_,
-      [this](const asio::error_code& error, std::size_t count) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          const auto message = proxy::DecodePeerMessage({peer_buffer_.data(), count});
-          if (common::IsOk(message)) {
-            proxy_.PeerMessageReceived({peer_sender_.address().to_string(), peer_sender_.port()},
-                                       common::ValueOf(message), common::SteadyNow());
-            ExecuteActions();
-          }
-        }
-        ReceivePeerMessage();
-      });
+  peers_.async_receive_from(asio::buffer(peer_buffer_), peer_sender_,
+                            [this](const asio::error_code& error, std::size_t count) {
+                              if (error == asio::error::operation_aborted) {
+                                return;
+                              }
+                              if (!error) {
+                                HandlePeerDatagram({peer_buffer_.data(), count});
+                              }
+                              ReceivePeerMessage();
+                            });
+}
+
+void ProxyHost::HandlePeerDatagram(std::string_view bytes) {
+  const common::Endpoint sender{peer_sender_.address().to_string(), peer_sender_.port()};
+  const auto message = proxy::DecodePeerMessage(bytes);
+  if (common::IsOk(message)) {
+    proxy_.PeerMessageReceived(sender, common::ValueOf(message), common::SteadyNow());
+    ExecuteActions();
+    return;
+  }
+  ++unreadable_heartbeats_;
+  // Logs only at powers of two: the sender may repeat it without end.
+  if (std::has_single_bit(unreadable_heartbeats_)) {
+    Log("heartbeat_unreadable", {{"count", std::to_string(unreadable_heartbeats_)},
+                                 {"from", common::FormatEndpoint(sender)},
+                                 {"bytes", std::to_string(bytes.size())},
+                                 {"reason", common::ErrorOf(message).reason}});
+  }
 }
 
 net::HttpResponse ProxyHost::AnswerHttp(const net::HttpMessage& request) {
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -96,6 +96,8 @@
                       model::ErrorCode error);
   bool HandleInstanceMessage(proxy::ConnectionNumber number, const InstanceMessage& message);
   void ReceivePeerMessage();
+  /// Handles a datagram of the present sender. One that can't be read is counted and logged.
+  void HandlePeerDatagram(std::string_view bytes);
   void ScheduleTick();
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
@@ -146,6 +148,7 @@
   ConfigurationCopyCache configuration_copy_;
   std::size_t largest_heartbeat_bytes_ = 0;
   std::uint64_t unsent_heartbeats_ = 0;
+  std::uint64_t unreadable_heartbeats_ = 0;
   net::Listener callers_listener_;
   net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -270,16 +270,16 @@
 
 void ProxyHost::Execute(const proxy::SendPeerMessage& action) {
   asio::error_code error;
+  const std::string bytes = proxy::EncodePeerMessage(action.message);
+  largest_heartbeat_bytes_ = std::max(largest_heartbeat_bytes_, bytes.size());
   const auto host = asio::ip::make_address(action.address.host, error);
   if (!error) {
-    const std::string bytes = proxy::EncodePeerMessage(action.message);
-    largest_heartbeat_bytes_ = std::max(largest_heartbeat_bytes_, bytes.size());
     // A heartbeat that the system rejects is lost like any other datagram.
     peers_.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(host, action.address.port), 0,
                    error);
-    if (error) {
-      OnHeartbeatNotSent(bytes.size(), error.message());
-    }
+  }
+  if (error) {
+    OnHeartbeatNotSent(bytes.size(), error.message());
   }
 }
 
