Copies of another daemon: bounded nesting, checked values

The answer of another daemon to a fetch of its catalog or configuration could end the process by nested items (the CBOR reader recurses), and the encoder of a copy ended it by an exception when a name was not UTF-8, which CBOR copies carry through. Durations and numbers were taken over without a check of their range; the least and the greatest duration overflow the deadlines computed from them.

bounded_json parses both forms. Durations are limited to 0 to 100 years, other numbers must fit their field. Equal values are found by their CBOR form, and names are written to JSON with a replacement character.

--- a/src/host/catalog_copy_json.cc
+++ b/src/host/catalog_copy_json.cc
@@ -1,10 +1,15 @@
 #include "host/catalog_copy_json.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "bounded_json/bounded_json.h"
+#include "bounded_json/checked_value.h"
+
 namespace valvekeel::host {
 namespace {
 
+using bounded_json::to_unsigned;
 using nlohmann::json;
 
 json ToJson(const common::Endpoint& endpoint) {
@@ -12,7 +17,7 @@
 }
 
 common::Endpoint EndpointFrom(const json& value) {
-  return {value.at(0).get<std::string>(), value.at(1).get<std::uint16_t>()};
+  return {value.at(0).get<std::string>(), to_unsigned<std::uint16_t>(value.at(1))};
 }
 
 json ToJson(const model::Route& route) {
@@ -31,11 +36,11 @@
   model::Route route;
   route.database = value.at("database").get<std::string>();
   route.service = value.at("service").get<std::string>();
-  route.consistency = static_cast<model::Consistency>(value.at("consistency").get<int>());
-  route.timeout = common::Duration(value.at("timeout_us").get<std::int64_t>());
-  route.target_latency = common::Duration(value.at("target_latency_us").get<std::int64_t>());
-  route.priority = value.at("priority").get<std::uint32_t>();
-  route.max_staleness = common::Duration(value.at("max_staleness_us").get<std::int64_t>());
+  route.consistency = ConsistencyFromJson(value.at("consistency"));
+  route.timeout = DurationFromJson(value.at("timeout_us"));
+  route.target_latency = DurationFromJson(value.at("target_latency_us"));
+  route.priority = to_unsigned<std::uint32_t>(value.at("priority"));
+  route.max_staleness = DurationFromJson(value.at("max_staleness_us"));
   route.is_public = value.at("public").get<bool>();
   route.allowed_regions = value.at("allowed_regions").get<std::vector<std::string>>();
   return route;
@@ -49,10 +54,10 @@
 model::Service ServiceFrom(const json& value) {
   model::Service service;
   service.name = value.at(0).get<std::string>();
-  service.max_connections = value.at(1).get<std::uint32_t>();
-  service.sync_replicas = value.at(2).get<std::uint32_t>();
-  service.warm_up.time = common::Duration(value.at(3).get<std::int64_t>());
-  service.warm_up.rate = value.at(4).get<double>();
+  service.max_connections = to_unsigned<std::uint32_t>(value.at(1));
+  service.sync_replicas = to_unsigned<std::uint32_t>(value.at(2));
+  service.warm_up.time = DurationFromJson(value.at(3));
+  service.warm_up.rate = RateFromJson(value.at(4));
   return service;
 }
 
@@ -78,7 +83,7 @@
 
 model::Configuration ConfigurationFrom(const json& value) {
   model::Configuration configuration;
-  configuration.version = value.at("version").get<std::uint64_t>();
+  configuration.version = to_unsigned<std::uint64_t>(value.at("version"));
   for (const json& each : value.at("routes")) {
     const model::Route route = RouteFrom(each);
     configuration.routes[route.database] = route;
@@ -91,8 +96,7 @@
     tenants::tenant tenant = TenantFromJson(each);
     configuration.tenants[tenant.name] = std::move(tenant);
   }
-  configuration.transaction_idle =
-      common::Duration(value.at("transaction_idle_us").get<std::int64_t>());
+  configuration.transaction_idle = DurationFromJson(value.at("transaction_idle_us"));
   return configuration;
 }
 
@@ -104,18 +108,39 @@
 
 model::InstanceEntry InstanceFrom(const json& value) {
   constexpr std::size_t kIncarnation = 8;
-  model::InstanceEntry entry = {
-      value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
-      EndpointFrom(value.at(2)),        value.at(3).get<std::string>(),
-      value.at(4).get<std::uint32_t>(), value.at(5).get<bool>(),
-      value.at(6).get<bool>(),          common::Duration(value.at(7).get<std::int64_t>())};
+  model::InstanceEntry entry = {value.at(0).get<std::string>(),
+                                value.at(1).get<std::string>(),
+                                EndpointFrom(value.at(2)),
+                                value.at(3).get<std::string>(),
+                                to_unsigned<std::uint32_t>(value.at(4)),
+                                value.at(5).get<bool>(),
+                                value.at(6).get<bool>(),
+                                DurationFromJson(value.at(7))};
   // Daemons of earlier versions do not send the incarnation.
-  entry.incarnation = value.size() > kIncarnation ? value.at(kIncarnation).get<std::uint64_t>() : 0;
+  entry.incarnation =
+      value.size() > kIncarnation ? to_unsigned<std::uint64_t>(value.at(kIncarnation)) : 0;
   return entry;
 }
 
 }  // namespace
 
+common::Duration DurationFromJson(const json& value) {
+  const bool negative = value.is_number_integer() && value < 0;
+  const bool too_long = value.is_number_integer() && value > bounded_json::MAX_DURATION.count();
+  return negative   ? common::Duration(0)
+         : too_long ? bounded_json::MAX_DURATION
+                    : bounded_json::to_duration(value);
+}
+
+double RateFromJson(const json& value) {
+  return bounded_json::to_nonnegative(value, std::numeric_limits<double>::max());
+}
+
+model::Consistency ConsistencyFromJson(const json& value) {
+  constexpr auto kLast = static_cast<std::uint8_t>(model::Consistency::kReadYourWrites);
+  return static_cast<model::Consistency>(to_unsigned<std::uint8_t>(value, kLast));
+}
+
 json TenantToJson(const tenants::tenant& tenant) {
   json keys = json::array();
   for (const tenants::key_digest& key : tenant.keys) {
@@ -134,9 +159,9 @@
       tenant.keys.push_back(*key);
     }
   }
-  tenant.priority = value.at(2).get<std::uint32_t>();
-  tenant.rate = value.at(3).get<double>();
-  tenant.burst = value.at(4).get<double>();
+  tenant.priority = to_unsigned<std::uint32_t>(value.at(2));
+  tenant.rate = RateFromJson(value.at(3));
+  tenant.burst = RateFromJson(value.at(4));
   tenant.allowed_regions = value.at(5).get<std::vector<std::string>>();
   return tenant;
 }
@@ -153,12 +178,17 @@
   const json whole = {{"configuration", ToJson(copy.configuration)},
                       {"instances", std::move(instances)},
                       {"daemons", std::move(daemons)}};
-  return whole.dump();
+  // Names of other writers may hold bytes that are not UTF-8.
+  return whole.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<proxy::CatalogCopy> DecodeCatalogCopy(const std::string& text) {
+  const auto parsed = bounded_json::parse(text);
+  if (!parsed) {
+    return std::nullopt;
+  }
   try {
-    const json whole = json::parse(text);
+    const json& whole = *parsed;
     proxy::CatalogCopy copy;
     copy.configuration = ConfigurationFrom(whole.at("configuration"));
     for (const json& each : whole.at("instances")) {
@@ -166,10 +196,10 @@
     }
     for (const json& each : whole.at("daemons")) {
       copy.daemons.push_back({each.at(0).get<std::string>(), each.at(1).get<std::string>(),
-                              EndpointFrom(each.at(2)), each.at(3).get<std::uint32_t>()});
+                              EndpointFrom(each.at(2)), to_unsigned<std::uint32_t>(each.at(3))});
     }
     return copy;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/host/catalog_copy_json.h
+++ b/src/host/catalog_copy_json.h
@@ -11,6 +11,16 @@
 
 namespace valvekeel::host {
 
+/// @return the duration in microseconds, limited to 0 to bounded_json::MAX_DURATION. Throws for
+/// other types.
+common::Duration DurationFromJson(const nlohmann::json& value);
+
+/// @return the number. Throws if it is negative or not finite.
+double RateFromJson(const nlohmann::json& value);
+
+/// Throws for an unknown value.
+model::Consistency ConsistencyFromJson(const nlohmann::json& value);
+
 /// Encodes a tenant; its keys are written as digests in hexadecimal.
 nlohmann::json TenantToJson(const tenants::tenant& tenant);
 tenants::tenant TenantFromJson(const nlohmann::json& value);
--- a/src/host/configuration_copy.cc
+++ b/src/host/configuration_copy.cc
@@ -5,18 +5,21 @@
 #include <utility>
 #include <vector>
 
+#include "bounded_json/bounded_json.h"
+#include "bounded_json/checked_value.h"
 #include "host/catalog_copy_json.h"
 
 namespace valvekeel::host {
 namespace {
 
+using bounded_json::to_unsigned;
 using nlohmann::json;
 
 /// Assigns an index to each distinct value, in the order of first use.
 class ValueTable {
  public:
   std::size_t IndexOf(const json& value) {
-    const auto [found, added] = indexes_.try_emplace(value.dump(), values_.size());
+    const auto [found, added] = indexes_.try_emplace(json::to_cbor(value), values_.size());
     if (added) {
       values_.push_back(value);
     }
@@ -26,7 +29,7 @@
   json TakeValues() { return std::move(values_); }
 
  private:
-  std::map<std::string, std::size_t> indexes_;
+  std::map<std::vector<std::uint8_t>, std::size_t> indexes_;  // by the encoded value
   json values_ = json::array();
 };
 
@@ -41,11 +44,11 @@
   model::Route route;
   std::size_t field = 0;
   const auto next = [&]() -> const json& { return kind.at(field++); };
-  route.consistency = static_cast<model::Consistency>(next().get<int>());
-  route.timeout = common::Duration(next().get<std::int64_t>());
-  route.target_latency = common::Duration(next().get<std::int64_t>());
-  route.priority = next().get<std::uint32_t>();
-  route.max_staleness = common::Duration(next().get<std::int64_t>());
+  route.consistency = ConsistencyFromJson(next());
+  route.timeout = DurationFromJson(next());
+  route.target_latency = DurationFromJson(next());
+  route.priority = to_unsigned<std::uint32_t>(next());
+  route.max_staleness = DurationFromJson(next());
   route.is_public = next().get<bool>();
   route.allowed_regions = next().get<std::vector<std::string>>();
   return route;
@@ -59,10 +62,10 @@
 
 model::Service ServiceOfKind(const json& kind) {
   model::Service service;
-  service.max_connections = kind.at(0).get<std::uint32_t>();
-  service.sync_replicas = kind.at(1).get<std::uint32_t>();
-  service.warm_up.time = common::Duration(kind.at(2).get<std::int64_t>());
-  service.warm_up.rate = kind.at(3).get<double>();
+  service.max_connections = to_unsigned<std::uint32_t>(kind.at(0));
+  service.sync_replicas = to_unsigned<std::uint32_t>(kind.at(1));
+  service.warm_up.time = DurationFromJson(kind.at(2));
+  service.warm_up.rate = RateFromJson(kind.at(3));
   return service;
 }
 
@@ -85,11 +88,11 @@
 
 model::Configuration ConfigurationFrom(const json& whole) {
   model::Configuration configuration;
-  configuration.version = whole.at("version").get<std::uint64_t>();
-  configuration.transaction_idle = common::Duration(whole.at("idle_us").get<std::int64_t>());
+  configuration.version = to_unsigned<std::uint64_t>(whole.at("version"));
+  configuration.transaction_idle = DurationFromJson(whole.at("idle_us"));
   const json& service_kinds = whole.at("service_kinds");
   for (const json& each : whole.at("services")) {
-    model::Service service = ServiceOfKind(service_kinds.at(each.at(1).get<std::size_t>()));
+    model::Service service = ServiceOfKind(service_kinds.at(to_unsigned<std::size_t>(each.at(1))));
     service.name = each.at(0).get<std::string>();
     configuration.services.emplace_hint(configuration.services.end(), service.name,
                                         std::move(service));
@@ -100,9 +103,9 @@
   }
   const json& names = whole.at("names");
   for (const json& each : whole.at("routes")) {
-    model::Route route = kinds.at(each.at(2).get<std::size_t>());
+    model::Route route = kinds.at(to_unsigned<std::size_t>(each.at(2)));
     route.database = each.at(0).get<std::string>();
-    route.service = names.at(each.at(1).get<std::size_t>()).get<std::string>();
+    route.service = names.at(to_unsigned<std::size_t>(each.at(1))).get<std::string>();
     configuration.routes.emplace_hint(configuration.routes.end(), route.database, std::move(route));
   }
   for (const json& each : whole.at("tenants")) {
@@ -136,11 +139,13 @@
 }
 
 std::optional<model::Configuration> DecodeConfigurationCopy(std::string_view bytes) {
-  try {
-    return ConfigurationFrom(json::from_cbor(bytes.begin(), bytes.end()));
-  } catch (const json::exception&) {
+  const auto whole = bounded_json::parse_cbor(bytes);
+  if (!whole) {
     return std::nullopt;
-  } catch (const std::out_of_range&) {
+  }
+  try {
+    return ConfigurationFrom(*whole);
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/tests/host/configuration_copy_test.cc
+++ b/tests/host/configuration_copy_test.cc
@@ -1,6 +1,10 @@
 #include "host/configuration_copy.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "host/catalog_copy_json.h"
 
 namespace valvekeel::host {
 namespace {
@@ -30,6 +34,19 @@
   return configuration;
 }
 
+std::string ToCbor(const nlohmann::json& value) {
+  const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(value);
+  return {bytes.begin(), bytes.end()};
+}
+
+/// @return the encoded configuration with one value replaced.
+std::string WithValue(const char* field, const nlohmann::json& value) {
+  nlohmann::json whole =
+      nlohmann::json::from_cbor(EncodeConfigurationCopy(MakeConfiguration(1, 1)));
+  whole.at(nlohmann::json::json_pointer(field)) = value;
+  return ToCbor(whole);
+}
+
 }  // namespace
 
 TEST_CASE("A decoded configuration equals the encoded one", "[host]") {
@@ -79,6 +96,49 @@
   CHECK_FALSE(DecodeConfigurationCopy(bytes.substr(0, bytes.size() / 2)));
 }
 
+// The answer of another daemon to a fetch ended the process: the decoder recursed until the stack
+// overflowed.
+TEST_CASE("A copy of deeply nested items is rejected", "[host]") {
+  constexpr std::size_t kDepth = 1'000'000;
+  CHECK_FALSE(DecodeConfigurationCopy(std::string(kDepth, '\x81')));
+  CHECK_FALSE(DecodeConfigurationCopy(std::string(kDepth, '\x7F')));
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  CHECK_FALSE(DecodeCatalogCopy(nested));
+  CHECK_FALSE(DecodeCatalogCopy(R"({"configuration":{"version":1},"instances":)" + nested + "}"));
+}
+
+TEST_CASE("Values of a copied configuration that do not fit are rejected or limited", "[host]") {
+  REQUIRE(DecodeConfigurationCopy(WithValue("/version", 7)));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/version", 1e300)));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/service_kinds/0/0", std::uint64_t{1} << 32U)));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/service_kinds/0/3", -1.0)));
+  CHECK_FALSE(DecodeConfigurationCopy(
+      WithValue("/service_kinds/0/3", std::numeric_limits<double>::quiet_NaN())));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/route_kinds/0/0", 3)));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/routes/0/2", 1)));
+  CHECK_FALSE(DecodeConfigurationCopy(WithValue("/idle_us", 1e300)));
+  const auto longest = DecodeConfigurationCopy(
+      WithValue("/route_kinds/0/1", std::numeric_limits<std::int64_t>::max()));
+  REQUIRE(longest);
+  CHECK(longest->routes.begin()->second.timeout == std::chrono::hours(24 * 365 * 100));
+  const auto negative = DecodeConfigurationCopy(
+      WithValue("/route_kinds/0/1", std::numeric_limits<std::int64_t>::min()));
+  REQUIRE(negative);
+  CHECK(negative->routes.begin()->second.timeout == std::chrono::microseconds(0));
+}
+
+// The exception of a text that is not UTF-8 ended the process that was asked for its copy.
+TEST_CASE("A copy of names that are not UTF-8 is encoded", "[host]") {
+  model::Configuration configuration = MakeConfiguration(1, 1);
+  configuration.routes.begin()->second.allowed_regions = {"\xFF"};
+  const auto read = DecodeConfigurationCopy(EncodeConfigurationCopy(configuration));
+  REQUIRE(read);
+  CHECK(read->routes.begin()->second.allowed_regions.front() == "\xFF");
+  proxy::CatalogCopy copy;
+  copy.configuration = configuration;
+  CHECK(DecodeCatalogCopy(EncodeCatalogCopy(copy)));
+}
+
 TEST_CASE("A configuration is encoded once for each version", "[host]") {
   ConfigurationCopyCache cache;
   model::Configuration configuration = MakeConfiguration(1, 1);
