Messages between valvekeeld daemons: bounded nesting, checked values

Bytes of a peer could end the process: nested CBOR items overflow the stack of the reader, a greeting or an entry of the replicated table with a value of another type ends in an exception that nobody catches (the table's entries reach every daemon), and a list of 16 million bucket numbers costs as many passes over the table. Durations of a request for a pool overflowed its deadline.

Links read with bounded_json::parse_cbor; greetings and envelopes are checked before use; an entry of a kind that this daemon reads by itself must have the value that its readers expect. Specifications stay as they are, since their reader refuses faulty ones with a line in the log. A refused message closes the link and is logged as message_refused, as before.

--- a/src/cluster/messages.cc
+++ b/src/cluster/messages.cc
@@ -5,8 +5,14 @@
 #include <array>
 #include <utility>
 
+#include "bounded_json/bounded_json.h"
+#include "bounded_json/checked_value.h"
+#include "common/position.h"
+
 namespace valvekeel::replicated {
 
+using bounded_json::to_unsigned;
+
 // Entries are encoded as arrays, because field names would take a third of the bytes.
 
 void to_json(nlohmann::json& out, const EntryId& id) {
@@ -14,7 +20,8 @@
 }
 
 void from_json(const nlohmann::json& in, EntryId& id) {
-  id.kind = static_cast<EntryKind>(in.at(0).get<int>());
+  constexpr auto kLast = static_cast<std::uint8_t>(EntryKind::kZone);
+  id.kind = static_cast<EntryKind>(to_unsigned<std::uint8_t>(in.at(0), kLast));
   id.name = in.at(1).get<std::string>();
 }
 
@@ -24,7 +31,7 @@
 
 void from_json(const nlohmann::json& in, EntrySummary& summary) {
   summary.id = in.at(0).get<EntryId>();
-  summary.version = {in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>()};
+  summary.version = {to_unsigned<std::uint64_t>(in.at(1)), to_unsigned<std::uint64_t>(in.at(2))};
 }
 
 void to_json(nlohmann::json& out, const Entry& entry) {
@@ -34,7 +41,7 @@
 
 void from_json(const nlohmann::json& in, Entry& entry) {
   entry.id = in.at(0).get<EntryId>();
-  entry.version = {in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>()};
+  entry.version = {to_unsigned<std::uint64_t>(in.at(1)), to_unsigned<std::uint64_t>(in.at(2))};
   entry.deleted = in.at(3).get<bool>();
   entry.value = in.at(4);
 }
@@ -44,6 +51,8 @@
 namespace valvekeel::cluster {
 namespace {
 
+using bounded_json::to_unsigned;
+using bounded_json::value_error;
 using nlohmann::json;
 
 // Position of the message type in an encoded message. The type is the index in the variant.
@@ -67,26 +76,71 @@
 
 json Body(const Join& message) { return json::array({message.member}); }
 
+/// Throws if the value lacks what the readers of the entry's kind expect. Specifications are
+/// checked where they are read, since one that is faulty still replaces its earlier version.
+void CheckValue(const replicated::Entry& entry) {
+  const json& value = entry.value;
+  switch (entry.id.kind) {
+    case replicated::EntryKind::kMember:
+      to_unsigned<std::uint8_t>(entry.version.minor, static_cast<std::uint8_t>(MemberState::kLeft));
+      value.at("zone").get_ref<const std::string&>();
+      value.at("peer").at("host").get_ref<const std::string&>();
+      to_unsigned<std::uint16_t>(value.at("peer").at("port"));
+      break;
+    case replicated::EntryKind::kTopology:
+      to_unsigned<common::Term>(entry.version.major);
+      value.at("primary").get_ref<const std::string&>();
+      break;
+    case replicated::EntryKind::kZone:
+      value.at("reachable").get_ref<const bool&>();
+      break;
+    case replicated::EntryKind::kDatabase:
+    case replicated::EntryKind::kShareGroup:
+      break;
+  }
+}
+
+replicated::Entry ReadEntry(const json& value) {
+  auto entry = value.get<replicated::Entry>();
+  CheckValue(entry);
+  return entry;
+}
+
+std::vector<std::uint32_t> ReadBuckets(const json& value) {
+  if (value.size() > replicated::kBucketCount) {
+    throw value_error("more buckets than there are");
+  }
+  std::vector<std::uint32_t> buckets;
+  for (const json& each : value) {
+    buckets.push_back(to_unsigned<std::uint32_t>(each, replicated::kBucketCount - 1));
+  }
+  return buckets;
+}
+
 Message ReadBody(std::size_t type, const json& body) {
   switch (type) {
     case 0:
-      return Heartbeat{body.at(0).get<std::uint64_t>(), body.at(1).get<std::uint64_t>()};
+      return Heartbeat{to_unsigned<std::uint64_t>(body.at(0)),
+                       to_unsigned<std::uint64_t>(body.at(1))};
     case 1: {
       Update update;
-      update.entries = body.at(0).get<std::vector<replicated::Entry>>();
+      for (const json& each : body.at(0)) {
+        update.entries.push_back(ReadEntry(each));
+      }
       update.forward = body.at(1).get<bool>();
-      update.span = {body.at(2).get<std::uint64_t>(), body.at(3).get<std::uint64_t>()};
+      update.span = {to_unsigned<std::uint64_t>(body.at(2)),
+                     to_unsigned<std::uint64_t>(body.at(3))};
       return update;
     }
     case 2:
       return Digest{body.at(0).get<replicated::BucketHashes>()};
     case 3:
-      return BucketSummaries{body.at(0).get<std::vector<std::uint32_t>>(),
+      return BucketSummaries{ReadBuckets(body.at(0)),
                              body.at(1).get<std::vector<replicated::EntrySummary>>()};
     case 4:
       return EntriesRequest{body.at(0).get<std::vector<replicated::EntryId>>()};
     default:
-      return Join{body.at(0).get<replicated::Entry>()};
+      return Join{ReadEntry(body.at(0))};
   }
 }
 
@@ -99,12 +153,12 @@
 
 common::Result<Message, DecodeError> FromJson(const json& value) {
   try {
-    const std::size_t type = value.at(kTypeIndex).get<std::size_t>();
+    const auto type = to_unsigned<std::size_t>(value.at(kTypeIndex));
     if (type >= std::variant_size_v<Message>) {
       return DecodeError{absl::StrCat("unknown message type ", type)};
     }
     return ReadBody(type, value.at(1));
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return DecodeError{error.what()};
   }
 }
@@ -116,11 +170,8 @@
 }
 
 common::Result<Message, DecodeError> Decode(std::string_view bytes) {
-  const json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (value.is_discarded()) {
-    return DecodeError{"the bytes are not CBOR"};
-  }
-  return FromJson(value);
+  const auto value = bounded_json::parse_cbor(bytes);
+  return value ? FromJson(*value) : DecodeError{"not CBOR, or nested too deep"};
 }
 
 }  // namespace valvekeel::cluster
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -4,6 +4,8 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "bounded_json/bounded_json.h"
+
 namespace valvekeel::peer {
 namespace {
 
@@ -121,13 +123,13 @@
       break;
     }
     const char* begin = received_.data() + consumed + kHeaderBytes;
-    nlohmann::json message = nlohmann::json::from_cbor(begin, begin + length, true, false);
+    auto message = bounded_json::parse_cbor({begin, length});
     consumed += kHeaderBytes + length;
-    if (message.is_discarded()) {
+    if (!message) {
       return false;
     }
     ++counters_.messages_received;
-    on_message_(shared_from_this(), std::move(message));
+    on_message_(shared_from_this(), std::move(*message));
   }
   received_.erase(0, consumed);
   return true;
--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,32 @@
   return json::array({static_cast<int>(channel), body});
 }
 
+struct ReceivedEnvelope {
+  Channel channel;
+  const json* body;
+};
+
+/// @return the channel and the body; nothing if the message is not an envelope.
+std::optional<ReceivedEnvelope> ReadEnvelope(const json& message) {
+  const bool well_formed = message.is_array() && message.size() == 2 &&
+                           message[0].is_number_unsigned() &&
+                           message[0] <= static_cast<unsigned>(Channel::kPool);
+  if (!well_formed) {
+    return std::nullopt;
+  }
+  return ReceivedEnvelope{static_cast<Channel>(message[0].get<unsigned>()), &message[1]};
+}
+
+/// @return who greets; nothing if the body is not a greeting.
+std::optional<PeerIdentity> ReadGreeting(const json& body) {
+  const bool well_formed = body.is_object() && body.contains("id") && body["id"].is_string() &&
+                           body.contains("incarnation") && body["incarnation"].is_number_unsigned();
+  if (!well_formed) {
+    return std::nullopt;
+  }
+  return PeerIdentity{body["id"].get<std::string>(), body["incarnation"].get<std::uint64_t>()};
+}
+
 }  // namespace
 
 Network::Network(asio::io_context& loop, PeerIdentity self)
@@ -66,19 +93,18 @@
 }
 
 void Network::Dispatch(const std::shared_ptr<Link>& link, const json& message) {
-  const bool well_formed = message.is_array() && message.size() == 2 && message[0].is_number();
-  if (!well_formed) {
+  const auto envelope = ReadEnvelope(message);
+  const auto greeting = envelope && envelope->channel == Channel::kGreeting
+                            ? ReadGreeting(*envelope->body)
+                            : std::nullopt;
+  if (!envelope || (envelope->channel == Channel::kGreeting && !greeting)) {
     link->Close();
     return;
   }
-  const auto channel = static_cast<Channel>(message[0].get<int>());
-  if (channel == Channel::kGreeting) {
-    link->identity.id = message[1].value("id", "");
-    link->identity.incarnation = message[1].value("incarnation", std::uint64_t{0});
-    return;
-  }
-  if (on_message_) {
-    on_message_(link, channel, message[1]);
+  if (greeting) {
+    link->identity = *greeting;
+  } else if (on_message_) {
+    on_message_(link, envelope->channel, *envelope->body);
   }
 }
 
--- a/src/pool/protocol.cc
+++ b/src/pool/protocol.cc
@@ -2,8 +2,11 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "bounded_json/checked_value.h"
+
 namespace valvekeel::common {
 
 void to_json(nlohmann::json& out, const Position& position) {
@@ -36,6 +39,16 @@
 
 json OptionalToJson(const wire::WireValue& value) { return value ? json(*value) : json(); }
 
+/// @return the microseconds, limited to what can be added to an instant.
+std::int64_t MicrosecondsFromJson(const json& value) {
+  constexpr std::int64_t kMax = bounded_json::MAX_DURATION.count();
+  const bool over = value.is_number_unsigned() && value > kMax;
+  if (!value.is_number_integer()) {
+    throw bounded_json::value_error("a duration is not an integer");
+  }
+  return over ? kMax : std::clamp(value.get<std::int64_t>(), -kMax, kMax);
+}
+
 wire::WireValue OptionalFromJson(const json& value) {
   return value.is_null() ? wire::WireValue{} : wire::WireValue{value.get<std::string>()};
 }
@@ -99,13 +112,13 @@
   in.at(4).get_to(request.session);
   in.at(5).get_to(request.access);
   in.at(6).get_to(request.continues);
-  in.at(7).get_to(request.budget_us);
+  request.budget_us = MicrosecondsFromJson(in.at(7));
   in.at(8).get_to(request.required);
-  in.at(9).get_to(request.read_wait_us);
+  request.read_wait_us = MicrosecondsFromJson(in.at(9));
   in.at(10).get_to(request.request_id);
   in.at(11).get_to(request.settings);
   in.at(12).get_to(request.statements);
-  in.at(13).get_to(request.max_staleness_us);
+  request.max_staleness_us = MicrosecondsFromJson(in.at(13));
   in.at(14).get_to(request.changes_settings);
   in.at(15).get_to(request.opens_transaction);
 }
@@ -121,7 +134,7 @@
   in.at(1).get_to(reply.outcome);
   in.at(2).get_to(reply.refusal);
   in.at(3).get_to(reply.reason);
-  in.at(4).get_to(reply.retry_after_us);
+  reply.retry_after_us = MicrosecondsFromJson(in.at(4));
   in.at(5).get_to(reply.answers);
   reply.status = static_cast<wire::TransactionStatus>(in.at(6).get<int>());
   in.at(7).get_to(reply.position);
@@ -136,7 +149,7 @@
   in.at(0).get_to(request.number);
   in.at(1).get_to(request.database);
   in.at(2).get_to(request.instance);
-  in.at(3).get_to(request.budget_us);
+  request.budget_us = MicrosecondsFromJson(in.at(3));
 }
 
 void to_json(json& out, const BarrierReply& reply) {
@@ -194,7 +207,7 @@
       default:
         return MessageError{absl::StrCat("unknown message type ", value.at(0).dump())};
     }
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return MessageError{error.what()};
   }
 }
