valvekeeld: one odd object does not make a list unreadable

A number out of range, an escape that is no character, or deep nesting in one object of the store made the whole list of databases or share groups unread, and a name, version or kind of another type ended the process by an exception on the watcher's thread.

The client parses as the other store client does: what the parser rejects is replaced, and an object with a replaced part has no contents, so that its reader refuses it with specification_refused and the one before stays in force. Objects whose name or version can't be read are counted and logged as platform_objects_unreadable. Accepted nesting is half of what messages to other daemons may have, so that what one daemon reads the others don't reject. A watch that ends for an unreadable event waits before the next list.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -532,6 +532,10 @@
 }
 
 void Daemon::ApplyList(const std::string& kind, const object_store::ObjectList& list) {
+  if (list.unreadable > 0) {
+    Log(LogLevel::kWarning, "platform_objects_unreadable",
+        {{"kind", kind}, {"count", list.unreadable}});
+  }
   std::set<std::string> listed;
   for (const object_store::Object& object : list.items) {
     listed.insert(object.name);
--- a/src/object_store/client.cc
+++ b/src/object_store/client.cc
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "bounded_json/bounded_json.h"
+
 namespace valvekeel::object_store {
 namespace {
 
@@ -22,6 +24,11 @@
 constexpr int kConflictStatus = 409;
 constexpr int kGoneStatus = 410;
 constexpr int kServerErrors = 500;
+constexpr int kMaxHttpStatus = 599;
+/// Deepest accepted nesting of an answer, in which a specification has three levels. Specifications
+/// are passed on to daemons, whose messages add levels and must stay within
+/// bounded_json::MAX_DEPTH.
+constexpr std::size_t kMaxDepth = bounded_json::MAX_DEPTH / 2;
 
 httplib::Client MakeClient(const cluster::Endpoint& address) {
   httplib::Client client(address.host, address.port);
@@ -31,27 +38,55 @@
   return client;
 }
 
+/// @return the text of a field; the fallback if the field is missing or is no text.
+std::string TextOf(const json& object, const char* field, const std::string& fallback) {
+  const auto found = object.find(field);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : fallback;
+}
+
+/// Parses a text to which several writers contribute. What one of them wrote and the parser rejects
+/// is replaced by bounded_json::UNREADABLE_MARK. @return nothing if the rest is not JSON either.
+std::optional<json> ParseShared(const std::string& text) {
+  auto parsed = bounded_json::parse(text, kMaxDepth);
+  if (!parsed) {
+    parsed = bounded_json::parse(bounded_json::replace_unreadable(text, kMaxDepth), kMaxDepth);
+  }
+  return parsed;
+}
+
+/// @return the field; null, which is no valid content, if it holds something that was replaced.
+json ContentOf(const json& value, const char* field) {
+  const auto found = value.find(field);
+  if (found == value.end()) {
+    return json::object();
+  }
+  return bounded_json::is_marked(*found) ? json() : *found;
+}
+
+/// @return the object; nothing if its name or version can't be read.
 std::optional<Object> ReadObject(const json& value) {
   if (!value.is_object() || !value.contains("metadata") || !value.at("metadata").is_object()) {
     return std::nullopt;
   }
   const json& metadata = value.at("metadata");
   Object object;
-  object.kind = value.value("kind", "");
-  object.name = metadata.value("name", "");
-  const std::string version = metadata.value("resourceVersion", std::string("0"));
-  if (!absl::SimpleAtoi(version, &object.version)) {
+  object.kind = TextOf(value, "kind", "");
+  object.name = TextOf(metadata, "name", "");
+  const bool named = !metadata.contains("name") || metadata.at("name").is_string();
+  const bool versioned = !metadata.contains("resourceVersion") ||
+                         absl::SimpleAtoi(TextOf(metadata, "resourceVersion", ""), &object.version);
+  if (!named || !versioned || bounded_json::is_marked(std::string_view(object.name))) {
     return std::nullopt;
   }
-  object.spec = value.value("spec", json::object());
-  object.status = value.value("status", json::object());
+  object.spec = ContentOf(value, "spec");
+  object.status = ContentOf(value, "status");
   return object;
 }
 
 PlatformError ErrorOfStatus(int status, const std::string& body) {
-  const json parsed = json::parse(body, nullptr, false);
-  const std::string message =
-      parsed.is_object() ? parsed.value("message", body) : absl::StrCat("HTTP status ", status);
+  const auto parsed = bounded_json::parse(body, kMaxDepth);
+  const std::string message = parsed && parsed->is_object() ? TextOf(*parsed, "message", body)
+                                                            : absl::StrCat("HTTP status ", status);
   switch (status) {
     case kNotFoundStatus:
       return {FaultKind::kNotFound, message};
@@ -65,6 +100,14 @@
   return {status >= kServerErrors ? FaultKind::kUnavailable : FaultKind::kInvalid, message};
 }
 
+/// @return the status that an error event of a watch names.
+int StatusOf(const json& error) {
+  const auto code = error.is_object() ? error.find("code") : error.end();
+  const bool valid = error.is_object() && code != error.end() && code->is_number_unsigned() &&
+                     *code <= kMaxHttpStatus;
+  return valid ? code->get<int>() : kServerErrors;
+}
+
 /// @param changes true if the request changes something, so that no answer means unknown.
 PlatformResult<json> ReadAnswer(const httplib::Result& result, bool changes) {
   if (!result) {
@@ -81,11 +124,11 @@
     }
     return error;
   }
-  json parsed = json::parse(result->body, nullptr, false);
-  if (parsed.is_discarded()) {
+  auto parsed = ParseShared(result->body);
+  if (!parsed) {
     return PlatformError{FaultKind::kInvalid, "the answer is not JSON"};
   }
-  return parsed;
+  return std::move(*parsed);
 }
 
 PlatformResult<Object> ReadObjectAnswer(const httplib::Result& result, bool changes) {
@@ -103,8 +146,8 @@
 /// Splits a watch's stream into lines and turns them into events.
 class WatchReader {
  public:
-  explicit WatchReader(const std::function<void(const WatchEvent&)>& on_event)
-      : on_event_(on_event) {}
+  WatchReader(std::string kind, const std::function<void(const WatchEvent&)>& on_event)
+      : kind_(std::move(kind)), on_event_(on_event) {}
 
   /// @return false if the stream must end; the error then says why.
   bool Take(const char* data, std::size_t size) {
@@ -124,15 +167,15 @@
 
  private:
   bool TakeLine(const std::string& line) {
-    const json parsed = json::parse(line, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("object")) {
+    const auto parsed = ParseShared(line);
+    if (!parsed || !parsed->is_object() || !parsed->contains("object")) {
       error_ = PlatformError{FaultKind::kInvalid, "a watch event cannot be read"};
       return false;
     }
-    const std::string type = parsed.value("type", "");
-    const json& value = parsed.at("object");
+    const std::string type = TextOf(*parsed, "type", "");
+    const json& value = parsed->at("object");
     if (type == "ERROR") {
-      error_ = ErrorOfStatus(value.value("code", kServerErrors), value.dump());
+      error_ = ErrorOfStatus(StatusOf(value), value.dump());
       return false;
     }
     auto object = ReadObject(value);
@@ -140,10 +183,12 @@
       error_ = PlatformError{FaultKind::kInvalid, "a watch event has no object"};
       return false;
     }
+    object->kind = kind_;
     on_event_({type == "DELETED", type == "BOOKMARK", std::move(*object)});
     return true;
   }
 
+  std::string kind_;
   const std::function<void(const WatchEvent&)>& on_event_;
   std::string buffer_;
   std::optional<PlatformError> error_;
@@ -164,14 +209,17 @@
   }
   const json& value = ValueOf(answer);
   const auto header = ReadObject(value);
-  if (!header || !value.contains("items")) {
+  if (!header || !value.contains("items") || !value.at("items").is_array()) {
     return PlatformError{FaultKind::kInvalid, "the answer is not a list"};
   }
   ObjectList list;
   list.version = header->version;
   for (const json& item : value.at("items")) {
     if (auto object = ReadObject(item)) {
+      object->kind = kind;
       list.items.push_back(std::move(*object));
+    } else {
+      ++list.unreadable;
     }
   }
   return list;
@@ -206,7 +254,7 @@
                             const std::atomic<bool>& stop,
                             const std::function<void(const WatchEvent&)>& on_event) const {
   auto client = MakeClient(address_);
-  WatchReader reader(on_event);
+  WatchReader reader(kind, on_event);
   int status = 0;
   const auto result = client.Get(
       absl::StrCat(kRoot, kind, "?watch=true&resourceVersion=", version),
--- a/src/object_store/client.h
+++ b/src/object_store/client.h
@@ -30,7 +30,7 @@
   std::string message;
 };
 
-/// An object of the API.
+/// An object of the API. Its contents are null if they hold something that can't be represented.
 struct Object {
   std::string kind;
   std::string name;
@@ -42,6 +42,7 @@
 struct ObjectList {
   std::uint64_t version = 0;
   std::vector<Object> items;
+  std::size_t unreadable = 0;  // objects whose name or version can't be read
 };
 
 /// What a watch reports.
--- a/src/object_store/watcher.cc
+++ b/src/object_store/watcher.cc
@@ -69,10 +69,13 @@
               Post(self, [event](const WatchHandlers& handlers) { handlers.on_event(event); });
             }
           });
-      if (ended.kind == FaultKind::kTooOld || ended.kind == FaultKind::kInvalid) {
+      if (ended.kind == FaultKind::kTooOld) {
         return;  // the list closes the gap
       }
       std::this_thread::sleep_for(kPauseAfterFault);
+      if (ended.kind == FaultKind::kInvalid) {
+        return;
+      }
     }
   }
 };
