valvekeeld: a handler that throws does not end the process

An exception of an HTTP handler on the event loop ended the process. One that does so: the status page with a member's name that is not UTF-8, which CBOR carries between daemons.

The exception is logged as http_handler_failed and answered with status 500, and the status page writes a replacement character.

--- a/src/daemon/daemon_status.cc
+++ b/src/daemon/daemon_status.cc
@@ -28,7 +28,8 @@
 
 void Daemon::RouteHttp() {
   http_.Route("GET", "/status", [this](const http::Request&) {
-    return http::Reply{200, Status().dump()};
+    // Names that other daemons sent may hold bytes that are not UTF-8.
+    return http::Reply{200, Status().dump(-1, ' ', false, json::error_handler_t::replace)};
   });
   http_.Route("GET", "/metrics", [this](const http::Request&) {
     return http::Reply{200, Metrics(), kMetricsType};
--- a/src/http/loop_server.cc
+++ b/src/http/loop_server.cc
@@ -7,11 +7,14 @@
 #include <future>
 #include <utility>
 
+#include "runtime/logging.h"
+
 namespace valvekeel::http {
 namespace {
 
 /// Maximum time that an HTTP thread waits for a handler on the loop.
 constexpr std::chrono::seconds kHandlerTimeout{5};
+constexpr int kInternalError = 500;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kHttpThreads = 2;
 
@@ -28,6 +31,17 @@
   return converted;
 }
 
+/// @return the handler's reply. A request that makes the handler throw must not end the process.
+Reply CallHandler(const Handler& handler, const Request& request) {
+  try {
+    return handler(request);
+  } catch (const std::exception& error) {
+    runtime::Log(runtime::LogLevel::kError, "http_handler_failed",
+                 {{"path", request.path}, {"reason", error.what()}});
+    return {kInternalError, "{\"error\":\"the request cannot be answered\"}"};
+  }
+}
+
 }  // namespace
 
 LoopServer::LoopServer(asio::io_context& loop) : loop_(loop) {
@@ -42,7 +56,7 @@
   auto promise = std::make_shared<std::promise<Reply>>();
   std::future<Reply> future = promise->get_future();
   asio::post(loop_, [promise, handler, converted = ConvertRequest(request)] {
-    promise->set_value(handler(converted));
+    promise->set_value(CallHandler(handler, converted));
   });
   if (future.wait_for(kHandlerTimeout) != std::future_status::ready) {
     response.status = kServiceUnavailable;
