Membership: only a list that the view uses is a word against a daemon

Cause: a daemon that gives up its hub role still stores lists of hubs of other zones, which its view does not use. complete_zones() took such a hub for one that hears all of its zone and does not hear the daemon, although its list had it, so the short retention of 1.6 s applied. Fix: a zone counts as heard completely only through a source of the view; whom a source lists is supported, so the short time is left to those it lacks.

--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -374,8 +374,10 @@
     zones.insert(this->self.zone);
   }
   for (const auto& [name, each] : this->contacts) {
-    const bool is_complete_hub = each.is_hub && !each.covers_all_zones && each.is_complete;
-    if (each.reachable && is_complete_hub && each.lists.contains(each.reported.zone)) {
+    // Whom a hub does not hear is known only from a list that the view uses.
+    const bool is_complete_source =
+        this->is_source(each) && !each.covers_all_zones && each.is_complete;
+    if (each.reachable && is_complete_source && each.lists.contains(each.reported.zone)) {
       zones.insert(each.reported.zone);
     }
   }
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -169,7 +169,8 @@
   std::vector<const contact*> sources() const;
   void rebuild_roster(common::Instant now);
   void rebuild_direct_list(common::Instant now);
-  /** @return the zones with a reachable hub that receives heartbeats from all of the zone. */
+  /** @return the zones with a reachable hub that receives heartbeats from all of the zone, and
+   * whose list the view uses. */
   std::set<std::string> complete_zones() const;
   void update_completeness(common::Instant now);
   /** Counts the daemons of the own zone from which this daemon, as a hub, gets no heartbeats. */
--- /dev/null
+++ b/tests/membership/source_change_test.cc
@@ -0,0 +1,97 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "membership/live_view.h"
+
+namespace valvekeel::membership {
+namespace {
+
+using common::Duration;
+using common::Instant;
+
+constexpr Instant START{100'000'000};
+constexpr Duration INTERVAL{500'000};
+constexpr Duration SECOND{1'000'000};
+
+member daemon_of(const std::string& name, const std::string& zone, std::uint32_t capacity = 120) {
+  member made;
+  made.name = name;
+  made.zone = zone;
+  made.address = {name, 7440};
+  made.capacity = capacity;
+  return made;
+}
+
+const member SELF = daemon_of("self", "near");
+/** Large daemons, which are preferred to SELF as hubs of its zone. */
+const std::vector<member> NEAR_HUBS{daemon_of("near-1", "near", 500),
+                                    daemon_of("near-2", "near", 500)};
+const member FAR_HUB = daemon_of("far-1", "far", 500);
+const member OTHER_FAR_HUB = daemon_of("far-2", "far", 500);
+const member FAR_DAEMON = daemon_of("far-daemon", "far");
+
+view_message heartbeat() {
+  view_message message;
+  message.large_deployment = true;
+  message.epoch = 1;
+  return message;
+}
+
+zone_list list_of(const std::string& zone, std::vector<member> members) {
+  zone_list list;
+  list.zone = zone;
+  list.digest = digest_of(members);
+  list.members = std::move(members);
+  return list;
+}
+
+/** A message of a hub with what it hears itself. */
+view_message hub_message(std::vector<zone_list> lists) {
+  view_message message = heartbeat();
+  message.from_hub = true;
+  message.complete = true;
+  message.lists = std::move(lists);
+  return message;
+}
+
+/** Heartbeats of the hubs of the zone, which know only that zone. */
+void receive_near_hubs(live_view& view, Instant now) {
+  for (const member& hub : NEAR_HUBS) {
+    view_message message = hub_message({list_of("near", {NEAR_HUBS[0], NEAR_HUBS[1], SELF})});
+    message.covers_all_zones = true;
+    view.apply_message(hub, message, INTERVAL, now);
+  }
+}
+
+/** Lets the time pass, in which only these hubs and the hubs of the zone send heartbeats. */
+void run_with_near_hubs(live_view& view, const std::vector<member>& hubs, Instant from,
+                        Instant until) {
+  for (Instant now = from; now < until; now += Duration(100'000)) {
+    receive_near_hubs(view, now);
+    for (const member& hub : hubs) {
+      view.apply_message(hub, hub_message({}), INTERVAL, now);
+    }
+    view.update(now);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("A list that the view does not use is no word against a daemon in it", "[membership]") {
+  // A daemon that was no hub any more stored the lists of hubs of another zone without using them,
+  // and removed daemons in them after the time for those that such a hub does not hear.
+  live_view view(SELF, view_policy{});
+  receive_near_hubs(view, START);
+  view.apply_message(FAR_DAEMON, heartbeat(), INTERVAL, START);
+  view.apply_message(FAR_HUB, hub_message({list_of("far", {FAR_HUB, FAR_DAEMON})}), INTERVAL,
+                     START);
+  run_with_near_hubs(view, {FAR_HUB}, START, START + SECOND * 35 / 10);
+  CHECK_FALSE(view.is_hub());
+  CHECK(view.find(FAR_DAEMON.name) != nullptr);
+  run_with_near_hubs(view, {FAR_HUB}, START + SECOND * 35 / 10, START + SECOND * 4);
+  CHECK(view.find(FAR_DAEMON.name) == nullptr);
+}
+
+}  // namespace valvekeel::membership
