Membership: what a source said holds when this daemon stops using it

Cause: a daemon that becomes a hub, gives that up or chooses other hubs stops using the lists it used until then, and the new ones come later. In between an older drop by another hub, here of the daemon's former life, took effect although the former sources had contradicted it to the end; and the retention began with the daemon's own last heartbeat instead of those lists. Fix: the roster is told of a source that this daemon stops using. Drops that it contradicted end, and its last heartbeat counts as the last support. Sources that are lost or suspect are not released, so a drop by one hub still takes effect when the hub that contradicted it is gone.

--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -133,6 +133,13 @@
   this->sources_changed = true;
 }
 
+void live_view::release_source(const contact& from, common::Instant now) {
+  // The word of a hub that does not answer may be out of date.
+  if (from.reachable && !this->is_suspect(from.reported.name, now)) {
+    this->known_members.release_source(from.reported.name, *from.last_heartbeat);
+  }
+}
+
 void live_view::apply_epoch(contact& from, const view_message& message, common::Instant now) {
   const bool epoch_changed = from.last_heartbeat && from.epoch != message.epoch;
   if (epoch_changed || (from.last_heartbeat && !has_recent_heartbeat(from, now))) {
@@ -488,9 +495,13 @@
 }
 
 void live_view::set_hub_role(bool as_hub, common::Instant now) {
-  if (std::exchange(this->acts_as_hub, as_hub) == as_hub) {
+  if (this->acts_as_hub == as_hub) {
     return;
   }
+  for (const contact* each : this->sources()) {
+    this->release_source(*each, now);
+  }
+  this->acts_as_hub = as_hub;
   this->sources_changed = true;
   this->direct_list = {};
   this->moved_until.clear();
@@ -574,6 +585,9 @@
   this->partner_list.clear();
   for (auto& [name, each] : this->contacts) {
     if (each.is_partner && !chosen.contains(name)) {
+      if (this->is_source(each)) {
+        this->release_source(each, now);
+      }
       each.is_partner = false;
       each.linger_until = now + PARTNER_LINGER;
       // It no longer sends updates of its lists.
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -157,6 +157,8 @@
   void apply_epoch(contact& from, const view_message& message, common::Instant now);
   void apply_list(contact& from, const zone_list& list, common::Instant now);
   void clear_lists(contact& from);
+  /** Lets the roster know that this daemon stops using the contact's lists by its own choice. */
+  void release_source(const contact& from, common::Instant now);
   void add_registered(member daemon, common::Instant now);
   /** Detects contacts that have become unresponsive. */
   void update_reachability(common::Instant now);
--- a/src/membership/roster.cc
+++ b/src/membership/roster.cc
@@ -37,6 +37,18 @@
   }
 }
 
+void roster::release_source(const std::string& source, common::Instant last_heartbeat) {
+  for (auto& [name, each] : this->entries) {
+    if (!each.supported || each.source != source) {
+      continue;
+    }
+    each.released_support = std::max(each.released_support, last_heartbeat);
+    if (each.dropped_by != source) {
+      each.dropped_at.reset();
+    }
+  }
+}
+
 void roster::begin_round() {
   this->last_drop_source.clear();
   for (auto& [name, each] : this->entries) {
@@ -76,7 +88,7 @@
     }
     const bool presumed = each.presumed_until.count() > 0;
     if (!each.last_support && !presumed) {
-      each.last_support = rules.time_of_last_support(each);
+      each.last_support = std::max(rules.time_of_last_support(each), each.released_support);
     }
     const bool supported_since =
         each.dropped_at && each.dropped_by != each.source && each.last_support > *each.dropped_at;
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -4,7 +4,7 @@
  * A daemon stays in the roster while a source supports it: a hub that lists it, or the daemon
  * itself. It leaves when a source that listed it stops doing so and no other source lists it, or
  * when no source has supported it for the retention time. A source that has never listed a daemon
- * is no evidence against it.
+ * is no evidence against it, nor is the loss of a source that this daemon itself stops using.
  *
  * Owns: the entries. Invariant: between rounds each entry is supported or has an expiry time. No
  * I/O and no clock; not thread-safe.
@@ -31,6 +31,8 @@
     std::string source;      // that supported it in the last round in which any did
     /** The last time at which a source supported it. Empty while one does. */
     std::optional<common::Instant> last_support;
+    /** When a source that was released afterwards last supported it. */
+    common::Instant released_support{0};
     /** Until this time it is kept although no source has supported it yet. */
     common::Instant presumed_until{0};
     /** When a source stopped listing it, unless another source has listed it since. */
@@ -56,6 +58,12 @@
   /** Clears the recorded drop: a source lists the daemon that did not list it before. */
   void clear_drop(const std::string& name);
 
+  /** Records that the next round goes without a source although it still lists its daemons. Drops
+   * by other sources that it has contradicted so far have no effect.
+   *
+   * @param last_heartbeat  when it was received from the source */
+  void release_source(const std::string& source, common::Instant last_heartbeat);
+
   /** Begins a round, in which all sources are evaluated again, the preferred ones first. */
   void begin_round();
 
--- a/tests/membership/roster_test.cc
+++ b/tests/membership/roster_test.cc
@@ -68,4 +68,23 @@
   CHECK(known.all().contains("daemon"));
 }
 
+TEST_CASE(
+    "A drop takes effect when the source that contradicted it is lost, not when it is released",
+    "[membership]") {
+  for (const bool released : {false, true}) {
+    roster known;
+    run_round(known, {"a", "b"}, START);
+    known.record_drop("daemon", "b", START + Duration(1));
+    if (released) {
+      known.release_source("a", START);
+    }
+    known.begin_round();
+    roster::retention rules;
+    rules.time_of_last_support = [](const roster::entry&) { return START; };
+    rules.retained_until = [](const roster::entry& each) { return *each.last_support + RETENTION; };
+    known.end_round(rules, START + Duration(2));
+    CHECK(known.all().contains("daemon") == released);
+  }
+}
+
 }  // namespace valvekeel::membership
--- a/tests/membership/source_change_test.cc
+++ b/tests/membership/source_change_test.cc
@@ -94,4 +94,42 @@
   CHECK(view.find(FAR_DAEMON.name) == nullptr);
 }
 
+TEST_CASE("A daemon that gives up its hub role removes nobody whom its sources listed until then",
+          "[membership]") {
+  // A former hub's drop of a daemon's earlier life had no effect while another hub listed the
+  // daemon, and took effect once the lists for hubs stopped counting.
+  live_view view(SELF, view_policy{});
+  const std::vector<member> all{FAR_HUB, OTHER_FAR_HUB, FAR_DAEMON};
+  view.update(START);
+  REQUIRE(view.is_hub());
+  for (const member& hub : {FAR_HUB, OTHER_FAR_HUB}) {
+    view.apply_message(hub, hub_message({list_of("far", all)}), INTERVAL, START);
+  }
+  view.update(START);
+  const Instant drop = START + Duration(200'000);
+  view.apply_message(OTHER_FAR_HUB, hub_message({list_of("far", {FAR_HUB, OTHER_FAR_HUB})}),
+                     INTERVAL, drop);
+  run_with_near_hubs(view, {}, drop, drop + Duration(800'000));
+  CHECK_FALSE(view.is_hub());
+  CHECK(view.find(FAR_DAEMON.name) != nullptr);
+}
+
+TEST_CASE("Retention begins with the last source that listed a daemon, not with its own heartbeat",
+          "[membership]") {
+  // The daemon's last heartbeat here was older than the lists that had it, and counted after them.
+  live_view view(SELF, view_policy{});
+  view.update(START);
+  REQUIRE(view.is_hub());
+  view.apply_message(FAR_DAEMON, heartbeat(), INTERVAL, START);
+  const Instant last_word = START + SECOND;
+  view.apply_message(FAR_HUB, hub_message({list_of("far", {FAR_HUB, FAR_DAEMON})}), INTERVAL,
+                     last_word);
+  view.update(last_word);
+  run_with_near_hubs(view, {}, last_word, START + SECOND * 45 / 10);
+  CHECK_FALSE(view.is_hub());
+  CHECK(view.find(FAR_DAEMON.name) != nullptr);
+  run_with_near_hubs(view, {}, START + SECOND * 45 / 10, START + SECOND * 5);
+  CHECK(view.find(FAR_DAEMON.name) == nullptr);
+}
+
 }  // namespace valvekeel::membership
