--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -133,6 +133,13 @@
   this->sources_changed = true;
 }
 
+void live_view::release_source(const contact& from, common::Instant now) {
+  // The word of a hub that does not answer may be out of date.
+  if (from.reachable && !this->is_suspect(from.reported.name, now)) {
+    this->known_members.release_source(from.reported.name, *from.last_heartbeat);
+  }
+}
+
 void live_view::apply_epoch(contact& from, const view_message& message, common::Instant now) {
   const bool epoch_changed = from.last_heartbeat && from.epoch != message.epoch;
   if (epoch_changed || (from.last_heartbeat && !has_recent_heartbeat(from, now))) {
@@ -374,8 +381,10 @@
     zones.insert(this->self.zone);
   }
   for (const auto& [name, each] : this->contacts) {
-    const bool is_complete_hub = each.is_hub && !each.covers_all_zones && each.is_complete;
-    if (each.reachable && is_complete_hub && each.lists.contains(each.reported.zone)) {
+    // Whom a hub does not hear is known only from a list that the view uses.
+    const bool is_complete_source =
+        this->is_source(each) && !each.covers_all_zones && each.is_complete;
+    if (each.reachable && is_complete_source && each.lists.contains(each.reported.zone)) {
       zones.insert(each.reported.zone);
     }
   }
@@ -486,9 +495,13 @@
 }
 
 void live_view::set_hub_role(bool as_hub, common::Instant now) {
-  if (std::exchange(this->acts_as_hub, as_hub) == as_hub) {
+  if (this->acts_as_hub == as_hub) {
     return;
   }
+  for (const contact* each : this->sources()) {
+    this->release_source(*each, now);
+  }
+  this->acts_as_hub = as_hub;
   this->sources_changed = true;
   this->direct_list = {};
   this->moved_until.clear();
@@ -572,6 +585,9 @@
   this->partner_list.clear();
   for (auto& [name, each] : this->contacts) {
     if (each.is_partner && !chosen.contains(name)) {
+      if (this->is_source(each)) {
+        this->release_source(each, now);
+      }
       each.is_partner = false;
       each.linger_until = now + PARTNER_LINGER;
       // It no longer sends updates of its lists.
