Commit holders: a record's count of lost logs allocates nothing

A record of commit holders with a huge number of lost logs made each daemon that reads it allocate memory for every one of them until the process ended.

The losses are counted by the time at which they were noticed, and a record counts for at most 2^32-1 of them, so that sums with numbers of instances don't wrap to a small number of needed fences. As before, they go once the primary reports a position, and the record is written anew.

--- a/src/group/commit_holders.cc
+++ b/src/group/commit_holders.cc
@@ -1,8 +1,15 @@
 #include "group/commit_holders.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace valvekeel::group {
+namespace {
+
+/// Most lost logs of a record that count: sums with numbers of instances stay representable.
+constexpr std::size_t kMaxRecordedLosses = std::numeric_limits<std::uint32_t>::max();
+
+}  // namespace
 
 void CommitHolders::OnPresent(const std::string& id) {
   absent_since_.erase(id);
@@ -17,7 +24,15 @@
 
 void CommitHolders::OnLogLost(const std::string& id, common::Instant now) {
   OnPresent(id);
-  log_losses_.push_back(now);
+  ++log_losses_[now];
+}
+
+std::size_t CommitHolders::LostLogs() const {
+  std::size_t count = 0;
+  for (const auto& [noticed, losses] : log_losses_) {
+    count += losses;
+  }
+  return count;
 }
 
 void CommitHolders::Cover(const PositionHistory& history) {
@@ -31,8 +46,8 @@
     covered_.insert(absence->first);
     absence = absent_since_.erase(absence);
   }
-  std::erase_if(log_losses_, [&](common::Instant noticed) {
-    const auto covering = history.Covering(noticed);
+  std::erase_if(log_losses_, [&](const auto& losses) {
+    const auto covering = history.Covering(losses.first);
     if (covering) {
       RaiseFloor(*covering);
     }
@@ -47,9 +62,10 @@
     return;
   }
   // Losses that another daemon recorded are covered by positions reported from now on.
-  const bool first = !recorded_as_of_;
-  while (first && log_losses_.size() < record.lost_logs) {
-    log_losses_.push_back(asked);
+  const std::size_t known = LostLogs();
+  const std::size_t recorded = std::min(record.lost_logs, kMaxRecordedLosses);
+  if (!recorded_as_of_ && recorded > known) {
+    log_losses_[asked] += recorded - known;
   }
   recorded_ = record;
   revision_ = revision;
--- a/src/group/commit_holders.h
+++ b/src/group/commit_holders.h
@@ -13,7 +13,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "common/position.h"
 #include "common/time.h"
@@ -48,7 +47,7 @@
   const common::Position& Floor() const { return floor_; }
 
   /// @return the number of lost logs that the floor does not cover.
-  std::size_t LostLogs() const { return log_losses_.size(); }
+  std::size_t LostLogs() const;
 
   /// Applies the store's record, or its absence (revision number 0).
   /// @param asked when the call was sent that returned it.
@@ -71,7 +70,7 @@
   std::optional<common::Instant> recorded_as_of_;
   std::map<std::string, common::Instant> absent_since_;  // not covered yet
   std::set<std::string> covered_;
-  std::vector<common::Instant> log_losses_;
+  std::map<common::Instant, std::size_t> log_losses_;  // not covered yet, by when noticed
   common::Position floor_;
 };
 
