Stream: report a failed Send from the event loop

A connection whose queue would exceed its limit called its closed handler inside Send. In the host that handler erases the caller's or instance's entry, which the sender still used: the process could end with signal 11, or go on with a count of callers below zero and refuse each further one as busy. Any caller that reads slowly, or a single answer or error above 4 MB, leads there. The same call ran through a link to an owner, which could be destroyed while it was sending, with the session whose bytes it sent.

Send now only posts the failure. No handler runs inside a call to a stream, so nothing that a caller of Send holds can go away under it, in the host's actions, in the handling of a caller's message and in a link alike. A posted failure is not reported once the stream is closed. After the failure nothing more is queued; bytes of the peer that were read before it are still delivered.

Seen before, address and undefined-behaviour sanitizers (alloc_dealloc_mismatch=0): - answer too large for a slow caller: heap-use-after-free in ProxyHost::OnCommandAnswered, called by Execute(AnswerCaller); freed by OnCallerClosed inside Stream::Send - rejection too large: heap-use-after-free in the second erase by Execute(CloseSession); freed in the same manner - the tests of the stream and of the owner's link: the closed handler had run when Send returned

--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -127,11 +127,11 @@
 }
 
 bool Stream::Send(std::string bytes) {
-  if (!open_ || close_after_flush_) {
+  if (!open_ || close_after_flush_ || send_failed_) {
     return false;
   }
   if (queued_.size() + bytes.size() > kMaxQueuedBytes) {
-    Fail(asio::error::no_buffer_space);
+    PostFailure(asio::error::no_buffer_space);
     return false;
   }
   if (queued_.empty()) {
@@ -142,7 +142,12 @@
   if (!write_in_progress_) {
     Write();
   }
-  return true;
+  return !send_failed_;
+}
+
+void Stream::PostFailure(const asio::error_code& fault) {
+  send_failed_ = true;
+  asio::post(timer_.get_executor(), [self = shared_from_this(), fault] { self->Fail(fault); });
 }
 
 void Stream::Write() {
@@ -151,8 +156,7 @@
   socket_.non_blocking(true, error);
   const std::size_t sent = error ? 0 : socket_.write_some(asio::buffer(queued_), error);
   if (error && error != asio::error::would_block && error != asio::error::try_again) {
-    auto self = shared_from_this();
-    asio::post(timer_.get_executor(), [self, error] { self->Fail(error); });
+    PostFailure(error);
     return;
   }
   queued_.erase(0, error ? 0 : sent);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -1,8 +1,9 @@
 // One TCP connection with buffered writes.
 //
-// The stream owns the socket and the bytes that are not written yet, whose number is bounded. After
-// Close no handler is called. After an error only the closed handler is called, once. Not
-// thread-safe: used on the event loop's thread only.
+// The stream owns the socket and the bytes that are not written yet, whose number is bounded.
+// Handlers are called by the event loop only, never inside a call to the stream. After Close no
+// handler is called. After an error only the closed handler is called, once. Not thread-safe: used
+// on the event loop's thread only.
 #pragma once
 
 #include <array>
@@ -55,8 +56,9 @@
   /// Stops reading: later input stays in the socket's receive buffer. Queued bytes are still sent.
   void StopReading() { reading_ = false; }
 
-  /// Queues bytes for sending, in order. @return false if the connection is closed or closing, or
-  /// if the queue would exceed its limit; exceeding the limit closes the connection.
+  /// Queues bytes for sending, in order. @return false if the connection is closed, closing or
+  /// broken, or if the queue would exceed its limit. Exceeding the limit closes the connection, and
+  /// the event loop calls the closed handler.
   bool Send(std::string bytes);
 
   /// Stops reading, and closes the connection once the peer has acknowledged all sent bytes. The
@@ -81,7 +83,10 @@
   void WaitForInput();
   void ReadSome();
   void Write();
+  /// Closes the connection and calls the closed handler.
   void Fail(const asio::error_code& fault);
+  /// Fails from the event loop: the caller of Send may still use what the closed handler destroys.
+  void PostFailure(const asio::error_code& fault);
   void ApplyOptions();
   /// Closes the connection once the peer has acknowledged all sent bytes, or at the flush deadline.
   void CloseWhenAcknowledged();
@@ -98,6 +103,7 @@
   bool open_ = false;
   bool reading_ = true;
   bool write_in_progress_ = false;
+  bool send_failed_ = false;  // nothing more is sent; the failure is reported next
   bool close_after_flush_ = false;
   std::chrono::steady_clock::time_point flush_deadline_;
   unsigned user_timeout_ms_ = 0;
--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -138,4 +138,32 @@
   CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
 }
 
+TEST_CASE("An overflow of the queue is reported after Send has returned", "[net]") {
+  // A closed handler that runs inside Send erases the connection that the sender still uses.
+  RespondingServer server;
+  CHECK_FALSE(server.stream->Send(std::string(3 * kChunkBytes, 'x')));
+  CHECK(server.closed == 0);
+  CHECK_FALSE(server.stream->Send("more"));
+  CHECK(server.RunUntil([&] { return server.closed > 0; }));
+  CHECK_FALSE(server.stream->IsOpen());
+  CHECK(server.stream->EndReason() == asio::error_code(asio::error::no_buffer_space).message());
+  CHECK(server.closed == 1);
+}
+
+TEST_CASE("An overflow of the queue is not reported after the connection is closed", "[net]") {
+  for (const bool flush : {false, true}) {
+    CAPTURE(flush);
+    RespondingServer server;
+    CHECK_FALSE(server.stream->Send(std::string(3 * kChunkBytes, 'x')));
+    if (flush) {
+      server.stream->CloseAfterFlush();
+    } else {
+      server.stream->Close();
+    }
+    CHECK(server.RunUntil([&] { return !server.stream->IsOpen(); }));
+    server.loop.run_for(kShortFlushTimeout);
+    CHECK(server.closed == 0);
+  }
+}
+
 }  // namespace valvekeel::net
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::milliseconds TIMEOUT{300};
 constexpr std::chrono::seconds LIMIT{5};
+/** More than a connection queues. */
+constexpr std::size_t OVERFLOW_BYTES = std::size_t{5} << 20U;
 
 /** The events reported by a link. */
 struct recorded_events {
@@ -185,4 +187,16 @@
   CHECK_FALSE(test.seen.was_open);
 }
 
+TEST_CASE("An overflow of the queue to an owner is reported after send has returned",
+          "[relay_link]") {
+  // The end of the link destroys the link and the session whose bytes are being sent.
+  fixture test("READY I -\r\n");
+  test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+  REQUIRE(test.run_until([&] { return test.seen.accepted; }));
+  test.link->send(std::string(OVERFLOW_BYTES, 'x'));
+  CHECK_FALSE(test.seen.ended);
+  CHECK(test.run_until([&] { return test.seen.ended; }));
+  CHECK(test.seen.was_open);
+}
+
 }  // namespace valvekeel::relay_link
