A log line for a process that a fatal signal or an uncaught exception ends

What callers saw: requests that a daemon had read got no answer. Its process had ended with signal 11, and its log just stopped, so a recursion, a use of freed memory and an exception could not be told apart, nor which build it was.

SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT and std::terminate now leave a line `fatal_signal` in the log's form: the signal, the address, the build id of the executable (also in `started`), the stack as addresses in the executable, the newest event, what the event loop was handling, and the exception's type and text. It is written on an alternate stack without allocating, after the lines that the log had not written yet; then the default action ends the process, so the exit status is as before. Exceptions of the event loop's handlers are not caught, so the stack is that of the throw. Handlers that are there already are kept, and none are installed under sanitizers.

Not built or run on x86-64.

--- a/apps/valvekeeld.cc
+++ b/apps/valvekeeld.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <unistd.h>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "common/result.h"
+#include "crash_report/fatal_signal.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_settings.h"
 #include "runtime/logging.h"
@@ -49,6 +51,10 @@
     return 0;
   }
   valvekeel::runtime::StartLogging(settings.id, settings.log_level);
+  if (!valvekeel::crash_report::install({STDOUT_FILENO, settings.id})) {
+    valvekeel::runtime::Log(valvekeel::runtime::LogLevel::kWarning, "fatal_signal_unreported",
+                            {{"reason", "the system refuses the signal handlers"}});
+  }
   asio::io_context loop(1);
   valvekeel::daemon::Daemon daemon(loop, std::move(settings));
   if (const auto error = daemon.Start()) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "common/time.h"
+#include "crash_report/loaded_modules.h"
 #include "runtime/announce.h"
 #include "runtime/logging.h"
 
@@ -117,7 +118,9 @@
   if (!runtime::AnnounceAddresses(settings_.announce, addresses)) {
     return StartError{absl::StrCat("cannot write ", settings_.announce)};
   }
-  Log(LogLevel::kInfo, "started", addresses);
+  json started = addresses;
+  started["build"] = crash_report::build_id();
+  Log(LogLevel::kInfo, "started", started);
   return std::nullopt;
 }
 
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -3,6 +3,8 @@
 #include <random>
 #include <utility>
 
+#include "crash_report/activity.h"
+#include "crash_report/loaded_modules.h"
 #include "host/catalog_copy_json.h"
 #include "relay/handover.h"
 
@@ -31,7 +33,9 @@
       handover_listener_(loop,
                          [this](asio::ip::tcp::socket socket) { AddHandover(std::move(socket)); }),
       peers_(loop),
-      tick_(loop) {}
+      tick_(loop) {
+  log_.WriteAtFatalSignal();
+}
 
 void ProxyHost::Log(const char* event, const runtime::BoundedLog::Fields& fields) {
   log_.Write("info", event, fields, common::SteadyNow());
@@ -55,6 +59,7 @@
   }
   Log("started", {{"zone", settings_.proxy.zone},
                   {"incarnation", std::to_string(settings_.proxy.incarnation)},
+                  {"build", crash_report::build_id()},
                   {"callers", common::FormatEndpoint(settings_.callers)}});
   ScheduleTick();
   return std::nullopt;
@@ -85,6 +90,7 @@
     if (cancelled) {
       return;
     }
+    crash_report::note_activity("tick");
     proxy_.Tick(common::SteadyNow());
     ExecuteActions();
     if (exit_requested_) {
@@ -178,6 +184,7 @@
 }
 
 void ProxyHost::OnCallerBytes(proxy::SessionNumber number, std::string_view bytes) {
+  crash_report::note_activity("caller_bytes");
   const auto found = callers_.find(number);
   if (found == callers_.end()) {
     return;
@@ -227,6 +234,7 @@
 }
 
 void ProxyHost::OnCallerClosed(proxy::SessionNumber number) {
+  crash_report::note_activity("caller_closed");
   callers_.erase(number);
   proxy_.SessionClosed(number, common::SteadyNow());
   ExecuteActions();
@@ -260,6 +268,7 @@
 }
 
 void ProxyHost::OnInstanceBytes(proxy::ConnectionNumber number, std::string_view bytes) {
+  crash_report::note_activity("instance_bytes");
   const auto found = instances_.find(number);
   if (found == instances_.end()) {
     return;
@@ -302,6 +311,7 @@
 }
 
 void ProxyHost::OnInstanceClosed(proxy::ConnectionNumber number) {
+  crash_report::note_activity("instance_closed");
   if (instances_.erase(number) > 0) {
     proxy_.ConnectionClosed(number, common::SteadyNow());
     ExecuteActions();
@@ -316,6 +326,7 @@
           return;
         }
         if (!error) {
+          crash_report::note_activity("peer_message");
           const auto message = proxy::DecodePeerMessage({peer_buffer_.data(), count});
           if (common::IsOk(message)) {
             proxy_.PeerMessageReceived({peer_sender_.address().to_string(), peer_sender_.port()},
@@ -328,6 +339,7 @@
 }
 
 net::HttpResponse ProxyHost::AnswerHttp(const net::HttpMessage& request) {
+  crash_report::note_activity("http_request", request.target);
   if (request.target == settings_.health_path) {
     return {ready_ ? kHttpOk : kHttpServiceUnavailable, "", "text/plain", {}};
   }
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -4,6 +4,7 @@
 #include <bit>
 #include <utility>
 
+#include "crash_report/activity.h"
 #include "host/catalog_copy_json.h"
 #include "host/configuration_copy.h"
 #include "host/proxy_host.h"
@@ -306,6 +307,7 @@
   const common::Duration timeout =
       configuration_only ? kConfigurationFetchTimeout : kCatalogFetchTimeout;
   client->Call(request, timeout, [=, this](const net::HttpResult& result) {
+    crash_report::note_activity(configuration_only ? "fetched_configuration" : "fetched_catalog");
     std::optional<proxy::CatalogCopy> copy;
     if (common::IsOk(result) && common::ValueOf(result).status == kHttpOk) {
       copy = DecodeFetchedCopy(configuration_only, common::ValueOf(result).body);
--- a/src/runtime/bounded_log.cc
+++ b/src/runtime/bounded_log.cc
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "crash_report/fatal_signal.h"
+
 namespace valvekeel::runtime {
 namespace {
 
@@ -29,9 +31,23 @@
       incarnation_(incarnation),
       limits_(limits) {}
 
+BoundedLog::~BoundedLog() {
+  if (crash_report::current_log() == &pending_) {
+    crash_report::set_log(nullptr);
+  }
+}
+
+void BoundedLog::WriteAtFatalSignal() {
+  PublishBuffer();
+  crash_report::set_log(&pending_);
+}
+
+void BoundedLog::PublishBuffer() { pending_.set({buffer_, sequence_, last_event_}); }
+
 void BoundedLog::Write(std::string_view level, const char* event, const Fields& fields,
                        common::Instant now) {
-  Rate& rate = rates_[event];
+  const auto entry = rates_.try_emplace(event).first;
+  Rate& rate = entry->second;
   if (now >= rate.period_start + limits_.period) {
     rate.period_start = now;
     rate.written = 0;
@@ -62,7 +78,10 @@
     ++dropped_;
     return;
   }
+  pending_.begin_change();
   buffer_ += text;
+  last_event_ = entry->first.c_str();
+  PublishBuffer();
 }
 
 bool BoundedLog::Flush() {
@@ -76,7 +95,9 @@
     if (written <= 0) {
       return false;
     }
+    pending_.begin_change();
     buffer_.erase(0, static_cast<std::size_t>(written));
+    PublishBuffer();
   }
   return true;
 }
--- a/src/runtime/bounded_log.h
+++ b/src/runtime/bounded_log.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "crash_report/pending_lines.h"
 
 namespace valvekeel::runtime {
 
@@ -30,6 +31,13 @@
   /// the process and a number that differs between its incarnations.
   BoundedLog(int descriptor, std::string process, std::uint64_t incarnation, LogLimits limits);
 
+  ~BoundedLog();
+  BoundedLog(const BoundedLog&) = delete;
+  BoundedLog& operator=(const BoundedLog&) = delete;
+
+  /// Has the buffered lines written at a fatal signal, until the log is destroyed.
+  void WriteAtFatalSignal();
+
   /// Buffers a line: a JSON object with time, level, process, event and the fields. Suppresses it
   /// if its event is over the rate limit and drops it if the buffer is full.
   void Write(std::string_view level, const char* event, const Fields& fields, common::Instant now);
@@ -47,6 +55,9 @@
     std::uint64_t suppressed = 0;  // since the event's last written line
   };
 
+  /// Makes the buffer readable for a signal handler after a change.
+  void PublishBuffer();
+
   int descriptor_;
   std::string process_;
   std::uint64_t incarnation_;
@@ -56,6 +67,8 @@
   std::uint64_t dropped_ = 0;
   std::uint64_t suppressed_ = 0;
   std::uint64_t sequence_ = 0;
+  const char* last_event_ = "";  // a key of rates_
+  crash_report::pending_lines pending_;
 };
 
 }  // namespace valvekeel::runtime
