Membership: a hub calls its lists complete only in the version that the receiver has

Cause: "complete" went with every heartbeat, the list it spoke of at most every 0.2 s. A heartbeat between the two made the receiver take the former list, which lacked daemons that the sender had not heard yet, for all of the zone. Fix: complete is sent with the lists themselves, and without them only once the receiver has acknowledged them; so it holds as well if a datagram is lost. The message has no further field. The new test failed before.

--- a/src/membership/live_view.cc
+++ b/src/membership/live_view.cc
@@ -695,9 +695,13 @@
   return lists;
 }
 
-bool live_view::is_due(const contact& each, const zone_list& list, common::Instant now) const {
+bool live_view::has_acknowledged(const contact& each, const zone_list& list) {
   const auto acknowledged = each.acknowledged.find(list.zone);
-  if (acknowledged != each.acknowledged.end() && acknowledged->second == list.digest) {
+  return acknowledged != each.acknowledged.end() && acknowledged->second == list.digest;
+}
+
+bool live_view::is_due(const contact& each, const zone_list& list, common::Instant now) const {
+  if (has_acknowledged(each, list)) {
     return false;
   }
   const auto sent = each.sent.find(list.zone);
@@ -753,6 +757,9 @@
       listed += list->members.size();
       message.lists.push_back(*list);
       to.sent[list->zone] = {list->digest, now};
+    } else if (!has_acknowledged(to, *list)) {
+      // The receiver may have an earlier version, from which daemons are missing.
+      message.complete = false;
     }
   }
   return message;
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -183,6 +183,8 @@
   bool is_client(const contact& each, common::Instant now) const;
   /** @return this daemon's lists that the contact should have. */
   std::vector<const zone_list*> lists_for(const contact& each, common::Instant now) const;
+  /** @return true if the contact has this version of the list. */
+  static bool has_acknowledged(const contact& each, const zone_list& list);
   bool is_due(const contact& each, const zone_list& list, common::Instant now) const;
 
   member self;
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -46,7 +46,7 @@
 struct view_message {
   bool requests_hub_role = false;  // asks the receiver to act as the sender's hub
   bool from_hub = false;           // the sender acts as a hub
-  bool complete = false;           // no live daemon is missing from the sender's lists
+  bool complete = false;           // no live daemon is missing from the lists that the receiver has
   bool covers_all_zones = false;   // its lists cover all zones, else only its own
   /** Changes when the sender starts and when it becomes a hub; 0 if the sender does not state it.
    * Lists of different epochs must not be compared. */
--- a/tests/membership/source_change_test.cc
+++ b/tests/membership/source_change_test.cc
@@ -132,4 +132,41 @@
   CHECK(view.find(FAR_DAEMON.name) == nullptr);
 }
 
+TEST_CASE("A hub's list counts as complete only in the version that the receiver has",
+          "[membership]") {
+  // A heartbeat said that the zone was heard completely while the list that had become complete was
+  // held back, and a hub that had just started took the former version for all of the zone.
+  live_view view(SELF, view_policy{});
+  for (Instant now = START; now <= START + SECOND * 3; now += Duration(100'000)) {
+    view.apply_message(FAR_HUB, hub_message({}), INTERVAL, now);
+    view.update(now);
+  }
+  Instant now = START + SECOND * 3;
+  const view_message first = view.message_for(FAR_HUB.name, now);
+  REQUIRE(first.lists.size() == 1);
+  CHECK(first.complete);
+
+  now += Duration(100'000);
+  view_message request = heartbeat();
+  request.requests_hub_role = true;
+  view.apply_message(daemon_of("new", SELF.zone), request, INTERVAL, now);
+  view.update(now);
+  const view_message held_back = view.message_for(FAR_HUB.name, now);
+  REQUIRE(held_back.lists.empty());
+  CHECK_FALSE(held_back.complete);
+
+  now += Duration(200'000);
+  view.update(now);
+  const view_message second = view.message_for(FAR_HUB.name, now);
+  REQUIRE(second.lists.size() == 1);
+  CHECK(second.complete);
+  // The datagram with the list may have been lost.
+  CHECK_FALSE(view.message_for(FAR_HUB.name, now).complete);
+
+  view_message acknowledgement = hub_message({});
+  acknowledgement.acknowledged_lists.push_back({SELF.zone, second.lists.front().digest});
+  view.apply_message(FAR_HUB, acknowledgement, INTERVAL, now);
+  CHECK(view.message_for(FAR_HUB.name, now).complete);
+}
+
 }  // namespace valvekeel::membership
