Stream: release what the handlers hold once the connection is closed

Each session relayed to an owner left its connection behind: the state of the link holds the stream, whose handlers held that state, and a closed stream kept its handlers until it was destroyed.

Close now hands the handlers to the event loop, which destroys them when none of them runs any more. A handler may still close its own connection. This holds for each user of a stream, whatever its handlers hold.

Seen before: both new tests failed, and LeakSanitizer reported the stream, the codec and the link's state. Now they pass, and it reports none of these.

--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -84,8 +84,10 @@
 }
 
 void Stream::Start(BytesHandler bytes, ClosedHandler closed) {
-  on_bytes_ = std::move(bytes);
-  on_closed_ = std::move(closed);
+  if (!open_) {
+    return;
+  }
+  handlers_ = std::make_unique<Handlers>(Handlers{std::move(bytes), std::move(closed)});
   asio::error_code ignored;  // the first read reports errors of the socket
   socket_.non_blocking(true, ignored);
   WaitForInput();
@@ -118,8 +120,8 @@
     Fail(error);
     return;
   }
-  if (on_bytes_) {
-    on_bytes_(std::string_view(input_.data(), count));
+  if (handlers_->bytes) {
+    handlers_->bytes(std::string_view(input_.data(), count));
   }
   if (open_ && reading_) {
     WaitForInput();
@@ -194,7 +196,7 @@
   // The handler may hold the last reference to this stream, so keep the stream alive until it
   // returns.
   auto self = shared_from_this();
-  const ClosedHandler closed = std::move(on_closed_);
+  const ClosedHandler closed = handlers_ ? std::move(handlers_->closed) : nullptr;
   Close();
   if (closed) {
     closed();
@@ -208,7 +210,9 @@
   // Nothing would answer further input, and reading the peer's end of stream would close the
   // connection before the queued bytes are sent.
   StopReading();
-  on_closed_ = nullptr;
+  if (handlers_) {
+    handlers_->closed = nullptr;
+  }
   close_after_flush_ = true;
   flush_deadline_ = std::chrono::steady_clock::now() + timeout;
   timer_.expires_at(flush_deadline_);
@@ -264,7 +268,9 @@
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  // The handlers are kept until destruction, because one of them may be running.
+  // What the handlers hold may hold this stream, so they are released now; one of them may be
+  // running, so they are destroyed by the event loop.
+  asio::post(timer_.get_executor(), [released = std::move(handlers_)] {});
 }
 
 }  // namespace valvekeel::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -2,8 +2,8 @@
 //
 // The stream owns the socket and the bytes that are not written yet, whose number is bounded.
 // Handlers are called by the event loop only, never inside a call to the stream. After Close no
-// handler is called. After an error only the closed handler is called, once. Not thread-safe: used
-// on the event loop's thread only.
+// handler is called, and what the handlers hold is released. After an error only the closed handler
+// is called, once. Not thread-safe: used on the event loop's thread only.
 #pragma once
 
 #include <array>
@@ -79,6 +79,11 @@
   void SetUserTimeout(unsigned milliseconds);
 
  private:
+  struct Handlers {
+    BytesHandler bytes;
+    ClosedHandler closed;
+  };
+
   /// Waits until the socket is readable, then reads.
   void WaitForInput();
   void ReadSome();
@@ -108,8 +113,7 @@
   std::chrono::steady_clock::time_point flush_deadline_;
   unsigned user_timeout_ms_ = 0;
   std::string end_reason_;
-  BytesHandler on_bytes_;
-  ClosedHandler on_closed_;
+  std::unique_ptr<Handlers> handlers_;  // set from Start until Close
 };
 
 }  // namespace valvekeel::net
--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -166,4 +166,26 @@
   }
 }
 
+TEST_CASE("A closed connection releases what its handlers hold", "[net]") {
+  RespondingServer server;
+  const auto held = std::make_shared<std::string>("held");
+  const auto closed_by_handler = std::make_shared<Stream>(server.loop);
+  closed_by_handler->Connect(
+      {"127.0.0.1", server.listener.Port()}, kRunTimeout,
+      [&, held] {
+        closed_by_handler->Start(
+            [closed_by_handler, held](std::string_view) {
+              closed_by_handler->Close();
+              CHECK(*held == "held");
+            },
+            [held] {});
+        closed_by_handler->Send("first");
+      },
+      [](ConnectError) {});
+  server.sent = 0;
+  CHECK(server.RunUntil([&] { return held.use_count() == 1; }));
+  CHECK_FALSE(closed_by_handler->IsOpen());
+  CHECK(server.RunUntil([&] { return closed_by_handler.use_count() == 1; }));
+}
+
 }  // namespace valvekeel::net
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -27,11 +27,15 @@
   bool between_messages = true;
   std::vector<model::Reply> answers;
   std::string bytes;
+  int observers = 0;  // event receivers that exist
 };
 
 class recording_events : public owner_events {
  public:
-  explicit recording_events(recorded_events& seen) : seen(seen) {}
+  explicit recording_events(recorded_events& seen) : seen(seen) { ++this->seen.observers; }
+  ~recording_events() override { --this->seen.observers; }
+  recording_events(const recording_events&) = delete;
+  recording_events& operator=(const recording_events&) = delete;
   void on_accepted() override { this->seen.accepted = true; }
   void on_rejected() override { this->seen.rejected = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
@@ -199,4 +203,21 @@
   CHECK(test.seen.was_open);
 }
 
+TEST_CASE("A link that ended or was closed releases its connection once it is destroyed",
+          "[relay_link]") {
+  // The connection's handlers and the state that holds the connection kept each other alive.
+  for (const bool ended : {false, true}) {
+    CAPTURE(ended);
+    fixture test("READY I -\r\n");
+    test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+    REQUIRE(test.run_until([&] { return test.seen.accepted; }));
+    if (ended) {
+      test.link->send("second");  // the owner closes the connection
+      REQUIRE(test.run_until([&] { return test.seen.ended; }));
+    }
+    test.link.reset();
+    CHECK(test.run_until([&] { return test.seen.observers == 0; }));
+  }
+}
+
 }  // namespace valvekeel::relay_link
