HttpServer: count a connection down once

A response that did not fit the queue of a connection which was to be closed after it counted the connection down twice: in the closed handler that ran inside Send, and after it. The count went below zero, and the server closed each later connection: a daemon answered no readiness probe any more.

The count is now held by an object of the connection that can be released only once, so no order of events can take it down twice.

The test passes now.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -60,6 +60,27 @@
   return bytes + "\r\n" + response.body;
 }
 
+/// One of the connections that a server may have open, until it is released.
+class ServedConnection {
+ public:
+  explicit ServedConnection(std::shared_ptr<std::size_t> count) : count_(std::move(count)) {
+    ++*count_;
+  }
+  ~ServedConnection() { Release(); }
+  ServedConnection(const ServedConnection&) = delete;
+  ServedConnection& operator=(const ServedConnection&) = delete;
+
+  /// Counts the connection no longer. Further calls have no effect.
+  void Release() {
+    if (count_) {
+      --*std::exchange(count_, nullptr);
+    }
+  }
+
+ private:
+  std::shared_ptr<std::size_t> count_;
+};
+
 }  // namespace
 
 struct HttpClient::Connection {
@@ -216,32 +237,31 @@
     socket.close(ignored);
     return;
   }
-  ++*connections_;
-  const auto count = connections_;
+  const auto served = std::make_shared<ServedConnection>(connections_);
   auto stream = std::make_shared<Stream>(loop_, std::move(socket));
   auto parser = std::make_shared<HttpParser>(HttpRole::kReadsRequests);
   const std::weak_ptr<Stream> weak = stream;
   stream->Start(
-      [this, weak, parser, count](std::string_view bytes) {
+      [this, weak, parser, served](std::string_view bytes) {
         const auto serving = weak.lock();
         if (!serving) {
           return;
         }
         if (!parser->Feed(bytes)) {
           serving->Close();
-          --*count;
+          served->Release();
           return;
         }
         for (const HttpMessage& message : parser->TakeMessages()) {
           serving->Send(SerializeResponse(handler_(message), message.keep_alive));
           if (!message.keep_alive) {
             serving->CloseAfterFlush();
-            --*count;
+            served->Release();
             return;
           }
         }
       },
-      [count] { --*count; });
+      [served] { served->Release(); });
 }
 
 }  // namespace valvekeel::net
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -11,6 +11,8 @@
 using common::ValueOf;
 
 constexpr std::chrono::milliseconds kTimeout{300};
+/// More than a connection queues.
+constexpr std::size_t kOverflowBytes = std::size_t{5} << 20U;
 
 /// Sends a request and runs the loop until its handler is called.
 HttpResult CallAndWait(asio::io_context& loop, HttpClient& client, const HttpRequest& request) {
@@ -121,4 +123,25 @@
   CHECK(answered == kClients);
 }
 
+TEST_CASE("A response that cannot be queued takes up no connection of the server", "[net]") {
+  // The count of connections went below zero, and the server closed every later connection.
+  asio::io_context loop;
+  HttpServer server(loop, [](const HttpMessage& request) {
+    const std::size_t size = request.target == "/large" ? kOverflowBytes : 1;
+    return HttpResponse{200, std::string(size, 'x'), "text/plain", {}};
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  HttpRequest large;
+  large.target = "/large";
+  for (const bool keep_alive : {true, false}) {
+    CAPTURE(keep_alive);
+    if (!keep_alive) {
+      large.headers = {kCloseAfterResponse};
+    }
+    CHECK_FALSE(IsOk(CallAndWait(loop, client, large)));
+    CHECK(IsOk(CallAndWait(loop, client, {})));
+  }
+}
+
 }  // namespace valvekeel::net
