HttpClient: an unrequested response finishes no other call

The handler of a response may start the next call, which took the same connection although bytes after the response had been read from it. A second response in the same segment then finished the new call, and a part of one was joined with the new call's response: a read of the store could get another read's contents.

A connection is kept for reuse only if the bytes read from it end with the response. Bytes that arrive without a call close the connection, also if they are no whole response.

Seen before: the second call got the unrequested body. It gets its own now.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -102,9 +102,7 @@
 };
 
 HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server)
-    : loop_(loop),
-      server_(std::move(server)),
-      idle_(std::make_shared<std::vector<std::shared_ptr<Connection>>>()) {}
+    : loop_(loop), server_(std::move(server)), idle_(std::make_shared<IdleConnections>()) {}
 
 void HttpClient::SetServer(const common::Endpoint& server) {
   if (server == server_) {
@@ -135,6 +133,32 @@
   handler(result);
 }
 
+void HttpClient::Receive(const std::shared_ptr<Connection>& connection, IdleConnections& idle) {
+  const std::shared_ptr<Exchange> done = connection->exchange;
+  if (!done) {
+    connection->stream->Close();
+    return;
+  }
+  std::vector<HttpMessage> messages = connection->parser.TakeMessages();
+  if (messages.empty()) {
+    return;
+  }
+  // The handler may start a call at once, which must not take a connection whose next bytes belong
+  // to no request.
+  const bool only_response = messages.size() == 1 && connection->parser.AtMessageBoundary();
+  HttpMessage& message = messages.front();
+  if (only_response && message.keep_alive && idle.size() < kMaxIdleConnections) {
+    idle.push_back(connection);
+  } else {
+    connection->stream->CloseAfterFlush();
+  }
+  HttpResponse response;
+  response.status = message.status;
+  response.body = std::move(message.body);
+  response.headers = std::move(message.headers);
+  Finish(done, response);
+}
+
 void HttpClient::Call(const HttpRequest& request, std::chrono::microseconds timeout,
                       HttpHandler handler) {
   auto exchange = std::make_shared<Exchange>(loop_);
@@ -165,7 +189,7 @@
   const auto idle = idle_;
   connection->stream->Connect(
       server_, timeout,
-      [this, weak, idle] {
+      [weak, idle] {
         const auto opened = weak.lock();
         if (!opened || !opened->exchange) {
           return;
@@ -183,23 +207,7 @@
                 reading->stream->Close();
                 return;
               }
-              for (HttpMessage& message : reading->parser.TakeMessages()) {
-                const std::shared_ptr<Exchange> done = reading->exchange;
-                if (!done) {
-                  reading->stream->Close();
-                  return;
-                }
-                if (message.keep_alive && idle->size() < kMaxIdleConnections) {
-                  idle->push_back(reading);
-                } else {
-                  reading->stream->CloseAfterFlush();
-                }
-                HttpResponse response;
-                response.status = message.status;
-                response.body = std::move(message.body);
-                response.headers = std::move(message.headers);
-                Finish(done, response);
-              }
+              Receive(reading, *idle);
             },
             [weak] {
               const auto ended = weak.lock();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -61,13 +61,16 @@
  private:
   struct Connection;
   struct Exchange;
+  using IdleConnections = std::vector<std::shared_ptr<Connection>>;
 
-  void Send(const std::shared_ptr<Exchange>& exchange);
+  static void Send(const std::shared_ptr<Exchange>& exchange);
+  /// Finishes the connection's call if its response is complete.
+  static void Receive(const std::shared_ptr<Connection>& connection, IdleConnections& idle);
   static void Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result);
 
   asio::io_context& loop_;
   common::Endpoint server_;
-  std::shared_ptr<std::vector<std::shared_ptr<Connection>>> idle_;
+  std::shared_ptr<IdleConnections> idle_;
 };
 
 /// Serves requests with one handler, which runs on the event loop.
--- a/src/net/http_parser.cc
+++ b/src/net/http_parser.cc
@@ -32,6 +32,7 @@
     self.current_ = HttpMessage{};
     self.header_name_.clear();
     self.in_header_value_ = false;
+    self.in_message_ = true;
     self.head_bytes_ = 0;
     return 0;
   }
@@ -74,6 +75,7 @@
     self.current_.keep_alive = http_should_keep_alive(parser) != 0;
     self.complete_.push_back(std::move(self.current_));
     self.current_ = HttpMessage{};
+    self.in_message_ = false;
     return 0;
   }
 
--- a/src/net/http_parser.h
+++ b/src/net/http_parser.h
@@ -46,6 +46,9 @@
   /// Reports that the peer has closed the stream, which completes a response without a length.
   void OnEndOfStream();
 
+  /// @return true if the bytes fed so far end at the end of a message.
+  bool AtMessageBoundary() const { return !in_message_; }
+
   /// Removes and returns the messages completed since the last call.
   std::vector<HttpMessage> TakeMessages();
 
@@ -57,6 +60,7 @@
   HttpMessage current_;
   std::string header_name_;
   bool in_header_value_ = false;
+  bool in_message_ = false;
   std::size_t head_bytes_ = 0;
   std::vector<HttpMessage> complete_;
 };
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -15,9 +15,15 @@
 constexpr std::size_t kOverflowBytes = std::size_t{5} << 20U;
 
 /// Sends a request and runs the loop until its handler is called.
-HttpResult CallAndWait(asio::io_context& loop, HttpClient& client, const HttpRequest& request) {
+/// @param then called by that handler.
+HttpResult CallAndWait(
+    asio::io_context& loop, HttpClient& client, const HttpRequest& request,
+    const HttpHandler& then = [](const HttpResult&) {}) {
   std::optional<HttpResult> outcome;
-  client.Call(request, kTimeout, [&](const HttpResult& result) { outcome = result; });
+  client.Call(request, kTimeout, [&](const HttpResult& result) {
+    outcome = result;
+    then(result);
+  });
   while (!outcome) {
     loop.run_one();
   }
@@ -50,6 +56,36 @@
   asio::ip::tcp::acceptor acceptor_;
 };
 
+/// Responds to each block of input with the next of the given texts.
+class RespondingServer {
+ public:
+  RespondingServer(asio::io_context& loop, std::vector<std::string> responses)
+      : loop_(loop),
+        responses_(std::move(responses)),
+        listener_(loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); }) {
+    REQUIRE(listener_.Listen({"127.0.0.1", 0}));
+  }
+  std::uint16_t Port() const { return listener_.Port(); }
+
+ private:
+  void Serve(asio::ip::tcp::socket socket) {
+    auto stream = std::make_shared<Stream>(loop_, std::move(socket));
+    const std::weak_ptr<Stream> weak = stream;
+    stream->Start(
+        [this, weak](std::string_view) {
+          if (next_ < responses_.size()) {
+            weak.lock()->Send(responses_[next_++]);
+          }
+        },
+        [] {});
+  }
+
+  asio::io_context& loop_;
+  std::vector<std::string> responses_;
+  std::size_t next_ = 0;
+  Listener listener_;
+};
+
 }  // namespace
 
 TEST_CASE("The client gets a response to each of two consecutive calls", "[net]") {
@@ -144,4 +180,27 @@
   }
 }
 
+TEST_CASE("A response that follows another without a request finishes no later call", "[net]") {
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+  for (const std::size_t size : {stray.size(), stray.size() - 1, std::size_t{1}}) {
+    CAPTURE(size);
+    asio::io_context loop;
+    RespondingServer server(loop, {first + stray.substr(0, size),
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"});
+    HttpClient client(loop, {"127.0.0.1", server.Port()});
+    std::optional<HttpResult> second;
+    const HttpResult result = CallAndWait(loop, client, {}, [&](const HttpResult&) {
+      client.Call({}, kTimeout, [&](const HttpResult& later) { second = later; });
+    });
+    REQUIRE(IsOk(result));
+    CHECK(ValueOf(result).body == "first");
+    while (!second) {
+      loop.run_one();
+    }
+    REQUIRE(IsOk(*second));
+    CHECK(ValueOf(*second).body == "second");
+  }
+}
+
 }  // namespace valvekeel::net
