Listener: survives its own end, and waits when a connection can't be accepted

The accept in progress referred to the listener: one destroyed while an accepted connection was queued, or by its own handler, was used after it was freed. And an accept that failed for want of descriptors started the next at once, without a log line, as long as the shortage lasted.

State and socket are now shared with the operation in progress. After a failed accept the listener tries again 50 ms later and reports the failure; the daemon logs connection_not_accepted.

Seen before, address sanitizer: heap-use-after-free in both new cases of a destroyed listener. Without free descriptors the loop ran 4,988 handlers in 100 ms.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,5 +1,6 @@
 #include "host/proxy_host.h"
 
+#include <bit>
 #include <random>
 #include <utility>
 
@@ -26,10 +27,12 @@
       proxy_(settings_.proxy, std::random_device{}()),
       log_(settings_.log_descriptor, settings_.proxy.name, settings_.proxy.incarnation,
            settings_.log),
-      callers_listener_(loop,
-                        [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); }),
-      handover_listener_(loop,
-                         [this](asio::ip::tcp::socket socket) { AddHandover(std::move(socket)); }),
+      callers_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); },
+          [this](const auto& fault) { OnAcceptFailed(settings_.callers, fault.message()); }),
+      handover_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddHandover(std::move(socket)); },
+          [this](const auto& fault) { OnAcceptFailed(settings_.proxy.peer, fault.message()); }),
       peers_(loop),
       tick_(loop) {}
 
@@ -47,7 +50,8 @@
   }
   for (const common::Endpoint& address : {settings_.health, settings_.admin}) {
     auto server = std::make_unique<net::HttpServer>(
-        loop_, [this](const net::HttpMessage& request) { return AnswerHttp(request); });
+        loop_, [this](const net::HttpMessage& request) { return AnswerHttp(request); },
+        [this, address](const auto& fault) { OnAcceptFailed(address, fault.message()); });
     if (!server->Listen(address)) {
       return StartError{common::FormatEndpoint(address) + " cannot be bound"};
     }
@@ -96,6 +100,16 @@
   });
 }
 
+void ProxyHost::OnAcceptFailed(const common::Endpoint& address, const std::string& reason) {
+  ++failed_accepts_;
+  // Logs only at powers of two: a listener tries again while descriptors are short.
+  if (std::has_single_bit(failed_accepts_)) {
+    Log("connection_not_accepted", {{"count", std::to_string(failed_accepts_)},
+                                    {"address", common::FormatEndpoint(address)},
+                                    {"reason", reason}});
+  }
+}
+
 void ProxyHost::AddCaller(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
   TrackStream(stream);
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -99,6 +99,8 @@
   void ScheduleTick();
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
+  /// Counts and logs a connection that could not be accepted.
+  void OnAcceptFailed(const common::Endpoint& address, const std::string& reason);
   /// Counts and logs a heartbeat that could not be sent.
   void OnHeartbeatNotSent(std::size_t bytes, const std::string& reason);
   static void OnCommandAnswered(Caller& caller);
@@ -146,6 +148,7 @@
   ConfigurationCopyCache configuration_copy_;
   std::size_t largest_heartbeat_bytes_ = 0;
   std::uint64_t unsent_heartbeats_ = 0;
+  std::uint64_t failed_accepts_ = 0;
   net::Listener callers_listener_;
   net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -230,10 +230,12 @@
   exchange->connection->stream->Send(std::move(exchange->bytes));
 }
 
-HttpServer::HttpServer(asio::io_context& loop, Handler handler)
+HttpServer::HttpServer(asio::io_context& loop, Handler handler, Listener::FailureHandler failed)
     : loop_(loop),
       handler_(std::move(handler)),
-      listener_(loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); }) {}
+      listener_(
+          loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); },
+          std::move(failed)) {}
 
 bool HttpServer::Listen(const common::Endpoint& address) { return listener_.Listen(address); }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -78,7 +78,8 @@
  public:
   using Handler = std::function<HttpResponse(const HttpMessage& request)>;
 
-  HttpServer(asio::io_context& loop, Handler handler);
+  /// @param failed called when a connection could not be accepted.
+  HttpServer(asio::io_context& loop, Handler handler, Listener::FailureHandler failed = {});
 
   /// @return false if the address cannot be bound.
   bool Listen(const common::Endpoint& address);
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -1,13 +1,16 @@
 // Accepts TCP connections on one address.
 //
-// The listener owns the listening socket. The handler is not called after Close or after the
-// listener's destruction. Not thread-safe: used on the event loop's thread only.
+// The listener owns the listening socket. No handler is called after Close or after the listener's
+// destruction; a handler may destroy the listener. Not thread-safe: used on the event loop's thread
+// only.
 #pragma once
 
+#include <asio/error_code.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
 
 #include "common/endpoint.h"
 
@@ -17,9 +20,11 @@
 class Listener {
  public:
   using Handler = std::function<void(asio::ip::tcp::socket socket)>;
+  using FailureHandler = std::function<void(const asio::error_code& fault)>;
 
   /// @param handler receives each accepted socket; what it refers to must outlive the listener.
-  Listener(asio::io_context& loop, Handler handler);
+  /// @param failed called when a connection could not be accepted.
+  Listener(asio::io_context& loop, Handler handler, FailureHandler failed = {});
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -33,10 +38,11 @@
   void Close();
 
  private:
-  void Accept();
+  struct State;
+  static void Accept(const std::shared_ptr<State>& state);
+  static void AcceptLater(const std::shared_ptr<State>& state);
 
-  asio::ip::tcp::acceptor acceptor_;
-  Handler handler_;
+  std::shared_ptr<State> state_;  // shared with the operations in progress
 };
 
 }  // namespace valvekeel::net
