--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -19,6 +19,7 @@
     """Acknowledged and refused writes, counts of operations, and violations of the rules."""
 
     def __init__(self):
+        self.began = time.monotonic()
         self.acknowledged = {}  # request id: service
         self.refused = {}       # request id: service
         self.commits = {}       # service: list of (log number, time of the acknowledgement)
@@ -133,8 +134,11 @@
         row = (await self.ask(request_id, "READ t%d" % self.random.randrange(self.number + 3)))[0]
         _, values, applied = row.split(";")
         if int(applied) < minimum_position:
-            self.history.violations.append("STALE: %s read %s on a log of %s, needed %d" % (
-                self.kind, request_id, applied, minimum_position))
+            now = time.monotonic()
+            self.history.violations.append(
+                "STALE: %s read %s of %s on a log of %s, needed %d, at %.2f s, took %.3f s" % (
+                    self.kind, request_id, self.service, applied, minimum_position,
+                    now - self.history.began, now - began))
         expected = "who=" + self.session_value if self.session_value else ""
         if values != expected:
             self.history.violations.append("PINNED: %s instead of %s" % (values, expected))
