Unreadable answers of the store on one object are logged and counted

What operators saw: nothing. An object of the configuration, the leadership or the commit holders that could not be read counted as a store that doesn't answer, so a daemon repeated the call without end and no line named the object.

The store client now notifies the host of such an answer, with call, collection and name: `store_answer_unreadable`, logged at powers of two, and `valvekeel_store_answers_unreadable_total`. The decision code gets no answer, as before.

The test of the reports needs the new interface, so it was not run on the old code.

--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -97,6 +97,13 @@
   virtual bool AtMessageBoundary() const = 0;
 };
 
+/// An answer of the store that is not what the store is documented to send.
+struct UnreadableAnswer {
+  const char* call = "";        // for instance "read_leadership"
+  const char* collection = "";  // for instance "leadership"
+  std::string name;             // of the object
+};
+
 /// Client of the metadata store. Handlers are called on the event loop's thread.
 class MetadataStore {
  public:
@@ -113,7 +120,14 @@
   using ConfigurationHandler =
       std::function<void(const std::optional<std::pair<model::Configuration, model::Revision>>&)>;
 
+  using UnreadableHandler = std::function<void(const UnreadableAnswer&)>;
+
   virtual ~MetadataStore() = default;
+
+  /// Sets a handler that is notified of unreadable answers to the calls that read or write one
+  /// object. Their own handlers get such an answer as none.
+  void SetUnreadableHandler(UnreadableHandler handler) { unreadable_ = std::move(handler); }
+
   virtual void Read(const metadata::ReadCall& call, ReadHandler handler) = 0;
 
   /// Reads the current leadership record of an era.
@@ -130,6 +144,16 @@
   /// Writes the record of a group's commit holders, if it has the revision.
   virtual void WriteHolders(const proxy::WriteHolders& write, HolderHandler handler) = 0;
   virtual void WriteDaemon(const model::DaemonEntry& entry, DaemonWriteHandler handler) = 0;
+
+ protected:
+  void ReportUnreadable(const UnreadableAnswer& answer) const {
+    if (unreadable_) {
+      unreadable_(answer);
+    }
+  }
+
+ private:
+  UnreadableHandler unreadable_;
 };
 
 /// Client of the service that promotes instances.
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -94,7 +94,9 @@
 }
 
 std::string Metrics::Serialize(proxy::Proxy& proxy, const runtime::BoundedLog& log,
-                               const HeartbeatStats& heartbeats, common::Instant now) {
+                               const HeartbeatStats& heartbeats,
+                               const std::map<std::string, std::uint64_t>& unreadable_answers,
+                               common::Instant now) {
   SetGauge("valvekeel_largest_heartbeat_bytes", "Largest heartbeat sent in this life", {},
            static_cast<double>(heartbeats.largest_bytes));
   SetGauge("valvekeel_unsent_heartbeats_total", "Heartbeats that the system did not take", {},
@@ -133,6 +135,11 @@
              "Entries of the store that named no instance to use", {{"reason", reason}},
              static_cast<double>(count));
   }
+  for (const auto& [call, count] : unreadable_answers) {
+    SetGauge("valvekeel_store_answers_unreadable_total",
+             "Answers of the store that could not be read", {{"call", call}},
+             static_cast<double>(count));
+  }
   for (const auto& [code, count] : counters.errors) {
     SetGauge("valvekeel_errors_total", "Errors answered to callers", {{"code", code}},
              static_cast<double>(count));
--- a/src/host/metrics.h
+++ b/src/host/metrics.h
@@ -28,9 +28,12 @@
   /// Adds the durations of a statement to the histograms.
   void Observe(const proxy::StatementTimes& times);
 
+  /// @param unreadable_answers of the store, by call.
   /// @return all metrics in text format, with the current state of the decision code.
   std::string Serialize(proxy::Proxy& proxy, const runtime::BoundedLog& log,
-                        const HeartbeatStats& heartbeats, common::Instant now);
+                        const HeartbeatStats& heartbeats,
+                        const std::map<std::string, std::uint64_t>& unreadable_answers,
+                        common::Instant now);
 
  private:
   void SetTenantGauges(proxy::Proxy& proxy, common::Instant now);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -35,6 +35,8 @@
       peers_(loop),
       tick_(loop) {
   log_.WriteAtFatalSignal();
+  adapter_.Store().SetUnreadableHandler(
+      [this](const UnreadableAnswer& answer) { OnUnreadableAnswer(answer); });
 }
 
 void ProxyHost::Log(const char* event, const runtime::BoundedLog::Fields& fields) {
@@ -355,7 +357,7 @@
   if (request.target == kMetricsPath) {
     return {kHttpOk,
             metrics_.Serialize(proxy_, log_, {largest_heartbeat_bytes_, unsent_heartbeats_},
-                               common::SteadyNow()),
+                               unreadable_answers_, common::SteadyNow()),
             "text/plain",
             {}};
   }
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -99,6 +99,8 @@
   void ScheduleTick();
   net::HttpResponse AnswerHttp(const net::HttpMessage& request);
 
+  /// Counts and logs an answer of the store that could not be read.
+  void OnUnreadableAnswer(const UnreadableAnswer& answer);
   /// Counts and logs a heartbeat that could not be sent.
   void OnHeartbeatNotSent(std::size_t bytes, const std::string& reason);
   static void OnCommandAnswered(Caller& caller);
@@ -146,6 +148,7 @@
   ConfigurationCopyCache configuration_copy_;
   std::size_t largest_heartbeat_bytes_ = 0;
   std::uint64_t unsent_heartbeats_ = 0;
+  std::map<std::string, std::uint64_t> unreadable_answers_;  // by call
   net::Listener callers_listener_;
   net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -284,6 +284,17 @@
   }
 }
 
+void ProxyHost::OnUnreadableAnswer(const UnreadableAnswer& answer) {
+  const std::uint64_t count = ++unreadable_answers_[answer.call];
+  // Logs only at powers of two: the daemon repeats the call until the object changes.
+  if (std::has_single_bit(count)) {
+    Log("store_answer_unreadable", {{"call", answer.call},
+                                    {"collection", answer.collection},
+                                    {"name", answer.name},
+                                    {"count", std::to_string(count)}});
+  }
+}
+
 void ProxyHost::OnHeartbeatNotSent(std::size_t bytes, const std::string& reason) {
   ++unsent_heartbeats_;
   // Logs only at powers of two: an unreachable network would fill the log.
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -178,6 +178,35 @@
   CHECK(read->first.version == 7);
 }
 
+TEST_CASE("An unreadable answer on one object is reported once and passed on as none",
+          "[platform]") {
+  Store store([](const net::HttpMessage&) { return Ok("{\"meta\":7"); });
+  std::vector<std::string> reported;
+  const auto report = [&reported](StoreClient& client) {
+    client.SetUnreadableHandler([&reported](const host::UnreadableAnswer& answer) {
+      reported.push_back(std::string(answer.call) + " " + answer.collection + "/" + answer.name);
+    });
+  };
+  using Configuration = std::optional<std::pair<model::Configuration, model::Revision>>;
+  CHECK_FALSE(store.Wait<Configuration>([&](StoreClient& client, auto handler) {
+    report(client);
+    client.ReadConfiguration(handler);
+  }));
+  using Leadership = std::optional<std::pair<model::LeadershipRecord, model::Revision>>;
+  CHECK_FALSE(store.Wait<Leadership>([&](StoreClient& client, auto handler) {
+    report(client);
+    client.ReadLeadership(2, handler);
+  }));
+  const auto holders = store.Wait<proxy::HolderResult>([&](StoreClient& client, auto handler) {
+    report(client);
+    client.ReadHolders("s1", handler);
+  });
+  CHECK(holders.status == failover::WriteStatus::kNoAnswer);
+  CHECK(reported == std::vector<std::string>{"read_configuration configuration/main",
+                                             "read_leadership leadership/leader-2",
+                                             "read_holders holders/s1"});
+}
+
 TEST_CASE("A daemon's own entry that another writer has nested deeply is replaced", "[platform]") {
   std::vector<std::string> methods;
   Store store([&](const net::HttpMessage& request) {
