--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -103,6 +103,8 @@
 
   /// Counts and logs a connection that could not be accepted.
   void OnAcceptFailed(const common::Endpoint& address, const std::string& reason);
+  /// Counts and logs an answer of the store that could not be read.
+  void OnUnreadableAnswer(const UnreadableAnswer& answer);
   /// Counts and logs a heartbeat that could not be sent.
   void OnHeartbeatNotSent(std::size_t bytes, const std::string& reason);
   static void OnCommandAnswered(Caller& caller);
@@ -152,6 +154,7 @@
   std::uint64_t unsent_heartbeats_ = 0;
   std::uint64_t unreadable_heartbeats_ = 0;
   std::uint64_t failed_accepts_ = 0;
+  std::map<std::string, std::uint64_t> unreadable_answers_;  // by call
   net::Listener callers_listener_;
   net::Listener handover_listener_;  // for sessions that other daemons hand over
   asio::ip::udp::socket peers_;
