Evacuations and names of other writers keep heartbeats within a datagram

A heartbeat names all evacuated zones. An evacuation with a name of 100 KB, or some hundreds with long names, made each heartbeat larger than a datagram: none was sent, and the daemons counted each other as lost. Reports of groups with long names of services or instances did the same.

Names longer than any zone's (256 bytes) are not applied, counted in the log event evacuations_unusable. A view of more than 8 KB is not sent; the receivers then read the store themselves, as they do when no view reaches them. Reports go to a further message once their names take 24 KB; with usual names nothing changes.

Both tests failed on the code before: a heartbeat of 204,956 bytes; two zones instead of one. The bound on the reports' names has no test of its own.

--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -264,7 +264,8 @@
   evacuation::read_schedule evacuation_reads_;
   evacuation::evacuation_rule evacuation_rule_;
   std::optional<CallNumber> evacuation_call_;
-  bool evacuations_changed_ = false;  // sent to all partners at once
+  bool evacuations_changed_ = false;      // sent to all partners at once
+  std::size_t unusable_evacuations_ = 0;  // in the store's last answer
   warm_up::warm_up_rule warm_up_;
   std::map<std::string, common::Instant> cold_since_;  // by instance
   regions::region_policy regions_;
--- a/src/proxy/proxy_evacuation.cc
+++ b/src/proxy/proxy_evacuation.cc
@@ -1,10 +1,19 @@
 // The proxy's view of evacuated zones: read from the store, exchanged with other daemons.
 
+#include <utility>
+
 #include "proxy/proxy.h"
 
 namespace valvekeel::proxy {
 namespace {
 
+/// Longest name of a zone: entries of instances with a longer one are not accepted.
+constexpr std::size_t kMaxZoneBytes = 256;
+/// Most bytes of zone names in a heartbeat, which is one datagram. A daemon that receives no view
+/// reads the store itself.
+constexpr std::size_t kMaxViewBytes = std::size_t{8} << 10U;
+constexpr std::size_t kEncodedNameOverhead = 3;  // bytes
+
 std::string AgeText(const std::optional<common::Duration>& age) {
   return age ? MillisecondsText(*age) : "none";
 }
@@ -54,8 +63,16 @@
   evacuation::zone_view view;
   view.revision = result.revision;
   view.read_at = catalog_.CompleteAsOf(*read_at);
+  std::size_t too_long = 0;
   for (const model::CatalogObject& object : result.objects) {
-    view.zones.insert(object.name);
+    if (object.name.size() <= kMaxZoneBytes) {
+      view.zones.insert(object.name);
+    } else {
+      ++too_long;
+    }
+  }
+  if (std::exchange(unusable_evacuations_, too_long) != too_long && too_long > 0) {
+    outbox_.Log("evacuations_unusable", {{"count", std::to_string(too_long)}}, LogLevel::kWarning);
   }
   ApplyEvacuations(view, "store", now);
   return true;
@@ -97,8 +114,16 @@
 }
 
 void Proxy::AddEvacuations(PeerMessage& message, common::Instant now) const {
-  if (EvacuationsEnabled()) {
-    message.evacuations = evacuations_.message(now);
+  if (!EvacuationsEnabled()) {
+    return;
+  }
+  evacuation::view_message view = evacuations_.message(now);
+  std::size_t bytes = 0;
+  for (const std::string& zone : view.zones) {
+    bytes += zone.size() + kEncodedNameOverhead;
+  }
+  if (bytes <= kMaxViewBytes) {
+    message.evacuations = std::move(view);
   }
 }
 
--- a/src/proxy/proxy_heartbeats.cc
+++ b/src/proxy/proxy_heartbeats.cc
@@ -33,6 +33,9 @@
 /// report has about 50 bytes and a datagram at most 65,507, which 1,300 reports would fill.
 constexpr std::size_t kMostReports = 250;
 constexpr std::size_t kMostReportsBesideLists = 10;
+/// Maximum size of the names in these reports. The rest of a report takes at most 110 bytes, so
+/// that the message fits into a datagram if names are long.
+constexpr std::size_t kMostReportNameBytes = 24'000;
 /// Maximum number of names in a log line on lost daemons; the count includes the others.
 constexpr std::size_t kMostNamesLogged = 8;
 
@@ -303,11 +306,15 @@
                         common::Instant now) {
   // Lists of daemons and many reports don't fit into one message.
   const std::size_t most = message.view.lists.empty() ? kMostReports : kMostReportsBesideLists;
+  std::size_t name_bytes = 0;
   for (const GroupReport& report : groups) {
     if (!NeedsReport(report, peer)) {
       continue;
     }
-    if (message.groups.size() >= (message.is_continuation ? kMostReports : most)) {
+    name_bytes += report.service.size() + report.primary.size();
+    const bool is_full = message.groups.size() >= (message.is_continuation ? kMostReports : most) ||
+                         (name_bytes > kMostReportNameBytes && !message.groups.empty());
+    if (is_full) {
       PeerMessage next = WithoutGroups(message);
       next.view.lists.clear();
       next.view.known_hubs.clear();
@@ -315,6 +322,7 @@
       peers_.FillHeader(peer, message, now);
       outbox_.Emit(SendPeerMessage{peer.address, std::move(message)});
       message = std::move(next);
+      name_bytes = report.service.size() + report.primary.size();
     }
     message.groups.push_back(report);
   }
--- a/tests/proxy/proxy_evacuation_test.cc
+++ b/tests/proxy/proxy_evacuation_test.cc
@@ -227,4 +227,39 @@
   CHECK_FALSE(fixture.proxy.Evacuations().is_evacuated("north"));
 }
 
+// Objects of another writer among the evacuations made each heartbeat larger than a datagram, so
+// that the daemons counted each other as lost.
+TEST_CASE("Evacuations of many unknown zones do not keep heartbeats from being sent",
+          "[proxy][evacuation]") {
+  constexpr std::size_t kMaxDatagram = 65'507;
+  EvacuationFixture fixture;
+  fixture.ReceiveView(1, {}, Duration(0));
+  fixture.proxy.SessionStarted(1, "orders", {}, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  REQUIRE_FALSE(fixture.reads.empty());
+  std::vector<std::string> zones = {"north"};
+  for (int number = 0; number < 1'000; ++number) {
+    zones.push_back(std::string(200, 'z') + std::to_string(number));
+  }
+  fixture.AnswerRead(metadata::ReadStatus::kOk, 5, zones);
+  CHECK(fixture.proxy.Evacuations().is_evacuated("north"));
+  const std::size_t before = fixture.sent_messages.size();
+  fixture.Advance(std::chrono::seconds(1));
+  REQUIRE(fixture.sent_messages.size() > before);
+  CHECK(EncodePeerMessage(fixture.sent_messages.back()).size() <= kMaxDatagram);
+  CHECK_FALSE(fixture.sent_messages.back().evacuations.age);  // the peer reads the store itself
+}
+
+TEST_CASE("An evacuation with a name that no zone has is logged and not applied",
+          "[proxy][evacuation]") {
+  EvacuationFixture fixture;
+  fixture.proxy.SessionStarted(1, "orders", {}, {}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  REQUIRE_FALSE(fixture.reads.empty());
+  fixture.AnswerRead(metadata::ReadStatus::kOk, 5, {"north", std::string(100'000, 'z')});
+  REQUIRE(fixture.proxy.Evacuations().has_view());
+  CHECK(fixture.proxy.Evacuations().newest()->zones.size() == 1);
+  CHECK(fixture.Logged("evacuations_unusable"));
+}
+
 }  // namespace valvekeel::proxy
