Warm-up: a rate that no integer represents is limited

The number of requests that a starting instance may get in a second was converted from the configured rate without a bound; for a rate of 1e300 the result is undefined. It is now limited to 1e9. The test failed on the code before (2^64-1 on this machine).

--- a/src/warm_up/warm_up_rule.cc
+++ b/src/warm_up/warm_up_rule.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t FIRST_STATEMENT_REQUESTS = 2;
 /** Requests of a further statement of a transaction. */
 constexpr std::size_t NEXT_STATEMENT_REQUESTS = 1;
+/** Limit for rates that no instance reaches; larger ones may not be representable as an integer. */
+constexpr double MAX_SENDING_LIMIT = 1e9;
 
 /** @return the retry-after of requests that this daemon may not send to the instance. */
 common::Duration cold_retry_after(const cold_state& state, common::Instant now) {
@@ -22,7 +24,7 @@
 
 std::size_t sending_limit(const model::WarmUp& warm_up, const tolerance& allowed) {
   const double tolerated = warm_up.rate * allowed.overage + allowed.slack;
-  const double limit = std::min(warm_up.rate, tolerated / 2);
+  const double limit = std::min({warm_up.rate, tolerated / 2, MAX_SENDING_LIMIT});
   return static_cast<std::size_t>(std::max(0.0, std::floor(limit)));
 }
 
--- a/tests/warm_up/warm_up_rule_test.cc
+++ b/tests/warm_up/warm_up_rule_test.cc
@@ -77,6 +77,11 @@
   CHECK(sending_limit({6 * SECOND, 0.5}, {1, 0}) == 0);
 }
 
+// The conversion of a limit that no integer represents is undefined.
+TEST_CASE("A rate that is too high for any instance is limited", "[warm_up]") {
+  CHECK(sending_limit({6 * SECOND, 1e300}, ALLOWED) == 1'000'000'000);
+}
+
 TEST_CASE("A warm instance is open", "[warm_up]") {
   rule_fixture fixture;
   CHECK(fixture.judge("a").level == access::access_level::open);
