explain: odd lines of a log are counted as not read

A line with a field of another type ended the tool by an exception. Such lines, and lines nested too deep, count as not read, as lines cut off do. The test failed on the code before.

--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <tuple>
 
+#include "bounded_json/bounded_json.h"
+
 namespace valvekeel::explain {
 namespace {
 
@@ -146,6 +148,23 @@
   return text;
 }
 
+/// @return true if the field is missing or an integer.
+bool IsIntegerIfGiven(const json& object, const char* name) {
+  const auto found = object.find(name);
+  return found == object.end() || found->is_number_integer();
+}
+
+/// @return true if the value is a line of a log, with fields of the expected types.
+bool IsLine(const json& value) {
+  const auto is_text = [&](const char* name) {
+    return value.contains(name) && value.at(name).is_string();
+  };
+  return value.is_object() && is_text("process") && is_text("event") && value.contains("seq") &&
+         value.at("seq").is_number_unsigned() && IsIntegerIfGiven(value, "life") &&
+         IsIntegerIfGiven(value, "mono_ms") && IsIntegerIfGiven(value, "time_ms") &&
+         IsIntegerIfGiven(value, "suppressed_before");
+}
+
 }  // namespace
 
 void ReadLog(const std::string& text, LogSet& logs) {
@@ -156,13 +175,12 @@
       logs.unreadable += raw.empty() ? 0 : 1;
       continue;
     }
-    const json parsed = json::parse(raw.substr(brace), nullptr, false);
-    const bool complete = parsed.is_object() && parsed.contains("process") &&
-                          parsed.contains("seq") && parsed.contains("event");
-    if (!complete) {
+    const auto read = bounded_json::parse(std::string_view(raw).substr(brace));
+    if (!read || !IsLine(*read)) {
       ++logs.unreadable;
       continue;
     }
+    const json& parsed = *read;
     LogLine line;
     line.process = parsed.at("process").get<std::string>();
     line.incarnation = parsed.value("life", std::uint64_t{0});
--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -35,6 +35,29 @@
   CHECK(nlohmann::json::parse(FormatJson(explanation, 2)).at("lines").size() == 2);
 }
 
+// A line with a field of another type ended the tool by an exception.
+TEST_CASE("Odd lines of a log are counted as not read", "[explain]") {
+  const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+  const std::vector<std::string> lines = {
+      R"({"process":5,"seq":1,"event":"a"})",
+      R"({"process":"p","seq":"1","event":"a"})",
+      R"({"process":"p","seq":-1,"event":"a"})",
+      R"({"process":"p","seq":1,"event":5})",
+      R"({"process":"p","seq":1,"event":"a","life":"x"})",
+      R"({"process":"p","seq":1,"event":"a","mono_ms":"x"})",
+      R"({"process":"p","seq":1,"event":"request_failed","time_ms":"x"})",
+      R"({"process":"p","seq":1,"event":"request_failed","suppressed_before":"x"})",
+      R"({"process":"p","seq":1e400,"event":"a"})",
+      R"({"process":"p","seq":1,"event":"a","x":)" + deep + "}"};
+  for (const std::string& line : lines) {
+    CAPTURE(line.substr(0, 100));
+    LogSet logs;
+    REQUIRE_NOTHROW(ReadLog(line + "\n", logs));
+    CHECK(logs.unreadable == 1);
+    CHECK(logs.lines.empty());
+  }
+}
+
 TEST_CASE("A request refused early is explained by its expected wait", "[explain]") {
   LogSet logs;
   ReadLog(
