status: a daemon's answer of another form is an error

An answer that lacks a field, or has one of another type, ended the tool by an exception. Not run against such a daemon.

--- a/src/operator/commands.cc
+++ b/src/operator/commands.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <vector>
 
+#include "bounded_json/bounded_json.h"
 #include "check/history_check.h"
 #include "check/summary.h"
 #include "explain/explain.h"
@@ -117,6 +118,21 @@
   }
 }
 
+/// Throws json::exception for a status of another form.
+void PrintStatus(const json& status) {
+  std::cout << absl::StrFormat(
+      "daemon %s in %s, %d sessions, relay %s, platform %s\n", status.value("id", ""),
+      status.value("zone", ""), status.value("sessions", 0),
+      status.value("relay", false) ? "yes" : "no",
+      status.value("platform_reachable", false) ? "reachable" : "not read");
+  PrintRows("members", status.at("members"), {"id", "zone", "state"});
+  PrintRows("databases", status.at("databases"), {"name", "term", "primary", "version"});
+  PrintRows("share groups", status.at("share_groups"), {"name", "share", "version"});
+  PrintRows("pools", status.at("pools"),
+            {"database", "instance", "role", "connections", "open_transactions", "in_flight",
+             "replay_lag_us"});
+}
+
 }  // namespace
 
 int RunCheck(const std::string& path, OutputFormat format) {
@@ -180,22 +196,17 @@
     std::cerr << "the daemon at " << address << " does not answer\n";
     return kFinding;
   }
-  const json status = json::parse(answer->body, nullptr, false);
-  if (format == OutputFormat::kJson || !status.is_object()) {
+  const auto status = bounded_json::parse(answer->body);
+  if (format == OutputFormat::kJson || !status || !status->is_object()) {
     std::cout << answer->body << "\n";
     return 0;
   }
-  std::cout << absl::StrFormat(
-      "daemon %s in %s, %d sessions, relay %s, platform %s\n", status.value("id", ""),
-      status.value("zone", ""), status.value("sessions", 0),
-      status.value("relay", false) ? "yes" : "no",
-      status.value("platform_reachable", false) ? "reachable" : "not read");
-  PrintRows("members", status.at("members"), {"id", "zone", "state"});
-  PrintRows("databases", status.at("databases"), {"name", "term", "primary", "version"});
-  PrintRows("share groups", status.at("share_groups"), {"name", "share", "version"});
-  PrintRows("pools", status.at("pools"),
-            {"database", "instance", "role", "connections", "open_transactions", "in_flight",
-             "replay_lag_us"});
+  try {
+    PrintStatus(*status);
+  } catch (const json::exception& error) {
+    std::cerr << "the status of " << address << " cannot be read: " << error.what() << "\n";
+    return kUnreadable;
+  }
   return 0;
 }
 
