Soak: a lag that begins takes back nothing that a replica has applied

STALE was shown now and then in runs with lagging replicas, on any code: the stand-in checks the position of a read, runs it some ms later, and counted as applied only what was older than the present lag, so that a lag that began in between took entries back. What a replica has applied now stays applied, as long as its log has it; the check is as strict as before.

--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -29,6 +29,7 @@
         self.group, self.name, self.host, self.port = group, name, host, port
         self.log = []          # of (number, request id, key, value)
         self.received_at = []  # time.monotonic() at which each entry arrived
+        self.applied_count = 0
         self.primary = False
         self.term = 1
         self.fence = 0
@@ -51,8 +52,9 @@
             return len(self.log)
         limit = time.monotonic() - self.lag
         count = len(self.log)
-        while count and self.received_at[count - 1] > limit:
+        while count > self.applied_count and self.received_at[count - 1] > limit:
             count -= 1
+        self.applied_count = count  # a lag that begins takes nothing back
         return count
 
     def read(self, key):
@@ -74,7 +76,7 @@
 
     async def start_empty(self):
         """Starts a new incarnation under the same name, with an empty log."""
-        self.log, self.received_at = [], []
+        self.log, self.received_at, self.applied_count = [], [], 0
         self.primary, self.term = False, 1
         self.born = max(self.born + 1, int(time.time() * 1000))
         await self.start()
@@ -343,6 +345,7 @@
             if common < len(each.log):
                 del each.log[common:]
                 del each.received_at[common:]
+                each.applied_count = min(each.applied_count, common)
             for entry in newest_primary.log[common:]:
                 each.append(entry)
             each.term = newest_primary.term
