HttpClient: a destroyed client closes its idle connections

The list of idle connections and the handlers of each connection in it kept each other alive: a client that was destroyed left its idle connections and their sockets open for good. A daemon creates such a client for each catalog or configuration it fetches from another daemon; these ask the other side to close, so no growth was seen there.

Handlers refer to the list weakly, and the destructor closes what is idle.

Seen before: the server's connection stayed open, and LeakSanitizer reported the connection at the end of each test of a client that reuses connections. Both are gone; the tests of net, host and relay_link end without a leak under the sanitizers.

--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -104,15 +104,21 @@
 HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server)
     : loop_(loop), server_(std::move(server)), idle_(std::make_shared<IdleConnections>()) {}
 
+HttpClient::~HttpClient() { CloseIdle(); }
+
+void HttpClient::CloseIdle() {
+  for (const auto& connection : *idle_) {
+    connection->stream->Close();
+  }
+  idle_->clear();
+}
+
 void HttpClient::SetServer(const common::Endpoint& server) {
   if (server == server_) {
     return;
   }
   server_ = server;
-  for (const auto& connection : *idle_) {
-    connection->stream->Close();
-  }
-  idle_->clear();
+  CloseIdle();
 }
 
 void HttpClient::Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result) {
@@ -133,7 +139,7 @@
   handler(result);
 }
 
-void HttpClient::Receive(const std::shared_ptr<Connection>& connection, IdleConnections& idle) {
+void HttpClient::Receive(const std::shared_ptr<Connection>& connection, IdleConnections* idle) {
   const std::shared_ptr<Exchange> done = connection->exchange;
   if (!done) {
     connection->stream->Close();
@@ -147,8 +153,9 @@
   // to no request.
   const bool only_response = messages.size() == 1 && connection->parser.AtMessageBoundary();
   HttpMessage& message = messages.front();
-  if (only_response && message.keep_alive && idle.size() < kMaxIdleConnections) {
-    idle.push_back(connection);
+  if (only_response && message.keep_alive && idle != nullptr &&
+      idle->size() < kMaxIdleConnections) {
+    idle->push_back(connection);
   } else {
     connection->stream->CloseAfterFlush();
   }
@@ -186,7 +193,7 @@
   connection->exchange = exchange;
   exchange->connection = connection;
   const std::weak_ptr<Connection> weak = connection;
-  const auto idle = idle_;
+  const std::weak_ptr<IdleConnections> idle = idle_;
   connection->stream->Connect(
       server_, timeout,
       [weak, idle] {
@@ -207,7 +214,7 @@
                 reading->stream->Close();
                 return;
               }
-              Receive(reading, *idle);
+              Receive(reading, idle.lock().get());
             },
             [weak] {
               const auto ended = weak.lock();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -48,6 +48,10 @@
 class HttpClient {
  public:
   HttpClient(asio::io_context& loop, common::Endpoint server);
+  /// Closes the idle connections; calls in progress continue.
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
 
   /// Changes the server. Closes the idle connections if the address differs; calls in progress
   /// continue.
@@ -64,8 +68,10 @@
   using IdleConnections = std::vector<std::shared_ptr<Connection>>;
 
   static void Send(const std::shared_ptr<Exchange>& exchange);
+  void CloseIdle();
   /// Finishes the connection's call if its response is complete.
-  static void Receive(const std::shared_ptr<Connection>& connection, IdleConnections& idle);
+  /// @param idle takes the connection for reuse; null if the client is destroyed.
+  static void Receive(const std::shared_ptr<Connection>& connection, IdleConnections* idle);
   static void Finish(const std::shared_ptr<Exchange>& exchange, const HttpResult& result);
 
   asio::io_context& loop_;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -66,6 +66,8 @@
     REQUIRE(listener_.Listen({"127.0.0.1", 0}));
   }
   std::uint16_t Port() const { return listener_.Port(); }
+  /// @return the number of connections that the clients ended.
+  int Ended() const { return ended_; }
 
  private:
   void Serve(asio::ip::tcp::socket socket) {
@@ -77,12 +79,13 @@
             weak.lock()->Send(responses_[next_++]);
           }
         },
-        [] {});
+        [this] { ++ended_; });
   }
 
   asio::io_context& loop_;
   std::vector<std::string> responses_;
   std::size_t next_ = 0;
+  int ended_ = 0;
   Listener listener_;
 };
 
@@ -203,4 +206,17 @@
   }
 }
 
+TEST_CASE("A destroyed client closes its idle connections", "[net]") {
+  // The idle connections and the list of them kept each other alive.
+  asio::io_context loop;
+  RespondingServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+  auto client = std::make_unique<HttpClient>(loop, common::Endpoint{"127.0.0.1", server.Port()});
+  REQUIRE(IsOk(CallAndWait(loop, *client, {})));
+  loop.run_for(kTimeout);
+  REQUIRE(server.Ended() == 0);
+  client.reset();
+  loop.run_for(kTimeout);
+  CHECK(server.Ended() == 1);
+}
+
 }  // namespace valvekeel::net
