HttpClient: test of a part of a response that arrives between two calls

The connection took the next call, whose response was read as the rest of the part. Seen failing on a trial that looked for a call only when a message was complete, as the code did before; passes with the check of each block of bytes that arrives without a call.

--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -68,11 +68,14 @@
   std::uint16_t Port() const { return listener_.Port(); }
   /// @return the number of connections that the clients ended.
   int Ended() const { return ended_; }
+  /// Sends bytes on the newest connection without a request.
+  void SendUnasked(const std::string& bytes) { newest_->Send(bytes); }
 
  private:
   void Serve(asio::ip::tcp::socket socket) {
     auto stream = std::make_shared<Stream>(loop_, std::move(socket));
     const std::weak_ptr<Stream> weak = stream;
+    newest_ = stream;
     stream->Start(
         [this, weak](std::string_view) {
           if (next_ < responses_.size()) {
@@ -86,6 +89,7 @@
   std::vector<std::string> responses_;
   std::size_t next_ = 0;
   int ended_ = 0;
+  std::shared_ptr<Stream> newest_;
   Listener listener_;
 };
 
@@ -219,4 +223,17 @@
   CHECK(server.Ended() == 1);
 }
 
+TEST_CASE("A part of a response that arrives between two calls spoils no later call", "[net]") {
+  asio::io_context loop;
+  RespondingServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"});
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  REQUIRE(IsOk(CallAndWait(loop, client, {})));
+  server.SendUnasked("HTTP/1.1 200 OK\r\nContent-");
+  loop.run_for(kTimeout);
+  const HttpResult second = CallAndWait(loop, client, {});
+  REQUIRE(IsOk(second));
+  CHECK(ValueOf(second).body == "second");
+}
+
 }  // namespace valvekeel::net
