--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -66,23 +66,30 @@
     REQUIRE(listener_.Listen({"127.0.0.1", 0}));
   }
   std::uint16_t Port() const { return listener_.Port(); }
+  /// @return the number of connections that the clients ended.
+  int Ended() const { return ended_; }
+  /// Sends bytes on the newest connection without a request.
+  void SendUnasked(const std::string& bytes) { newest_->Send(bytes); }
 
  private:
   void Serve(asio::ip::tcp::socket socket) {
     auto stream = std::make_shared<Stream>(loop_, std::move(socket));
     const std::weak_ptr<Stream> weak = stream;
+    newest_ = stream;
     stream->Start(
         [this, weak](std::string_view) {
           if (next_ < responses_.size()) {
             weak.lock()->Send(responses_[next_++]);
           }
         },
-        [] {});
+        [this] { ++ended_; });
   }
 
   asio::io_context& loop_;
   std::vector<std::string> responses_;
   std::size_t next_ = 0;
+  int ended_ = 0;
+  std::shared_ptr<Stream> newest_;
   Listener listener_;
 };
 
@@ -203,4 +210,30 @@
   }
 }
 
+TEST_CASE("A destroyed client closes its idle connections", "[net]") {
+  // The idle connections and the list of them kept each other alive.
+  asio::io_context loop;
+  RespondingServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+  auto client = std::make_unique<HttpClient>(loop, common::Endpoint{"127.0.0.1", server.Port()});
+  REQUIRE(IsOk(CallAndWait(loop, *client, {})));
+  loop.run_for(kTimeout);
+  REQUIRE(server.Ended() == 0);
+  client.reset();
+  loop.run_for(kTimeout);
+  CHECK(server.Ended() == 1);
+}
+
+TEST_CASE("A part of a response that arrives between two calls spoils no later call", "[net]") {
+  asio::io_context loop;
+  RespondingServer server(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"});
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  REQUIRE(IsOk(CallAndWait(loop, client, {})));
+  server.SendUnasked("HTTP/1.1 200 OK\r\nContent-");
+  loop.run_for(kTimeout);
+  const HttpResult second = CallAndWait(loop, client, {});
+  REQUIRE(IsOk(second));
+  CHECK(ValueOf(second).body == "second");
+}
+
 }  // namespace valvekeel::net
