--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "common/time.h"
+#include "crash_report/loaded_modules.h"
 #include "runtime/announce.h"
 #include "runtime/logging.h"
 
@@ -117,7 +118,9 @@
   if (!runtime::AnnounceAddresses(settings_.announce, addresses)) {
     return StartError{absl::StrCat("cannot write ", settings_.announce)};
   }
-  Log(LogLevel::kInfo, "started", addresses);
+  json started = addresses;
+  started["build"] = crash_report::build_id();
+  Log(LogLevel::kInfo, "started", started);
   return std::nullopt;
 }
 
@@ -532,6 +535,10 @@
 }
 
 void Daemon::ApplyList(const std::string& kind, const object_store::ObjectList& list) {
+  if (list.unreadable > 0) {
+    Log(LogLevel::kWarning, "platform_objects_unreadable",
+        {{"kind", kind}, {"count", list.unreadable}});
+  }
   std::set<std::string> listed;
   for (const object_store::Object& object : list.items) {
     listed.insert(object.name);
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -1,8 +1,11 @@
 #include "host/proxy_host.h"
 
+#include <bit>
 #include <random>
 #include <utility>
 
+#include "crash_report/activity.h"
+#include "crash_report/loaded_modules.h"
 #include "host/catalog_copy_json.h"
 #include "relay/handover.h"
 
@@ -26,12 +29,16 @@
       proxy_(settings_.proxy, std::random_device{}()),
       log_(settings_.log_descriptor, settings_.proxy.name, settings_.proxy.incarnation,
            settings_.log),
-      callers_listener_(loop,
-                        [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); }),
-      handover_listener_(loop,
-                         [this](asio::ip::tcp::socket socket) { AddHandover(std::move(socket)); }),
+      callers_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddCaller(std::move(socket)); },
+          [this](const auto& fault) { OnAcceptFailed(settings_.callers, fault.message()); }),
+      handover_listener_(
+          loop, [this](asio::ip::tcp::socket socket) { AddHandover(std::move(socket)); },
+          [this](const auto& fault) { OnAcceptFailed(settings_.proxy.peer, fault.message()); }),
       peers_(loop),
-      tick_(loop) {}
+      tick_(loop) {
+  log_.WriteAtFatalSignal();
+}
 
 void ProxyHost::Log(const char* event, const runtime::BoundedLog::Fields& fields) {
   log_.Write("info", event, fields, common::SteadyNow());
@@ -47,7 +54,8 @@
   }
   for (const common::Endpoint& address : {settings_.health, settings_.admin}) {
     auto server = std::make_unique<net::HttpServer>(
-        loop_, [this](const net::HttpMessage& request) { return AnswerHttp(request); });
+        loop_, [this](const net::HttpMessage& request) { return AnswerHttp(request); },
+        [this, address](const auto& fault) { OnAcceptFailed(address, fault.message()); });
     if (!server->Listen(address)) {
       return StartError{common::FormatEndpoint(address) + " cannot be bound"};
     }
@@ -55,6 +63,7 @@
   }
   Log("started", {{"zone", settings_.proxy.zone},
                   {"incarnation", std::to_string(settings_.proxy.incarnation)},
+                  {"build", crash_report::build_id()},
                   {"callers", common::FormatEndpoint(settings_.callers)}});
   ScheduleTick();
   return std::nullopt;
@@ -85,6 +94,7 @@
     if (cancelled) {
       return;
     }
+    crash_report::note_activity("tick");
     proxy_.Tick(common::SteadyNow());
     ExecuteActions();
     if (exit_requested_) {
@@ -96,6 +106,16 @@
   });
 }
 
+void ProxyHost::OnAcceptFailed(const common::Endpoint& address, const std::string& reason) {
+  ++failed_accepts_;
+  // Logs only at powers of two: a listener tries again while descriptors are short.
+  if (std::has_single_bit(failed_accepts_)) {
+    Log("connection_not_accepted", {{"count", std::to_string(failed_accepts_)},
+                                    {"address", common::FormatEndpoint(address)},
+                                    {"reason", reason}});
+  }
+}
+
 void ProxyHost::AddCaller(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::Stream>(loop_, std::move(socket));
   TrackStream(stream);
@@ -178,6 +198,7 @@
 }
 
 void ProxyHost::OnCallerBytes(proxy::SessionNumber number, std::string_view bytes) {
+  crash_report::note_activity("caller_bytes");
   const auto found = callers_.find(number);
   if (found == callers_.end()) {
     return;
@@ -227,6 +248,7 @@
 }
 
 void ProxyHost::OnCallerClosed(proxy::SessionNumber number) {
+  crash_report::note_activity("caller_closed");
   callers_.erase(number);
   proxy_.SessionClosed(number, common::SteadyNow());
   ExecuteActions();
@@ -260,6 +282,7 @@
 }
 
 void ProxyHost::OnInstanceBytes(proxy::ConnectionNumber number, std::string_view bytes) {
+  crash_report::note_activity("instance_bytes");
   const auto found = instances_.find(number);
   if (found == instances_.end()) {
     return;
@@ -302,6 +325,7 @@
 }
 
 void ProxyHost::OnInstanceClosed(proxy::ConnectionNumber number) {
+  crash_report::note_activity("instance_closed");
   if (instances_.erase(number) > 0) {
     proxy_.ConnectionClosed(number, common::SteadyNow());
     ExecuteActions();
@@ -309,25 +333,39 @@
 }
 
 void ProxyHost::ReceivePeerMessage() {
-  peers_.async_receive_from(
-      asio::buffer(peer_buffer_), peer_sender_,
-      [this](const asio::error_code& error, std::size_t count) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          const auto message = proxy::DecodePeerMessage({peer_buffer_.data(), count});
-          if (common::IsOk(message)) {
-            proxy_.PeerMessageReceived({peer_sender_.address().to_string(), peer_sender_.port()},
-                                       common::ValueOf(message), common::SteadyNow());
-            ExecuteActions();
-          }
-        }
-        ReceivePeerMessage();
-      });
+  peers_.async_receive_from(asio::buffer(peer_buffer_), peer_sender_,
+                            [this](const asio::error_code& error, std::size_t count) {
+                              if (error == asio::error::operation_aborted) {
+                                return;
+                              }
+                              if (!error) {
+                                HandlePeerDatagram({peer_buffer_.data(), count});
+                              }
+                              ReceivePeerMessage();
+                            });
+}
+
+void ProxyHost::HandlePeerDatagram(std::string_view bytes) {
+  crash_report::note_activity("peer_message");
+  const common::Endpoint sender{peer_sender_.address().to_string(), peer_sender_.port()};
+  const auto message = proxy::DecodePeerMessage(bytes);
+  if (common::IsOk(message)) {
+    proxy_.PeerMessageReceived(sender, common::ValueOf(message), common::SteadyNow());
+    ExecuteActions();
+    return;
+  }
+  ++unreadable_heartbeats_;
+  // Logs only at powers of two: the sender may repeat it without end.
+  if (std::has_single_bit(unreadable_heartbeats_)) {
+    Log("heartbeat_unreadable", {{"count", std::to_string(unreadable_heartbeats_)},
+                                 {"from", common::FormatEndpoint(sender)},
+                                 {"bytes", std::to_string(bytes.size())},
+                                 {"reason", common::ErrorOf(message).reason}});
+  }
 }
 
 net::HttpResponse ProxyHost::AnswerHttp(const net::HttpMessage& request) {
+  crash_report::note_activity("http_request", request.target);
   if (request.target == settings_.health_path) {
     return {ready_ ? kHttpOk : kHttpServiceUnavailable, "", "text/plain", {}};
   }
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -4,6 +4,7 @@
 #include <bit>
 #include <utility>
 
+#include "crash_report/activity.h"
 #include "host/catalog_copy_json.h"
 #include "host/configuration_copy.h"
 #include "host/proxy_host.h"
@@ -270,16 +271,16 @@
 
 void ProxyHost::Execute(const proxy::SendPeerMessage& action) {
   asio::error_code error;
+  const std::string bytes = proxy::EncodePeerMessage(action.message);
+  largest_heartbeat_bytes_ = std::max(largest_heartbeat_bytes_, bytes.size());
   const auto host = asio::ip::make_address(action.address.host, error);
   if (!error) {
-    const std::string bytes = proxy::EncodePeerMessage(action.message);
-    largest_heartbeat_bytes_ = std::max(largest_heartbeat_bytes_, bytes.size());
     // A heartbeat that the system rejects is lost like any other datagram.
     peers_.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(host, action.address.port), 0,
                    error);
-    if (error) {
-      OnHeartbeatNotSent(bytes.size(), error.message());
-    }
+  }
+  if (error) {
+    OnHeartbeatNotSent(bytes.size(), error.message());
   }
 }
 
@@ -306,6 +307,7 @@
   const common::Duration timeout =
       configuration_only ? kConfigurationFetchTimeout : kCatalogFetchTimeout;
   client->Call(request, timeout, [=, this](const net::HttpResult& result) {
+    crash_report::note_activity(configuration_only ? "fetched_configuration" : "fetched_catalog");
     std::optional<proxy::CatalogCopy> copy;
     if (common::IsOk(result) && common::ValueOf(result).status == kHttpOk) {
       copy = DecodeFetchedCopy(configuration_only, common::ValueOf(result).body);
--- a/src/membership/live_view.h
+++ b/src/membership/live_view.h
@@ -157,6 +157,8 @@
   void apply_epoch(contact& from, const view_message& message, common::Instant now);
   void apply_list(contact& from, const zone_list& list, common::Instant now);
   void clear_lists(contact& from);
+  /** Lets the roster know that this daemon stops using the contact's lists by its own choice. */
+  void release_source(const contact& from, common::Instant now);
   void add_registered(member daemon, common::Instant now);
   /** Detects contacts that have become unresponsive. */
   void update_reachability(common::Instant now);
@@ -169,7 +171,8 @@
   std::vector<const contact*> sources() const;
   void rebuild_roster(common::Instant now);
   void rebuild_direct_list(common::Instant now);
-  /** @return the zones with a reachable hub that receives heartbeats from all of the zone. */
+  /** @return the zones with a reachable hub that receives heartbeats from all of the zone, and
+   * whose list the view uses. */
   std::set<std::string> complete_zones() const;
   void update_completeness(common::Instant now);
   /** Counts the daemons of the own zone from which this daemon, as a hub, gets no heartbeats. */
@@ -180,6 +183,8 @@
   bool is_client(const contact& each, common::Instant now) const;
   /** @return this daemon's lists that the contact should have. */
   std::vector<const zone_list*> lists_for(const contact& each, common::Instant now) const;
+  /** @return true if the contact has this version of the list. */
+  static bool has_acknowledged(const contact& each, const zone_list& list);
   bool is_due(const contact& each, const zone_list& list, common::Instant now) const;
 
   member self;
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -60,6 +60,27 @@
   return bytes + "\r\n" + response.body;
 }
 
+/// One of the connections that a server may have open, until it is released.
+class ServedConnection {
+ public:
+  explicit ServedConnection(std::shared_ptr<std::size_t> count) : count_(std::move(count)) {
+    ++*count_;
+  }
+  ~ServedConnection() { Release(); }
+  ServedConnection(const ServedConnection&) = delete;
+  ServedConnection& operator=(const ServedConnection&) = delete;
+
+  /// Counts the connection no longer. Further calls have no effect.
+  void Release() {
+    if (count_) {
+      --*std::exchange(count_, nullptr);
+    }
+  }
+
+ private:
+  std::shared_ptr<std::size_t> count_;
+};
+
 }  // namespace
 
 struct HttpClient::Connection {
@@ -81,9 +102,7 @@
 };
 
 HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server)
-    : loop_(loop),
-      server_(std::move(server)),
-      idle_(std::make_shared<std::vector<std::shared_ptr<Connection>>>()) {}
+    : loop_(loop), server_(std::move(server)), idle_(std::make_shared<IdleConnections>()) {}
 
 void HttpClient::SetServer(const common::Endpoint& server) {
   if (server == server_) {
@@ -114,6 +133,32 @@
   handler(result);
 }
 
+void HttpClient::Receive(const std::shared_ptr<Connection>& connection, IdleConnections& idle) {
+  const std::shared_ptr<Exchange> done = connection->exchange;
+  if (!done) {
+    connection->stream->Close();
+    return;
+  }
+  std::vector<HttpMessage> messages = connection->parser.TakeMessages();
+  if (messages.empty()) {
+    return;
+  }
+  // The handler may start a call at once, which must not take a connection whose next bytes belong
+  // to no request.
+  const bool only_response = messages.size() == 1 && connection->parser.AtMessageBoundary();
+  HttpMessage& message = messages.front();
+  if (only_response && message.keep_alive && idle.size() < kMaxIdleConnections) {
+    idle.push_back(connection);
+  } else {
+    connection->stream->CloseAfterFlush();
+  }
+  HttpResponse response;
+  response.status = message.status;
+  response.body = std::move(message.body);
+  response.headers = std::move(message.headers);
+  Finish(done, response);
+}
+
 void HttpClient::Call(const HttpRequest& request, std::chrono::microseconds timeout,
                       HttpHandler handler) {
   auto exchange = std::make_shared<Exchange>(loop_);
@@ -144,7 +189,7 @@
   const auto idle = idle_;
   connection->stream->Connect(
       server_, timeout,
-      [this, weak, idle] {
+      [weak, idle] {
         const auto opened = weak.lock();
         if (!opened || !opened->exchange) {
           return;
@@ -162,23 +207,7 @@
                 reading->stream->Close();
                 return;
               }
-              for (HttpMessage& message : reading->parser.TakeMessages()) {
-                const std::shared_ptr<Exchange> done = reading->exchange;
-                if (!done) {
-                  reading->stream->Close();
-                  return;
-                }
-                if (message.keep_alive && idle->size() < kMaxIdleConnections) {
-                  idle->push_back(reading);
-                } else {
-                  reading->stream->CloseAfterFlush();
-                }
-                HttpResponse response;
-                response.status = message.status;
-                response.body = std::move(message.body);
-                response.headers = std::move(message.headers);
-                Finish(done, response);
-              }
+              Receive(reading, *idle);
             },
             [weak] {
               const auto ended = weak.lock();
@@ -201,10 +230,12 @@
   exchange->connection->stream->Send(std::move(exchange->bytes));
 }
 
-HttpServer::HttpServer(asio::io_context& loop, Handler handler)
+HttpServer::HttpServer(asio::io_context& loop, Handler handler, Listener::FailureHandler failed)
     : loop_(loop),
       handler_(std::move(handler)),
-      listener_(loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); }) {}
+      listener_(
+          loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); },
+          std::move(failed)) {}
 
 bool HttpServer::Listen(const common::Endpoint& address) { return listener_.Listen(address); }
 
@@ -216,32 +247,31 @@
     socket.close(ignored);
     return;
   }
-  ++*connections_;
-  const auto count = connections_;
+  const auto served = std::make_shared<ServedConnection>(connections_);
   auto stream = std::make_shared<Stream>(loop_, std::move(socket));
   auto parser = std::make_shared<HttpParser>(HttpRole::kReadsRequests);
   const std::weak_ptr<Stream> weak = stream;
   stream->Start(
-      [this, weak, parser, count](std::string_view bytes) {
+      [this, weak, parser, served](std::string_view bytes) {
         const auto serving = weak.lock();
         if (!serving) {
           return;
         }
         if (!parser->Feed(bytes)) {
           serving->Close();
-          --*count;
+          served->Release();
           return;
         }
         for (const HttpMessage& message : parser->TakeMessages()) {
           serving->Send(SerializeResponse(handler_(message), message.keep_alive));
           if (!message.keep_alive) {
             serving->CloseAfterFlush();
-            --*count;
+            served->Release();
             return;
           }
         }
       },
-      [count] { --*count; });
+      [served] { served->Release(); });
 }
 
 }  // namespace valvekeel::net
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -11,11 +11,19 @@
 using common::ValueOf;
 
 constexpr std::chrono::milliseconds kTimeout{300};
+/// More than a connection queues.
+constexpr std::size_t kOverflowBytes = std::size_t{5} << 20U;
 
 /// Sends a request and runs the loop until its handler is called.
-HttpResult CallAndWait(asio::io_context& loop, HttpClient& client, const HttpRequest& request) {
+/// @param then called by that handler.
+HttpResult CallAndWait(
+    asio::io_context& loop, HttpClient& client, const HttpRequest& request,
+    const HttpHandler& then = [](const HttpResult&) {}) {
   std::optional<HttpResult> outcome;
-  client.Call(request, kTimeout, [&](const HttpResult& result) { outcome = result; });
+  client.Call(request, kTimeout, [&](const HttpResult& result) {
+    outcome = result;
+    then(result);
+  });
   while (!outcome) {
     loop.run_one();
   }
@@ -48,6 +56,36 @@
   asio::ip::tcp::acceptor acceptor_;
 };
 
+/// Responds to each block of input with the next of the given texts.
+class RespondingServer {
+ public:
+  RespondingServer(asio::io_context& loop, std::vector<std::string> responses)
+      : loop_(loop),
+        responses_(std::move(responses)),
+        listener_(loop, [this](asio::ip::tcp::socket socket) { Serve(std::move(socket)); }) {
+    REQUIRE(listener_.Listen({"127.0.0.1", 0}));
+  }
+  std::uint16_t Port() const { return listener_.Port(); }
+
+ private:
+  void Serve(asio::ip::tcp::socket socket) {
+    auto stream = std::make_shared<Stream>(loop_, std::move(socket));
+    const std::weak_ptr<Stream> weak = stream;
+    stream->Start(
+        [this, weak](std::string_view) {
+          if (next_ < responses_.size()) {
+            weak.lock()->Send(responses_[next_++]);
+          }
+        },
+        [] {});
+  }
+
+  asio::io_context& loop_;
+  std::vector<std::string> responses_;
+  std::size_t next_ = 0;
+  Listener listener_;
+};
+
 }  // namespace
 
 TEST_CASE("The client gets a response to each of two consecutive calls", "[net]") {
@@ -121,4 +159,48 @@
   CHECK(answered == kClients);
 }
 
+TEST_CASE("A response that cannot be queued takes up no connection of the server", "[net]") {
+  // The count of connections went below zero, and the server closed every later connection.
+  asio::io_context loop;
+  HttpServer server(loop, [](const HttpMessage& request) {
+    const std::size_t size = request.target == "/large" ? kOverflowBytes : 1;
+    return HttpResponse{200, std::string(size, 'x'), "text/plain", {}};
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  HttpRequest large;
+  large.target = "/large";
+  for (const bool keep_alive : {true, false}) {
+    CAPTURE(keep_alive);
+    if (!keep_alive) {
+      large.headers = {kCloseAfterResponse};
+    }
+    CHECK_FALSE(IsOk(CallAndWait(loop, client, large)));
+    CHECK(IsOk(CallAndWait(loop, client, {})));
+  }
+}
+
+TEST_CASE("A response that follows another without a request finishes no later call", "[net]") {
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+  for (const std::size_t size : {stray.size(), stray.size() - 1, std::size_t{1}}) {
+    CAPTURE(size);
+    asio::io_context loop;
+    RespondingServer server(loop, {first + stray.substr(0, size),
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"});
+    HttpClient client(loop, {"127.0.0.1", server.Port()});
+    std::optional<HttpResult> second;
+    const HttpResult result = CallAndWait(loop, client, {}, [&](const HttpResult&) {
+      client.Call({}, kTimeout, [&](const HttpResult& later) { second = later; });
+    });
+    REQUIRE(IsOk(result));
+    CHECK(ValueOf(result).body == "first");
+    while (!second) {
+      loop.run_one();
+    }
+    REQUIRE(IsOk(*second));
+    CHECK(ValueOf(*second).body == "second");
+  }
+}
+
 }  // namespace valvekeel::net
--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -138,4 +138,54 @@
   CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
 }
 
+TEST_CASE("An overflow of the queue is reported after Send has returned", "[net]") {
+  // A closed handler that runs inside Send erases the connection that the sender still uses.
+  RespondingServer server;
+  CHECK_FALSE(server.stream->Send(std::string(3 * kChunkBytes, 'x')));
+  CHECK(server.closed == 0);
+  CHECK_FALSE(server.stream->Send("more"));
+  CHECK(server.RunUntil([&] { return server.closed > 0; }));
+  CHECK_FALSE(server.stream->IsOpen());
+  CHECK(server.stream->EndReason() == asio::error_code(asio::error::no_buffer_space).message());
+  CHECK(server.closed == 1);
+}
+
+TEST_CASE("An overflow of the queue is not reported after the connection is closed", "[net]") {
+  for (const bool flush : {false, true}) {
+    CAPTURE(flush);
+    RespondingServer server;
+    CHECK_FALSE(server.stream->Send(std::string(3 * kChunkBytes, 'x')));
+    if (flush) {
+      server.stream->CloseAfterFlush();
+    } else {
+      server.stream->Close();
+    }
+    CHECK(server.RunUntil([&] { return !server.stream->IsOpen(); }));
+    server.loop.run_for(kShortFlushTimeout);
+    CHECK(server.closed == 0);
+  }
+}
+
+TEST_CASE("A closed connection releases what its handlers hold", "[net]") {
+  RespondingServer server;
+  const auto held = std::make_shared<std::string>("held");
+  const auto closed_by_handler = std::make_shared<Stream>(server.loop);
+  closed_by_handler->Connect(
+      {"127.0.0.1", server.listener.Port()}, kRunTimeout,
+      [&, held] {
+        closed_by_handler->Start(
+            [closed_by_handler, held](std::string_view) {
+              closed_by_handler->Close();
+              CHECK(*held == "held");
+            },
+            [held] {});
+        closed_by_handler->Send("first");
+      },
+      [](ConnectError) {});
+  server.sent = 0;
+  CHECK(server.RunUntil([&] { return held.use_count() == 1; }));
+  CHECK_FALSE(closed_by_handler->IsOpen());
+  CHECK(server.RunUntil([&] { return closed_by_handler.use_count() == 1; }));
+}
+
 }  // namespace valvekeel::net
--- a/tests/relay_link/owner_link_test.cc
+++ b/tests/relay_link/owner_link_test.cc
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::milliseconds TIMEOUT{300};
 constexpr std::chrono::seconds LIMIT{5};
+/** More than a connection queues. */
+constexpr std::size_t OVERFLOW_BYTES = std::size_t{5} << 20U;
 
 /** The events reported by a link. */
 struct recorded_events {
@@ -25,11 +27,15 @@
   bool between_messages = true;
   std::vector<model::Reply> answers;
   std::string bytes;
+  int observers = 0;  // event receivers that exist
 };
 
 class recording_events : public owner_events {
  public:
-  explicit recording_events(recorded_events& seen) : seen(seen) {}
+  explicit recording_events(recorded_events& seen) : seen(seen) { ++this->seen.observers; }
+  ~recording_events() override { --this->seen.observers; }
+  recording_events(const recording_events&) = delete;
+  recording_events& operator=(const recording_events&) = delete;
   void on_accepted() override { this->seen.accepted = true; }
   void on_rejected() override { this->seen.rejected = true; }
   void on_answer(const model::Reply& reply) override { this->seen.answers.push_back(reply); }
@@ -185,4 +191,33 @@
   CHECK_FALSE(test.seen.was_open);
 }
 
+TEST_CASE("An overflow of the queue to an owner is reported after send has returned",
+          "[relay_link]") {
+  // The end of the link destroys the link and the session whose bytes are being sent.
+  fixture test("READY I -\r\n");
+  test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+  REQUIRE(test.run_until([&] { return test.seen.accepted; }));
+  test.link->send(std::string(OVERFLOW_BYTES, 'x'));
+  CHECK_FALSE(test.seen.ended);
+  CHECK(test.run_until([&] { return test.seen.ended; }));
+  CHECK(test.seen.was_open);
+}
+
+TEST_CASE("A link that ended or was closed releases its connection once it is destroyed",
+          "[relay_link]") {
+  // The connection's handlers and the state that holds the connection kept each other alive.
+  for (const bool ended : {false, true}) {
+    CAPTURE(ended);
+    fixture test("READY I -\r\n");
+    test.link->open({"127.0.0.1", test.listener.Port()}, TIMEOUT, "first");
+    REQUIRE(test.run_until([&] { return test.seen.accepted; }));
+    if (ended) {
+      test.link->send("second");  // the owner closes the connection
+      REQUIRE(test.run_until([&] { return test.seen.ended; }));
+    }
+    test.link.reset();
+    CHECK(test.run_until([&] { return test.seen.observers == 0; }));
+  }
+}
+
 }  // namespace valvekeel::relay_link
