A name that holds U+FFFF itself does not keep a list from being read

What callers saw: no list of a collection was read any more and readiness stayed 503, once the last name of a page held U+FFFF followed by two hexadecimal digits. Such a name looked like one that the repair had marked, so the list went on after another name and the same page came again.

A text that holds U+FFFF is now repaired too, which marks U+FFFF byte by byte, so a mark always stems from the repair.

--- a/src/bounded_json/bounded_json.cc
+++ b/src/bounded_json/bounded_json.cc
@@ -60,6 +60,18 @@
   return text_repair(text, max_depth).run();
 }
 
+bool holds_mark(std::string_view text) {
+  for (std::size_t at = text.find("\\u"); at != std::string_view::npos;
+       at = text.find("\\u", at + 1)) {
+    const std::string_view digits = text.substr(at + 2, 4);
+    const auto is_f = [](char digit) { return digit == 'f' || digit == 'F'; };
+    if (digits.size() == 4 && std::all_of(digits.begin(), digits.end(), is_f)) {
+      return true;
+    }
+  }
+  return is_marked(text);
+}
+
 bool is_marked(std::string_view text) {
   return text.find(UNREADABLE_MARK) != std::string_view::npos;
 }
--- a/src/bounded_json/bounded_json.h
+++ b/src/bounded_json/bounded_json.h
@@ -19,7 +19,7 @@
 
 /**
  * Stands for a part of a text that is not representable, in the result of replace_unreadable:
- * U+FFFF, a noncharacter, which no readable text contains.
+ * U+FFFF, a noncharacter. Where the text holds it already, it is replaced like other bytes.
  */
 inline constexpr std::string_view UNREADABLE_MARK = "\xEF\xBF\xBF";
 
@@ -43,14 +43,17 @@
 /**
  * Replaces what parse() rejects within an otherwise well-formed text: each value that is nested too
  * deep, is a number out of range or an unknown word becomes the string UNREADABLE_MARK. In strings,
- * each byte that is not UTF-8, each raw control character and each escape that is no character
- * becomes UNREADABLE_MARK followed by the byte in two hexadecimal digits for each byte replaced;
- * the bytes of a lone surrogate are those of its three-byte form.
+ * each byte that is not UTF-8, each raw control character, each escape that is no character and
+ * U+FFFF becomes UNREADABLE_MARK followed by the byte in two hexadecimal digits for each byte
+ * replaced; the bytes of a lone surrogate are those of its three-byte form.
  *
  * Linear in the length of the text, without recursion.
  */
 std::string replace_unreadable(std::string_view text, std::size_t max_depth = MAX_DEPTH);
 
+/** @return true if a JSON text holds UNREADABLE_MARK itself, as bytes or as an escape. */
+bool holds_mark(std::string_view text);
+
 /** @return true if a string holds UNREADABLE_MARK. */
 bool is_marked(std::string_view text);
 
--- a/src/bounded_json/text_repair.cc
+++ b/src/bounded_json/text_repair.cc
@@ -14,6 +14,7 @@
 constexpr std::uint32_t FIRST_HIGH_SURROGATE = 0xD800;
 constexpr std::uint32_t FIRST_LOW_SURROGATE = 0xDC00;
 constexpr std::uint32_t LAST_LOW_SURROGATE = 0xDFFF;
+constexpr std::uint32_t MARK_CODE_POINT = 0xFFFF;
 
 std::optional<unsigned> digit_value(char digit) {
   if (digit >= '0' && digit <= '9') {
@@ -146,10 +147,8 @@
     }
     return;
   }
-  const auto is_surrogate = [](std::uint32_t each) {
-    return each >= FIRST_HIGH_SURROGATE && each <= LAST_LOW_SURROGATE;
-  };
-  if (!is_surrogate(*unit)) {
+  const bool surrogate = *unit >= FIRST_HIGH_SURROGATE && *unit <= LAST_LOW_SURROGATE;
+  if (!surrogate && *unit != MARK_CODE_POINT) {
     this->result += rest.substr(0, UNICODE_ESCAPE_SIZE);
     this->at += UNICODE_ESCAPE_SIZE;
     return;
@@ -171,12 +170,20 @@
 void text_repair::copy_character() {
   const auto byte = static_cast<unsigned char>(this->text[this->at]);
   const std::size_t length = utf8_length(this->text.substr(this->at));
+  const std::string_view character = this->text.substr(this->at, length);
+  if (character == UNREADABLE_MARK) {
+    for (const char each : character) {
+      this->mark_byte(static_cast<unsigned char>(each));
+    }
+    this->at += length;
+    return;
+  }
   if (length == 0 || byte < FIRST_PRINTABLE) {
     this->mark_byte(byte);
     ++this->at;
     return;
   }
-  this->result += this->text.substr(this->at, length);
+  this->result += character;
   this->at += length;
 }
 
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -148,6 +148,46 @@
   CHECK(targets[1].find("after=i-%FF") != std::string::npos);
 }
 
+TEST_CASE("A list goes on after a name that holds the mark of unreadable text itself",
+          "[platform]") {
+  const std::string name = GENERATE(as<std::string>(), "m\\uFFfF41",
+                                    "m\xEF\xBF\xBF"
+                                    "41");
+  std::string next;
+  Store store([&](const net::HttpMessage& request) {
+    const std::size_t after = request.target.find("after=");
+    if (after == std::string::npos) {
+      return Ok(R"({"items":[)" + Object(name, kValidSpec) + R"(],"more":true,"at":9})");
+    }
+    next = request.target.substr(after);
+    return Ok(R"({"items":[)" + Object("n-1", kValidSpec) + R"(],"more":false,"at":9})");
+  });
+  const ReadResult result = store.Read(Collection::kInstances, false);
+  CHECK(result.status == ReadStatus::kOk);
+  CHECK(result.objects.size() == 1);
+  CHECK(next == "after=m%EF%BF%BF41");
+}
+
+TEST_CASE("A list whose pages go round in a circle ends as unreadable", "[platform]") {
+  int requests = 0;
+  Store store([&](const net::HttpMessage&) {
+    const std::string name = ++requests % 2 == 0 ? "i-1" : "i-2";
+    return Ok(R"({"items":[)" + Object(name, kValidSpec) + R"(],"more":true,"at":9})");
+  });
+  CHECK(store.Read(Collection::kInstances, false).status == ReadStatus::kUnreadable);
+  CHECK(requests == 3);
+}
+
+TEST_CASE("A holder whose name is not UTF-8 does not end the process", "[platform]") {
+  Store store([](const net::HttpMessage&) { return Ok("{}"); });
+  proxy::WriteHolders write;
+  write.service = "group";
+  write.record.holders["i-\xFF"] = {{"10.0.0.1", 80}, "zone\xC3"};
+  const auto result = store.Wait<proxy::HolderResult>(
+      [&](StoreClient& client, auto handler) { client.WriteHolders(write, handler); });
+  CHECK(result.status == failover::WriteStatus::kNoAnswer);
+}
+
 TEST_CASE("A list that does not get on from a name ends as unreadable", "[platform]") {
   int requests = 0;
   Store store([&](const net::HttpMessage&) {
