Commands sent before the first configuration are answered

What callers saw: a command that came before the daemon had its first configuration got no answer, in the first moments after a start. Cause: a session that waits for the configuration is started anew when it comes, and the commands received so far went with the former one.

They are kept and run once the session is accepted. RunPendingCommands takes the session's number, as the command before it may have ended the session.

The test "Commands sent before the first configuration are answered once it is there" failed before (accepted, and neither of two commands answered).

--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -31,12 +31,25 @@
   }
   const std::set<SessionNumber> awaiting = std::exchange(awaiting_configuration_, {});
   for (const SessionNumber number : awaiting) {
-    const Session session = *FindSession(number);
-    sessions_.erase(number);
-    SessionStarted(number, session.database, session.key, now);
-    if (session.handed_over) {
-      RecordHandover(number, session.accepts_end_request);
-    }
+    RestartSession(std::move(*FindSession(number)), now);
+  }
+}
+
+void Dispatcher::RestartSession(Session waiting, common::Instant now) {
+  const SessionNumber number = waiting.number;
+  sessions_.erase(number);
+  SessionStarted(number, waiting.database, waiting.key, now);
+  if (waiting.handed_over) {
+    RecordHandover(number, waiting.accepts_end_request);
+  }
+  Session* session = FindSession(number);
+  if (session == nullptr) {
+    return;
+  }
+  session->received_command = waiting.received_command;
+  session->pending_commands = std::move(waiting.pending_commands);
+  if (session->accepted) {
+    RunPendingCommands(number, now);
   }
 }
 
@@ -108,12 +121,11 @@
   }
   in_command_received_ = true;
   RunCommand(*session, command, now);
-  RunPendingCommands(*session, now);
+  RunPendingCommands(number, now);
   in_command_received_ = false;
 }
 
-void Dispatcher::RunPendingCommands(Session& session, common::Instant now) {
-  const SessionNumber number = session.number;
+void Dispatcher::RunPendingCommands(SessionNumber number, common::Instant now) {
   while (Session* current = FindSession(number)) {
     if (current->operation || current->pending_commands.empty()) {
       break;
@@ -343,7 +355,7 @@
     EndTransaction(session, now);
   }
   AnswerError(session, code, reason);
-  RunPendingCommands(session, now);
+  RunPendingCommands(session.number, now);
 }
 
 void Dispatcher::FinishWithReply(Session& session, const model::Reply& reply, common::Instant now) {
@@ -360,7 +372,7 @@
   }
   session.transaction.last_active = now;
   outbox_.Emit(AnswerCaller{session.number, reply, times});
-  RunPendingCommands(session, now);
+  RunPendingCommands(session.number, now);
 }
 
 void Dispatcher::EndTransaction(Session& session, common::Instant now) {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -180,7 +180,9 @@
   void CreateOperation(Session& session, const CallerCommand& command, common::Instant now);
   /// Runs the session's pending commands until one is in progress; ends the session if it is idle
   /// and the daemon drains.
-  void RunPendingCommands(Session& session, common::Instant now);
+  void RunPendingCommands(SessionNumber number, common::Instant now);
+  /// Starts a session that has waited for a configuration, and runs the commands received so far.
+  void RestartSession(Session waiting, common::Instant now);
 
   // Answers.
   model::TransactionState TransactionStateOf(const Session& session) const;
