--- a/tests/platform/line_protocol_test.cc
+++ b/tests/platform/line_protocol_test.cc
@@ -115,6 +115,26 @@
   CHECK(status->received == common::Position{3, 1210});
 }
 
+TEST_CASE("A status with a term that has no successor, or an endless lag, does not overflow",
+          "[platform]") {
+  const auto status_of = [](const std::string& row) {
+    LineInstanceCodec codec;
+    codec.EncodeStart("group", "", "i-1");
+    codec.Decode("READY I 3.1207\r\n");
+    codec.EncodeRequest(model::ControlRequest{model::ControlKind::kStatus, 0});
+    const auto messages = codec.Decode("ROW " + row + "\r\nCOMPLETE -\r\nREADY I 3.1204\r\n");
+    REQUIRE(messages.size() == 1);
+    return std::get<model::Reply>(messages[0]).status;
+  };
+  CHECK(status_of("replica 2147483647 3.1210 4 12 2 17"));
+  CHECK_FALSE(status_of("replica 4294967295 3.1210 4 12 2 17"));
+  CHECK_FALSE(status_of("replica 3 4294967295.1210 4 12 2 17"));
+  CHECK_FALSE(status_of("replica 3 3.1210 4294967295 12 2 17"));
+  const auto lagging = status_of("replica 3 3.1210 4 9223372036854775807 2 17");
+  REQUIRE(lagging);
+  CHECK(lagging->lag > common::Duration(0));
+}
+
 TEST_CASE("The proxy's own requests carry its reserved id, and control requests carry their terms",
           "[platform]") {
   LineInstanceCodec codec;
