The release build compiles: configuration copies compare texts, not vectors

GCC 12 at -O3 takes the comparison of two vectors of bytes in a map for a read beyond the largest object, and warnings are errors. Seen in the build of deploy/system.toml, not in the default one.

--- a/src/host/configuration_copy.cc
+++ b/src/host/configuration_copy.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -19,7 +20,9 @@
 class ValueTable {
  public:
   std::size_t IndexOf(const json& value) {
-    const auto [found, added] = indexes_.try_emplace(json::to_cbor(value), values_.size());
+    std::string encoded;
+    json::to_cbor(value, encoded);
+    const auto [found, added] = indexes_.try_emplace(std::move(encoded), values_.size());
     if (added) {
       values_.push_back(value);
     }
@@ -29,7 +32,7 @@
   json TakeValues() { return std::move(values_); }
 
  private:
-  std::map<std::vector<std::uint8_t>, std::size_t> indexes_;  // by the encoded value
+  std::map<std::string, std::size_t> indexes_;  // by the encoded value
   json values_ = json::array();
 };
 
