Review case 4: a replica without acknowledged commits is promoted

Cause: after a daemon has started again, the first position of a primary that it learns is taken to cover what its earlier process acknowledged. It may come from another daemon's old sample. The bounds are then reported as complete, and one fenced replica that reaches them is promoted. Done: review/4 plays a replica that receives nothing, the kill of the daemon that acknowledged the writes, and a crash of the two instances that hold them.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,12 +1,14 @@
-"""A preparation that an instance refuses in an open transaction is recorded as done.
+"""A daemon that starts again takes another daemon's old position for the end of what it had
+acknowledged itself, and a replica that lacks acknowledged commits is promoted.
 
-The primary is partitioned from its replicas while sessions hold open transactions there; the cut
-ends as another instance is promoted. Each session goes on in its transaction, is told READONLY,
-rolls back and reads on.
+A replica receives nothing for some seconds. The daemon that has acknowledged the writes of that
+time is killed and starts again. Then the primary and the other replica crash; both return with
+their logs.
 """
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -14,102 +16,83 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 from standins import Client, run_case  # noqa: E402
 
-SESSIONS = 6
-CUT_SECONDS = 5.0  # primary_cut: at most; it ends earlier, as another instance is promoted
-READING_SECONDS = 12.0
-
-
-class Session(Client):
-    """Keeps the values and prepared names that were acknowledged to it."""
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.values, self.names = {}, set()
-
-    async def command(self, text):
-        request_id = self.new_id()
-        self.world.expected[request_id] = (dict(self.values), set(self.names), text)
-        rows, outcome, state = await self.ask(text, request_id=request_id)
-        if outcome and outcome.startswith("COMPLETE"):
-            word, _, rest = text.partition(" ")
-            if word == "SET":
-                name, _, value = rest.partition(" ")
-                self.values[name] = value
-            if word == "PARSE":
-                self.names.add(rest.split(" ")[0])
-        return rows, outcome, state
+DEAF_SECONDS = 6.5     # replica_lag, how deaf: for_s of the site
+WRITE_SECONDS = 2.5
+RESTART_SECONDS = 0.3  # the platform starts a process that was killed again after a short delay
+CRASH_SECONDS = 7.0    # srv_crash: for_s of the site
+WRITE_PAUSE_SECONDS = 0.05
 
 
 async def play(world, trouble):
-    world.expected = {}
     group = world.groups["ledger"]
+    acknowledged, entries = [], {}
+
+    def on_commit(instance, entry):
+        for request_id in entry[2]:
+            entries[request_id] = entry
+
+    def on_promoted(chosen):
+        lost = [entry for entry in acknowledged
+                if len(chosen.log) < entry[0] or chosen.log[entry[0] - 1] is not entry]
+        if lost and not world.breaks:
+            world.breaks.append(
+                "LOST: %s is promoted with a log of %d commits; it lacks %d acknowledged commits, "
+                "%d.%d to %d.%d" % (chosen.name, len(chosen.log), len(lost), lost[0][1],
+                                    lost[0][0], lost[-1][1], lost[-1][0]))
+    group.on_commit, group.on_promoted = on_commit, on_promoted
+
+    async def write(client, number):
+        _, outcome, _ = await client.ask("PUT a %d" % number)
+        if outcome and outcome.startswith("COMPLETE"):
+            acknowledged.append(entries[client.last_id])
 
-    def on_run(session, request_id, word, shape, rest):
-        values, _, text = world.expected.get(request_id, (None, None, ""))
-        if values is not None and word in ("READ", "PUT") and session.values != values:
-            world.breaks.append("PINNED: %s (%s) runs at %s with the values %s; acknowledged: %s" % (
-                request_id, text, session.instance.name, session.values, values))
-
-    def on_unknown(session, request_id, text):
-        _, names, asked = world.expected.get(request_id, (None, set(), ""))
-        if asked.split(" ")[1:2] and asked.split(" ")[1] in names:
-            world.breaks.append("PINNED: %s (%s): unknown at %s, although its preparing was "
-                                "acknowledged" % (request_id, asked, session.instance.name))
-    group.on_run, group.on_unknown = on_run, on_unknown
     await asyncio.sleep(4)  # calm
-    sessions = [Session(world, world.daemons[number % 2], "ledger-own", "client-%d" % number)
-                for number in range(SESSIONS)]
-    writer = Session(world, world.daemons[0], "ledger-primary", "writer")
-    for each in sessions + [writer]:
-        await each.start()
-    await writer.command("PUT a 1")
-    for number, each in enumerate(sessions):
-        await each.command("SET zone first")
-        await each.command("PARSE s1 READ shape%d" % number)
-        await each.command("BEGIN")
-        await each.command("READ a")
-    old = group.newest_primary()
+    primary, other_replica, deaf = group.instances
+    for daemon in world.daemons:
+        client = Client(world, daemon, "ledger-primary", "first-" + daemon.name)
+        await client.start()
+        await write(client, 0)
+        client.close()
+    began = time.monotonic()
     if trouble:
-        world.record.add("primary_cut: %s is partitioned from its replicas" % old.name)
-        old.deaf = True
-
-        def heal(chosen):
-            world.record.add("the cut ends")
-            old.deaf = False
-        group.on_promoted = heal
-        asyncio.get_running_loop().call_later(CUT_SECONDS, lambda: setattr(old, "deaf", False))
-        write = asyncio.ensure_future(writer.command("PUT a 2"))
-        limit = time.monotonic() + CUT_SECONDS
-        while group.newest_primary() is old and time.monotonic() < limit:
-            await asyncio.sleep(0.02)
-        if group.newest_primary() is old:
-            return False
-        await write
-        while old.primary:
-            await asyncio.sleep(0.02)
-    else:
-        await asyncio.sleep(2)
-    for number, each in enumerate(sessions):
-        if number % 2:
-            await each.command("SET zone second")
-            _, outcome, state = await each.command("READ a")
-        else:
-            _, outcome, state = await each.command("EXECUTE s1 a")
-        await each.command("COMMIT" if state == "T" else "ROLLBACK")
-    limit = time.monotonic() + READING_SECONDS
-
-    async def read_on(number, each):
-        while time.monotonic() < limit:
-            if number % 2:
-                _, outcome, state = await each.command("READ a")
-            else:
-                _, outcome, state = await each.command("EXECUTE s1 a")
-            if outcome is None:
-                return
-            await asyncio.sleep(0.05)
-    await asyncio.gather(*(read_on(number, each) for number, each in enumerate(sessions)))
-    return True
+        world.record.add("replica_lag: %s receives nothing" % deaf.name)
+        deaf.deaf = True
+        asyncio.get_running_loop().call_later(DEAF_SECONDS, lambda: setattr(deaf, "deaf", False))
+    daemon = world.daemons[0]
+    client = Client(world, daemon, "ledger-primary", "writer")
+    await client.start()
+    while time.monotonic() < began + WRITE_SECONDS:
+        await write(client, len(acknowledged))
+        await asyncio.sleep(WRITE_PAUSE_SECONDS)
+    client.close()
+    if trouble:
+        world.record.add("node_kill: %s is killed" % daemon.name)
+        daemon.signal(signal.SIGKILL)
+        daemon.process.wait()
+        await asyncio.sleep(RESTART_SECONDS)
+        daemon.start()
+    await asyncio.sleep(2)
+    if trouble:
+        world.record.add("srv_crash: %s, the primary, and %s crash, %.1f s after %s fell silent; "
+                         "%d commits are acknowledged" % (
+                             primary.name, other_replica.name, time.monotonic() - began, deaf.name,
+                             len(acknowledged)))
+        for instance in (primary, other_replica):
+            instance.crash()
+        await asyncio.sleep(CRASH_SECONDS)
+        for instance in (primary, other_replica):
+            instance.primary = instance.primary and group.promotions == 0
+            await instance.start()
+            world.record.add("%s returns with a log of %d commits, as a %s" % (
+                instance.name, len(instance.log), "primary" if instance.primary else "replica"))
+        await world.announce(group)
+    await asyncio.sleep(3)
+    leading = group.newest_primary()
+    world.record.add("promotions: %d; %s leads with %d commits; %d were acknowledged" % (
+        group.promotions, leading and leading.name, len(leading.log) if leading else 0,
+        len(acknowledged)))
+    return len(acknowledged) > len(world.daemons)
 
 
 if __name__ == "__main__":
-    run_case(play, FOLDER)
+    run_case(play, FOLDER, daemons=2)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -67,6 +67,7 @@
         self.deaf = False     # the link from the primary is cut
         self.busy_until = 0.0
         self.promoting = False
+        self.applied = 0
         self.work_seconds = 0.006
         self.slots = asyncio.Semaphore(group.slots)
         self.server = None
@@ -81,8 +82,9 @@
             return len(self.log)
         limit = time.monotonic() - self.lag
         count = len(self.log)
-        while count and self.arrived[count - 1] > limit:
+        while count > self.applied and self.arrived[count - 1] > limit:
             count -= 1
+        self.applied = count  # a lag that begins takes nothing back
         return count
 
     def position(self):
@@ -199,7 +201,10 @@
         word, _, rest = text.partition(" ")
         instance = self.instance
         if word in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
-            return self.control(word, rest)
+            if not instance.group.controls_take_slots:
+                return self.control(word, rest)
+            async with instance.slots:
+                return self.control(word, rest)
         if word == "ROLLBACK":
             self.end()
             return None
@@ -242,7 +247,7 @@
                 raise Refusal("UNKNOWN")
             word, shape = self.prepared[name]
         async with instance.slots:
-            await asyncio.sleep(instance.work_seconds)
+            await asyncio.sleep(instance.group.work_seconds_of(instance, word, rest))
         if self.closed or not instance.alive:
             raise ConnectionError
         instance.group.on_run(self, request_id, word, shape, rest)
@@ -341,6 +346,8 @@
         self.on_commit = lambda instance, entry: None
         self.on_promoted = lambda instance: None
         self.promotions = 0
+        self.controls_take_slots = False
+        self.work_seconds_of = lambda instance, word, rest: instance.work_seconds
 
     def newest_primary(self):
         primaries = [each for each in self.instances if each.primary and each.alive]
@@ -397,6 +404,7 @@
                 each.busy_until = time.monotonic() + ROLLBACK_BUSY_SECONDS
                 del each.log[common:]
                 del each.arrived[common:]
+                each.applied = min(each.applied, common)
             for entry in newest.log[common:]:
                 each.append(entry)
             each.term, each.pause = newest.term, 0
