--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,12 @@
-"""A holder that freezes while it connects to the promotion service promotes after it has woken.
+"""A preparation that an instance refuses in an open transaction is recorded as done.
 
-The primary crashes while the promotion service is cut off: opening packets to it are dropped. The
-holder of the duty freezes while its connection opens. The service returns, another daemon takes
-the duty over and promotes with a higher token. The first holder wakes.
+The primary is partitioned from its replicas while sessions hold open transactions there; the cut
+ends as another instance is promoted. Each session goes on in its transaction, is told READONLY,
+rolls back and reads on.
 """
 
 import asyncio
 import os
-import signal
-import socket
 import sys
 import time
 
@@ -16,125 +14,102 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 from standins import Client, run_case  # noqa: E402
 
-CUT_SECONDS = 4.0     # the promotion service is cut off, at most
-FREEZE_SECONDS = 5.0  # node_freeze: the default for_s
-CRASH_SECONDS = 12.0  # the crashed primary stays away until the end of the case
-SYN_SENT = "02"
-ESTABLISHED = "01"
-PORT = 8783
-
-
-def hex_address(host, port):
-    return "%02X%02X%02X%02X:%04X" % (*reversed([int(each) for each in host.split(".")]), port)
-
-
-def connects(process, host, state):
-    """Returns whether a process has a connection to the address in that state."""
-    wanted = hex_address(host, PORT)
-    inodes = set()
-    with open("/proc/net/tcp") as table:
-        for line in table:
-            fields = line.split()
-            if len(fields) > 9 and fields[2] == wanted and fields[3] == state:
-                inodes.add("socket:[%s]" % fields[9])
-    folder = "/proc/%d/fd" % process.pid
-    for name in os.listdir(folder):
-        try:
-            if os.readlink(os.path.join(folder, name)) in inodes:
-                return True
-        except OSError:
-            pass
-    return False
-
-
-class PromotionService:
-    """Listens for POST /promote. While it is cut off, opening packets to it are dropped, because
-    its queue of new connections is full; the system of their sender sends them again."""
-
-    def __init__(self, world):
-        self.world = world
-        self.host = world.address(4, 1)
-        self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((self.host, PORT))
-        self.listener.listen(0)
-        self.listener.setblocking(False)
-        self.fillers, self.served = [], set()
-        self.resume()
-
-    def resume(self):
-        for filler in self.fillers:
-            filler.close()
-        self.fillers = []
-        asyncio.get_running_loop().add_reader(self.listener.fileno(), self.accept)
-
-    def cut(self):
-        asyncio.get_running_loop().remove_reader(self.listener.fileno())
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((self.host, PORT))
-            self.fillers.append(filler)
-
-    def accept(self):
-        try:
-            accepted, _ = self.listener.accept()
-        except OSError:
-            return
-        accepted.setblocking(False)
-        self.served.add(asyncio.ensure_future(self.serve(accepted)))
-
-    async def serve(self, accepted):
-        reader, writer = await asyncio.open_connection(sock=accepted)
-        await self.world.store.serve(reader, writer)
+SESSIONS = 6
+CUT_SECONDS = 5.0  # primary_cut: at most; it ends earlier, as another instance is promoted
+READING_SECONDS = 12.0
+
+
+class Session(Client):
+    """Keeps the values and prepared names that were acknowledged to it."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.values, self.names = {}, set()
+
+    async def command(self, text):
+        request_id = self.new_id()
+        self.world.expected[request_id] = (dict(self.values), set(self.names), text)
+        rows, outcome, state = await self.ask(text, request_id=request_id)
+        if outcome and outcome.startswith("COMPLETE"):
+            word, _, rest = text.partition(" ")
+            if word == "SET":
+                name, _, value = rest.partition(" ")
+                self.values[name] = value
+            if word == "PARSE":
+                self.names.add(rest.split(" ")[0])
+        return rows, outcome, state
 
 
 async def play(world, trouble):
+    world.expected = {}
     group = world.groups["ledger"]
+
+    def on_run(session, request_id, word, shape, rest):
+        values, _, text = world.expected.get(request_id, (None, None, ""))
+        if values is not None and word in ("READ", "PUT") and session.values != values:
+            world.breaks.append("PINNED: %s (%s) runs at %s with the values %s; acknowledged: %s" % (
+                request_id, text, session.instance.name, session.values, values))
+
+    def on_unknown(session, request_id, text):
+        _, names, asked = world.expected.get(request_id, (None, set(), ""))
+        if asked.split(" ")[1:2] and asked.split(" ")[1] in names:
+            world.breaks.append("PINNED: %s (%s): unknown at %s, although its preparing was "
+                                "acknowledged" % (request_id, asked, session.instance.name))
+    group.on_run, group.on_unknown = on_run, on_unknown
     await asyncio.sleep(4)  # calm
-    writer = Client(world, world.daemons[0], "ledger-primary", "writer")
-    await writer.start()
-    for number in range(10):
-        await writer.ask("PUT a %d" % number)
-    writer.close()
-    service = world.promotion_service
-    primary = group.newest_primary()
-    frozen = None
-    if trouble:
-        world.record.add("the promotion service is cut off")
-        service.cut()
-    world.record.add("srv_crash: %s crashes" % primary.name)
-    primary.crash()
+    sessions = [Session(world, world.daemons[number % 2], "ledger-own", "client-%d" % number)
+                for number in range(SESSIONS)]
+    writer = Session(world, world.daemons[0], "ledger-primary", "writer")
+    for each in sessions + [writer]:
+        await each.start()
+    await writer.command("PUT a 1")
+    for number, each in enumerate(sessions):
+        await each.command("SET zone first")
+        await each.command("PARSE s1 READ shape%d" % number)
+        await each.command("BEGIN")
+        await each.command("READ a")
+    old = group.newest_primary()
     if trouble:
+        world.record.add("primary_cut: %s is partitioned from its replicas" % old.name)
+        old.deaf = True
+
+        def heal(chosen):
+            world.record.add("the cut ends")
+            old.deaf = False
+        group.on_promoted = heal
+        asyncio.get_running_loop().call_later(CUT_SECONDS, lambda: setattr(old, "deaf", False))
+        write = asyncio.ensure_future(writer.command("PUT a 2"))
         limit = time.monotonic() + CUT_SECONDS
-        while frozen is None and time.monotonic() < limit:
+        while group.newest_primary() is old and time.monotonic() < limit:
             await asyncio.sleep(0.02)
-            frozen = next((each for each in world.daemons
-                           if connects(each.process, service.host, SYN_SENT)), None)
-        if frozen is None:
+        if group.newest_primary() is old:
             return False
-        world.record.add("node_freeze: %s freezes while its connection to the promotion service "
-                         "opens" % frozen.name)
-        frozen.signal(signal.SIGSTOP)
-        await asyncio.sleep(0.5)
-        world.record.add("the promotion service is back")
-        service.resume()
-        await asyncio.sleep(FREEZE_SECONDS - 0.5)
-        world.record.add("its connection is established: %s" % connects(
-            frozen.process, service.host, ESTABLISHED))
-        world.record.add("%s wakes" % frozen.name)
-        frozen.signal(signal.SIGCONT)
-    await asyncio.sleep(5)
-    for token, holder in world.store.tokens:
-        world.record.add("POST /promote with token %d of %s" % (token, holder))
-    world.breaks.extend(world.store.violations)
-    return group.promotions > 0
-
-
-async def prepare(world):
-    world.promotion_service = PromotionService(world)
-    world.promotion_address = "%s:%d" % (world.promotion_service.host, PORT)
+        await write
+        while old.primary:
+            await asyncio.sleep(0.02)
+    else:
+        await asyncio.sleep(2)
+    for number, each in enumerate(sessions):
+        if number % 2:
+            await each.command("SET zone second")
+            _, outcome, state = await each.command("READ a")
+        else:
+            _, outcome, state = await each.command("EXECUTE s1 a")
+        await each.command("COMMIT" if state == "T" else "ROLLBACK")
+    limit = time.monotonic() + READING_SECONDS
+
+    async def read_on(number, each):
+        while time.monotonic() < limit:
+            if number % 2:
+                _, outcome, state = await each.command("READ a")
+            else:
+                _, outcome, state = await each.command("EXECUTE s1 a")
+            if outcome is None:
+                return
+            await asyncio.sleep(0.05)
+    await asyncio.gather(*(read_on(number, each) for number, each in enumerate(sessions)))
+    return True
 
 
 if __name__ == "__main__":
-    run_case(play, FOLDER, daemons=3, prepare=prepare)
+    run_case(play, FOLDER)
