--- a/review/4/case.py
+++ b/review/4/case.py
@@ -72,6 +72,9 @@
         await asyncio.sleep(RESTART_SECONDS)
         daemon.start()
     await asyncio.sleep(2)
+    if trouble and not await daemon.ready():
+        world.record.add("%s isn't ready again" % daemon.name)
+        return False
     if trouble:
         world.record.add("srv_crash: %s, the primary, and %s crash, %.1f s after %s fell silent; "
                          "%d commits are acknowledged" % (
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import hashlib
 import os
 import random
@@ -27,6 +28,13 @@
 ROLLBACK_BUSY_SECONDS = 0.05
 OLD_PRIMARY_SECONDS = 1.0  # after it can reach the new one, without STEPDOWN
 HANDSHAKE_SECONDS = 0.012
+PLAY_SECONDS = 80  # longest time of a case, without the start of the daemons
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets a daemon end with this process, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def signature(request_id, rows):
@@ -517,7 +525,7 @@
                        if key in os.environ}
         environment["VALVEKEEL_CONFIG"] = self.path
         self.process = subprocess.Popen([BINARY], stdout=log, stderr=log, env=environment,
-                                        cwd=ROOT)
+                                        cwd=ROOT, preexec_fn=end_with_parent)
         self.world.record.add("%s starts" % self.name)
 
     def signal(self, number):
@@ -641,6 +649,7 @@
         return False
 
     def end(self):
+        """Ends all processes that were started, and removes their files."""
         for daemon in self.daemons:
             if daemon.process and daemon.process.poll() is None:
                 daemon.process.send_signal(signal.SIGCONT)
@@ -658,15 +667,17 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def body():
+        loop = asyncio.get_running_loop()
         # Connections that are open at the end are cancelled.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop.set_exception_handler(lambda loop, context: None)
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = World(case_folder, **options)
         try:
             await world.start()
             if not await world.wait_ready():
                 world.record.add("the daemons do not become ready")
                 return 2
-            played = await asyncio.wait_for(play(world, trouble), 100)
+            played = await asyncio.wait_for(play(world, trouble), PLAY_SECONDS)
             for text in world.breaks:
                 world.record.add("BROKEN " + text)
                 print("BROKEN " + text)
@@ -682,7 +693,7 @@
 
     try:
         status = asyncio.run(body())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         print("could not run: %s: %s" % (type(error).__name__, error))
         status = 2
     sys.stdout.flush()
