--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
+sys.path.insert(0, FOLDER)
 from standins import Client, run_case  # noqa: E402
 
 DEAF_SECONDS = 6.5     # replica_lag, how deaf: for_s of the site
