A daemon's first position covers earlier processes only if asked for since its start

What callers saw: 41 to 43 acknowledged commits were gone after a failover. A replica that had received nothing for some seconds was promoted, though the primary and the other replica came back with the commits.

Cause: a daemon that starts took the first position of the primary that it learned for the end of what its earlier processes had acknowledged, also one that another daemon passed on. Such a position is as old as that daemon's last contact with the primary. With all bounds reported as complete, one fence was taken for enough.

Why it works: a position reported to a request that was sent after this process started, while the lease was held, is beyond all that any earlier process acknowledged, since those ended before. An older one proves nothing and is kept as a lower bound of the log's end only. Also, the continuation of a restarted daemon's heartbeat is no longer joined with reports of its earlier process.

group_set_test "A position older than this process ...", "A position asked for without a lease ..." and peer_table_test "A continuation of a restarted peer ..." failed before. The log names the daemons whose acknowledgements are not covered, when a position covers them, and the outcome of calls by name.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -32,6 +32,20 @@
 
 }  // namespace
 
+const char* PromotionStatusName(PromotionStatus status) {
+  switch (status) {
+    case PromotionStatus::kAccepted:
+      return "accepted";
+    case PromotionStatus::kNotRunning:
+      return "not_running";
+    case PromotionStatus::kRefused:
+      return "refused";
+    case PromotionStatus::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 const char* StepName(Step step) {
   switch (step) {
     case Step::kClaim:
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -114,6 +114,9 @@
 /// How the platform answered a promotion request.
 enum class PromotionStatus : std::uint8_t { kAccepted, kNotRunning, kRefused, kNoAnswer };
 
+/// @return the status's name in logs.
+const char* PromotionStatusName(PromotionStatus status);
+
 /// Steps of an attempt, in order; the last two are its ends.
 enum class Step : std::uint8_t {
   kClaim,
--- a/src/failover/leadership.cc
+++ b/src/failover/leadership.cc
@@ -10,6 +10,20 @@
 
 }  // namespace
 
+const char* WriteStatusName(WriteStatus status) {
+  switch (status) {
+    case WriteStatus::kWritten:
+      return "written";
+    case WriteStatus::kConflict:
+      return "conflict";
+    case WriteStatus::kRefused:
+      return "refused";
+    case WriteStatus::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 void Leadership::BeginEra(std::uint64_t era, common::Instant now) {
   if (era <= revision_.era) {
     return;
--- a/src/failover/leadership.h
+++ b/src/failover/leadership.h
@@ -38,6 +38,9 @@
   kNoAnswer,  // it may have been done, or may be done later
 };
 
+/// @return the status's name in logs.
+const char* WriteStatusName(WriteStatus status);
+
 /// Result of a conditional write.
 struct WriteResult {
   WriteStatus status = WriteStatus::kNoAnswer;
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -86,7 +86,7 @@
   outbox_.Log("leadership_written", {{"service", service},
                                      {"held", held ? "true" : "false"},
                                      {"token", std::to_string(leadership_.Record().token)},
-                                     {"status", std::to_string(static_cast<int>(result.status))}});
+                                     {"status", failover::WriteStatusName(result.status)}});
   const auto attempt = attempts_.find(service);
   if (attempt != attempts_.end()) {
     attempt->second->OnRecordWritten(held);
@@ -102,7 +102,7 @@
   const std::string service = promotion->second;
   promotions_.erase(promotion);
   outbox_.Log("promotion_answered",
-              {{"service", service}, {"status", std::to_string(static_cast<int>(status))}});
+              {{"service", service}, {"status", failover::PromotionStatusName(status)}});
   const auto attempt = attempts_.find(service);
   if (attempt != attempts_.end()) {
     attempt->second->OnPromotionAnswer(status);
@@ -219,7 +219,7 @@
   view.commit_floor = group.holders.Floor();
   if (settings_.mechanisms.acknowledged_commits) {
     view.acknowledged = AcknowledgedByAll(group);
-    view.acknowledged_complete = IsAcknowledgedComplete(group, registered, now);
+    view.acknowledged_complete = UncoveredDaemons(group, registered, now).empty();
   }
   view.primary_unusable = std::max(group.rejected_term, group.lease.ReleasedTerm()) >=
                           std::max<common::Term>(1, view.term);
@@ -263,15 +263,17 @@
   return report == groups.end() ? nullptr : &*report;
 }
 
-bool FailoverDriver::IsAcknowledgedComplete(const GroupState& group,
-                                            const RegisteredDaemons& registered,
-                                            common::Instant now) const {
-  const std::set<std::string> others = OtherDaemons(registered, now);
-  return group.acknowledged.IsComplete() &&
-         std::all_of(others.begin(), others.end(), [&](const std::string& name) {
-           const GroupReport* report = LiveReport(name, group.service, now);
-           return report != nullptr && report->acknowledged && report->acknowledged_complete;
-         });
+std::string FailoverDriver::UncoveredDaemons(const GroupState& group,
+                                             const RegisteredDaemons& registered,
+                                             common::Instant now) const {
+  std::string names = group.acknowledged.IsComplete() ? "" : settings_.name;
+  for (const std::string& name : OtherDaemons(registered, now)) {
+    const GroupReport* report = LiveReport(name, group.service, now);
+    if (report == nullptr || !report->acknowledged || !report->acknowledged_complete) {
+      names += (names.empty() ? "" : " ") + name;
+    }
+  }
+  return names;
 }
 
 std::set<std::string> FailoverDriver::UnreleasedDaemons(const std::string& service,
@@ -346,7 +348,8 @@
     outbox_.Log("failover_started", {{"service", name},
                                      {"reason", cause.reason},
                                      {"primary", group->lease.Newest().primary},
-                                     {"term", std::to_string(group->lease.Newest().term)}});
+                                     {"term", std::to_string(group->lease.Newest().term)},
+                                     {"uncovered", UncoveredDaemons(*group, registered, now)}});
     attempts_[name] = std::make_unique<failover::Attempt>(name, leadership_, now);
     holders_.RequestRead(name);
     AdvanceAttempt(name, configuration, registered, now);
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -114,9 +114,10 @@
   /// @return a live daemon's report of the group, or nullptr.
   const GroupReport* LiveReport(const std::string& daemon, const std::string& service,
                                 common::Instant now) const;
-  /// @return true if all daemons report complete bounds of what they have acknowledged.
-  bool IsAcknowledgedComplete(const GroupState& group, const RegisteredDaemons& registered,
-                              common::Instant now) const;
+  /// @return names of the daemons that do not report complete bounds of what they have
+  /// acknowledged, separated by blanks.
+  std::string UncoveredDaemons(const GroupState& group, const RegisteredDaemons& registered,
+                               common::Instant now) const;
   /// @return bounds of the last commit that any daemon has acknowledged, as far as reported.
   group::AcknowledgedBounds AcknowledgedByAll(const GroupState& group) const;
   void ExecuteAll(GroupState& group, const std::vector<failover::AttemptAction>& actions,
--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -33,11 +33,8 @@
 }  // namespace
 
 GroupState& GroupSet::Get(const std::string& service, common::Instant now) {
-  const auto [found, added] = groups_.try_emplace(service);
+  const auto [found, added] = groups_.try_emplace(service, service, now);
   if (added) {
-    found->second.service = service;
-    found->second.observed_since = now;
-    found->second.lease_last_held_at = now;
     watched_.push_back(&found->second);  // until the next UpdateWatchedGroups
   }
   return found->second;
@@ -78,7 +75,7 @@
   }
   const group::Confirmation& newest = state->lease.Newest();
   if (instance == newest.primary && position.term == newest.term) {
-    state->acknowledged.OnPrimaryPosition(position);
+    state->acknowledged.OnLogEnd(position);
   }
   // A primary that restarted under its id with an empty log reports a lower position than before,
   // or than it must hold.
@@ -88,8 +85,22 @@
   const bool plausible = !settings_.mechanisms.instance_incarnations ||
                          (least <= position && (!known || *known <= position));
   if (plausible && instance == newest.primary && state->lease.HeldAt(sent, newest.term)) {
-    state->history.Add({sent, position});
-    state->sampled_term = newest.term;
+    RecordSample(*state, {sent, position});
+  }
+}
+
+void GroupSet::RecordSample(GroupState& state, const group::PositionSample& sample) {
+  const common::Term term = state.lease.Newest().term;
+  state.history.Add(sample);
+  state.sampled_term = term;
+  group::PositionSample covering = sample;
+  if (!settings_.mechanisms.covered_restarts) {
+    covering.instant = common::Instant::max();
+  }
+  if (sample.position.term == term && state.acknowledged.OnPrimarySample(covering)) {
+    outbox_.Log("earlier_commits_covered", {{"service", state.service},
+                                            {"primary", state.lease.Newest().primary},
+                                            {"position", PositionText(sample.position)}});
   }
 }
 
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -28,16 +28,23 @@
 namespace valvekeel::proxy {
 
 struct GroupState {
+  /// @param now when this daemon learned of the group.
+  GroupState(std::string service, common::Instant now)
+      : service(std::move(service)),
+        observed_since(now),
+        lease_last_held_at(now),
+        acknowledged(now) {}
+
   std::string service;
   group::ReadLease lease;
   group::PositionHistory history;
-  common::Term fence_below = 0;           // announced by this daemon's attempt; 0: none
-  common::Term observed_fence = 0;        // highest that any daemon announced
-  common::Instant observed_since{0};      // start of the present observation
-  common::Instant term_learned_at{0};     // when the primary's term was learned
-  common::Instant lease_last_held_at{0};  // when the lease was last held
-  common::Instant last_round_at{0};       // start of this daemon's last round
-  std::size_t next_replica = 0;           // rotates the replicas that rounds query
+  common::Term fence_below = 0;        // announced by this daemon's attempt; 0: none
+  common::Term observed_fence = 0;     // highest that any daemon announced
+  common::Instant observed_since;      // start of the present observation
+  common::Instant term_learned_at{0};  // when the primary's term was learned
+  common::Instant lease_last_held_at;  // when the lease was last held
+  common::Instant last_round_at{0};    // start of this daemon's last round
+  std::size_t next_replica = 0;        // rotates the replicas that rounds query
   std::optional<common::Instant> oldest_unanswered_write;  // time it was sent to the primary
   std::optional<common::Instant> writes_stalled_since;     // none answered since
   bool reads_record_at_once = false;                       // if the next round proposes a primary
@@ -80,8 +87,9 @@
   /// @return the id of the primary if reads and writes may be sent there now, else empty.
   std::string UsablePrimary(const std::string& service, common::Instant now);
 
-  /// Records the position that an instance reported in answer to a request sent at `sent`. Ignored
-  /// unless the instance is the lease's primary and the lease was held at `sent`.
+  /// Records the position that an instance reported in answer to a request sent at `sent`, by this
+  /// daemon or by one that passes the position on. Ignored unless the instance is the lease's
+  /// primary and the lease was held at `sent`.
   void RecordPosition(const std::string& service, const std::string& instance,
                       const common::Position& position, common::Instant sent);
 
@@ -198,6 +206,8 @@
   void Tick(common::Instant now);
 
  private:
+  /// Records a sample of the primary's position, taken while the lease was held.
+  void RecordSample(GroupState& state, const group::PositionSample& sample);
   /// @return true if the group's report goes to all daemons.
   static bool IsDegraded(const GroupState& state, common::Instant now);
   void UpdateWatched(GroupState& state, common::Instant now);
--- a/src/proxy/holder_keeper.cc
+++ b/src/proxy/holder_keeper.cc
@@ -125,7 +125,7 @@
     outbox_.Log("holders_call_failed",
                 {{"service", answered.service},
                  {"call", answered.write ? "write" : "read"},
-                 {"status", std::to_string(static_cast<int>(result.status))},
+                 {"status", failover::WriteStatusName(result.status)},
                  {"after_ms", MillisecondsText(now - answered.sent)}},
                 LogLevel::kWarning);
     state.not_before = now + kFailurePause;
--- a/src/proxy/peer_table.cc
+++ b/src/proxy/peer_table.cc
@@ -75,7 +75,7 @@
   peer.highest_sequence = message.sequence;
   peer.last_received_at = now;
   std::vector<GroupReport> before = std::exchange(peer.last, message).groups;
-  if (message.is_continuation) {
+  if (message.is_continuation && !new_incarnation) {
     AddMissing(before, peer.last.groups);
   }
   peer.looks_for_hubs = membership::live_view::is_discovery_request(message.view);
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -24,18 +24,21 @@
 /// Safety mechanisms that tests switch off to verify that the simulator's checkers detect their
 /// absence. No setting of the daemon controls them.
 struct Mechanisms {
-  bool read_lease = true;             // reads at a primary need a lease
-  bool required_positions = true;     // replicas must hold the position that a read needs
-  bool enough_fences = true;          // more than one replica is fenced before a promotion
-  bool session_reset = true;          // a connection is set to the values of its session
-  bool tenant_connections = true;     // a connection serves one tenant
-  bool unknown_outcomes = true;       // a write whose answer is lost is not retried
-  bool evacuation_bound = true;       // requests to instances of an evacuated zone end in time
-  bool warm_up_limit = true;          // recently started instances get few requests
-  bool allowed_regions = true;        // requests run only in the regions allowed for them
-  bool acknowledged_commits = true;   // a promoted instance holds what daemons have acknowledged
-  bool recorded_holders = true;       // commit holders are kept in the store
-  bool instance_incarnations = true;  // the log of an instance counts as lost when it restarts
+  bool read_lease = true;            // reads at a primary need a lease
+  bool required_positions = true;    // replicas must hold the position that a read needs
+  bool enough_fences = true;         // more than one replica is fenced before a promotion
+  bool session_reset = true;         // a connection is set to the values of its session
+  bool tenant_connections = true;    // a connection serves one tenant
+  bool unknown_outcomes = true;      // a write whose answer is lost is not retried
+  bool evacuation_bound = true;      // requests to instances of an evacuated zone end in time
+  bool warm_up_limit = true;         // recently started instances get few requests
+  bool allowed_regions = true;       // requests run only in the regions allowed for them
+  bool acknowledged_commits = true;  // a promoted instance holds what daemons have acknowledged
+  bool covered_restarts = true;      // bounds of earlier processes need a position asked for since
+  bool confirmed_session_state = true;  // a connection's values change with the instance's answer
+  bool promotion_deadline = true;       // no promotion is sent after the right to it has ended
+  bool recorded_holders = true;         // commit holders are kept in the store
+  bool instance_incarnations = true;    // the log of an instance counts as lost when it restarts
 };
 
 struct ProxySettings {
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -70,8 +70,51 @@
   return record;
 }
 
+/// A heartbeat of a daemon that follows "p" and has sampled its position before sending.
+PeerMessage HeartbeatWithSample(const Position& sample, Duration sample_age) {
+  GroupReport report;
+  report.service = "group";
+  report.term = 1;
+  report.primary = "p";
+  report.confirmation_age = Duration(0);
+  report.sample = sample;
+  report.sample_age = sample_age;
+  PeerMessage message;
+  message.name = "other";
+  message.groups.push_back(report);
+  return message;
+}
+
 }  // namespace
 
+TEST_CASE("A position older than this process does not cover what earlier processes acknowledged",
+          "[proxy]") {
+  // Guards against a loss of commits: a daemon that had restarted took another daemon's earlier
+  // sample for the end of what it had acknowledged, and a replica that held no more was promoted.
+  GroupFixture fixture;
+  const group::AcknowledgedCommits& acknowledged = fixture.groups.Find("group")->acknowledged;
+  const Instant received = kStart + Duration(10'000);
+  fixture.groups.ApplyReports(HeartbeatWithSample({1, 2}, Duration(10'001)), received);
+  CHECK_FALSE(acknowledged.IsComplete());
+  // The log's end is known to be at least there, whatever the age.
+  CHECK(acknowledged.Bounds().log_end == Position{1, 2});
+  fixture.groups.ApplyReports(HeartbeatWithSample({1, 44}, Duration(10'000)), received);
+  CHECK(acknowledged.IsComplete());
+  CHECK(acknowledged.Bounds().at_most == Position{1, 44});
+}
+
+TEST_CASE("A position asked for without a lease covers nothing", "[proxy]") {
+  // Guards against a loss of commits: a primary that has been replaced reports a position below
+  // what its successor acknowledged.
+  GroupFixture fixture;
+  const Instant lapsed = kStart + group::kLeaseTime;
+  fixture.groups.RecordPosition("group", "p", {1, 40}, lapsed);
+  CHECK_FALSE(fixture.groups.Find("group")->acknowledged.IsComplete());
+  fixture.groups.Find("group")->lease.Renew({1, "p", lapsed});
+  fixture.groups.RecordPosition("group", "p", {1, 41}, lapsed);
+  CHECK(fixture.groups.Find("group")->acknowledged.IsComplete());
+}
+
 TEST_CASE("A terminated instance does not count toward a majority", "[proxy]") {
   // Guards against counting terminated instances: after two crashes and replacements the two live
   // instances of a group are no majority of the four ever listed, and no lease of the new primary
--- a/tests/proxy/peer_table_test.cc
+++ b/tests/proxy/peer_table_test.cc
@@ -124,4 +124,22 @@
   }
 }
 
+TEST_CASE("A continuation of a restarted peer keeps no report of its earlier process", "[proxy]") {
+  // Guards against a loss of commits: the earlier process's bounds of what it acknowledged would
+  // stand for those of the new one, whose first message was lost.
+  PeerTable table("a", 1);
+  PeerMessage before = From("b", 9, 1);
+  before.groups.resize(1);
+  before.groups[0].service = "ledger";
+  table.Receive(kOther, before, kStart);
+  PeerMessage part = From("b", 10, 2);
+  part.is_continuation = true;
+  part.groups.resize(1);
+  part.groups[0].service = "orders";
+  table.Receive(kOther, part, kStart + Duration(1000));
+  const std::vector<GroupReport>& groups = table.All().at(kOther).last.groups;
+  REQUIRE(groups.size() == 1);
+  CHECK(groups[0].service == "orders");
+}
+
 }  // namespace valvekeel::proxy
--- a/tests/proxy/read_placement_test.cc
+++ b/tests/proxy/read_placement_test.cc
@@ -37,7 +37,7 @@
   ProxySettings settings;
   Outbox outbox;
   BackendSet backends{outbox};
-  GroupState group;
+  GroupState group{"group", Instant(0)};
   access::rule_set access;
   model::Route route;
   ReadPlacement placement{settings, backends, access};
