Session state of a connection changes with the instance's answer, not with the request

What callers saw: after a failover some sessions read with former values of their settings, and prepared names were unknown, though SET and PARSE had been acknowledged; until the connection closed.

Cause: values and names were noted as in force on a connection when SET, PARSE or RESET were sent. If the last of them was refused, the notes stayed and the connection returned to the pool.

Why it works: each preparation is noted when the instance confirms it, in the order of the answers, so a refused one is sent again before the next statement. A connection that answers a confirmed name as unknown is closed, and a statement that has not run goes elsewhere.

--- a/src/proxy/backend.cc
+++ b/src/proxy/backend.cc
@@ -31,6 +31,22 @@
 
 }  // namespace
 
+void Connection::OnPrepared(const model::InstanceRequest& preparation) {
+  if (const auto* control = std::get_if<model::ControlRequest>(&preparation)) {
+    if (control->kind == model::ControlKind::kResetSession) {
+      this->values.clear();
+      this->prepared.clear();
+    }
+    return;
+  }
+  const model::Command& command = std::get<model::SessionRequest>(preparation).command;
+  if (command.kind == model::CommandKind::kSet) {
+    this->values[command.name] = command.arguments;
+  } else if (command.kind == model::CommandKind::kPrepare) {
+    this->prepared[command.prepared] = command.name;
+  }
+}
+
 Backend::Backend(model::InstanceEntry entry)
     : entry_(std::move(entry)), in_flight_limit_(kInFlightPerSlot * std::max(1U, entry_.slots)) {}
 
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -41,9 +41,14 @@
   common::Instant sent{0};
   ControlNumber control = 0;
   common::Position log_end;  // of the instance, as far as known when the request was sent
+  std::optional<model::InstanceRequest> preparation;  // a copy of it, for that purpose
 };
 
+/// A connection to an instance. `values` and `prepared` say what the instance has confirmed.
 struct Connection {
+  /// Records the effect of a preparation that the instance has answered with success.
+  void OnPrepared(const model::InstanceRequest& preparation);
+
   ConnectionNumber number = 0;
   std::string tenant;  // whose requests it carries; empty: of no tenant
   bool open = false;
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -252,7 +252,10 @@
                       std::vector<model::InstanceRequest> requests, RequestPurpose purpose,
                       common::Instant now) {
   for (std::size_t i = 0; i < requests.size(); ++i) {
-    connection.outstanding.push_back({purpose, now, 0, backend.log_end});
+    connection.outstanding.push_back({purpose, now, 0, backend.log_end, std::nullopt});
+    if (purpose == RequestPurpose::kPreparation) {
+      connection.outstanding.back().preparation = requests[i];
+    }
   }
   connection.last_used = now;
   outbox_.Emit(SendRequests{connection.number, std::move(requests)});
@@ -284,7 +287,7 @@
     const QueuedControlRequest item = backend.control_queue.front();
     backend.control_queue.pop_front();
     connection->outstanding.push_back(
-        {RequestPurpose::kControl, now, item.number, backend.log_end});
+        {RequestPurpose::kControl, now, item.number, backend.log_end, std::nullopt});
     outbox_.Emit(SendRequests{connection->number, {item.request}});
   }
 }
@@ -440,6 +443,9 @@
   if (not_restarted && warm_up_observer_ != nullptr) {
     warm_up_observer_->on_restart_ruled_out(backend->Entry());
   }
+  if (reply.succeeded && outstanding.preparation) {
+    connection->OnPrepared(*outstanding.preparation);
+  }
   if (outstanding.purpose == RequestPurpose::kControl) {
     if (reply.status) {
       ApplyStatus(*backend, *reply.status, outstanding.sent, now);
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -242,11 +242,15 @@
   void SendStatement(Session& session, Backend& backend, Connection& connection,
                      common::Instant now);
   std::vector<model::InstanceRequest> BuildPreparation(
-      const Session& session, Connection& connection,
+      const Session& session, const Connection& connection,
       const std::optional<common::Position>& required) const;
   /// Queues an operation again after a pause. @param avoid the instance that could not serve it.
   void Requeue(Session& session, const std::string& avoid, const char* reason,
                common::Duration pause, common::Instant now);
+  /// Handles an instance that does not know a name that it has confirmed: the state of the
+  /// connection is unknown, so the connection is closed.
+  void OnSessionStateMismatch(Session& session, Backend& backend, Connection& connection,
+                              common::Instant now);
   void OnStatementAnswer(Session& session, Backend& backend, Connection& connection,
                          const model::Reply& reply, common::Instant now);
   /// Finishes a commit with an unknown outcome, since this daemon holds no lease of the primary
--- a/src/proxy/dispatcher_execution.cc
+++ b/src/proxy/dispatcher_execution.cc
@@ -224,20 +224,19 @@
 }
 
 std::vector<model::InstanceRequest> Dispatcher::BuildPreparation(
-    const Session& session, Connection& connection,
+    const Session& session, const Connection& connection,
     const std::optional<common::Position>& required) const {
   std::vector<model::InstanceRequest> requests;
   const bool has_extra_values =
       std::any_of(connection.values.begin(), connection.values.end(),
                   [&](const auto& value) { return !session.values.contains(value.first); });
-  if (has_extra_values && settings_.mechanisms.session_reset) {
+  const bool resets = has_extra_values && settings_.mechanisms.session_reset;
+  if (resets) {
     requests.emplace_back(model::ControlRequest{model::ControlKind::kResetSession, 0});
-    connection.values.clear();
-    connection.prepared.clear();
   }
   for (const auto& [name, value] : session.values) {
     const auto in_force = connection.values.find(name);
-    if (in_force != connection.values.end() && in_force->second == value) {
+    if (!resets && in_force != connection.values.end() && in_force->second == value) {
       continue;
     }
     model::Command set;
@@ -245,17 +244,16 @@
     set.name = name;
     set.arguments = value;
     requests.emplace_back(model::SessionRequest{"", set, std::nullopt});
-    connection.values[name] = value;
   }
   const model::Command& command = session.operation->caller_command.command;
   if (command.kind == model::CommandKind::kExecute) {
     const model::PreparedStatement& statement = session.prepared.at(command.name);
-    if (!connection.prepared.contains(statement)) {
+    if (resets || !connection.prepared.contains(statement)) {
+      const std::size_t names_in_use = resets ? 0 : connection.prepared.size();
       model::Command prepare;
       prepare.kind = model::CommandKind::kPrepare;
-      prepare.name = "p" + std::to_string(connection.prepared.size() + 1);
+      prepare.name = "p" + std::to_string(names_in_use + 1);
       prepare.prepared = statement;
-      connection.prepared[statement] = prepare.name;
       requests.emplace_back(model::SessionRequest{"", prepare, std::nullopt});
     }
   }
@@ -282,6 +280,11 @@
     SendStatement(session, backend, connection, now);
     return;
   }
+  if (!settings_.mechanisms.confirmed_session_state) {
+    for (const model::InstanceRequest& request : requests) {
+      connection.OnPrepared(request);
+    }
+  }
   operation.phase = OperationPhase::kPreparing;
   operation.unanswered_preparations = requests.size();
   SendAndCountRequests(backend, connection, std::move(requests), RequestPurpose::kPreparation, now);
@@ -390,11 +393,25 @@
                                    const model::Reply& reply, common::Instant now) {
   if (reply.succeeded) {
     OnStatementSucceeded(session, backend, connection, reply, now);
+  } else if (reply.error == model::ErrorCode::kUnknownStatement) {
+    OnSessionStateMismatch(session, backend, connection, now);
   } else {
     OnRefused(session, backend, connection, reply, now);
   }
 }
 
+void Dispatcher::OnSessionStateMismatch(Session& session, Backend& backend, Connection& connection,
+                                        common::Instant now) {
+  outbox_.Log(
+      "session_state_mismatch",
+      {{"request", session.operation->caller_command.request_id}, {"instance", backend.Entry().id}},
+      LogLevel::kWarning);
+  session.operation->phase = OperationPhase::kPreparing;  // the instance did not run the statement
+  Connection lost = connection;
+  backends_.Close(backend, lost.number);
+  OnLost(backend, lost, now);
+}
+
 void Dispatcher::OnStatementSucceeded(Session& session, Backend& backend, Connection& connection,
                                       const model::Reply& reply, common::Instant now) {
   Operation& operation = *session.operation;
