A promotion is not sent after the right to promote has ended

What was seen: a platform that checks no fencing tokens carried out a promotion with a lower token than it had seen: a daemon that had stood still for 5 s sent it when it woke.

Cause: the right to act is checked when an attempt decides to promote. The HTTP client wrote the request whenever its connection opened. Its timeout is a timer, and after a standstill the event loop handles descriptors before timers.

Why it works: the promotion carries the end of the holder's right, and the client compares the clock as it writes, also with the call's own timeout. Control requests that waited for a connection expire before they are sent as well.

http_test "A request is not sent after its timeout, although the connection opened in time" failed before.

--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -464,8 +464,8 @@
   promotion_outstanding_ = true;
   promotion_was_sent_ = true;
   promotion_sent_at_ = now;
-  actions.emplace_back(
-      RequestPromotion{candidate_, leadership_.OwnName(), leadership_.Record().token});
+  actions.emplace_back(RequestPromotion{candidate_, leadership_.OwnName(),
+                                        leadership_.Record().token, leadership_.MayActUntil()});
 }
 
 void Attempt::Verify(const GroupView& view, common::Instant now, Actions& actions) {
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -100,6 +100,7 @@
   std::string candidate;
   std::string holder;
   std::uint64_t token = 0;
+  common::Instant valid_until{0};  // it must not be sent at this time or later
 };
 
 /// An entry for the log.
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -1,5 +1,7 @@
 #include "net/http.h"
 
+#include <algorithm>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <utility>
 
@@ -10,8 +12,6 @@
 constexpr std::size_t kMaxIdleConnections = 8;
 /// Connections that a server has open; it closes further ones on accept.
 constexpr std::size_t kMaxServedConnections = 64;
-/// Sent bytes that stay unacknowledged for longer end the connection.
-constexpr unsigned kUserTimeoutMs = 3000;
 
 std::string SerializeRequest(const HttpRequest& request, const common::Endpoint& server) {
   std::string bytes = request.method;
@@ -96,13 +96,17 @@
   std::string bytes;
   HttpHandler handler;
   std::shared_ptr<Connection> connection;
-  std::chrono::steady_clock::time_point deadline;
+  common::Instant send_before{0};
   bool sent = false;
   bool finished = false;
 };
 
-HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server)
-    : loop_(loop), server_(std::move(server)), idle_(std::make_shared<IdleConnections>()) {}
+HttpClient::HttpClient(asio::io_context& loop, common::Endpoint server,
+                       std::chrono::milliseconds unacknowledged_limit)
+    : loop_(loop),
+      server_(std::move(server)),
+      unacknowledged_limit_(unacknowledged_limit),
+      idle_(std::make_shared<IdleConnections>()) {}
 
 HttpClient::~HttpClient() { CloseIdle(); }
 
@@ -131,7 +135,7 @@
   const std::shared_ptr<Connection> connection = std::move(exchange->connection);
   if (connection) {
     if (!common::IsOk(result)) {
-      connection->stream->Close();
+      connection->stream->Reset();
     }
     // `exchange` may refer to this pointer, so it must not be used after the reset.
     connection->exchange.reset();
@@ -167,10 +171,11 @@
 }
 
 void HttpClient::Call(const HttpRequest& request, std::chrono::microseconds timeout,
-                      HttpHandler handler) {
+                      HttpHandler handler, common::Instant send_before) {
   auto exchange = std::make_shared<Exchange>(loop_);
   exchange->bytes = SerializeRequest(request, server_);
   exchange->handler = std::move(handler);
+  exchange->send_before = std::min<common::Instant>(send_before, common::SteadyNow() + timeout);
   exchange->timer.expires_after(timeout);
   exchange->timer.async_wait([exchange](const asio::error_code& cancelled) {
     if (!cancelled) {
@@ -189,7 +194,7 @@
   }
   auto connection = std::make_shared<Connection>();
   connection->stream = std::make_shared<Stream>(loop_);
-  connection->stream->SetUserTimeout(kUserTimeoutMs);
+  connection->stream->SetUserTimeout(static_cast<unsigned>(unacknowledged_limit_.count()));
   connection->exchange = exchange;
   exchange->connection = connection;
   const std::weak_ptr<Connection> weak = connection;
@@ -233,6 +238,13 @@
 }
 
 void HttpClient::Send(const std::shared_ptr<Exchange>& exchange) {
+  // After a standstill of the process, the event loop handles an opened connection before an
+  // expired timer.
+  if (common::SteadyNow() >= exchange->send_before) {
+    asio::post(exchange->timer.get_executor(),
+               [exchange] { Finish(exchange, HttpError::kNotSent); });
+    return;
+  }
   exchange->sent = true;
   exchange->connection->stream->Send(std::move(exchange->bytes));
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,7 @@
 
 #include "common/endpoint.h"
 #include "common/result.h"
+#include "common/time.h"
 #include "net/http_parser.h"
 #include "net/listener.h"
 #include "net/stream.h"
@@ -44,10 +45,16 @@
 using HttpResult = common::Result<HttpResponse, HttpError>;
 using HttpHandler = std::function<void(const HttpResult&)>;
 
+/// Default time for a server to acknowledge sent bytes.
+inline constexpr std::chrono::milliseconds kUnacknowledgedLimit{3'000};
+
 /// Sends requests to one server. Reuses idle connections.
 class HttpClient {
  public:
-  HttpClient(asio::io_context& loop, common::Endpoint server);
+  /// @param unacknowledged_limit time after which sent bytes that the server has not acknowledged
+  /// end their connection, also while this process stands still.
+  HttpClient(asio::io_context& loop, common::Endpoint server,
+             std::chrono::milliseconds unacknowledged_limit = kUnacknowledgedLimit);
   /// Closes the idle connections; calls in progress continue.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
@@ -57,10 +64,13 @@
   /// continue.
   void SetServer(const common::Endpoint& server);
 
-  /// Sends a request.
+  /// Sends a request. A call that fails resets its connection, so that none of its bytes arrive
+  /// later.
   /// @param timeout after which the call fails: kNotSent while connecting, kNoAnswer after sending.
   /// @param handler called exactly once, with the response or the error.
-  void Call(const HttpRequest& request, std::chrono::microseconds timeout, HttpHandler handler);
+  /// @param send_before the request is not sent at this time or later, nor after the timeout.
+  void Call(const HttpRequest& request, std::chrono::microseconds timeout, HttpHandler handler,
+            common::Instant send_before = common::Instant::max());
 
  private:
   struct Connection;
@@ -76,6 +86,7 @@
 
   asio::io_context& loop_;
   common::Endpoint server_;
+  std::chrono::milliseconds unacknowledged_limit_;
   std::shared_ptr<IdleConnections> idle_;
 };
 
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -259,6 +259,14 @@
   return known && info.tcpi_state == TCP_CLOSE;
 }
 
+void Stream::Reset() {
+  if (open_) {
+    asio::error_code ignored;  // without the option the connection is closed as usual
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  Close();
+}
+
 void Stream::Close() {
   if (!open_) {
     return;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -69,6 +69,9 @@
   /// Closes the connection immediately; queued bytes are dropped. No handler is called.
   void Close();
 
+  /// As Close; the system drops bytes that the peer has not acknowledged and resets the connection.
+  void Reset();
+
   bool IsOpen() const { return open_; }
 
   /// @return why the connection ended, as text for a log; empty if this side closed it.
--- a/src/proxy/actions.h
+++ b/src/proxy/actions.h
@@ -155,6 +155,7 @@
   std::string instance;
   std::string holder;
   std::uint64_t token = 0;
+  common::Instant valid_until{0};  // when the holder's right to act ends
 };
 
 /// Sends a message to another daemon.
--- a/src/proxy/backend_set.cc
+++ b/src/proxy/backend_set.cc
@@ -276,6 +276,10 @@
 }
 
 void BackendSet::SendQueuedControls(Backend& backend, common::Instant now) {
+  // What the sender decided before a standstill of the process may no longer hold.
+  std::erase_if(backend.control_queue, [now](const QueuedControlRequest& item) {
+    return now >= item.queued + kControlTimeout;
+  });
   while (!backend.control_queue.empty()) {
     Connection* connection = backend.PickAnyFree();
     if (connection == nullptr) {
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -493,7 +493,10 @@
                              common::Instant now) {
   const CallNumber call = outbox_.NextNumber();
   promotions_[call] = group.service;
-  outbox_.Emit(Promote{call, group.service, action.candidate, action.holder, action.token});
+  const common::Instant valid_until =
+      settings_.mechanisms.promotion_deadline ? action.valid_until : common::Instant::max();
+  outbox_.Emit(
+      Promote{call, group.service, action.candidate, action.holder, action.token, valid_until});
   static_cast<void>(now);
 }
 
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace valvekeel::net {
 namespace {
@@ -145,6 +146,47 @@
   CHECK_FALSE(accepted);
 }
 
+TEST_CASE("A request is not sent after its timeout, although the connection opened in time",
+          "[net]") {
+  // Guards against a promotion that a daemon sends after a standstill, when another one holds the
+  // right to promote: the loop handles the opened connection before the expired timer.
+  asio::io_context loop;
+  int requests = 0;
+  HttpServer server(loop, [&requests](const HttpMessage&) {
+    ++requests;
+    return HttpResponse{200, "answer", "text/plain", {}};
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  std::optional<HttpResult> outcome;
+  client.Call({}, kTimeout, [&](const HttpResult& result) { outcome = result; });
+  std::this_thread::sleep_for(kTimeout);
+  loop.run_for(kTimeout);
+  REQUIRE(outcome);
+  REQUIRE_FALSE(IsOk(*outcome));
+  CHECK(ErrorOf(*outcome) == HttpError::kNotSent);
+  CHECK(requests == 0);
+}
+
+TEST_CASE("A request is not sent once the right to send it has ended", "[net]") {
+  asio::io_context loop;
+  int requests = 0;
+  HttpServer server(loop, [&requests](const HttpMessage&) {
+    ++requests;
+    return HttpResponse{200, "answer", "text/plain", {}};
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}));
+  HttpClient client(loop, {"127.0.0.1", server.Port()});
+  REQUIRE(IsOk(CallAndWait(loop, client, {})));  // leaves an idle connection
+  std::optional<HttpResult> outcome;
+  client.Call(
+      {}, kTimeout, [&](const HttpResult& result) { outcome = result; }, common::SteadyNow());
+  loop.run_for(kTimeout);
+  REQUIRE(outcome);
+  CHECK(ErrorOf(*outcome) == HttpError::kNotSent);
+  CHECK(requests == 1);
+}
+
 TEST_CASE("200 consecutive clients that send one request each all get a response", "[net]") {
   constexpr int kClients = 200;
   asio::io_context loop;
