A session that is handed to another owner takes all its bytes along

What callers saw: a write that was sent right behind the start of its session, in parts, ran and was acknowledged without the middle of its text.

Cause: bytes of a relayed session that no owner has accepted were kept only while no link to an owner was open. Those that arrived between the opening and a hand-over went to the first owner alone, and the next one got the rest of the line. Before the first link, bytes beyond 64 KiB were dropped without a word.

Why it works: all bytes are kept until an owner accepts the session, or until a whole command has been sent to one: from then on the session is never handed over. More than 2 MiB end the session with an error; a message has 1 MiB at most.

--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -18,7 +18,7 @@
 /// Tracked connections in excess of the sessions from which on closed ones are dropped.
 constexpr std::size_t kStreamsBeforeCleanup = 64;
 /// Limit of the bytes of a caller that are kept for an owner until the session is accepted.
-constexpr std::size_t kMaxUnacceptedBytes = std::size_t{64} << 10U;
+constexpr std::size_t kMaxUnacceptedBytes = std::size_t{2} << 20U;
 
 }  // namespace
 
@@ -199,6 +199,24 @@
   });
 }
 
+bool ProxyHost::KeepUnaccepted(Caller& caller, std::string_view bytes) {
+  // A session of which an owner was sent a whole command is never handed to another one.
+  const bool may_be_handed_over = !caller.link || caller.unanswered == 0;
+  if (caller.accepted || !may_be_handed_over) {
+    return true;
+  }
+  if (caller.unaccepted.size() + bytes.size() <= kMaxUnacceptedBytes) {
+    caller.unaccepted += bytes;
+    return true;
+  }
+  Log("session_refused", {{"reason", "too many bytes before its acceptance"},
+                          {"limit", std::to_string(kMaxUnacceptedBytes)}});
+  caller.stream->Send(caller.codec->EncodeError(model::ErrorCode::kTooLarge,
+                                                "too many bytes before the session is accepted"));
+  caller.stream->CloseAfterFlush();
+  return false;
+}
+
 void ProxyHost::OnCallerBytes(proxy::SessionNumber number, std::string_view bytes) {
   crash_report::note_activity("caller_bytes");
   const auto found = callers_.find(number);
@@ -206,10 +224,12 @@
     return;
   }
   Caller& caller = found->second;
+  if (!KeepUnaccepted(caller, bytes)) {
+    OnCallerClosed(number);
+    return;
+  }
   if (caller.link) {
     caller.link->send(bytes);
-  } else if (caller.unaccepted.size() < kMaxUnacceptedBytes && !caller.accepted) {
-    caller.unaccepted += bytes;
   }
   const std::vector<CallerMessage> messages = caller.codec->Decode(bytes);
   const common::Instant now = common::SteadyNow();
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -87,6 +87,9 @@
   void AddHandover(asio::ip::tcp::socket socket);
   bool HandleCallerMessage(proxy::SessionNumber number, const CallerMessage& message,
                            common::Instant now);
+  /// Keeps bytes of a session that may still be handed to another owner, which then gets them all.
+  /// @return false if they are too many: the caller is told so and disconnected.
+  bool KeepUnaccepted(Caller& caller, std::string_view bytes);
   void OnCallerBytes(proxy::SessionNumber number, std::string_view bytes);
   void OnCallerClosed(proxy::SessionNumber number);
   void OnInstanceBytes(proxy::ConnectionNumber number, std::string_view bytes);
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -241,6 +241,61 @@
                     self.writer = None
 
 
+class EarlyCaller(Caller):
+    """Sends its start and a long write at once, in parts, without waiting for the acceptance."""
+
+    DATA_BYTES = (2_000, 60_000)  # a line of the stand-in has 64 KiB at most
+    PARTS = (3, 8)
+    PART_PAUSE_SECONDS = (0.05, 0.3)
+
+    def __init__(self, texts, *others):
+        super().__init__(*others)
+        self.texts = texts  # by request id, what the instances compare
+
+    async def send(self):
+        self.daemon = self.random.choice(self.daemons)
+        self.reader, self.writer = await asyncio.wait_for(
+            asyncio.open_connection(self.daemon.host, CALLER_PORT), START_TIMEOUT_SECONDS)
+        request_id = self.new_id()
+        data = "".join("<%06d>" % at for at in range(0, self.random.randrange(*self.DATA_BYTES), 8))
+        text = "PUT %s %s" % (self.key, data)
+        self.texts[request_id] = text
+        whole = ("START %s.primary early%d\r\nQUERY %s %s\r\n" % (
+            self.service, self.number, request_id, text)).encode()
+        step = len(whole) // self.random.randrange(*self.PARTS) + 1
+        for at in range(0, len(whole), step):
+            self.writer.write(whole[at:at + step])
+            await self.writer.drain()
+            await asyncio.sleep(self.random.uniform(*self.PART_PAUSE_SECONDS))
+        lines = []
+        while len(lines) < 2:
+            line = (await asyncio.wait_for(self.reader.readline(),
+                                           ANSWER_TIMEOUT_SECONDS)).decode()
+            if not line.endswith("\r\n"):
+                raise Gone("cut off")
+            lines.append(line)
+            if line.startswith("ERROR"):
+                code = line.split(" ")[1]
+                self.history.failures[code] = self.history.failures.get(code, 0) + 1
+                return
+        if lines[1].startswith("COMPLETE"):
+            self.history.acknowledge(request_id, self.service, self.group.number_of(request_id))
+            self.history.done += 1
+
+    async def run(self, until):
+        while time.monotonic() < until():
+            try:
+                await self.send()
+            except (Gone, ConnectionError, OSError, asyncio.TimeoutError) as error:
+                name = type(error).__name__
+                self.history.failures[name] = self.history.failures.get(name, 0) + 1
+            finally:
+                if self.writer:
+                    self.writer.close()
+                    self.writer = None
+            await asyncio.sleep(self.random.uniform(0.0, 0.3))
+
+
 class SilentCaller(Caller):
     """Sends requests for large rows and reads no answers, then ends its connection."""
 
--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -42,6 +42,7 @@
         self.connections = set()  # open sessions
         self.promoting = False
         self.on_request = None  # called with the instance and the id of each callers' request
+        self.on_statement = None  # called with the id and the text of each statement
         self.on_abort = None    # called with the id of each request that the instance aborts
 
     def position(self):
@@ -163,6 +164,8 @@
         if text.startswith("SYNCTO "):
             _, required, text = text.split(" ", 2)
         word, _, rest = text.partition(" ")
+        if self.instance.on_statement:
+            self.instance.on_statement(request_id, text)
         if word in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
             return self.control(word, rest)
         if self.instance.on_request:
--- a/tests/platform/soak/short.py
+++ b/tests/platform/soak/short.py
@@ -26,6 +26,8 @@
         "--sequences --seed 1 --seconds 45",
     "Soak: a store that returns from older copies breaks no rule":
         "--restores --seed 3 --seconds 30",
+    "Soak: commands that arrive in parts before their session is accepted run whole":
+        "--seed 2 --seconds 30 --daemons 9 --connections 14 --meshed 4 --early_callers 24",
     "Soak: odd entries of another writer end no daemon and leave no list unread":
         "--odd_entries --seed 1 --seconds 15",
 }
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -27,8 +27,8 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from callers import (CALLER_PORT, Caller, History, PersistentCaller,  # noqa: E402
-                     SilentCaller)
+from callers import (CALLER_PORT, Caller, EarlyCaller, History,  # noqa: E402
+                     PersistentCaller, SilentCaller)
 from database import Group, Instance  # noqa: E402
 from link import Link  # noqa: E402
 from odd_entries import WHOLE, OddEntries, draw_contents  # noqa: E402
@@ -145,6 +145,7 @@
         self.odd_entries = OddEntries(self)
         self.evacuated = {}  # time of the evacuation by zone
         self.empty_restart_until = {}  # by group: end of the recovery from an empty restart
+        self.early_texts = {}  # by request id, as early callers sent them
         self.unlisted = set()     # names of instances that do not reach the store
         self.in_sequence = set()  # groups that a sequence of faults is hitting
         self.fault_until = {}  # end of the fault by "daemon", "store" or name of the instance
@@ -210,6 +211,7 @@
             instance.primary = index == 0
             instance.zone = "zone-%d" % (index % ZONES)
             instance.on_request = self.on_request
+            instance.on_statement = self.on_statement
             instance.on_abort = self.requests.aborted.add
             group.instances.append(instance)
             await instance.start()
@@ -260,6 +262,13 @@
             self.history.violations.append("EVAC: %s of %s after %.2f s" % (
                 instance.name, instance.zone, now - began))
 
+    def on_statement(self, request_id, text):
+        """Compares the text of a statement with what an early caller sent."""
+        sent = self.early_texts.get(request_id, text)
+        if text != sent:
+            self.history.violations.append("UNASKED: %s has a text of %d bytes, %d were sent" % (
+                request_id, len(text), len(sent)))
+
     async def promote(self, service, name):
         return await self.groups[service].promote(name)
 
@@ -550,6 +559,8 @@
         faults = [self.kill, self.kill_many, self.stop, self.pause, self.reload, self.crash,
                   self.crash, self.link_fault, self.link_fault, self.store_fault, self.lag,
                   self.evacuate, self.evacuate, self.restart_empty, self.write_foreign_entries]
+        if self.options.early_callers:
+            faults += 12 * [self.pause]  # an owner that stands still has not accepted its sessions
         if self.options.restores:
             faults += 3 * [self.restore_store]
         running = [asyncio.ensure_future(self.restore_store())] if self.options.restores else []
@@ -576,6 +587,10 @@
                                  groups[number % len(groups)], "primary", self.history,
                                  self.requests)
                     for number in range(self.options.silent_callers)]
+        callers += [EarlyCaller(self.early_texts, len(callers) + number, self.options.seed,
+                                self.daemons, groups[number % len(groups)], "primary",
+                                self.history, self.requests)
+                    for number in range(self.options.early_callers)]
         tasks = [asyncio.ensure_future(each.run(lambda: self.end)) for each in callers]
         if self.options.planned or self.options.odd_entries:
             await self.run_series()
@@ -674,6 +689,8 @@
                         help="entries of another writer beside signals, crashes, configurations")
     parser.add_argument("--silent_callers", type=int, default=0,
                         help="callers that send requests for large rows and don't read them")
+    parser.add_argument("--early_callers", type=int, default=0,
+                        help="callers that send their first command before they are accepted")
     parser.add_argument("--restores", action="store_true",
                         help="the store returns from older copies, several times")
     parser.add_argument("--plant", default="",
