An answer larger than a queue is sent whole, and the caller's next commands wait for it

What callers saw: the session was closed, without a log line, when an instance's answer exceeded 4 MiB, at any time and also during a planned stop.

Cause: a connection fails when more than 4 MiB are to be queued, also when nothing is queued and the peer reads. An answer is queued in one piece.

Why it works: a caller's connection may queue one answer of up to 32 MiB beside the former limit. Once more than 1 MiB are queued, nothing more is read from the caller, none of its commands starts, and a daemon that relays stops reading from the owner, until all has been sent. A planned stop waits for a caller that still reads as for a command.

--- a/src/host/codec.h
+++ b/src/host/codec.h
@@ -75,7 +75,12 @@
 using InstanceMessage =
     std::variant<InstanceAccepted, InstanceRejected, model::Reply, InstanceProtocolError>;
 
-/// Protocol of one connection to an instance.
+/// Largest answer of an instance, as encoded for the caller. It is held whole, so that a request
+/// can be sent again as long as its caller has seen nothing of an answer.
+inline constexpr std::size_t kMaxAnswerBytes = std::size_t{32} << 20U;
+
+/// Protocol of one connection to an instance. An answer above kMaxAnswerBytes is decoded as an
+/// error (model::ErrorCode::kTooLarge) without its rows.
 class InstanceCodec {
  public:
   virtual ~InstanceCodec() = default;
--- a/src/host/proxy_host.cc
+++ b/src/host/proxy_host.cc
@@ -125,6 +125,7 @@
   if (number != 0) {
     stream->Start([this, number](std::string_view bytes) { OnCallerBytes(number, bytes); },
                   [this, number] { OnCallerClosed(number); });
+    stream->SetDrainedHandler([this, number] { OnCallerDrained(number); });
   }
 }
 
@@ -148,6 +149,7 @@
     stream->CloseAfterFlush();
     return 0;
   }
+  stream->SetQueueLimit(kMaxAnswerBytes + net::kDefaultQueueLimit);
   const proxy::SessionNumber number = next_session_++;
   Caller& caller = callers_[number];
   caller.stream = stream;
@@ -197,6 +199,7 @@
       OnCallerClosed(pending->number);
     }
   });
+  stream->SetDrainedHandler([this, pending] { OnCallerDrained(pending->number); });
 }
 
 bool ProxyHost::KeepUnaccepted(Caller& caller, std::string_view bytes) {
@@ -237,7 +240,36 @@
     if (!HandleCallerMessage(number, message, now)) {
       return;
     }
+    // Executed here so that a command whose answer has to wait keeps the next one waiting.
+    ExecuteActions();
+  }
+}
+
+void ProxyHost::SendToCaller(proxy::SessionNumber number, Caller& caller, std::string bytes) {
+  const std::size_t size = bytes.size();
+  if (!caller.stream->Send(std::move(bytes))) {
+    Log("answer_not_sent", {{"session", std::to_string(number)}, {"bytes", std::to_string(size)}});
+  }
+  if (caller.stream->IsCongested() && !std::exchange(caller.congested, true)) {
+    caller.stream->StopReading();
+    if (caller.link) {
+      caller.link->stop_reading();
+    }
+    proxy_.CallerCongested(number, true, common::SteadyNow());
+  }
+}
+
+void ProxyHost::OnCallerDrained(proxy::SessionNumber number) {
+  const auto found = callers_.find(number);
+  if (found == callers_.end() || !std::exchange(found->second.congested, false)) {
+    return;
+  }
+  Caller& caller = found->second;
+  caller.stream->ResumeReading();
+  if (caller.link) {
+    caller.link->resume_reading();
   }
+  proxy_.CallerCongested(number, false, common::SteadyNow());
   ExecuteActions();
 }
 
--- a/src/host/proxy_host.h
+++ b/src/host/proxy_host.h
@@ -66,6 +66,7 @@
     bool started = false;
     bool accepted = false;
     std::size_t unanswered = 0;  // commands without a reply
+    bool congested = false;      // its next command waits until the queued answers are sent
     proxy::SessionOrigin origin;
     std::string unaccepted;  // bytes received before the session is accepted, to send to an owner
     std::unique_ptr<relay_link::owner_link> link;  // set while an owner serves the session
@@ -91,6 +92,10 @@
   /// @return false if they are too many: the caller is told so and disconnected.
   bool KeepUnaccepted(Caller& caller, std::string_view bytes);
   void OnCallerBytes(proxy::SessionNumber number, std::string_view bytes);
+  /// Queues an answer, or a part of one. While the caller reads too slowly, its next commands wait.
+  void SendToCaller(proxy::SessionNumber number, Caller& caller, std::string bytes);
+  /// Handles that all bytes queued for a congested caller have been sent.
+  void OnCallerDrained(proxy::SessionNumber number);
   void OnCallerClosed(proxy::SessionNumber number);
   void OnInstanceBytes(proxy::ConnectionNumber number, std::string_view bytes);
   void OnInstanceClosed(proxy::ConnectionNumber number);
--- a/src/host/proxy_host_actions.cc
+++ b/src/host/proxy_host_actions.cc
@@ -79,7 +79,7 @@
   void on_bytes(std::string_view bytes) override {
     const auto found = host_.callers_.find(session_);
     if (found != host_.callers_.end()) {
-      found->second.stream->Send(std::string(bytes));
+      host_.SendToCaller(session_, found->second, std::string(bytes));
     }
   }
 
@@ -151,8 +151,8 @@
   }
   const auto found = callers_.find(action.session);
   if (found != callers_.end()) {
-    found->second.stream->Send(found->second.codec->EncodeReply(action.reply));
     OnCommandAnswered(found->second);
+    SendToCaller(action.session, found->second, found->second.codec->EncodeReply(action.reply));
   }
 }
 
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -13,8 +13,6 @@
 namespace valvekeel::net {
 namespace {
 
-/// Bytes that may be queued for a peer that does not read.
-constexpr std::size_t kMaxQueuedBytes = std::size_t{4} << 20U;
 /// Interval of the checks whether the peer has acknowledged all bytes: about one round trip within
 /// a region.
 constexpr std::chrono::milliseconds kAckPollInterval{5};
@@ -87,17 +85,34 @@
   if (!open_) {
     return;
   }
-  handlers_ = std::make_unique<Handlers>(Handlers{std::move(bytes), std::move(closed)});
+  handlers_ = std::make_unique<Handlers>(Handlers{std::move(bytes), std::move(closed), {}});
   asio::error_code ignored;  // the first read reports errors of the socket
   socket_.non_blocking(true, ignored);
   WaitForInput();
 }
 
+void Stream::SetDrainedHandler(std::function<void()> drained) {
+  if (handlers_) {
+    handlers_->drained = std::move(drained);
+  }
+}
+
+void Stream::ResumeReading() {
+  if (!open_ || close_after_flush_ || std::exchange(reading_, true)) {
+    return;
+  }
+  WaitForInput();
+}
+
 void Stream::WaitForInput() {
+  if (std::exchange(waits_for_input_, true)) {
+    return;
+  }
   // Waits for readability instead of starting an asynchronous read, which could still consume bytes
   // after StopReading. Bytes are read only in the callback that passes them to the handler.
   auto self = shared_from_this();
   socket_.async_wait(asio::ip::tcp::socket::wait_read, [self](const asio::error_code& error) {
+    self->waits_for_input_ = false;
     if (!self->open_ || !self->reading_) {
       return;
     }
@@ -132,7 +147,7 @@
   if (!open_ || close_after_flush_ || send_failed_) {
     return false;
   }
-  if (queued_.size() + bytes.size() > kMaxQueuedBytes) {
+  if (queued_.size() + bytes.size() > queue_limit_) {
     PostFailure(asio::error::no_buffer_space);
     return false;
   }
@@ -170,24 +185,35 @@
   }
   writing_ = std::exchange(queued_, {});
   write_in_progress_ = true;
-  auto self = shared_from_this();
+  was_congested_ = was_congested_ || IsCongested();
   asio::async_write(socket_, asio::buffer(writing_),
-                    [self](const asio::error_code& fault, std::size_t) {
-                      self->write_in_progress_ = false;
-                      self->writing_.clear();
-                      if (!self->open_) {
-                        return;
-                      }
-                      if (fault) {
-                        self->Fail(fault);
-                      } else if (!self->queued_.empty()) {
-                        self->Write();
-                      } else if (self->close_after_flush_) {
-                        self->CloseWhenAcknowledged();
-                      }
+                    [self = shared_from_this()](const asio::error_code& fault, std::size_t) {
+                      self->OnWritten(fault);
                     });
 }
 
+void Stream::OnWritten(const asio::error_code& fault) {
+  write_in_progress_ = false;
+  // The capacity for a large answer is not kept.
+  std::string().swap(writing_);
+  if (!open_) {
+    return;
+  }
+  if (fault) {
+    Fail(fault);
+    return;
+  }
+  if (!queued_.empty()) {
+    Write();
+  } else if (close_after_flush_) {
+    CloseWhenAcknowledged();
+  }
+  const bool drained = open_ && queued_.empty() && !write_in_progress_ && !close_after_flush_;
+  if (drained && std::exchange(was_congested_, false) && handlers_ && handlers_->drained) {
+    handlers_->drained();
+  }
+}
+
 void Stream::Fail(const asio::error_code& fault) {
   if (!open_) {
     return;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -25,6 +25,12 @@
 /// allows for callers, whose longest deadlines are seconds.
 inline constexpr std::chrono::milliseconds kCloseFlushTimeout{10'000};
 
+/// Bytes that may be queued for a peer that does not read, by default.
+inline constexpr std::size_t kDefaultQueueLimit = std::size_t{4} << 20U;
+
+/// Queued bytes above which the sender should wait until they have been sent.
+inline constexpr std::size_t kCongestedBytes = std::size_t{1} << 20U;
+
 /// Why a connection could not be opened.
 enum class ConnectError { kRefused, kTimedOut };
 
@@ -53,6 +59,19 @@
   /// @param closed called once if the peer or an error ends the connection.
   void Start(BytesHandler bytes, ClosedHandler closed);
 
+  /// Sets how many bytes may be queued.
+  void SetQueueLimit(std::size_t bytes) { queue_limit_ = bytes; }
+
+  /// Sets a handler that is called each time that all queued bytes have been sent after the stream
+  /// was congested. Requires a preceding Start.
+  void SetDrainedHandler(std::function<void()> drained);
+
+  /// @return true if more bytes are queued than the system takes at present: the peer reads slowly.
+  bool IsCongested() const { return queued_.size() + writing_.size() > kCongestedBytes; }
+
+  /// Resumes reading after StopReading.
+  void ResumeReading();
+
   /// Stops reading: later input stays in the socket's receive buffer. Queued bytes are still sent.
   void StopReading() { reading_ = false; }
 
@@ -85,12 +104,15 @@
   struct Handlers {
     BytesHandler bytes;
     ClosedHandler closed;
+    std::function<void()> drained;
   };
 
   /// Waits until the socket is readable, then reads.
   void WaitForInput();
   void ReadSome();
   void Write();
+  /// Handles the end of the write in progress.
+  void OnWritten(const asio::error_code& fault);
   /// Closes the connection and calls the closed handler.
   void Fail(const asio::error_code& fault);
   /// Fails from the event loop: the caller of Send may still use what the closed handler destroys.
@@ -110,6 +132,9 @@
   std::string queued_;   // bytes queued behind it
   bool open_ = false;
   bool reading_ = true;
+  bool waits_for_input_ = false;
+  bool was_congested_ = false;  // since the queue was empty
+  std::size_t queue_limit_ = kDefaultQueueLimit;
   bool write_in_progress_ = false;
   bool send_failed_ = false;  // nothing more is sent; the failure is reported next
   bool close_after_flush_ = false;
--- a/src/proxy/caller_session.h
+++ b/src/proxy/caller_session.h
@@ -86,6 +86,7 @@
   std::optional<common::Instant> end_requested_at;  // when that daemon was asked to end it
   common::Instant started{0};
   bool received_command = false;     // at least one
+  bool congested = false;            // no command starts until its answers have been sent
   const char* end_reason = nullptr;  // set once it is being ended: no more commands run
   SessionValues values;
   std::map<std::string, model::PreparedStatement> prepared;
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -109,7 +109,7 @@
   }
   ++counters_.commands;
   session->received_command = true;
-  if (session->operation || !session->accepted) {
+  if (session->operation || !session->accepted || session->congested) {
     if (session->pending_commands.size() >= kMaxPendingCommands) {
       outbox_.Emit(
           CloseSession{number, true, model::ErrorCode::kMalformed, "too many commands at once"});
@@ -127,7 +127,7 @@
 
 void Dispatcher::RunPendingCommands(SessionNumber number, common::Instant now) {
   while (Session* current = FindSession(number)) {
-    if (current->operation || current->pending_commands.empty()) {
+    if (current->operation || current->congested || current->pending_commands.empty()) {
       break;
     }
     const CallerCommand command = std::move(current->pending_commands.front());
@@ -139,7 +139,8 @@
     }
   }
   Session* current = FindSession(number);
-  const bool idle = current != nullptr && !current->operation && !current->transaction.open;
+  const bool idle = current != nullptr && !current->operation && !current->transaction.open &&
+                    !current->congested;
   // Not ended here: during CommandReceived, as a command that was read together with this one may
   // follow (a later tick ends the session); a session that accepts an end request, as the daemon
   // that handed it over ends it; a session that is being ended already.
@@ -151,6 +152,17 @@
   }
 }
 
+void Dispatcher::CallerCongested(SessionNumber number, bool congested, common::Instant now) {
+  Session* session = FindSession(number);
+  if (session == nullptr) {
+    return;
+  }
+  session->congested = congested;
+  if (!congested) {
+    RunPendingCommands(number, now);
+  }
+}
+
 void Dispatcher::SessionClosed(SessionNumber number, common::Instant now) {
   Session* session = FindSession(number);
   if (session == nullptr) {
--- a/src/proxy/dispatcher.h
+++ b/src/proxy/dispatcher.h
@@ -70,6 +70,9 @@
   /// Runs a command, or queues it behind the session's command in progress.
   void CommandReceived(SessionNumber number, const CallerCommand& command, common::Instant now);
   /// Removes a session that has ended, and ends its open transaction.
+  /// Keeps the session's next commands waiting while the answers that its caller has not read yet
+  /// are too many.
+  void CallerCongested(SessionNumber number, bool congested, common::Instant now);
   void SessionClosed(SessionNumber number, common::Instant now);
 
   void OnAnswer(Backend& backend, Connection& connection, const OutstandingRequest& outstanding,
@@ -284,6 +287,8 @@
   void FinishInterrupted(Session& session, const char* reason, common::Instant now);
   /// Answers the operation, and the pending commands, of a session that this daemon ends.
   void InterruptOperation(Session& session, const char* reason, common::Instant now);
+  /// Answers the pending commands of a session that this daemon ends.
+  void RefusePendingCommands(Session& session, const char* reason, common::Instant now);
   /// Logs the sessions that this daemon ends on its own account.
   void LogEndingSessions(const std::vector<SessionNumber>& ending, const char* reason);
 
--- a/src/proxy/dispatcher_time.cc
+++ b/src/proxy/dispatcher_time.cc
@@ -258,6 +258,12 @@
                                  {"unanswered", std::to_string(unanswered)}});
 }
 
+void Dispatcher::RefusePendingCommands(Session& session, const char* reason, common::Instant now) {
+  session.end_reason = reason;
+  session.congested = false;
+  RunPendingCommands(session.number, now);
+}
+
 std::size_t Dispatcher::EndSessions(const std::function<bool(const CallerSession&)>& selected,
                                     SessionEndCondition condition, const char* reason,
                                     common::Instant now) {
@@ -282,7 +288,7 @@
       ++remaining;
       continue;
     }
-    const bool between_commands = !session.operation;
+    const bool between_commands = !session.operation && !session.congested;
     const bool idle = between_commands && !session.transaction.open;
     const bool may_end = idle || condition == SessionEndCondition::kImmediately ||
                          (between_commands && condition == SessionEndCondition::kBetweenCommands);
@@ -301,6 +307,8 @@
     Session& session = sessions_.at(number);
     if (session.operation) {
       InterruptOperation(session, reason, now);
+    } else if (session.congested) {
+      RefusePendingCommands(session, reason, now);
     }
     // A session that was handed over and not accepted yet goes to another owner if it is closed
     // without an error; one with pending commands gets the error.
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -148,6 +148,10 @@
   session_relay_.Sessions().on_link_ended(session, end, now);
 }
 
+void Proxy::CallerCongested(SessionNumber session, bool congested, common::Instant now) {
+  dispatcher_.CallerCongested(session, congested, now);
+}
+
 void Proxy::SessionClosed(SessionNumber session, common::Instant now) {
   session_relay_.SessionClosed(session);
   dispatcher_.SessionClosed(session, now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -61,6 +61,8 @@
                       const tenants::key_digest& key, const SessionOrigin& origin,
                       common::Instant now);
   void CommandReceived(SessionNumber session, const CallerCommand& command, common::Instant now);
+  /// The caller's answers cannot be sent as fast as they come, or all of them have been sent.
+  void CallerCongested(SessionNumber session, bool congested, common::Instant now);
   void SessionClosed(SessionNumber session, common::Instant now);
 
   // Sessions handed to another daemon.
--- a/src/relay_link/owner_link.cc
+++ b/src/relay_link/owner_link.cc
@@ -118,6 +118,10 @@
 
 void owner_link::expect_answer() { this->state->codec->ExpectAnswer(); }
 
+void owner_link::stop_reading() { this->state->stream->StopReading(); }
+
+void owner_link::resume_reading() { this->state->stream->ResumeReading(); }
+
 void owner_link::close() {
   if (!std::exchange(this->state->closed, true)) {
     this->state->stream->Close();
--- a/src/relay_link/owner_link.h
+++ b/src/relay_link/owner_link.h
@@ -75,6 +75,12 @@
   /** To be called when the bytes sent contain a command: the owner will answer it. */
   void expect_answer();
 
+  /** Stops reading from the owner, because the caller reads slowly. Bytes stay with the system. */
+  void stop_reading();
+
+  /** Resumes reading from the owner. */
+  void resume_reading();
+
   /** Closes the connection without reporting an event. */
   void close();
 
--- a/tests/platform/line_protocol_test.cc
+++ b/tests/platform/line_protocol_test.cc
@@ -178,6 +178,29 @@
   CHECK(std::holds_alternative<InstanceProtocolError>(messages.front()));
 }
 
+TEST_CASE("An answer above the limit is an error without rows, and the next answer is whole",
+          "[platform]") {
+  // Guards against a daemon that holds answers of any size.
+  LineInstanceCodec codec;
+  codec.Decode("READY I -\r\n");
+  codec.EncodeRequest(ReadRequest("id1"));
+  codec.EncodeRequest(ReadRequest("id2"));
+  const std::string row = "ROW " + std::string(1'000'000, 'x') + "\r\n";
+  for (std::size_t sent = 0; sent <= host::kMaxAnswerBytes; sent += row.size()) {
+    CHECK(codec.Decode(row).empty());
+  }
+  const auto large = codec.Decode("COMPLETE sig\r\nREADY T 3.1\r\n");
+  REQUIRE(large.size() == 1);
+  const auto& refused = std::get<model::Reply>(large.front());
+  CHECK_FALSE(refused.succeeded);
+  CHECK(refused.error == ErrorCode::kTooLarge);
+  CHECK(refused.rows.empty());
+  CHECK(refused.state == model::TransactionState::kOpen);
+  const auto next = codec.Decode("ROW a\r\nCOMPLETE sig\r\nREADY I 3.1\r\n");
+  REQUIRE(next.size() == 1);
+  CHECK(std::get<model::Reply>(next.front()).rows.size() == 1);
+}
+
 TEST_CASE("Replies to callers are encoded as complete lines", "[platform]") {
   LineCallerCodec codec;
   model::Reply reply;
