Simulator: restarts and standstills around replacements, and refused preparations

Two sequences: callers keep to one daemon, which restarts, before the instances that hold its commits crash; the holder of the right to promote stands still as it connects to the platform. Instances may refuse SET, PARSE and RESET with each code; callers then set values and execute names inside transactions. Answers on one connection arrive in order now.

--- a/apps/valvekeel_proxysim.cc
+++ b/apps/valvekeel_proxysim.cc
@@ -27,6 +27,9 @@
 ABSL_FLAG(std::uint64_t, seeds, 100, "number of seeds");
 ABSL_FLAG(std::uint64_t, faults, 6, "faults in a day");
 ABSL_FLAG(std::uint64_t, sequences, 0, "sequences of faults that hit one group, in a day");
+ABSL_FLAG(std::uint64_t, restart_sequences, 0,
+          "sequences around restarts and standstills of daemons, in a day");
+ABSL_FLAG(bool, refused_preparations, false, "instances refuse some SET, PARSE and RESET");
 ABSL_FLAG(bool, draw_shape, false, "draw the deployment too");
 ABSL_FLAG(bool, large, false, "many daemons, whose sessions are relayed to owners");
 ABSL_FLAG(bool, anew, false, "instances that end start again under their id, with nothing");
@@ -129,6 +132,8 @@
     options.faults = absl::GetFlag(FLAGS_faults);
     options.sessions = absl::GetFlag(FLAGS_sessions);
     options.sequences = absl::GetFlag(FLAGS_sequences);
+    options.restart_sequences = absl::GetFlag(FLAGS_restart_sequences);
+    options.refused_preparations = absl::GetFlag(FLAGS_refused_preparations);
     options.draw_shape = absl::GetFlag(FLAGS_draw_shape);
     options.large = absl::GetFlag(FLAGS_large);
     options.planned_stops = absl::GetFlag(FLAGS_planned);
--- a/src/proxy/failover_driver.h
+++ b/src/proxy/failover_driver.h
@@ -35,6 +35,9 @@
                  const membership::live_view& view, const relay::role_map& roles,
                  HolderKeeper& holders, Outbox& outbox);
 
+  /// @return true if the leadership record names this daemon.
+  bool HoldsLeadership() const { return leadership_.IsHolder(); }
+
   /// Handles the leadership record as read from the store.
   /// @param revision its revision; number 0 if there is no record.
   void OnRecordRead(const model::LeadershipRecord& record, const model::Revision& revision,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -129,6 +129,8 @@
   const PeerTable& Peers() const { return peers_; }
   const relay::role_map& Roles() const { return roles_; }
   const SessionRelay& Relay() const { return session_relay_; }
+  /// @return true if this daemon was the last one known to hold the right to promote instances.
+  bool HoldsLeadership() const { return failover_.HoldsLeadership(); }
   const membership::live_view& Membership() const { return membership_; }
   const evacuation::view_tracker& Evacuations() const { return evacuations_; }
   const warm_up::warm_up_rule& WarmUps() const { return warm_up_; }
--- a/src/proxysim/callers.cc
+++ b/src/proxysim/callers.cc
@@ -19,6 +19,7 @@
 constexpr double kTransactionShare = 0.25;
 constexpr double kSessionEndProbability = 0.05;
 constexpr double kSetValueProbability = 0.5;
+constexpr double kExecuteProbability = 0.4;
 constexpr Duration kAnswerTimeout{5'000'000};
 
 model::Command MakeCommand(CommandKind kind, const std::string& arguments = "") {
@@ -66,6 +67,11 @@
 
 DaemonHost& Callers::ChooseDaemon() {
   World& world = cluster_.SimWorld();
+  for (const auto& daemon : cluster_.Daemons()) {
+    if (daemon->Name() == cluster_.only_daemon) {
+      return *daemon;
+    }
+  }
   if (balancer_) {
     return balancer_->Choose(ZoneName(world.RandomBelow(cluster_.Shape().zones)));
   }
@@ -150,6 +156,15 @@
 
 void Callers::BeginOperation(const std::shared_ptr<Caller>& caller) {
   World& world = cluster_.SimWorld();
+  if (cluster_.callers_rest) {
+    ScheduleOperation(caller);
+    return;
+  }
+  if (!cluster_.only_daemon.empty() && caller->daemon->Name() != cluster_.only_daemon) {
+    caller->daemon->CloseSession(caller->session);
+    Connect(caller);
+    return;
+  }
   if (world.Chance(kSessionEndProbability)) {
     caller->daemon->CloseSession(caller->session);
     Connect(caller);
@@ -169,6 +184,9 @@
         MakeCommand(caller->writes ? CommandKind::kBegin : CommandKind::kBeginReadOnly));
     caller->commands.push_back(MakeCommand(CommandKind::kRead, "k"));
   }
+  if (cluster_.Shape().callers_change_state) {
+    AddStateChanges(*caller);
+  }
   caller->commands.push_back(
       MakeCommand(caller->writes ? CommandKind::kWrite : CommandKind::kRead, "k"));
   if (transaction) {
@@ -181,6 +199,24 @@
   BeginAttempt(caller);
 }
 
+void Callers::AddStateChanges(Caller& caller) {
+  World& world = cluster_.SimWorld();
+  if (world.Chance(kSetValueProbability)) {
+    model::Command set = MakeCommand(CommandKind::kSet, std::to_string(world.RandomBelow(5)));
+    set.name = "v" + std::to_string(world.RandomBelow(2));
+    caller.commands.push_back(set);
+  }
+  if (world.Chance(kExecuteProbability)) {
+    model::Command prepare = MakeCommand(CommandKind::kPrepare);
+    prepare.name = "s";
+    prepare.prepared = {false, "shape" + std::to_string(world.RandomBelow(5))};
+    model::Command execute = MakeCommand(CommandKind::kExecute, "k");
+    execute.name = prepare.name;
+    caller.commands.push_back(prepare);
+    caller.commands.push_back(execute);
+  }
+}
+
 void Callers::BeginAttempt(const std::shared_ptr<Caller>& caller) {
   CallerAttempt attempt;
   attempt.id = std::string("r") + std::to_string(next_attempt_++);
@@ -256,6 +292,9 @@
   if (model::RunsOnInstance(command.kind) && reply.signature != caller->attempt) {
     cluster_.SimWorld().Report("MIXED", caller->attempt + " got the answer of " + reply.signature);
   }
+  if (command.kind == CommandKind::kPrepare) {
+    cluster_.CallerHistory().Find(caller->attempt)->prepared = command.prepared.text;
+  }
   if (command.kind == CommandKind::kSet) {
     caller->values[command.name] = command.arguments;
     cluster_.CallerHistory().Find(caller->attempt)->values = caller->values;
--- a/src/proxysim/callers.h
+++ b/src/proxysim/callers.h
@@ -45,6 +45,8 @@
   void Connect(const std::shared_ptr<Caller>& caller);
   void ScheduleOperation(const std::shared_ptr<Caller>& caller);
   void BeginOperation(const std::shared_ptr<Caller>& caller);
+  /// Adds commands that change the session's values and prepared statements.
+  void AddStateChanges(Caller& caller);
   void BeginAttempt(const std::shared_ptr<Caller>& caller);
   void SendNext(const std::shared_ptr<Caller>& caller);
   void OnAnswer(const std::shared_ptr<Caller>& caller, const model::Reply& reply);
--- a/src/proxysim/cluster.cc
+++ b/src/proxysim/cluster.cc
@@ -301,6 +301,15 @@
   }
 }
 
+DaemonHost* Cluster::PromotionHolder() {
+  for (const auto& daemon : daemons_) {
+    if (daemon->Alive() && daemon->Proxy()->HoldsLeadership()) {
+      return daemon.get();
+    }
+  }
+  return nullptr;
+}
+
 void Cluster::Promote(const std::string& daemon, const proxy::Promote& promotion,
                       const std::function<void(failover::PromotionStatus)>& handler) {
   auto ended = std::make_shared<bool>(false);
--- a/src/proxysim/cluster.h
+++ b/src/proxysim/cluster.h
@@ -43,6 +43,8 @@
   bool record_load = false;              // records the daemons' load for replay
   bool encode_messages = false;          // encodes heartbeats to count their bytes
   bool check_configuration = false;      // reports daemons that apply a version too late
+  bool models_promotion_calls = false;   // connecting to the platform takes time
+  bool callers_change_state = false;     // callers set values in transactions, and use names
 };
 
 class Cluster {
@@ -104,6 +106,16 @@
   void Promote(const std::string& daemon, const proxy::Promote& promotion,
                const std::function<void(failover::PromotionStatus)>& handler);
 
+  /// While set, callers connect to this daemon only.
+  std::string only_daemon;
+  /// While set, callers begin no operations.
+  bool callers_rest = false;
+  /// While set, the opening packet of a connection to the platform is lost, and sent again later.
+  bool drops_openings = false;
+
+  /// @return the daemon that holds the right to promote, according to the daemons that live.
+  DaemonHost* PromotionHolder();
+
   /// Called with each line of a daemon's log, if set.
   std::function<void(const std::string& daemon, const proxy::LogEvent&)> on_log;
 
--- a/src/proxysim/daemon_host.cc
+++ b/src/proxysim/daemon_host.cc
@@ -12,6 +12,10 @@
 constexpr common::Duration kConnectTimeout{500'000};
 constexpr common::Duration kFetchTimeout{500'000};
 constexpr common::Duration kStartTime{50'000};
+/// Time to connect to the promotion service, as the real host's.
+constexpr common::Duration kPromotionConnectTimeout{450'000};
+/// Time after which the system sends the opening packet of a connection again.
+constexpr common::Duration kOpeningRepeatTime{1'000'000};
 
 /// Behavior of the host from the decision to exit until its process ends.
 enum class ExitBehavior {
@@ -295,13 +299,16 @@
     ServerConnection connection;
     connection.daemon = name_;
     connection.tenant = action.tenant;
-    connection.answer = [this, incarnation, number,
+    const auto last_arrival = std::make_shared<common::Instant>(0);
+    connection.answer = [this, incarnation, number, last_arrival,
                          instance = action.instance](const model::Reply& reply) {
       World& sim_world = cluster_.SimWorld();
       if (!sim_world.Reaches(instance, name_)) {
         return;
       }
-      sim_world.After(sim_world.NetworkDelay(), [this, incarnation, number, reply] {
+      const common::Instant arrival =
+          ArriveAfter(*last_arrival, sim_world.Now() + sim_world.NetworkDelay());
+      sim_world.After(arrival - sim_world.Now(), [this, incarnation, number, reply] {
         Deliver(incarnation, [this, number, reply] {
           if (connections_.contains(number)) {
             proxy_->InstanceAnswered(number, reply, cluster_.SimWorld().Now());
@@ -613,6 +620,31 @@
 }
 
 void DaemonHost::Perform(const proxy::Promote& action) {
+  if (!cluster_.Shape().models_promotion_calls) {
+    RequestPromotion(action);
+    return;
+  }
+  // The system opens the connection also while the process stands still; the process sends the
+  // request once it runs again, before its own timers.
+  World& world = cluster_.SimWorld();
+  const common::Instant gives_up_at = world.Now() + kPromotionConnectTimeout;
+  const common::Duration opening =
+      world.NetworkDelay() * 2 +
+      (cluster_.drops_openings ? kOpeningRepeatTime : common::Duration(0));
+  world.After(opening, [this, incarnation = incarnation_, gives_up_at, action] {
+    const bool stood_still = frozen_;
+    Deliver(incarnation, [this, stood_still, gives_up_at, action] {
+      const common::Instant now = cluster_.SimWorld().Now();
+      if ((!stood_still && now >= gives_up_at) || now >= action.valid_until) {
+        proxy_->Promoted(action.call, failover::PromotionStatus::kRefused, now);
+        return;
+      }
+      RequestPromotion(action);
+    });
+  });
+}
+
+void DaemonHost::RequestPromotion(const proxy::Promote& action) {
   const std::uint64_t incarnation = incarnation_;
   cluster_.Promote(name_, action,
                    [this, incarnation, call = action.call](failover::PromotionStatus status) {
--- a/src/proxysim/daemon_host.h
+++ b/src/proxysim/daemon_host.h
@@ -154,6 +154,8 @@
   void Perform(const proxy::WriteHolders& action);
   void Perform(const proxy::WriteDaemonEntry& action);
   void Perform(const proxy::Promote& action);
+  /// Sends the request on an open connection.
+  void RequestPromotion(const proxy::Promote& action);
   void Perform(const proxy::SendPeerMessage& action);
   void Perform(const proxy::FetchCatalog& action);
   void Perform(const proxy::SetReady& action);
--- a/src/proxysim/database_group.cc
+++ b/src/proxysim/database_group.cc
@@ -1,6 +1,7 @@
 #include "proxysim/database_group.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace valvekeel::proxysim {
@@ -221,6 +222,9 @@
                                            const model::ControlRequest& request) {
   switch (request.kind) {
     case model::ControlKind::kResetSession:
+      if (const auto refused = RefusePreparation(instance, connection)) {
+        return *refused;
+      }
       connection.values.clear();
       connection.prepared.clear();
       break;
@@ -299,10 +303,50 @@
   }
 }
 
+std::optional<model::Reply> DatabaseGroup::RefusePreparation(const SimulatedInstance& instance,
+                                                             ServerConnection& connection) {
+  if (shape_.refused_preparations == 0) {
+    return std::nullopt;
+  }
+  const bool in_transaction = connection.state != TransactionState::kIdle;
+  if (connection.state == TransactionState::kFailed) {
+    return ErrorReply(connection, ErrorCode::kMalformed);
+  }
+  const bool lost_primary_role = in_transaction && !connection.read_only && !instance.primary;
+  if (!lost_primary_role && !world_.Chance(shape_.refused_preparations)) {
+    return std::nullopt;
+  }
+  constexpr std::array<ErrorCode, 6> kCodes = {ErrorCode::kReadOnly,      ErrorCode::kBusy,
+                                               ErrorCode::kAborted,       ErrorCode::kLagging,
+                                               ErrorCode::kWrongInstance, ErrorCode::kFailed};
+  if (in_transaction) {
+    connection.state = TransactionState::kFailed;
+  }
+  return ErrorReply(connection, lost_primary_role ? ErrorCode::kReadOnly
+                                                  : kCodes[world_.RandomBelow(kCodes.size())]);
+}
+
+std::optional<model::Command> DatabaseGroup::Resolve(const ServerConnection& connection,
+                                                     const CallerAttempt& attempt,
+                                                     const model::Command& command) {
+  const auto prepared = connection.prepared.find(command.name);
+  if (prepared == connection.prepared.end()) {
+    world_.Report("PINNED", attempt.id + " executed a name that was not prepared there");
+    return std::nullopt;
+  }
+  if (prepared->second.text != attempt.prepared) {
+    world_.Report("PINNED",
+                  attempt.id + " ran " + prepared->second.text + " instead of " + attempt.prepared);
+  }
+  model::Command resolved = command;
+  resolved.kind = prepared->second.writes ? CommandKind::kWrite : CommandKind::kRead;
+  return resolved;
+}
+
 model::Reply DatabaseGroup::ExecuteSession(SimulatedInstance& instance,
                                            ServerConnection& connection,
                                            const model::SessionRequest& request) {
-  const model::Command& command = request.command;
+  model::Command command = request.command;
   model::Reply reply;
   reply.succeeded = true;
   reply.signature = "-";
@@ -311,9 +355,15 @@
   }
   switch (command.kind) {
     case CommandKind::kSet:
+      if (const auto refused = RefusePreparation(instance, connection)) {
+        return *refused;
+      }
       connection.values[command.name] = command.arguments;
       return reply;
     case CommandKind::kPrepare:
+      if (const auto refused = RefusePreparation(instance, connection)) {
+        return *refused;
+      }
       connection.prepared[command.name] = command.prepared;
       return reply;
     case CommandKind::kRollback:
@@ -340,6 +390,13 @@
     world_.Report("UNASKED", "statement of " + request.request_id);
     return reply;
   }
+  if (command.kind == CommandKind::kExecute) {
+    const auto resolved = Resolve(connection, *attempt, command);
+    if (!resolved) {
+      return ErrorReply(connection, ErrorCode::kUnknownStatement);
+    }
+    command = *resolved;
+  }
   CheckKey(connection, *attempt);
   CheckConnection(instance, connection, *attempt);
   const bool lost_primary_role =
--- a/src/proxysim/database_group.h
+++ b/src/proxysim/database_group.h
@@ -80,6 +80,7 @@
   /// A promotion lifts all fences of the group, also at replicas that don't receive from the new
   /// primary; otherwise a fence lasts until they do.
   bool promotion_lifts_fences = false;
+  double refused_preparations = 0;  // share of SET, PARSE and RESET that are refused
   /// A restarted primary sends its log to the replicas at once; otherwise with its next commit.
   bool sends_log_at_restart = false;
 };
@@ -162,6 +163,13 @@
   void TruncateTo(SimulatedInstance& instance, const SimulatedInstance& leader);
   bool LogContains(const SimulatedInstance& instance, const AcknowledgedCommit& commit,
                    std::size_t entries) const;
+  /// @return the error if the instance refuses to change the connection's session state.
+  std::optional<model::Reply> RefusePreparation(const SimulatedInstance& instance,
+                                                ServerConnection& connection);
+  /// Resolves an execution of a name. @return nothing if the name is not known.
+  std::optional<model::Command> Resolve(const ServerConnection& connection,
+                                        const CallerAttempt& attempt,
+                                        const model::Command& command);
   model::Reply ErrorReply(const ServerConnection& connection, model::ErrorCode code) const;
   common::Position PositionOf(const SimulatedInstance& instance, std::size_t entries) const;
   model::InstanceStatus StatusOf(const SimulatedInstance& instance) const;
--- a/src/proxysim/fault_sequences.cc
+++ b/src/proxysim/fault_sequences.cc
@@ -13,6 +13,8 @@
 constexpr Duration kBlindTime{1'000'000};
 constexpr Duration kStoreAway{1'200'000};
 constexpr Duration kDaemonsAway{500'000};
+constexpr Duration kDaemonAway{300'000};
+constexpr Duration kQuietTime{100'000};
 constexpr double kPlannedProbability = 0.4;
 constexpr double kStoreAwayProbability = 0.3;
 
@@ -55,6 +57,21 @@
   }
 }
 
+void FaultSequences::BeginRestart() {
+  const Target target = DrawTarget();
+  const bool freezes = world_.Chance(0.5);
+  if (target.group == nullptr || busy_) {
+    return;
+  }
+  busy_ = true;
+  After(kLongest, [this] { busy_ = false; });
+  if (freezes) {
+    FreezeHolder(target);
+  } else {
+    RestartWriter(target);
+  }
+}
+
 void FaultSequences::Block(DatabaseGroup& group, const std::string& id, Duration length) {
   LogEvent(id + " receives nothing");
   const auto set = [&group, id](bool blocked) {
@@ -204,4 +221,60 @@
         [this, target] { CrashPrimary(target, std::chrono::milliseconds(4500)); });
 }
 
+void FaultSequences::RestartWriter(const Target& target) {
+  const auto& daemons = cluster_.Daemons();
+  DaemonHost* writer = daemons[world_.RandomBelow(daemons.size())].get();
+  for (const auto& [id, instance] : target.group->Instances()) {
+    if (instance.alive && !instance.primary && id != target.second) {
+      Block(*target.group, id, std::chrono::seconds(12));
+    }
+  }
+  LogEvent("callers use only " + writer->Name());
+  cluster_.only_daemon = writer->Name();
+  const bool planned = world_.Chance(kPlannedProbability);
+  const Duration restart = world_.RandomBetween(std::chrono::seconds(2), std::chrono::seconds(4));
+  After(restart - kQuietTime, [this] { cluster_.callers_rest = true; });
+  After(restart, [this, writer, planned] {
+    LogEvent((planned ? "stop " : "kill ") + writer->Name());
+    if (planned) {
+      writer->Stop();
+    } else {
+      writer->Kill();
+      After(kDaemonAway, [writer] { writer->Start(); });
+    }
+  });
+  const Duration crash =
+      restart + world_.RandomBetween(std::chrono::milliseconds(700), std::chrono::seconds(5));
+  After(crash, [this, target] {
+    CrashPrimary(target, std::chrono::seconds(4));
+    const auto found = target.group->Instances().find(target.second);
+    if (found != target.group->Instances().end() && found->second.alive) {
+      LogEvent("crash " + target.second);
+      target.group->Crash(target.second, false);
+      After(std::chrono::seconds(4), [target] { target.group->Restart(target.second); });
+    }
+  });
+  After(crash + std::chrono::seconds(2), [this] {
+    cluster_.only_daemon.clear();
+    cluster_.callers_rest = false;
+  });
+}
+
+void FaultSequences::FreezeHolder(const Target& target) {
+  LogEvent("opening packets to the platform are lost");
+  cluster_.drops_openings = true;
+  After(std::chrono::seconds(4), [this] { cluster_.drops_openings = false; });
+  CrashPrimary(target, std::chrono::seconds(7));
+  After(world_.RandomBetween(std::chrono::milliseconds(300), std::chrono::milliseconds(2500)),
+        [this] {
+          DaemonHost* holder = cluster_.PromotionHolder();
+          if (holder == nullptr) {
+            return;
+          }
+          LogEvent("freeze " + holder->Name());
+          holder->Freeze();
+          After(std::chrono::seconds(5), [holder] { holder->Thaw(); });
+        });
+}
+
 }  // namespace valvekeel::proxysim
--- a/src/proxysim/fault_sequences.h
+++ b/src/proxysim/fault_sequences.h
@@ -23,6 +23,9 @@
   /// Begins a random sequence now; its end is scheduled within kLongest.
   void Begin();
 
+  /// As Begin, with the sequences around restarts and standstills of daemons.
+  void BeginRestart();
+
   static constexpr common::Duration kLongest{14'000'000};
 
  private:
@@ -43,6 +46,12 @@
   /// A replica that daemons and store have lost goes on acknowledging commits.
   void HideReplica(const Target& target);
 
+  /// A daemon that alone has acknowledged commits lately restarts, and the instances that hold them
+  /// crash together.
+  void RestartWriter(const Target& target);
+  /// The daemon that replaces a primary stands still as it connects to the platform.
+  void FreezeHolder(const Target& target);
+
   /// Restarts all daemons: killed or stopped as planned, perhaps with the store away.
   void RestartDaemons();
   void RefuseStore(common::Duration length);
@@ -58,6 +67,7 @@
   World& world_;
   std::vector<std::string>& event_log_;
   std::size_t joined_ = 0;
+  bool busy_ = false;  // a sequence around a restart goes on
 };
 
 }  // namespace valvekeel::proxysim
--- a/src/proxysim/history.h
+++ b/src/proxysim/history.h
@@ -30,6 +30,7 @@
   std::string key;          // of the caller, empty if keys are not used
   bool in_transaction = false;
   std::map<std::string, std::string> values;  // session values that were acknowledged
+  std::string prepared;                       // text of the statement that it executes by name
   bool committed = false;                     // an instance committed it
   bool refused = false;  // the error guaranteed the caller that it has no effect
   bool acknowledged = false;
--- a/src/proxysim/scenario.cc
+++ b/src/proxysim/scenario.cc
@@ -30,6 +30,7 @@
 constexpr std::size_t kRegionChanges = 8;  // in a scenario with regions
 constexpr std::size_t kRegions = 2;
 constexpr std::size_t kConfigurationChanges = 4;  // in a scenario of planned stops
+constexpr double kRefusedPreparations = 0.05;     // share, if instances refuse some
 constexpr std::size_t kRestores = 3;              // in a scenario with store restores
 
 /// Draws and injects the faults of one scenario.
@@ -725,7 +726,12 @@
   ScenarioResult result;
   ClusterShape shape = ShapeOf(options);
   shape.record_load = options.record_load;
-  shape.group.promotion_lifts_fences = options.sequences > 0;
+  shape.group.promotion_lifts_fences = options.sequences + options.restart_sequences > 0;
+  shape.models_promotion_calls = options.restart_sequences > 0;
+  if (options.refused_preparations) {
+    shape.group.refused_preparations = kRefusedPreparations;
+    shape.callers_change_state = true;
+  }
   Cluster cluster(options.seed, shape);
   World& world = cluster.SimWorld();
   if (options.print_log) {
@@ -748,6 +754,11 @@
         options.time_before_faults + world.RandomBetween(Duration(0), options.fault_time);
     world.After(at, [&sequences] { sequences.Begin(); });
   }
+  for (std::size_t sequence = 0; sequence < options.restart_sequences; ++sequence) {
+    const Duration at =
+        options.time_before_faults + world.RandomBetween(Duration(0), options.fault_time);
+    world.After(at, [&sequences] { sequences.BeginRestart(); });
+  }
   RollingStops rolling_stops(cluster, result.faults);
   if (options.planned_stops) {
     const Instant until = world.Now() + options.time_before_faults + options.fault_time;
@@ -790,10 +801,11 @@
     world.After(options.time_before_faults + options.fault_time + kMaxFaultTime,
                 [&regions] { regions.SetFinalLimits(); });
   }
-  const Instant end =
-      world.Now() + options.time_before_faults + options.fault_time +
-      std::max(kMaxFaultTime, options.sequences > 0 ? FaultSequences::kLongest : Duration(0)) +
-      options.recovery_time;
+  const Instant end = world.Now() + options.time_before_faults + options.fault_time +
+                      std::max(kMaxFaultTime, options.sequences + options.restart_sequences > 0
+                                                  ? FaultSequences::kLongest
+                                                  : Duration(0)) +
+                      options.recovery_time;
   callers.StopAt(end);
   world.RunUntil(end + kFinalPeriod);
   result.served_at_end = ServedAtEnd(callers, end);
--- a/src/proxysim/scenario.h
+++ b/src/proxysim/scenario.h
@@ -20,7 +20,9 @@
   common::Duration fault_time{24'000'000};
   common::Duration recovery_time{14'000'000};  // operations must succeed again by its end
   std::size_t faults = 6;
-  std::size_t sequences = 0;  // of faults that hit one group, see FaultSequences
+  std::size_t sequences = 0;          // of faults that hit one group, see FaultSequences
+  std::size_t restart_sequences = 0;  // as sequences: restarts and standstills around a replacement
+  bool refused_preparations = false;  // instances refuse some SET, PARSE and RESET
   std::size_t sessions = 40;
   bool draw_shape = false;      // draws numbers of daemons, zones, instances, replicas
   bool tenants = false;         // callers have keys, which are revoked and reassigned
