--- a/src/failover/attempt.cc
+++ b/src/failover/attempt.cc
@@ -469,7 +469,7 @@
 }
 
 void Attempt::Verify(const GroupView& view, common::Instant now, Actions& actions) {
-  if (leading_term_ != 0 || view.term > old_term_) {
+  if (candidate_leads_ || view.term > old_term_) {
     // Replicas lift their fences when they learn of the new primary. Until then none of them may
     // receive from the old one again, unless it can't commit any more.
     if (old_primary_demoted_) {
@@ -537,7 +537,7 @@
   }
   const bool leads = status->primary && status->term > old_term_ && instance == candidate_;
   if (request.kind == model::ControlKind::kStatus && step_ == Step::kVerify && leads) {
-    leading_term_ = status->term;
+    candidate_leads_ = true;
   }
 }
 
--- a/src/failover/attempt.h
+++ b/src/failover/attempt.h
@@ -177,9 +177,6 @@
   const std::string& Candidate() const { return candidate_; }
   common::Term ReplacedTerm() const { return old_term_; }
 
-  /// @return the term in which the candidate reported to lead; 0 if it has not.
-  common::Term LeadingTerm() const { return leading_term_; }
-
  private:
   struct Fenced {
     common::Position received;
@@ -278,7 +275,7 @@
   bool promotion_outstanding_ = false;
   bool promotion_was_sent_ = false;
   std::set<std::string> excluded_candidates_;  // not running, or restarted after the request
-  common::Term leading_term_ = 0;              // reported by the candidate
+  bool candidate_leads_ = false;
 };
 
 }  // namespace valvekeel::failover
--- a/src/proxy/failover_driver.cc
+++ b/src/proxy/failover_driver.cc
@@ -411,8 +411,7 @@
   const bool finished = attempt.CurrentStep() == failover::Step::kFinished;
   outbox_.Log("failover_ended", {{"service", service},
                                  {"outcome", failover::StepName(attempt.CurrentStep())},
-                                 {"candidate", attempt.Candidate()},
-                                 {"leading_term", std::to_string(attempt.LeadingTerm())}});
+                                 {"candidate", attempt.Candidate()}});
   ConfirmPromoted(attempt);
   not_before_[service] = now + (finished ? kSettledPause : kRetryPause);
   RecordPlannedResult(service, finished, now);
@@ -423,16 +422,21 @@
 }
 
 void FailoverDriver::ConfirmPromoted(const failover::Attempt& attempt) {
+  const Backend* candidate = backends_.Find(attempt.Candidate());
+  const bool leads = candidate != nullptr && candidate->status && candidate->status->primary &&
+                     candidate->status->term > attempt.ReplacedTerm();
+  if (!leads || !settings_.mechanisms.confirmed_promotions) {
+    return;
+  }
+  const common::Term term = candidate->status->term;
   const std::optional<common::Instant> recorded = leadership_.OwnWriteSentAt();
   const auto entry = leadership_.Record().attempts.find(attempt.Service());
   // The record still names this replacement, and none of the new primary.
-  const bool current = settings_.mechanisms.confirmed_promotions && recorded &&
-                       entry != leadership_.Record().attempts.end() &&
+  const bool current = recorded && entry != leadership_.Record().attempts.end() &&
                        entry->second.candidate == attempt.Candidate() &&
-                       entry->second.replaced_term < attempt.LeadingTerm();
+                       entry->second.replaced_term < term;
   if (current) {
-    groups_.ConfirmPromoted(attempt.Service(),
-                            {attempt.LeadingTerm(), attempt.Candidate(), *recorded});
+    groups_.ConfirmPromoted(attempt.Service(), {term, attempt.Candidate(), *recorded});
   }
 }
 
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from database import LARGE_KEY, signature
+from database import HUGE_KEY, HUGE_ROW, HUGE_ROWS, LARGE_KEY, signature
 from unanswered import is_closed, is_written
 
 CALLER_PORT = 8784
@@ -77,8 +77,9 @@
         return True
 
     async def set_value(self):
-        self.session_value = "v%d" % self.random.randrange(1000)
-        await self.ask(self.new_id() + "s", "SET who " + self.session_value)
+        value = "v%d" % self.random.randrange(1000)
+        await self.ask(self.new_id() + "s", "SET who " + value)
+        self.session_value = value
 
     def new_id(self):
         self.count += 1
@@ -154,6 +155,9 @@
                 await self.ask(request_id + "b", "BEGIN" if writes else "BEGIN READ")
                 await self.read(request_id + "r", began)
                 await self.pause()
+                if self.random.random() < 0.4:
+                    await self.set_value()
+                    await self.read(request_id + "q", began)
             if not writes:
                 await self.read(request_id, began)
             else:
@@ -296,6 +300,62 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.3))
 
 
+class HugeReader(Caller):
+    """Reads answers of several MB, with pauses between the parts that it takes."""
+
+    BLOCK_BYTES = 1 << 20
+    PAUSE_SECONDS = (0.0, 0.1)
+
+    def sets_value(self):
+        return False
+
+    async def read_huge(self):
+        request_id = self.new_id()
+        if is_closed(self.writer):
+            raise Gone("closed before the request")
+        self.writer.write(("QUERY %s READ %s\r\n" % (request_id, HUGE_KEY)).encode())
+        if not is_written(self.writer):
+            raise Gone("not written")
+        request = self.requests.on_sent(request_id, self.daemon)
+        answer = b""
+        try:
+            while not answer[-200:].rpartition(b"READY ")[2].endswith(b"\r\n") or \
+                    b"READY " not in answer[-200:]:
+                block = await asyncio.wait_for(self.reader.read(self.BLOCK_BYTES),
+                                               ANSWER_TIMEOUT_SECONDS)
+                if not block:
+                    self.requests.on_connection_ended(request)
+                    raise Gone("cut off")
+                answer += block
+                await asyncio.sleep(self.random.uniform(*self.PAUSE_SECONDS))
+        finally:
+            self.requests.on_ended(request)
+        if answer.startswith(b"ERROR"):
+            raise Refused(answer.decode().split(" ")[1])
+        rows = [HUGE_ROW] * HUGE_ROWS
+        whole = "".join("ROW %s\r\n" % row for row in rows) + \
+            "COMPLETE %s\r\n" % signature(request_id, rows)
+        if not answer.startswith(whole.encode()):
+            self.history.violations.append("MIXED: %s has %d bytes" % (request_id, len(answer)))
+        self.history.done += 1
+
+    async def run(self, until):
+        while time.monotonic() < until():
+            try:
+                await self.connect()
+                while time.monotonic() < until():
+                    await self.read_huge()
+                    await asyncio.sleep(self.random.uniform(0.1, 0.6))
+            except (Gone, Refused, ConnectionError, OSError, asyncio.TimeoutError) as error:
+                name = type(error).__name__
+                self.history.failures[name] = self.history.failures.get(name, 0) + 1
+                await asyncio.sleep(0.05)
+            finally:
+                if self.writer:
+                    self.writer.close()
+                    self.writer = None
+
+
 class SilentCaller(Caller):
     """Sends requests for large rows and reads no answers, then ends its connection."""
 
--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -15,6 +15,8 @@
 STATEMENT_SECONDS = 0.003
 SLOW_STATEMENT_SECONDS = (0.02, 0.12)
 SYNC_POLL_SECONDS = 0.003
+PREPARATION_REFUSALS = ["READONLY", "BUSY", "ABORTED", "LAGGING", "MOVED", "FAILED"]
+HUGE_KEY, HUGE_ROWS, HUGE_ROW = "huge", 6, "x" * 900_000  # more than a connection queues by default
 LARGE_KEY, LARGE_VALUE = "large", "x" * 60_000
 
 
@@ -170,6 +172,8 @@
             return self.control(word, rest)
         if self.instance.on_request:
             self.instance.on_request(self.instance, request_id)
+        if word in ("RESET", "SET", "PARSE", "CLOSE"):
+            self.check_preparation()
         if word == "RESET":
             self.values, self.prepared = {}, {}
             return None
@@ -203,6 +207,8 @@
             if name not in self.prepared:
                 raise Refusal("UNKNOWN")
             word = self.prepared[name][0]
+        if word == "READ" and rest == HUGE_KEY:
+            return [HUGE_ROW] * HUGE_ROWS
         if word == "READ":
             if self.instance.group.planted_fault == "pinned":
                 self.values["who"] = "somebody"
@@ -214,6 +220,16 @@
             return await self.commit(request_id)
         raise Refusal("MALFORMED")
 
+    def check_preparation(self):
+        """Refuses to change the session's state in a lost transaction, and by chance."""
+        if self.failed:
+            raise Refusal("MALFORMED")
+        if self.in_transaction and not self.read_only and not self.instance.primary:
+            raise Refusal("READONLY")
+        group = self.instance.group
+        if group.random.random() < group.refused_preparations:
+            raise Refusal(group.random.choice(PREPARATION_REFUSALS))
+
     def check_position(self, required):
         term, number = (int(part) for part in required.split("."))
         is_behind = self.instance.applied() < number or self.instance.term < term
@@ -282,6 +298,7 @@
         self.service, self.max_connections = service, max_connections
         self.planted_fault = planted_fault  # a fault of the stand-in that the soak must detect
         self.instances = []
+        self.refused_preparations = 0.0  # share of SET, PARSE, CLOSE and RESET
         self.slow_share, self.random = 0.0, random.Random(service)  # share of slow statements
         self.on_change = lambda: None
         self.promotion_lifts_fences = False  # also at replicas that receive nothing
--- a/tests/platform/soak/short.py
+++ b/tests/platform/soak/short.py
@@ -28,6 +28,10 @@
         "--restores --seed 3 --seconds 30",
     "Soak: commands that arrive in parts before their session is accepted run whole":
         "--seed 2 --seconds 30 --daemons 9 --connections 14 --meshed 4 --early_callers 24",
+    "Soak: instances that refuse to prepare a connection leave no value of another session":
+        "--refusals --seed 1 --seconds 24",
+    "Soak: answers of several MB arrive whole beside planned work":
+        "--planned --seed 5 --seconds 15 --grace_ms 6000 --huge_readers 2",
     "Soak: odd entries of another writer end no daemon and leave no list unread":
         "--odd_entries --seed 1 --seconds 15",
 }
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -28,7 +28,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from callers import (CALLER_PORT, Caller, EarlyCaller, History,  # noqa: E402
-                     PersistentCaller, SilentCaller)
+                     HugeReader, PersistentCaller, SilentCaller)
 from database import Group, Instance  # noqa: E402
 from link import Link  # noqa: E402
 from odd_entries import WHOLE, OddEntries, draw_contents  # noqa: E402
@@ -68,6 +68,7 @@
 SEQUENCE_FREE_END_SECONDS = 26  # a sequence takes up to 14 s
 MIN_SERVED_SHARE = 0.9
 PLANNED_START_DELAY_SECONDS = 2
+REFUSED_PREPARATIONS = 0.03  # share, with --refusals
 SLOW_SHARE = 0.2  # of statements, so that some are in progress at each planned stop
 # After planned work, for callers to be served again; long enough for a slow machine.
 RECOVERY_TIMEOUT_SECONDS = 60
@@ -203,6 +204,7 @@
     async def add_group(self, service, number):
         group = Group(service, self.options.connections, self.options.plant)
         group.promotion_lifts_fences = self.options.sequences
+        group.refused_preparations = REFUSED_PREPARATIONS if self.options.refusals else 0.0
         group.slow_share = SLOW_SHARE if self.options.planned else 0.0
         self.groups[service] = group
         for index in range(INSTANCES):
@@ -591,6 +593,10 @@
                                 self.daemons, groups[number % len(groups)], "primary",
                                 self.history, self.requests)
                     for number in range(self.options.early_callers)]
+        callers += [HugeReader(len(callers) + number, self.options.seed, self.daemons,
+                               groups[number % len(groups)], "bounded", self.history,
+                               self.requests)
+                    for number in range(self.options.huge_readers)]
         tasks = [asyncio.ensure_future(each.run(lambda: self.end)) for each in callers]
         if self.options.planned or self.options.odd_entries:
             await self.run_series()
@@ -691,6 +697,10 @@
                         help="callers that send requests for large rows and don't read them")
     parser.add_argument("--early_callers", type=int, default=0,
                         help="callers that send their first command before they are accepted")
+    parser.add_argument("--huge_readers", type=int, default=0,
+                        help="callers that read answers of several MB")
+    parser.add_argument("--refusals", action="store_true",
+                        help="instances refuse some requests that change a session's state")
     parser.add_argument("--restores", action="store_true",
                         help="the store returns from older copies, several times")
     parser.add_argument("--plant", default="",
