A stream reports that it has drained also when its queue grew beside a smaller write

By reading: congestion was noted only as an asynchronous write began. If the queue passed the limit while a smaller write was in progress, and the rest was then written at once, the caller's commands would have waited for good.

--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -159,6 +159,7 @@
   if (!write_in_progress_) {
     Write();
   }
+  was_congested_ = was_congested_ || IsCongested();
   return !send_failed_;
 }
 
@@ -185,7 +186,6 @@
   }
   writing_ = std::exchange(queued_, {});
   write_in_progress_ = true;
-  was_congested_ = was_congested_ || IsCongested();
   asio::async_write(socket_, asio::buffer(writing_),
                     [self = shared_from_this()](const asio::error_code& fault, std::size_t) {
                       self->OnWritten(fault);
--- a/tests/net/stream_test.cc
+++ b/tests/net/stream_test.cc
@@ -166,6 +166,29 @@
   }
 }
 
+TEST_CASE("A stream reports that it has drained after each congestion", "[net]") {
+  // Guards against a caller whose commands wait for good: the queue grew beyond the limit only
+  // while a smaller write was in progress, and the rest was written at once.
+  for (const std::size_t size : {kCongestedBytes / 4, kCongestedBytes / 2, 2 * kCongestedBytes}) {
+    CAPTURE(size);
+    RespondingServer server;
+    server.stream->SetQueueLimit(std::size_t{64} << 20U);
+    int drained = 0;
+    server.stream->SetDrainedHandler([&] { ++drained; });
+    for (int turn = 1; turn <= 3; ++turn) {
+      while (!server.stream->IsCongested()) {
+        REQUIRE(server.stream->Send(std::string(size, 'x')));
+        server.loop.poll();
+      }
+      CHECK(server.RunUntil([&] {
+        server.ReadSome();
+        return drained == turn;
+      }));
+      CHECK_FALSE(server.stream->IsCongested());
+    }
+  }
+}
+
 TEST_CASE("A closed connection releases what its handlers hold", "[net]") {
   RespondingServer server;
   const auto held = std::make_shared<std::string>("held");
