--- a/src/proxy/group_set.cc
+++ b/src/proxy/group_set.cc
@@ -15,8 +15,6 @@
 /// Age of the lease at which a round queries all members, not just a majority.
 constexpr common::Duration kAskAllAge{450'000};
 constexpr common::Duration kOwnRoundPause{200'000};
-/// Interval of the requests for the primary's position until one covers earlier processes.
-constexpr common::Duration kPositionRequestInterval{500'000};
 /// Time for the prober to read the leadership record and to report the new primary.
 constexpr common::Duration kProposalReportTime{150'000};
 /// Time without a lease after which the primary is suspected.
@@ -92,13 +90,14 @@
 }
 
 void GroupSet::RecordSample(GroupState& state, const group::PositionSample& sample) {
+  const common::Term term = state.lease.Newest().term;
   state.history.Add(sample);
-  state.sampled_term = state.lease.Newest().term;
+  state.sampled_term = term;
   group::PositionSample covering = sample;
   if (!settings_.mechanisms.covered_restarts) {
     covering.instant = common::Instant::max();
   }
-  if (state.acknowledged.OnPrimarySample(covering)) {
+  if (sample.position.term == term && state.acknowledged.OnPrimarySample(covering)) {
     outbox_.Log("earlier_commits_covered", {{"service", state.service},
                                             {"primary", state.lease.Newest().primary},
                                             {"position", PositionText(sample.position)}});
@@ -411,24 +410,6 @@
   }
 }
 
-void GroupSet::RequestPosition(GroupState& state, common::Instant now) {
-  const bool due = !state.acknowledged.IsComplete() && state.lease.Holds(now) &&
-                   now >= state.position_requested_at + kPositionRequestInterval;
-  if (!due) {
-    return;
-  }
-  state.position_requested_at = now;
-  const std::string service = state.service;
-  const std::string primary = state.lease.Newest().primary;
-  const auto answered = [this, service, primary, now](
-                            const std::optional<model::InstanceStatus>& status, common::Instant) {
-    if (status && status->primary) {
-      RecordPosition(service, primary, status->received, now);
-    }
-  };
-  backends_.QueueControlRequest(primary, {model::ControlKind::kStatus, 0}, answered, now);
-}
-
 std::string GroupSet::SuspicionReason(const GroupState& state, common::Instant now) const {
   if (now < state.observed_since + kEvaluationDelay) {
     return "";
@@ -587,7 +568,6 @@
     if (as_prober || by_itself) {
       StartRound(state, now);
     }
-    RequestPosition(state, now);
     UpdateHolders(state, now);
     EvaluatePrimary(state, now);
   }
--- a/src/proxy/group_set.h
+++ b/src/proxy/group_set.h
@@ -44,8 +44,7 @@
   common::Instant term_learned_at{0};  // when the primary's term was learned
   common::Instant lease_last_held_at;  // when the lease was last held
   common::Instant last_round_at{0};    // start of this daemon's last round
-  common::Instant position_requested_at{0};
-  std::size_t next_replica = 0;                            // rotates the replicas that rounds query
+  std::size_t next_replica = 0;        // rotates the replicas that rounds query
   std::optional<common::Instant> oldest_unanswered_write;  // time it was sent to the primary
   std::optional<common::Instant> writes_stalled_since;     // none answered since
   bool reads_record_at_once = false;                       // if the next round proposes a primary
@@ -217,9 +216,6 @@
   static bool IsDegraded(const GroupState& state, common::Instant now);
   void UpdateWatched(GroupState& state, common::Instant now);
   void StartRound(GroupState& state, common::Instant now);
-  /// Asks the primary for its position if none covers what earlier processes acknowledged. Without
-  /// traffic nothing else would, and a replacement would need all fences.
-  void RequestPosition(GroupState& state, common::Instant now);
   void OnRoundAnswer(const std::string& service, const std::string& instance,
                      group::RoundNumber round, const model::InstanceStatus& status,
                      common::Instant started);
--- a/tests/proxy/group_set_test.cc
+++ b/tests/proxy/group_set_test.cc
@@ -115,39 +115,6 @@
   CHECK(fixture.groups.Find("group")->acknowledged.IsComplete());
 }
 
-TEST_CASE("A daemon that has started asks the primary for its position until one covers the past",
-          "[proxy]") {
-  // Guards against a group without a primary: with no traffic since the start of one daemon, the
-  // replica that held everything was not promoted while the others were away.
-  GroupFixture fixture;
-  fixture.ConnectAll(kStart);
-  fixture.outbox.Take();
-  const ConnectionNumber connection = fixture.backends.Find("p")->Connections().begin()->first;
-  const auto requests_position = [&](Instant now) {
-    fixture.groups.Tick(now);
-    const std::vector<Action> actions = fixture.outbox.Take();
-    return std::any_of(actions.begin(), actions.end(), [&](const Action& action) {
-      const auto* send = std::get_if<SendRequests>(&action);
-      return send != nullptr && send->connection == connection;
-    });
-  };
-  const Instant asked = kStart + Duration(10'000);
-  REQUIRE(requests_position(asked));
-  CHECK_FALSE(requests_position(asked + Duration(10'000)));
-  model::Reply reply;
-  reply.succeeded = true;
-  reply.status = model::InstanceStatus{};
-  reply.status->primary = true;
-  reply.status->term = 1;
-  reply.status->received = {1, 40};
-  fixture.backends.OnAnswered(connection, reply, asked + Duration(20'000));
-  const group::AcknowledgedCommits& acknowledged = fixture.groups.Find("group")->acknowledged;
-  CHECK(acknowledged.IsComplete());
-  CHECK(acknowledged.Bounds().at_most == Position{1, 40});
-  fixture.groups.Find("group")->lease.Renew({1, "p", asked + Duration(600'000)});
-  CHECK_FALSE(requests_position(asked + Duration(610'000)));
-}
-
 TEST_CASE("A terminated instance does not count toward a majority", "[proxy]") {
   // Guards against counting terminated instances: after two crashes and replacements the two live
   // instances of a group are no majority of the four ever listed, and no lease of the new primary
